--- /dev/null
+++ b/cmake/CompilerCache.cmake
@@ -0,0 +1,4 @@
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
--- /dev/null
+++ b/src/libs/document/document.cpp
@@ -0,0 +1,1 @@
+#include "document.h"
--- /dev/null
+++ b/src/libs/fleet/fleetstate.cpp
@@ -0,0 +1,1 @@
+#include "fleetstate.h"
--- /dev/null
+++ b/tests/auto/main.cpp
@@ -0,0 +1,7 @@
+#include <CppUTest/CommandLineTestRunner.h>
+
+int main(int argc, char **argv)
+{
+    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+    return CommandLineTestRunner::RunAllTests(argc, argv);
+}
