Declare the records and observations that packages share

Cause: the fold, the planner's decisions and the document codec are written side by side and must fit. Change: value types for document deltas, observations and every record of the log. Conclusion: the types may grow, but only here.

--- a/src/libs/document/document.cpp
+++ b/src/libs/document/document.cpp
@@ -1,1 +1,3 @@
 #include "document.h"
+
+#include "delta.h"
--- a/src/libs/fleet/fleetstate.cpp
+++ b/src/libs/fleet/fleetstate.cpp
@@ -1,1 +1,2 @@
 #include "fleetstate.h"
+#include "record.h"
