Read INI files with lines and declare settings once

Cause: Programs need settings whose mistakes are all reported with their line; inih gives no lines. Searching the text for a key afterwards was ruled out, as keys may be repeated.

Package settings binds keys, defaults, ranges and explanations to members of a struct; help, printed settings and docs/settings.md come from the same declarations.

--- /dev/null
+++ b/src/libs/settings/valueformat.h
@@ -0,0 +1,231 @@
+#pragma once
+
+#include <ini/values.h>
+
+#include <array>
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+namespace Settings
+{
+
+using Milliseconds = std::chrono::milliseconds;
+
+struct Bytes {
+    std::uint64_t value = 0;
+
+    auto operator<=>(const Bytes &) const = default;
+};
+
+struct IpAddress {
+    std::string text;
+
+    auto operator<=>(const IpAddress &) const = default;
+};
+
+/// How a setting's type is read, written and called. Specialized for every type that a setting can have;
+/// parse() returns nothing for text of another kind.
+template<typename T>
+struct ValueFormat;
+
+template<typename T>
+concept SettingValue = std::equality_comparable<T> && requires(std::string_view text, const T &value)
+{
+    {
+        ValueFormat<T>::parse(text)
+        } -> std::same_as<std::optional<T>>;
+    {
+        ValueFormat<T>::print(value)
+        } -> std::same_as<std::string>;
+    {
+        ValueFormat<T>::kind()
+        } -> std::same_as<std::string>;
+};
+
+/// The enumerators of an enumeration with their spellings: specialize with a static `all()` that returns an
+/// array of pairs of them.
+template<typename Enumeration>
+struct Spellings;
+
+template<>
+struct ValueFormat<Milliseconds> {
+    static std::optional<Milliseconds> parse(std::string_view text);
+    static std::string print(Milliseconds value);
+    static std::string kind();
+};
+
+template<>
+struct ValueFormat<Bytes> {
+    static std::optional<Bytes> parse(std::string_view text);
+    static std::string print(Bytes value);
+    static std::string kind();
+};
+
+template<>
+struct ValueFormat<std::uint32_t> {
+    static std::optional<std::uint32_t> parse(std::string_view text);
+    static std::string print(std::uint32_t value);
+    static std::string kind();
+};
+
+template<>
+struct ValueFormat<std::string> {
+    static std::optional<std::string> parse(std::string_view text);
+    static std::string print(const std::string &value);
+    static std::string kind();
+};
+
+template<>
+struct ValueFormat<std::vector<std::string>> {
+    static std::optional<std::vector<std::string>> parse(std::string_view text);
+    static std::string print(const std::vector<std::string> &value);
+    static std::string kind();
+};
+
+template<>
+struct ValueFormat<bool> {
+    static std::optional<bool> parse(std::string_view text);
+    static std::string print(bool value);
+    static std::string kind();
+};
+
+template<>
+struct ValueFormat<IpAddress> {
+    static std::optional<IpAddress> parse(std::string_view text);
+    static std::string print(const IpAddress &value);
+    static std::string kind();
+};
+
+template<>
+struct ValueFormat<Ini::Endpoint> {
+    static std::optional<Ini::Endpoint> parse(std::string_view text);
+    static std::string print(const Ini::Endpoint &value);
+    static std::string kind();
+};
+
+/// Empty text is no value.
+template<SettingValue T>
+struct ValueFormat<std::optional<T>> {
+    static std::optional<std::optional<T>> parse(std::string_view text)
+    {
+        if (text.empty()) {
+            return std::optional<T>();
+        }
+        const auto value = ValueFormat<T>::parse(text);
+        return value ? std::optional<std::optional<T>>(value) : std::nullopt;
+    }
+
+    static std::string print(const std::optional<T> &value)
+    {
+        return value ? ValueFormat<T>::print(*value) : std::string();
+    }
+
+    static std::string kind()
+    {
+        return ValueFormat<T>::kind() + " or empty";
+    }
+};
+
+template<typename Enumeration>
+requires std::is_enum_v<Enumeration>
+struct ValueFormat<Enumeration> {
+    static std::optional<Enumeration> parse(std::string_view text)
+    {
+        for (const auto &[value, spelling] : Spellings<Enumeration>::all()) {
+            if (spelling == text) {
+                return value;
+            }
+        }
+        return std::nullopt;
+    }
+
+    static std::string print(Enumeration value)
+    {
+        for (const auto &[it, spelling] : Spellings<Enumeration>::all()) {
+            if (it == value) {
+                return std::string(spelling);
+            }
+        }
+        return {};
+    }
+
+    static std::string kind()
+    {
+        std::string text;
+        for (const auto &[value, spelling] : Spellings<Enumeration>::all()) {
+            text += text.empty() ? "one of " : ", ";
+            text += spelling;
+        }
+        return text;
+    }
+};
+
+/// A range includes both ends.
+template<SettingValue T>
+struct Range {
+    T least;
+    T most;
+
+    bool accepts(const T &value) const
+    {
+        return least <= value && value <= most;
+    }
+
+    std::string allowed() const
+    {
+        return ValueFormat<T>::print(least) + " to " + ValueFormat<T>::print(most);
+    }
+};
+
+template<SettingValue T>
+Range<T> range(T least, T most)
+{
+    return {std::move(least), std::move(most)};
+}
+
+/// For a text that must not be empty.
+struct NotEmpty {
+    bool accepts(std::string_view value) const
+    {
+        return !value.empty();
+    }
+
+    std::string allowed() const
+    {
+        return "not empty";
+    }
+};
+
+/// For a value whose kind says all.
+struct AnyValue {
+    template<typename T>
+    bool accepts(const T &) const
+    {
+        return true;
+    }
+
+    std::string allowed() const
+    {
+        return {};
+    }
+};
+
+template<typename C, typename T>
+concept ConstraintOf = requires(const C &constraint, const T &value)
+{
+    {
+        constraint.accepts(value)
+        } -> std::same_as<bool>;
+    {
+        constraint.allowed()
+        } -> std::same_as<std::string>;
+};
+
+} // namespace Settings
