--- a/src/libs/base/ring.h
+++ b/src/libs/base/ring.h
@@ -26,7 +26,9 @@
     /// Returns false, leaving `message` as it was, when the ring is full.
     bool push(Message &&message)
     {
-        if (!m_queue.push(std::move(message))) {
+        const Slot slot(std::move(message));
+        if (!m_queue.push(slot)) {
+            message = std::move(slot.message);
             return false;
         }
         if (!m_awake.exchange(true)) {
@@ -41,14 +43,31 @@
     {
         // Cleared first: a message pushed from here on wakes the consumer again.
         m_awake.store(false);
-        Message message;
-        while (m_queue.pop(message)) {
-            receive(std::move(message));
-        }
+        const auto take = [&](const Slot &slot) {
+            receive(std::move(slot.message));
+        };
+        while (m_queue.consume_one(take)) { }
     }
 
 private:
-    boost::lockfree::spsc_queue<Message> m_queue;
+    // The queue of Boost 1.81 takes its elements by copy only; this copy moves, so that messages which
+    // can't be copied fit.
+    struct Slot {
+        explicit Slot(Message &&source)
+            : message(std::move(source))
+        {
+        }
+        Slot(const Slot &other)
+            : message(std::move(other.message))
+        {
+        }
+        Slot &operator=(const Slot &) = delete;
+        ~Slot() = default;
+
+        mutable Message message;
+    };
+
+    boost::lockfree::spsc_queue<Slot> m_queue;
     std::function<void()> m_wake;
     std::atomic<bool> m_awake{false};
 };
--- /dev/null
+++ b/src/libs/gateway/callerduty.cpp
@@ -0,0 +1,209 @@
+#include "callerduty.h"
+
+#include "callersession.h"
+#include "outbox.h"
+
+#include <base/logline.h>
+#include <runtime/duty.h>
+
+#include <boost/asio/ip/address.hpp>
+
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace Gateway
+{
+
+namespace
+{
+
+constexpr Base::Duration AcceptPause = std::chrono::milliseconds{50};
+
+} // namespace
+
+class CallerDuty::Private final : public Internal::SessionOwner
+{
+public:
+    Private(Runtime::Duty &duty, const CallerLimits &limits)
+        : m_duty(duty)
+        , m_limits(limits)
+        , m_acceptor(duty.context(), tcp::endpoint(asio::ip::make_address(limits.address), limits.port))
+        , m_output(duty.timers())
+    {
+    }
+
+    const CallerLimits &limits() const override
+    {
+        return m_limits;
+    }
+    CallerCounters &counters() override
+    {
+        return m_counters;
+    }
+    Base::TimerService &timers() override
+    {
+        return m_duty.timers();
+    }
+    bool isDraining() const override
+    {
+        return m_isDraining;
+    }
+
+    std::optional<ExchangeId> begin(Internal::CallerSession &session) override
+    {
+        if (m_exchanges.size() >= m_limits.inFlight) {
+            return std::nullopt;
+        }
+        const ExchangeId id{++m_lastExchange};
+        m_exchanges.emplace(id, &session);
+        m_counters.inFlight.store(m_exchanges.size(), std::memory_order_relaxed);
+        return id;
+    }
+
+    void end(ExchangeId id) override
+    {
+        m_exchanges.erase(id);
+        m_counters.inFlight.store(m_exchanges.size(), std::memory_order_relaxed);
+    }
+
+    bool trySend(ToTargets &&message) override
+    {
+        return m_output.tryPush(std::move(message));
+    }
+    void send(ToTargets &&message) override
+    {
+        m_output.push(std::move(message));
+    }
+
+    void closed(Internal::CallerSession &session) override
+    {
+        m_sessions.erase(session.shared_from_this());
+        m_counters.connections.store(m_sessions.size(), std::memory_order_relaxed);
+        reportDrained();
+    }
+
+    void receive(ToCallers &&message)
+    {
+        const ExchangeId id = std::visit([](const auto &it) { return it.id; }, message);
+        const auto it = m_exchanges.find(id);
+        if (it == m_exchanges.end()) {
+            return;
+        }
+        const auto session = it->second->shared_from_this();
+        session->receive(std::move(message));
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &ec, tcp::socket socket) {
+            onAccepted(ec, std::move(socket));
+        });
+    }
+
+    void drain(std::function<void()> done)
+    {
+        m_isDraining = true;
+        m_whenDrained = std::move(done);
+        timers().subscribeAfter(m_limits.drainNotice, [this] { stopAccepting(); });
+    }
+
+    Runtime::Duty &m_duty;
+    CallerLimits m_limits;
+    tcp::acceptor m_acceptor;
+    Internal::Outbox<ToTargets> m_output;
+    CallerCounters m_counters;
+
+private:
+    // Out of file descriptors, accepting again at once would spin; the backlog keeps the callers meanwhile.
+    void onAccepted(const boost::system::error_code &ec, tcp::socket socket)
+    {
+        if (!m_acceptor.is_open()) {
+            return;
+        }
+        if (ec) {
+            Base::LogLine(Base::LogLevel::Warning, "accept-failed").with("error", ec.message());
+            timers().subscribeAfter(AcceptPause, [this] { accept(); });
+            return;
+        }
+        if (m_sessions.size() < m_limits.connections) {
+            boost::system::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            const auto session = std::make_shared<Internal::CallerSession>(std::move(socket), *this);
+            m_sessions.insert(session);
+            m_counters.connections.store(m_sessions.size(), std::memory_order_relaxed);
+            session->start();
+        }
+        accept();
+    }
+
+    void stopAccepting()
+    {
+        boost::system::error_code ec;
+        m_acceptor.close(ec);
+        m_hasStoppedAccepting = true;
+        const std::vector<std::shared_ptr<Internal::CallerSession>> sessions(m_sessions.begin(),
+                                                                             m_sessions.end());
+        for (const auto &it : sessions) {
+            it->finish();
+        }
+        reportDrained();
+    }
+
+    void reportDrained()
+    {
+        if (m_hasStoppedAccepting && m_sessions.empty() && m_whenDrained) {
+            std::exchange(m_whenDrained, nullptr)();
+        }
+    }
+
+    std::uint64_t m_lastExchange = 0;
+    std::unordered_map<ExchangeId, Internal::CallerSession *> m_exchanges;
+    std::unordered_set<std::shared_ptr<Internal::CallerSession>> m_sessions;
+    bool m_isDraining = false;
+    bool m_hasStoppedAccepting = false;
+    std::function<void()> m_whenDrained;
+};
+
+CallerDuty::CallerDuty(Runtime::Duty &duty, const CallerLimits &limits)
+    : d(std::make_unique<Private>(duty, limits))
+{
+}
+
+CallerDuty::~CallerDuty() = default;
+
+void CallerDuty::setOutput(Base::Ring<ToTargets> &output)
+{
+    d->m_output.setRing(output);
+}
+
+void CallerDuty::receive(ToCallers &&message)
+{
+    d->receive(std::move(message));
+}
+
+void CallerDuty::start()
+{
+    d->m_duty.post([this] { d->accept(); });
+}
+
+void CallerDuty::drain(std::function<void()> done)
+{
+    d->m_duty.post([this, done = std::move(done)]() mutable { d->drain(std::move(done)); });
+}
+
+std::uint16_t CallerDuty::port() const
+{
+    return d->m_acceptor.local_endpoint().port();
+}
+
+const CallerCounters &CallerDuty::counters() const
+{
+    return d->m_counters;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/callersession.cpp
@@ -0,0 +1,528 @@
+#include "callersession.h"
+
+#include <base/logline.h>
+
+#include <boost/beast/core/bind_handler.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace Gateway::Internal
+{
+
+namespace
+{
+
+constexpr unsigned HttpVersion11 = 11;
+constexpr std::size_t WatchBytes = 4096;
+constexpr Base::Duration LingerTime = std::chrono::seconds{1};
+constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::string bodyOf(const Failure &failure)
+{
+    return fmt::format(
+        "{{\"reason\":\"{}\",\"verdict\":\"{}\"}}\n", failure.reason, Base::toString(failure.verdict));
+}
+
+std::string secondsRoundedUp(Base::Duration duration)
+{
+    return fmt::format("{}",
+                       std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(duration).count()));
+}
+
+beast::string_view toBeast(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+CallerSession::CallerSession(asio::ip::tcp::socket socket, SessionOwner &owner)
+    : m_socket(std::move(socket))
+    , m_owner(owner)
+    , m_readTimer(owner.timers())
+    , m_writeTimer(owner.timers())
+{
+}
+
+void CallerSession::start()
+{
+    awaitRequest();
+}
+
+void CallerSession::receive(ToCallers &&message)
+{
+    if (std::holds_alternative<RequestCredit>(message)) {
+        onRequestCredit();
+    } else if (auto *head = std::get_if<OpenResponse>(&message)) {
+        onResponseHead(std::move(*head));
+    } else if (auto *body = std::get_if<ResponseBody>(&message)) {
+        onResponseBody(std::move(*body));
+    } else if (const auto *failed = std::get_if<ExchangeFailed>(&message)) {
+        onFailure(*failed->failure);
+    }
+}
+
+void CallerSession::finish()
+{
+    m_isFinishing = true;
+    if (m_phase == Phase::Idle) {
+        close();
+    }
+}
+
+void CallerSession::awaitRequest()
+{
+    if (m_owner.isDraining() && m_isFinishing) {
+        close();
+        return;
+    }
+    m_phase = Phase::Idle;
+    if (m_buffer.size() > 0) {
+        readHeader();
+        return;
+    }
+    armReadTimer(m_owner.limits().idleTimeout);
+    watch();
+}
+
+// One read is always waiting while no parser reads: it brings the next request's first bytes when the
+// connection is idle, and the news that the caller hung up while its request is being served.
+void CallerSession::watch()
+{
+    if (m_isWatching || m_buffer.size() >= WatchBytes) {
+        return;
+    }
+    m_isWatching = true;
+    m_socket.async_read_some(m_buffer.prepare(WatchBytes),
+                             beast::bind_front_handler(&CallerSession::onWatched, shared_from_this()));
+}
+
+void CallerSession::onWatched(const ErrorCode &ec, std::size_t n)
+{
+    m_isWatching = false;
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    if (m_phase == Phase::Lingering) {
+        ec ? close() : discard();
+        return;
+    }
+    m_buffer.commit(n);
+    if (ec) {
+        abandon();
+    } else if (m_phase == Phase::Idle) {
+        readHeader();
+    }
+}
+
+void CallerSession::readHeader()
+{
+    m_phase = Phase::Header;
+    m_hasTimedOut = false;
+    armReadTimer(m_owner.limits().headerTimeout);
+    m_parser.emplace();
+    m_parser->header_limit(m_owner.limits().headerBytes);
+    m_parser->body_limit(m_owner.limits().bodyBytes);
+    http::async_read_header(
+        m_socket, m_buffer, *m_parser, [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
+            self->onHeader(ec);
+        });
+}
+
+void CallerSession::onHeader(const ErrorCode &ec)
+{
+    m_readTimer.disarm();
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    if (ec) {
+        onHeaderError(ec);
+        return;
+    }
+    const auto &header = m_parser->get();
+    if (const auto failure = checkRequest(header)) {
+        answer(*failure);
+        return;
+    }
+    m_owner.counters().requests.fetch_add(1, std::memory_order_relaxed);
+    m_isKeptAlive = m_parser->keep_alive();
+    m_isHeadRequest = header.method() == http::verb::head;
+    m_isRequestDone = m_parser->is_done();
+    m_requestWindow = ChunkWindow;
+    if (m_isRequestDone) {
+        sendChunk({});
+        return;
+    }
+    if (beast::iequals(header[http::field::expect], "100-continue")) {
+        asio::async_write(m_socket,
+                          asio::buffer(ContinueResponse),
+                          [self = shared_from_this()](const ErrorCode &, std::size_t) { self->readChunk(); });
+        return;
+    }
+    readChunk();
+}
+
+void CallerSession::onHeaderError(const ErrorCode &ec)
+{
+    if (m_hasTimedOut) {
+        answer({408, Base::Verdict::NotRun, "header-timeout", std::nullopt});
+    } else if (ec == http::error::end_of_stream || ec == http::error::partial_message
+               || ec.category() == asio::error::get_system_category()) {
+        close();
+    } else {
+        answer(parseFailure(ec));
+    }
+}
+
+// A body is handed on in whole chunks, and an exchange is opened with its first one, so that a slow
+// caller with a small body holds no slot of a target.
+void CallerSession::readChunk()
+{
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    m_isReadingBody = true;
+    const auto left = m_parser->content_length_remaining();
+    m_chunk.resize(std::min<std::uint64_t>(ChunkBytes, left ? *left : ChunkBytes));
+    m_parser->get().body().data = m_chunk.data();
+    m_parser->get().body().size = m_chunk.size();
+    armReadTimer(m_owner.limits().bodyTimeout);
+    http::async_read(m_socket,
+                     m_buffer,
+                     *m_parser,
+                     [self = shared_from_this()](const ErrorCode &ec, std::size_t) { self->onChunk(ec); });
+}
+
+void CallerSession::onChunk(const ErrorCode &ec)
+{
+    m_isReadingBody = false;
+    if (m_phase == Phase::Lingering) {
+        ec ? close() : discard();
+        return;
+    }
+    m_readTimer.disarm();
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    if (ec && ec != http::error::need_buffer) {
+        if (m_exchange && (m_serializer || !m_hasTimedOut)) {
+            abandon();
+        } else if (m_exchange) {
+            m_owner.send(CallerGone{*m_exchange});
+            endExchange();
+            answer({408, Base::Verdict::MayHaveRun, "body-timeout", std::nullopt});
+        } else if (m_hasTimedOut) {
+            answer({408, Base::Verdict::NotRun, "body-timeout", std::nullopt});
+        } else if (ec == http::error::partial_message
+                   || ec.category() == asio::error::get_system_category()) {
+            close();
+        } else {
+            answer(parseFailure(ec));
+        }
+        return;
+    }
+    m_chunk.resize(m_chunk.size() - m_parser->get().body().size);
+    m_isRequestDone = m_parser->is_done();
+    sendChunk(std::move(m_chunk));
+}
+
+void CallerSession::sendChunk(std::string chunk)
+{
+    if (!m_exchange) {
+        if (!openExchange(std::move(chunk))) {
+            return;
+        }
+    } else if (!m_owner.trySend(RequestBody{*m_exchange, std::move(chunk), m_isRequestDone})) {
+        abandon();
+        return;
+    }
+    if (m_isRequestDone) {
+        watch();
+        return;
+    }
+    --m_requestWindow;
+    if (m_requestWindow > 0) {
+        readChunk();
+    }
+}
+
+bool CallerSession::openExchange(std::string chunk)
+{
+    const auto id = m_owner.begin(*this);
+    if (!id) {
+        m_owner.counters().refused.fetch_add(1, std::memory_order_relaxed);
+        answer({503, Base::Verdict::NotRun, "too-many-in-flight", std::chrono::seconds{1}});
+        return false;
+    }
+    m_exchange = id;
+    m_phase = Phase::Exchange;
+    auto head = std::make_unique<RequestHead>(requestHead(m_parser->get()));
+    head->hasBody = !(m_isRequestDone && chunk.empty());
+    if (const auto length = m_parser->content_length()) {
+        head->length = *length;
+    }
+    head->receivedAt = m_owner.timers().now();
+    if (!m_owner.trySend(OpenExchange{*id, std::move(head), std::move(chunk), m_isRequestDone})) {
+        endExchange();
+        answer({503, Base::Verdict::NotRun, "too-many-in-flight", std::chrono::seconds{1}});
+        return false;
+    }
+    return true;
+}
+
+void CallerSession::onRequestCredit()
+{
+    ++m_requestWindow;
+    if (m_phase == Phase::Exchange && !m_isReadingBody && !m_isRequestDone) {
+        readChunk();
+    }
+}
+
+void CallerSession::onResponseHead(OpenResponse &&message)
+{
+    if (m_phase != Phase::Exchange) {
+        return;
+    }
+    m_response.emplace();
+    m_response->version(HttpVersion11);
+    m_response->result(message.head->status);
+    for (const auto &it : message.head->fields) {
+        m_response->insert(toBeast(it.name), toBeast(it.value));
+    }
+    if (message.head->length) {
+        m_response->content_length(*message.head->length);
+    } else if (message.head->hasBody) {
+        m_response->chunked(true);
+    }
+    m_isKeptAlive = m_isKeptAlive && m_isRequestDone && !m_owner.isDraining();
+    m_response->keep_alive(m_isKeptAlive);
+    m_response->body().data = nullptr;
+    m_response->body().size = 0;
+    m_response->body().more = !message.isLast;
+    m_serializer.emplace(*m_response);
+    m_pending.push_back({message.id, std::move(message.chunk), message.isLast});
+    writeNext();
+}
+
+void CallerSession::onResponseBody(ResponseBody &&message)
+{
+    if (m_phase != Phase::Exchange || !m_serializer) {
+        return;
+    }
+    m_pending.push_back(std::move(message));
+    writeNext();
+}
+
+// A response that has begun can only be ended by closing the connection, so that what was sent is never
+// taken for the whole.
+void CallerSession::onFailure(const Failure &failure)
+{
+    if (m_phase != Phase::Exchange) {
+        return;
+    }
+    if (m_serializer) {
+        endExchange();
+        close();
+        return;
+    }
+    endExchange();
+    answer(failure);
+}
+
+void CallerSession::writeNext()
+{
+    if (m_isWriting || m_pending.empty()) {
+        return;
+    }
+    m_isWriting = true;
+    ResponseBody part = std::move(m_pending.front());
+    m_pending.pop_front();
+    m_writing = std::move(part.chunk);
+    m_response->body().data = m_writing.empty() ? nullptr : m_writing.data();
+    m_response->body().size = m_writing.size();
+    m_response->body().more = !part.isLast;
+    armWriteTimer();
+    auto handler = [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
+        self->onWritten(ec);
+    };
+    if (m_isHeadRequest) {
+        http::async_write_header(m_socket, *m_serializer, std::move(handler));
+        return;
+    }
+    http::async_write(m_socket, *m_serializer, std::move(handler));
+}
+
+void CallerSession::onWritten(const ErrorCode &ec)
+{
+    m_isWriting = false;
+    m_writeTimer.disarm();
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    if (ec && ec != http::error::need_buffer) {
+        abandon();
+        return;
+    }
+    if (!m_response->body().more) {
+        onResponseDone();
+        return;
+    }
+    m_owner.send(ResponseCredit{*m_exchange});
+    writeNext();
+}
+
+// An answer of our own to a request that was not read to its end closes the connection, since where the
+// next request would begin isn't known.
+void CallerSession::answer(const Failure &failure)
+{
+    if (failure.status < 500 || failure.verdict == Base::Verdict::NotRun) {
+        Base::LogLine(Base::LogLevel::Debug, "request-refused")
+            .with("status", failure.status)
+            .with("verdict", Base::toString(failure.verdict))
+            .with("reason", failure.reason);
+    }
+    m_phase = Phase::Exchange;
+    const bool isReadToEnd = m_parser && m_parser->is_done();
+    if (!isReadToEnd) {
+        m_owner.counters().malformed.fetch_add(1, std::memory_order_relaxed);
+    }
+    m_isRequestDone = isReadToEnd;
+    m_isKeptAlive = isReadToEnd && m_parser->keep_alive() && !m_owner.isDraining();
+    writeOwnAnswer(failure);
+}
+
+void CallerSession::writeOwnAnswer(const Failure &failure)
+{
+    m_ownAnswer.emplace();
+    m_ownAnswer->version(HttpVersion11);
+    m_ownAnswer->result(failure.status);
+    m_ownAnswer->set(toBeast(VerdictHeader), toBeast(Base::toString(failure.verdict)));
+    m_ownAnswer->set(http::field::content_type, "application/json");
+    if (failure.retryAfter) {
+        m_ownAnswer->set(http::field::retry_after, secondsRoundedUp(*failure.retryAfter));
+    }
+    m_ownAnswer->keep_alive(m_isKeptAlive);
+    if (!m_isHeadRequest) {
+        m_ownAnswer->body() = bodyOf(failure);
+        m_ownAnswer->prepare_payload();
+    }
+    armWriteTimer();
+    http::async_write(m_socket, *m_ownAnswer, [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
+        self->m_ownAnswer.reset();
+        if (self->m_phase != Phase::Closed) {
+            ec ? self->close() : self->onResponseDone();
+        }
+    });
+}
+
+void CallerSession::onResponseDone()
+{
+    m_writeTimer.disarm();
+    endExchange();
+    m_serializer.reset();
+    m_response.reset();
+    m_pending.clear();
+    if (m_isKeptAlive && m_isRequestDone && !m_isFinishing) {
+        m_parser.reset();
+        awaitRequest();
+        return;
+    }
+    if (m_isRequestDone) {
+        close();
+    } else {
+        linger();
+    }
+}
+
+void CallerSession::endExchange()
+{
+    if (m_exchange) {
+        m_owner.end(*m_exchange);
+        m_exchange.reset();
+    }
+}
+
+void CallerSession::abandon()
+{
+    if (m_exchange) {
+        m_owner.counters().hungUp.fetch_add(1, std::memory_order_relaxed);
+        m_owner.send(CallerGone{*m_exchange});
+        endExchange();
+    }
+    close();
+}
+
+// Closing with unread data would reset the connection, and the caller could lose the answer that was just
+// written to it; so what it still sends is discarded for a while first.
+void CallerSession::linger()
+{
+    ErrorCode ec;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    m_phase = Phase::Lingering;
+    m_discarded.resize(WatchBytes);
+    m_readTimer.arm(LingerTime, [this] { close(); });
+    if (!m_isWatching && !m_isReadingBody) {
+        discard();
+    }
+}
+
+void CallerSession::discard()
+{
+    m_socket.async_read_some(asio::buffer(m_discarded),
+                             [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
+                                 if (self->m_phase != Phase::Lingering) {
+                                     return;
+                                 }
+                                 ec ? self->close() : self->discard();
+                             });
+}
+
+void CallerSession::close()
+{
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    m_phase = Phase::Closed;
+    m_readTimer.disarm();
+    m_writeTimer.disarm();
+    const auto self = shared_from_this();
+    ErrorCode ec;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    m_socket.close(ec);
+    m_owner.closed(*this);
+}
+
+void CallerSession::armReadTimer(Base::Duration timeout)
+{
+    m_hasTimedOut = false;
+    m_readTimer.arm(timeout, [this] { onReadTimeout(); });
+}
+
+void CallerSession::armWriteTimer()
+{
+    m_writeTimer.arm(m_owner.limits().bodyTimeout, [this] { abandon(); });
+}
+
+// The handler of the read that is cancelled decides what to answer.
+void CallerSession::onReadTimeout()
+{
+    m_hasTimedOut = true;
+    if (m_phase == Phase::Idle) {
+        close();
+        return;
+    }
+    ErrorCode ec;
+    m_socket.cancel(ec);
+}
+
+} // namespace Gateway::Internal
--- /dev/null
+++ b/src/libs/gateway/callersession.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "callerduty.h"
+#include "gatewayconstants.h"
+#include "message.h"
+#include "requestcheck.h"
+
+#include <base/oneshottimer.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Gateway::Internal
+{
+
+class CallerSession;
+
+/// What a session needs of the duty that owns it.
+class SessionOwner
+{
+public:
+    virtual ~SessionOwner() = default;
+
+    virtual const CallerLimits &limits() const = 0;
+    virtual CallerCounters &counters() = 0;
+    virtual Base::TimerService &timers() = 0;
+    virtual bool isDraining() const = 0;
+
+    /// Registers an exchange for the session; nothing when too many are in flight.
+    virtual std::optional<ExchangeId> begin(CallerSession &session) = 0;
+    virtual void end(ExchangeId id) = 0;
+
+    /// Returns false, and sends nothing, when the target side is behind; for messages that open or feed.
+    virtual bool trySend(ToTargets &&message) = 0;
+    virtual void send(ToTargets &&message) = 0;
+    virtual void closed(CallerSession &session) = 0;
+};
+
+/// One caller's connection: one request at a time, each answered before the next is read.
+class CallerSession : public std::enable_shared_from_this<CallerSession>
+{
+public:
+    CallerSession(boost::asio::ip::tcp::socket socket, SessionOwner &owner);
+
+    void start();
+    void receive(ToCallers &&message);
+
+    /// Ends the connection now if it's idle, else after the response under way.
+    void finish();
+
+private:
+    enum class Phase { Idle, Header, Exchange, Lingering, Closed };
+    using BodyParser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+    using Response = boost::beast::http::response<boost::beast::http::buffer_body>;
+    using ResponseSerializer = boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
+    using OwnAnswer = boost::beast::http::response<boost::beast::http::string_body>;
+    using ErrorCode = boost::system::error_code;
+
+    void awaitRequest();
+    void watch();
+    void onWatched(const ErrorCode &ec, std::size_t n);
+    void readHeader();
+    void onHeader(const ErrorCode &ec);
+    void onHeaderError(const ErrorCode &ec);
+    void readChunk();
+    void onChunk(const ErrorCode &ec);
+    bool openExchange(std::string chunk);
+    void sendChunk(std::string chunk);
+    void onRequestCredit();
+    void onResponseHead(OpenResponse &&message);
+    void onResponseBody(ResponseBody &&message);
+    void onFailure(const Failure &failure);
+    void writeNext();
+    void onWritten(const ErrorCode &ec);
+    void answer(const Failure &failure);
+    void writeOwnAnswer(const Failure &failure);
+    void onResponseDone();
+    void endExchange();
+    void abandon();
+    void close();
+    void linger();
+    void discard();
+    void armReadTimer(Base::Duration timeout);
+    void armWriteTimer();
+    void onReadTimeout();
+
+    boost::asio::ip::tcp::socket m_socket;
+    SessionOwner &m_owner;
+    boost::beast::flat_buffer m_buffer;
+    Phase m_phase = Phase::Idle;
+    std::optional<BodyParser> m_parser;
+    std::string m_chunk;
+    std::optional<ExchangeId> m_exchange;
+    std::uint32_t m_requestWindow = ChunkWindow;
+    bool m_isWatching = false;
+    bool m_isReadingBody = false;
+    bool m_isRequestDone = false;
+    bool m_isKeptAlive = false;
+    bool m_isHeadRequest = false;
+    bool m_isWriting = false;
+    bool m_hasTimedOut = false;
+    bool m_isFinishing = false;
+    std::optional<Response> m_response;
+    std::optional<ResponseSerializer> m_serializer;
+    std::deque<ResponseBody> m_pending;
+    std::string m_writing;
+    std::optional<OwnAnswer> m_ownAnswer;
+    std::vector<char> m_discarded;
+    Base::OneShotTimer m_readTimer;
+    Base::OneShotTimer m_writeTimer;
+};
+
+} // namespace Gateway::Internal
--- /dev/null
+++ b/src/libs/gateway/connectionpool.cpp
@@ -0,0 +1,52 @@
+#include "connectionpool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Gateway::Internal
+{
+
+ConnectionPool::Connection ConnectionPool::take(std::uint64_t target, Base::Instant notBefore)
+{
+    const auto it = m_idle.find(target);
+    if (it == m_idle.end() || it->second.empty() || it->second.back()->lastAnswer() < notBefore) {
+        return nullptr;
+    }
+    Connection connection = std::move(it->second.back());
+    it->second.pop_back();
+    return connection;
+}
+
+void ConnectionPool::put(Connection connection, std::size_t limit)
+{
+    auto &idle = m_idle[connection->owner()];
+    if (idle.size() >= limit) {
+        connection->close();
+        return;
+    }
+    connection->rest();
+    idle.push_back(std::move(connection));
+}
+
+void ConnectionPool::remove(const TargetConnection &connection)
+{
+    const auto it = m_idle.find(connection.owner());
+    if (it == m_idle.end()) {
+        return;
+    }
+    std::erase_if(it->second, [&](const Connection &kept) { return kept.get() == &connection; });
+}
+
+void ConnectionPool::clear(std::uint64_t target)
+{
+    const auto it = m_idle.find(target);
+    if (it == m_idle.end()) {
+        return;
+    }
+    for (const auto &kept : it->second) {
+        kept->close();
+    }
+    m_idle.erase(it);
+}
+
+} // namespace Gateway::Internal
--- /dev/null
+++ b/src/libs/gateway/exchange.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "message.h"
+#include "targetconnection.h"
+
+#include <base/oneshottimer.h>
+#include <base/verdict.h>
+#include <scheduling/ids.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Gateway::Internal
+{
+
+/// One piece of a request's body, kept while another attempt may need it.
+struct BodyPiece {
+    std::string chunk;
+    bool isLast = false;
+};
+
+/// A request on its way through the target side.
+struct Exchange {
+    enum class Phase {
+        Queued, ///< waits for a target
+        Attempting, ///< sent, or being sent; no part of a response has been passed on
+        Responding, ///< the response is being passed on
+    };
+
+    explicit Exchange(Base::TimerService &timers)
+        : deadlineTimer(timers)
+    {
+    }
+
+    ExchangeId id;
+    std::unique_ptr<RequestHead> head;
+    std::size_t service = 0; ///< index into the routing table that was in force at arrival
+    bool isIdempotent = false;
+    bool isCallerGone = false;
+    Phase phase = Phase::Queued;
+    Base::Instant deadline;
+    Base::Instant attemptStartedAt;
+    std::vector<BodyPiece> pieces;
+    std::size_t pieceBytes = 0;
+    bool isBodyKept = true; ///< all pieces from the first one on are there
+    bool isBodyWhole = false; ///< the last piece has come
+    std::uint32_t creditsGiven = 0; ///< pieces that the caller side was told of
+    std::uint32_t piecesSent = 0; ///< in this attempt
+    Scheduling::TargetId target;
+    std::shared_ptr<TargetConnection> connection;
+    std::unique_ptr<ResponseHead> heldHead; ///< a whole server error, until another attempt is ruled out
+    std::string heldBody;
+    Base::OneShotTimer deadlineTimer;
+};
+
+} // namespace Gateway::Internal
--- /dev/null
+++ b/src/libs/gateway/outbox.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <base/oneshottimer.h>
+#include <base/ring.h>
+
+#include <deque>
+#include <utility>
+
+namespace Gateway::Internal
+{
+
+/// The producer's side of a ring whose messages must not be lost: what finds the ring full is kept, in
+/// order, and tried again shortly. Bounded by the exchanges in flight, each of which has few messages.
+template<typename Message>
+class Outbox
+{
+public:
+    explicit Outbox(Base::TimerService &timers)
+        : m_retry(timers)
+    {
+    }
+
+    void setRing(Base::Ring<Message> &ring)
+    {
+        m_ring = &ring;
+    }
+
+    /// Returns false, leaving `message` as it was, when it can't be sent now.
+    bool tryPush(Message &&message)
+    {
+        return m_kept.empty() && m_ring->push(std::move(message));
+    }
+
+    void push(Message &&message)
+    {
+        if (tryPush(std::move(message))) {
+            return;
+        }
+        m_kept.push_back(std::move(message));
+        if (m_kept.size() == 1) {
+            armRetry();
+        }
+    }
+
+private:
+    static constexpr Base::Duration RetryPause = std::chrono::milliseconds{1};
+
+    void armRetry()
+    {
+        m_retry.arm(RetryPause, [this] { retry(); });
+    }
+
+    void retry()
+    {
+        while (!m_kept.empty() && m_ring->push(std::move(m_kept.front()))) {
+            m_kept.pop_front();
+        }
+        if (!m_kept.empty()) {
+            armRetry();
+        }
+    }
+
+    Base::Ring<Message> *m_ring = nullptr;
+    std::deque<Message> m_kept;
+    Base::OneShotTimer m_retry;
+};
+
+} // namespace Gateway::Internal
--- /dev/null
+++ b/src/libs/gateway/targetconnection.cpp
@@ -0,0 +1,372 @@
+#include "targetconnection.h"
+
+#include "requestcheck.h"
+
+#include <boost/beast/core/bind_handler.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace Gateway::Internal
+{
+
+namespace
+{
+
+constexpr unsigned HttpVersion11 = 11;
+constexpr std::size_t WatchBytes = 4096;
+
+bool isInformational(unsigned status)
+{
+    return status >= 100 && status < 200;
+}
+
+} // namespace
+
+TargetConnection::TargetConnection(asio::io_context &context,
+                                   Base::TimerService &timers,
+                                   const TargetLimits &limits,
+                                   ConnectionObserver &observer,
+                                   std::uint64_t owner)
+    : m_socket(context)
+    , m_limits(limits)
+    , m_observer(observer)
+    , m_owner(owner)
+    , m_timers(timers)
+    , m_timer(timers)
+{
+}
+
+std::uint64_t TargetConnection::owner() const
+{
+    return m_owner;
+}
+
+Base::Instant TargetConnection::lastAnswer() const
+{
+    return m_lastAnswer;
+}
+
+void TargetConnection::connectAndSend(const Endpoint &endpoint,
+                                      const RequestHead &head,
+                                      std::string chunk,
+                                      bool isLast)
+{
+    m_phase = Phase::Connecting;
+    prepare(head, std::move(chunk), isLast);
+    m_timer.arm(m_limits.connectTimeout, [this] { breakOff(Break::ConnectFailed); });
+    m_socket.async_connect(endpoint, [self = shared_from_this()](const ErrorCode &ec) {
+        if (self->m_phase != Phase::Connecting) {
+            return;
+        }
+        if (ec) {
+            self->breakOff(Break::ConnectFailed);
+            return;
+        }
+        ErrorCode ignored;
+        self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->begin();
+    });
+}
+
+void TargetConnection::send(const RequestHead &head, std::string chunk, bool isLast)
+{
+    prepare(head, std::move(chunk), isLast);
+    begin();
+}
+
+void TargetConnection::sendBody(std::string chunk, bool isLast)
+{
+    m_pieces.push_back({std::move(chunk), isLast});
+    writeNext();
+}
+
+void TargetConnection::giveResponseCredit()
+{
+    ++m_responseWindow;
+    if (m_phase == Phase::Busy && m_parser && m_head == std::nullopt && !m_isReading && !m_isResponseDone) {
+        readBody();
+    }
+}
+
+bool TargetConnection::isReusable() const
+{
+    return m_isResponseDone && m_isRequestDone && !m_isWriting && m_isKeptAlive && m_buffer.size() == 0;
+}
+
+void TargetConnection::rest()
+{
+    m_phase = Phase::Idle;
+    m_lastAnswer = m_timers.now();
+    m_timer.arm(m_limits.idleTimeout, [this] {
+        const auto self = shared_from_this();
+        close();
+        m_observer.onIdleClosed(*this);
+    });
+    watch();
+}
+
+void TargetConnection::close()
+{
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    m_phase = Phase::Closed;
+    m_timer.disarm();
+    ErrorCode ec;
+    m_socket.close(ec);
+}
+
+void TargetConnection::prepare(const RequestHead &head, std::string chunk, bool isLast)
+{
+    m_request.emplace();
+    m_request->version(HttpVersion11);
+    m_request->method_string({head.method.data(), head.method.size()});
+    m_request->target({head.target.data(), head.target.size()});
+    for (const auto &it : head.fields) {
+        m_request->insert({it.name.data(), it.name.size()}, {it.value.data(), it.value.size()});
+    }
+    if (head.length) {
+        m_request->content_length(*head.length);
+    } else if (head.hasBody) {
+        m_request->chunked(true);
+    }
+    m_isHeadRequest = m_request->method() == http::verb::head;
+    m_request->body().data = nullptr;
+    m_request->body().size = 0;
+    m_request->body().more = !isLast;
+    m_serializer.emplace(*m_request);
+    m_pieces.clear();
+    m_pieces.push_back({std::move(chunk), isLast});
+    m_hasSent = false;
+    m_isRequestDone = false;
+    m_isResponseDone = false;
+    m_responseWindow = ChunkWindow;
+    m_head.reset();
+    m_parser.reset();
+}
+
+void TargetConnection::begin()
+{
+    m_phase = Phase::Busy;
+    armProgress();
+    writeNext();
+    if (!m_isWatching) {
+        readHeader();
+    }
+}
+
+void TargetConnection::writeNext()
+{
+    if (m_phase != Phase::Busy || m_isWriting || m_pieces.empty()) {
+        return;
+    }
+    m_isWriting = true;
+    Piece piece = std::move(m_pieces.front());
+    m_pieces.pop_front();
+    m_writing = std::move(piece.chunk);
+    m_request->body().data = m_writing.empty() ? nullptr : m_writing.data();
+    m_request->body().size = m_writing.size();
+    m_request->body().more = !piece.isLast;
+    armProgress();
+    http::async_write(
+        m_socket, *m_serializer, [self = shared_from_this()](const ErrorCode &ec, std::size_t n) {
+            self->onWritten(ec, n);
+        });
+}
+
+// A write that failed without a byte taken by the system is the only proof of NotRun after a connect.
+void TargetConnection::onWritten(const ErrorCode &ec, std::size_t n)
+{
+    m_isWriting = false;
+    m_hasSent = m_hasSent || n > 0;
+    if (m_phase != Phase::Busy) {
+        return;
+    }
+    if (ec && ec != http::error::need_buffer) {
+        // The target may have answered before it closed its receiving side: the answer is read first.
+        if (!m_hasSent) {
+            breakOff(Break::Reset);
+        }
+        return;
+    }
+    if (!m_request->body().more) {
+        m_isRequestDone = true;
+        if (m_isResponseDone) {
+            return;
+        }
+        armProgress();
+        return;
+    }
+    m_timer.disarm();
+    m_observer.onRequestCredit(*this);
+    writeNext();
+}
+
+// The read that waits on an idle connection becomes the first read of the next response.
+void TargetConnection::watch()
+{
+    if (m_isWatching) {
+        return;
+    }
+    m_isWatching = true;
+    m_socket.async_read_some(m_buffer.prepare(WatchBytes),
+                             beast::bind_front_handler(&TargetConnection::onWatched, shared_from_this()));
+}
+
+void TargetConnection::onWatched(const ErrorCode &ec, std::size_t n)
+{
+    m_isWatching = false;
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    if (m_phase == Phase::Idle) {
+        close();
+        m_observer.onIdleClosed(*this);
+        return;
+    }
+    m_buffer.commit(n);
+    if (ec) {
+        breakOff(Break::Reset);
+        return;
+    }
+    readHeader();
+}
+
+void TargetConnection::readHeader()
+{
+    m_parser.emplace();
+    m_parser->header_limit(m_limits.headerBytes);
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_isHeadRequest);
+    m_isReading = true;
+    http::async_read_header(
+        m_socket, m_buffer, *m_parser, [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
+            self->m_isReading = false;
+            if (self->m_phase == Phase::Busy) {
+                self->onHeader(ec);
+            }
+        });
+}
+
+void TargetConnection::onHeader(const ErrorCode &ec)
+{
+    if (ec) {
+        const bool isCut = ec == http::error::end_of_stream || ec == http::error::partial_message
+            || ec.category() == asio::error::get_system_category();
+        breakOff(isCut ? Break::Reset : Break::Malformed);
+        return;
+    }
+    const unsigned status = m_parser->get().result_int();
+    if (isInformational(status) && status != 101) {
+        readHeader();
+        return;
+    }
+    if (status == 101 || !isFramingClear()) {
+        breakOff(Break::Malformed);
+        return;
+    }
+    armProgress();
+    m_isKeptAlive = m_parser->keep_alive();
+    m_head.emplace();
+    m_head->status = status;
+    m_head->fields = endToEndFields(m_parser->get());
+    if (const auto length = m_parser->content_length()) {
+        m_head->length = *length;
+    }
+    m_head->hasBody = !m_parser->is_done();
+    if (m_parser->is_done() || m_buffer.size() == 0) {
+        deliver({});
+        return;
+    }
+    readBody();
+}
+
+// A body that ends with the connection can't be told from one that was cut short, so it's not passed on.
+bool TargetConnection::isFramingClear() const
+{
+    const auto &header = m_parser->get();
+    const auto lengths = header.count(http::field::content_length);
+    const auto encodings = header.count(http::field::transfer_encoding);
+    if (lengths + encodings > 1) {
+        return false;
+    }
+    return m_parser->is_done() || lengths == 1 || m_parser->chunked();
+}
+
+void TargetConnection::readBody()
+{
+    if (m_responseWindow == 0) {
+        m_timer.disarm();
+        return;
+    }
+    const auto left = m_parser->content_length_remaining();
+    m_reading.resize(std::min<std::uint64_t>(ChunkBytes, left ? *left : ChunkBytes));
+    m_parser->get().body().data = m_reading.data();
+    m_parser->get().body().size = m_reading.size();
+    m_isReading = true;
+    armProgress();
+    http::async_read_some(
+        m_socket, m_buffer, *m_parser, [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
+            self->m_isReading = false;
+            if (self->m_phase == Phase::Busy) {
+                self->onBody(ec);
+            }
+        });
+}
+
+void TargetConnection::onBody(const ErrorCode &ec)
+{
+    if (ec && ec != http::error::need_buffer) {
+        const bool isCut = ec == http::error::end_of_stream || ec == http::error::partial_message
+            || ec.category() == asio::error::get_system_category();
+        breakOff(isCut ? Break::Reset : Break::Malformed);
+        return;
+    }
+    m_reading.resize(m_reading.size() - m_parser->get().body().size);
+    if (m_reading.empty() && !m_parser->is_done()) {
+        readBody();
+        return;
+    }
+    deliver(std::move(m_reading));
+}
+
+void TargetConnection::deliver(std::string chunk)
+{
+    const auto self = shared_from_this();
+    m_isResponseDone = m_parser->is_done();
+    m_timer.disarm();
+    --m_responseWindow;
+    const bool isLast = m_isResponseDone;
+    if (m_head) {
+        ResponseHead head = std::move(*m_head);
+        m_head.reset();
+        m_observer.onResponseHead(*this, std::move(head), std::move(chunk), isLast);
+    } else {
+        m_observer.onResponseBody(*this, std::move(chunk), isLast);
+    }
+    if (!isLast && m_phase == Phase::Busy && !m_isReading) {
+        readBody();
+    }
+}
+
+void TargetConnection::armProgress()
+{
+    m_timer.arm(m_limits.progressTimeout, [this] { breakOff(Break::Silent); });
+}
+
+void TargetConnection::breakOff(Break reason)
+{
+    const auto self = shared_from_this();
+    const bool mayHaveSent = m_phase == Phase::Busy && (m_hasSent || m_isWriting);
+    close();
+    m_observer.onBroken(*this, reason, mayHaveSent);
+}
+
+} // namespace Gateway::Internal
--- /dev/null
+++ b/src/libs/gateway/targetconnection.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "gatewayconstants.h"
+#include "message.h"
+#include "targetlimits.h"
+
+#include <base/oneshottimer.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Gateway::Internal
+{
+
+class TargetConnection;
+
+enum class Break {
+    ConnectFailed,
+    Reset, ///< closed or reset by the target before its response was whole
+    Silent, ///< no progress for longer than the limits allow
+    Malformed, ///< a response that can't be passed on truthfully
+};
+
+/// What happens on a connection, told on the duty's thread.
+class ConnectionObserver
+{
+public:
+    virtual ~ConnectionObserver() = default;
+
+    virtual void onRequestCredit(TargetConnection &connection) = 0;
+    virtual void
+    onResponseHead(TargetConnection &connection, ResponseHead head, std::string chunk, bool isLast) = 0;
+    virtual void onResponseBody(TargetConnection &connection, std::string chunk, bool isLast) = 0;
+
+    /// The connection is closed. `mayHaveSent`: a byte of the request under way may have left.
+    virtual void onBroken(TargetConnection &connection, Break reason, bool mayHaveSent) = 0;
+
+    /// A pooled connection was closed by the target or has been idle for too long.
+    virtual void onIdleClosed(TargetConnection &connection) = 0;
+};
+
+/// One connection to a target: one request at a time.
+class TargetConnection : public std::enable_shared_from_this<TargetConnection>
+{
+public:
+    using Endpoint = boost::asio::ip::tcp::endpoint;
+
+    TargetConnection(boost::asio::io_context &context,
+                     Base::TimerService &timers,
+                     const TargetLimits &limits,
+                     ConnectionObserver &observer,
+                     std::uint64_t owner);
+
+    /// The number that the observer knows the target by.
+    std::uint64_t owner() const;
+
+    /// The last time the target answered on it.
+    Base::Instant lastAnswer() const;
+
+    /// Connects and then sends the request's head and first piece.
+    void connectAndSend(const Endpoint &endpoint, const RequestHead &head, std::string chunk, bool isLast);
+
+    /// Sends a request on an idle connection.
+    void send(const RequestHead &head, std::string chunk, bool isLast);
+    void sendBody(std::string chunk, bool isLast);
+
+    /// The receiver took one piece of the response.
+    void giveResponseCredit();
+
+    /// True when the response is whole and the connection can carry another request.
+    bool isReusable() const;
+
+    /// Waits for another request: tells the observer when the connection ends meanwhile.
+    void rest();
+    void close();
+
+private:
+    enum class Phase { New, Connecting, Busy, Idle, Closed };
+    using Request = boost::beast::http::request<boost::beast::http::buffer_body>;
+    using RequestSerializer = boost::beast::http::request_serializer<boost::beast::http::buffer_body>;
+    using ResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+    using ErrorCode = boost::system::error_code;
+
+    struct Piece {
+        std::string chunk;
+        bool isLast = false;
+    };
+
+    void prepare(const RequestHead &head, std::string chunk, bool isLast);
+    void begin();
+    void writeNext();
+    void onWritten(const ErrorCode &ec, std::size_t n);
+    void watch();
+    void onWatched(const ErrorCode &ec, std::size_t n);
+    void readHeader();
+    void onHeader(const ErrorCode &ec);
+    bool isFramingClear() const;
+    void readBody();
+    void onBody(const ErrorCode &ec);
+    void deliver(std::string chunk);
+    void armProgress();
+    void breakOff(Break reason);
+
+    boost::asio::ip::tcp::socket m_socket;
+    TargetLimits m_limits;
+    ConnectionObserver &m_observer;
+    std::uint64_t m_owner;
+    Base::TimerService &m_timers;
+    Base::OneShotTimer m_timer;
+    Phase m_phase = Phase::New;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Request> m_request;
+    std::optional<RequestSerializer> m_serializer;
+    std::deque<Piece> m_pieces;
+    std::string m_writing;
+    std::optional<ResponseParser> m_parser;
+    std::optional<ResponseHead> m_head;
+    std::string m_reading;
+    std::uint32_t m_responseWindow = ChunkWindow;
+    Base::Instant m_lastAnswer;
+    bool m_isHeadRequest = false;
+    bool m_isWriting = false;
+    bool m_hasSent = false;
+    bool m_isRequestDone = false;
+    bool m_isWatching = false;
+    bool m_isReading = false;
+    bool m_isResponseDone = false;
+    bool m_isKeptAlive = false;
+};
+
+} // namespace Gateway::Internal
--- /dev/null
+++ b/src/libs/gateway/targetduty.cpp
@@ -0,0 +1,56 @@
+#include "targetduty_p.h"
+
+#include "gatewayconstants.h"
+
+#include <scheduling/requestscheduler.h>
+
+#include <boost/beast/core/string.hpp>
+
+namespace Gateway
+{
+
+namespace Internal
+{
+
+unsigned statusFor(Scheduling::RefusalReason reason, Base::Verdict verdict)
+{
+    switch (reason) {
+    case Scheduling::RefusalReason::UnknownService:
+        return 404;
+    case Scheduling::RefusalReason::DeadlinePassed:
+        return verdict == Base::Verdict::NotRun ? 503 : 504;
+    case Scheduling::RefusalReason::AttemptFailed:
+    case Scheduling::RefusalReason::RequestAtFault:
+        return 502;
+    default:
+        return 503;
+    }
+}
+
+bool isRefusalByTarget(const ResponseHead &head)
+{
+    if (head.status != 503) {
+        return false;
+    }
+    return std::any_of(head.fields.begin(), head.fields.end(), [](const HeaderField &it) {
+        return boost::beast::iequals(it.name, std::string(VerdictHeader))
+            && it.value == Base::toString(Base::Verdict::NotRun);
+    });
+}
+
+Document::Priority priorityFor(const RequestHead &head, Document::Priority ofService)
+{
+    if (head.priority == "interactive") {
+        return Document::Priority::Interactive;
+    }
+    if (head.priority == "urgent") {
+        return Document::Priority::Urgent;
+    }
+    return head.priority == "batch" ? Document::Priority::Batch : ofService;
+}
+
+} // namespace Internal
+
+template class TargetDuty<Scheduling::RequestScheduler>;
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/targetduty.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "message.h"
+#include "routingtable.h"
+#include "targetlimits.h"
+
+#include <base/ring.h>
+#include <scheduling/attempt.h>
+#include <scheduling/decision.h>
+#include <scheduling/fleetspecs.h>
+#include <scheduling/statistics.h>
+
+#include <atomic>
+#include <concepts>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace Runtime
+{
+class Duty;
+}
+
+namespace Gateway
+{
+
+/// Decides which request goes to which target and when; a pure object that the target duty drives.
+template<typename S>
+concept SchedulerConcept = requires(S scheduler,
+                                    const Scheduling::Arrival &arrival,
+                                    const Scheduling::AttemptResult &result,
+                                    Scheduling::RequestId request,
+                                    Base::Instant now,
+                                    std::vector<Scheduling::Decision> &decisions,
+                                    std::span<const Scheduling::ServiceSpec> services,
+                                    std::span<const Scheduling::TargetSpec> targets)
+{
+    scheduler.setFleet(services, targets, now, decisions);
+    scheduler.arrive(arrival, now, decisions);
+    scheduler.attemptEnded(request, result, now, decisions);
+    scheduler.cancel(request, now, decisions);
+    scheduler.advance(now, decisions);
+    {
+        scheduler.nextDue()
+        } -> std::same_as<std::optional<Base::Instant>>;
+};
+
+/// Counts of the target side since the start.
+struct TargetCounters {
+    std::atomic<std::uint64_t> exchanges{0};
+    std::atomic<std::uint64_t> attempts{0};
+    std::atomic<std::uint64_t> answered{0};
+    std::atomic<std::uint64_t> refused{0}; ///< by the scheduler, with NotRun
+    std::atomic<std::uint64_t> failed{0}; ///< after an attempt
+    std::atomic<std::uint64_t> unknownService{0};
+    std::atomic<std::uint64_t> silentConnections{0};
+    std::atomic<std::uint64_t> inFlight{0}; ///< now
+};
+
+/// Sends requests to targets as its scheduler decides and hands their responses back.
+template<SchedulerConcept Scheduler>
+class TargetDuty
+{
+public:
+    TargetDuty(Runtime::Duty &duty, const TargetLimits &limits, Scheduler scheduler);
+    ~TargetDuty();
+
+    /// Where messages to the caller side go; to be set before the first message is received.
+    void setOutput(Base::Ring<ToCallers> &output);
+
+    /// Handles one message of the caller side; on the duty's thread.
+    void receive(ToTargets &&message);
+
+    /// Puts another routing table in force; on the duty's thread.
+    void setRouting(std::shared_ptr<const RoutingTable> table);
+
+    /// The number of exchanges in flight on an instance; on the duty's thread.
+    std::uint32_t inFlightOn(const Base::InstanceName &instance) const;
+
+    /// The scheduler, to read its statistics and set allowances; on the duty's thread.
+    Scheduler &scheduler();
+
+    const TargetCounters &counters() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/targetduty_p.h
@@ -0,0 +1,563 @@
+#pragma once
+
+#include "connectionpool.h"
+#include "exchange.h"
+#include "outbox.h"
+#include "targetduty.h"
+
+#include <base/logline.h>
+#include <runtime/duty.h>
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace Gateway
+{
+
+namespace Internal
+{
+
+/// The HTTP status that tells the caller of a refusal; the verdict goes with it.
+unsigned statusFor(Scheduling::RefusalReason reason, Base::Verdict verdict);
+
+/// True when the target's own answer says that it did not execute the request.
+bool isRefusalByTarget(const ResponseHead &head);
+
+Document::Priority priorityFor(const RequestHead &head, Document::Priority ofService);
+
+} // namespace Internal
+
+template<SchedulerConcept Scheduler>
+class TargetDuty<Scheduler>::Private final : public Internal::ConnectionObserver
+{
+public:
+    using Connection = std::shared_ptr<Internal::TargetConnection>;
+    using Exchange = Internal::Exchange;
+
+    Private(Runtime::Duty &duty, const TargetLimits &limits, Scheduler scheduler)
+        : m_duty(duty)
+        , m_limits(limits)
+        , m_scheduler(std::move(scheduler))
+        , m_output(duty.timers())
+        , m_wakeUp(duty.timers())
+        , m_table(std::make_shared<RoutingTable>())
+    {
+    }
+
+    void receive(ToTargets &&message)
+    {
+        if (auto *open = std::get_if<OpenExchange>(&message)) {
+            openExchange(std::move(*open));
+        } else if (auto *body = std::get_if<RequestBody>(&message)) {
+            onRequestBody(std::move(*body));
+        } else if (const auto *credit = std::get_if<ResponseCredit>(&message)) {
+            onResponseCredit(credit->id);
+        } else if (const auto *gone = std::get_if<CallerGone>(&message)) {
+            onCallerGone(gone->id);
+        }
+        execute();
+    }
+
+    void setRouting(std::shared_ptr<const RoutingTable> table)
+    {
+        m_table = std::move(table);
+        std::vector<Scheduling::ServiceSpec> services;
+        for (const auto &it : m_table->services()) {
+            services.push_back({serviceId(it.name), it.pool, it.availability});
+        }
+        std::vector<Scheduling::TargetSpec> targets;
+        for (const auto &it : m_table->targets()) {
+            const auto id = targetId(it);
+            targets.push_back({id, it.instance, it.pool, it.zone, it.slots, it.connections, it.isDraining});
+        }
+        m_scheduler.setFleet(services, targets, now(), m_decisions);
+        execute();
+    }
+
+    std::uint32_t inFlightOn(const Base::InstanceName &instance) const
+    {
+        const auto it = m_targetIds.find(instance);
+        return it == m_targetIds.end() ? 0 : m_targets.at(it->second).inFlight;
+    }
+
+    void onRequestCredit(Internal::TargetConnection &connection) override
+    {
+        Exchange *exchange = exchangeOn(connection);
+        if (!exchange) {
+            return;
+        }
+        ++exchange->piecesSent;
+        if (exchange->piecesSent > exchange->creditsGiven) {
+            exchange->creditsGiven = exchange->piecesSent;
+            send(RequestCredit{exchange->id});
+        }
+    }
+
+    void onResponseHead(Internal::TargetConnection &connection,
+                        ResponseHead head,
+                        std::string chunk,
+                        bool isLast) override
+    {
+        Exchange *exchange = exchangeOn(connection);
+        if (!exchange) {
+            connection.close();
+            return;
+        }
+        auto held = std::make_unique<ResponseHead>(std::move(head));
+        if (Internal::isRefusalByTarget(*held)) {
+            endAttempt(*exchange, Scheduling::AttemptOutcome::RefusedByTarget);
+        } else if (isLast && held->status >= FirstServerError && canResend(*exchange)) {
+            exchange->heldHead = std::move(held);
+            exchange->heldBody = std::move(chunk);
+            endAttempt(*exchange, Scheduling::AttemptOutcome::Answered, true);
+        } else {
+            const bool isServerError = held->status >= FirstServerError;
+            exchange->phase = Exchange::Phase::Responding;
+            exchange->deadlineTimer.disarm();
+            dropPieces(*exchange);
+            passOn(*exchange, OpenResponse{exchange->id, std::move(held), std::move(chunk), isLast});
+            if (isLast) {
+                endAttempt(*exchange, Scheduling::AttemptOutcome::Answered, isServerError);
+            }
+        }
+        execute();
+    }
+
+    void onResponseBody(Internal::TargetConnection &connection, std::string chunk, bool isLast) override
+    {
+        Exchange *exchange = exchangeOn(connection);
+        if (!exchange) {
+            connection.close();
+            return;
+        }
+        passOn(*exchange, ResponseBody{exchange->id, std::move(chunk), isLast});
+        if (isLast) {
+            endAttempt(*exchange, Scheduling::AttemptOutcome::Answered);
+            execute();
+        }
+    }
+
+    void onBroken(Internal::TargetConnection &connection, Internal::Break reason, bool mayHaveSent) override
+    {
+        if (reason == Internal::Break::Silent) {
+            m_counters.silentConnections.fetch_add(1, std::memory_order_relaxed);
+        }
+        Exchange *exchange = exchangeOn(connection);
+        if (!exchange) {
+            return;
+        }
+        Base::LogLine(Base::LogLevel::Debug, "attempt-broken")
+            .with("exchange", exchange->id.value)
+            .with("instance", m_targets.at(exchange->target).instance.value)
+            .with("reason", static_cast<int>(reason))
+            .with("may_have_sent", mayHaveSent);
+        endAttempt(*exchange, outcomeOf(reason, mayHaveSent));
+        execute();
+    }
+
+    void onIdleClosed(Internal::TargetConnection &connection) override
+    {
+        m_pool.remove(connection);
+    }
+
+    Runtime::Duty &m_duty;
+    TargetLimits m_limits;
+    Scheduler m_scheduler;
+    Internal::Outbox<ToCallers> m_output;
+    TargetCounters m_counters;
+
+private:
+    static constexpr unsigned FirstServerError = 500;
+
+    struct Target {
+        Base::InstanceName instance;
+        Internal::TargetConnection::Endpoint endpoint;
+        std::uint32_t slots = 0;
+        std::uint32_t inFlight = 0;
+    };
+
+    Base::Instant now() const
+    {
+        return m_duty.timers().now();
+    }
+
+    Scheduling::ServiceId serviceId(const Base::ServiceName &name)
+    {
+        const auto next = static_cast<std::uint32_t>(m_serviceIds.size());
+        return m_serviceIds.try_emplace(name, Scheduling::ServiceId{next}).first->second;
+    }
+
+    // An instance whose address changed is another target: connections to the old address are dropped.
+    Scheduling::TargetId targetId(const RoutedTarget &routed)
+    {
+        const auto next = static_cast<std::uint32_t>(m_targetIds.size());
+        const auto id = m_targetIds.try_emplace(routed.instance, Scheduling::TargetId{next}).first->second;
+        Target &target = m_targets[id];
+        const Internal::TargetConnection::Endpoint endpoint(boost::asio::ip::make_address(routed.address),
+                                                            routed.port);
+        if (target.endpoint != endpoint || routed.isDraining) {
+            m_pool.clear(id.value);
+        }
+        target.instance = routed.instance;
+        target.endpoint = endpoint;
+        target.slots = routed.slots;
+        return id;
+    }
+
+    Exchange *exchangeOn(const Internal::TargetConnection &connection)
+    {
+        const auto it = m_byConnection.find(&connection);
+        return it == m_byConnection.end() ? nullptr : it->second;
+    }
+
+    Exchange *find(ExchangeId id)
+    {
+        const auto it = m_exchanges.find(id);
+        return it == m_exchanges.end() ? nullptr : it->second.get();
+    }
+
+    void send(ToCallers &&message)
+    {
+        m_output.push(std::move(message));
+    }
+
+    void fail(ExchangeId id, Failure failure)
+    {
+        send(ExchangeFailed{id, std::make_unique<Failure>(std::move(failure))});
+    }
+
+    void openExchange(OpenExchange &&message)
+    {
+        m_counters.exchanges.fetch_add(1, std::memory_order_relaxed);
+        const auto match = m_table->find(message.head->method, message.head->target);
+        if (!match) {
+            m_counters.unknownService.fetch_add(1, std::memory_order_relaxed);
+            fail(message.id, {404, Base::Verdict::NotRun, "unknown-service", std::nullopt});
+            return;
+        }
+        const RoutedService &service = m_table->services()[match->service];
+        auto exchange = std::make_unique<Exchange>(m_duty.timers());
+        exchange->id = message.id;
+        exchange->service = match->service;
+        exchange->isIdempotent = match->isIdempotent;
+        exchange->deadline = message.head->receivedAt + message.head->deadline.value_or(service.deadline);
+        exchange->head = std::move(message.head);
+        keepPiece(*exchange, {std::move(message.chunk), message.isLast});
+        const Scheduling::Arrival arrival{Scheduling::RequestId{exchange->id.value},
+                                          serviceId(service.name),
+                                          Internal::priorityFor(*exchange->head, service.priority),
+                                          exchange->deadline,
+                                          exchange->isIdempotent};
+        exchange->deadlineTimer.armAt(exchange->deadline, [this, id = exchange->id] { onDeadline(id); });
+        m_exchanges.emplace(exchange->id, std::move(exchange));
+        m_counters.inFlight.store(m_exchanges.size(), std::memory_order_relaxed);
+        m_scheduler.arrive(arrival, now(), m_decisions);
+    }
+
+    void keepPiece(Exchange &exchange, Internal::BodyPiece piece)
+    {
+        exchange.isBodyWhole = piece.isLast;
+        exchange.pieceBytes += piece.chunk.size();
+        exchange.pieces.push_back(std::move(piece));
+    }
+
+    void dropPieces(Exchange &exchange)
+    {
+        exchange.isBodyKept = false;
+        exchange.pieces.clear();
+    }
+
+    bool canResend(const Exchange &exchange) const
+    {
+        return exchange.isBodyKept && exchange.phase != Exchange::Phase::Responding && !exchange.isCallerGone;
+    }
+
+    void onRequestBody(RequestBody &&message)
+    {
+        Exchange *exchange = find(message.id);
+        if (!exchange) {
+            return;
+        }
+        exchange->isBodyWhole = message.isLast;
+        if (exchange->isBodyKept && exchange->pieceBytes + message.chunk.size() > m_limits.resendBytes
+            && exchange->connection) {
+            dropPieces(*exchange);
+        }
+        if (exchange->connection) {
+            exchange->connection->sendBody(message.chunk, message.isLast);
+        }
+        if (exchange->isBodyKept) {
+            keepPiece(*exchange, {std::move(message.chunk), message.isLast});
+        }
+    }
+
+    void onResponseCredit(ExchangeId id)
+    {
+        Exchange *exchange = find(id);
+        if (exchange && exchange->connection) {
+            exchange->connection->giveResponseCredit();
+        }
+    }
+
+    // A non-idempotent request that was sent whole goes on, so that its outcome gets known; what nobody
+    // waits for otherwise is ended.
+    void onCallerGone(ExchangeId id)
+    {
+        Exchange *exchange = find(id);
+        if (!exchange) {
+            return;
+        }
+        exchange->isCallerGone = true;
+        const bool isWorthwhile = exchange->connection && !exchange->isIdempotent && exchange->isBodyWhole;
+        if (isWorthwhile) {
+            for (std::uint32_t n = 0; n < ChunkWindow; ++n) {
+                exchange->connection->giveResponseCredit();
+            }
+            return;
+        }
+        m_scheduler.cancel(Scheduling::RequestId{id.value}, now(), m_decisions);
+    }
+
+    void passOn(Exchange &exchange, ToCallers &&message)
+    {
+        if (exchange.isCallerGone) {
+            exchange.connection->giveResponseCredit();
+            return;
+        }
+        send(std::move(message));
+    }
+
+    void onDeadline(ExchangeId id)
+    {
+        Exchange *exchange = find(id);
+        if (!exchange) {
+            return;
+        }
+        if (exchange->phase == Exchange::Phase::Attempting) {
+            endAttempt(*exchange, Scheduling::AttemptOutcome::TimedOut);
+        } else {
+            m_scheduler.advance(now(), m_decisions);
+        }
+        execute();
+    }
+
+    static Scheduling::AttemptOutcome outcomeOf(Internal::Break reason, bool mayHaveSent)
+    {
+        if (!mayHaveSent) {
+            return Scheduling::AttemptOutcome::ConnectFailed;
+        }
+        return reason == Internal::Break::Silent ? Scheduling::AttemptOutcome::TimedOut
+                                                 : Scheduling::AttemptOutcome::BrokenAfterSend;
+    }
+
+    // Frees the connection first: it goes back to the pool only when the response is whole and nothing is
+    // left on it that could be taken for the next one's.
+    void endAttempt(Exchange &exchange, Scheduling::AttemptOutcome outcome, bool isServerError = false)
+    {
+        releaseConnection(exchange);
+        const Scheduling::AttemptResult result{
+            outcome, now() - exchange.attemptStartedAt, isServerError, canResend(exchange)};
+        if (exchange.phase == Exchange::Phase::Attempting) {
+            exchange.phase = Exchange::Phase::Queued;
+        }
+        m_scheduler.attemptEnded(Scheduling::RequestId{exchange.id.value}, result, now(), m_decisions);
+    }
+
+    void releaseConnection(Exchange &exchange)
+    {
+        const Connection connection = std::exchange(exchange.connection, nullptr);
+        if (!connection) {
+            return;
+        }
+        m_byConnection.erase(connection.get());
+        Target &target = m_targets.at(exchange.target);
+        --target.inFlight;
+        if (connection->isReusable()) {
+            m_pool.put(connection, target.slots);
+        } else {
+            connection->close();
+        }
+    }
+
+    // Decisions are carried out until none is left; carrying one out may add others.
+    void execute()
+    {
+        if (m_isExecuting) {
+            return;
+        }
+        m_isExecuting = true;
+        for (std::size_t n = 0; n < m_decisions.size(); ++n) {
+            const Scheduling::Decision decision = m_decisions[n];
+            std::visit([this](const auto &it) { carryOut(it); }, decision);
+        }
+        m_decisions.clear();
+        m_isExecuting = false;
+        armWakeUp();
+    }
+
+    void armWakeUp()
+    {
+        const auto due = m_scheduler.nextDue();
+        if (due == m_wakeUpAt) {
+            return;
+        }
+        m_wakeUpAt = due;
+        if (!due) {
+            m_wakeUp.disarm();
+            return;
+        }
+        m_wakeUp.armAt(*due, [this] {
+            m_wakeUpAt.reset();
+            m_scheduler.advance(now(), m_decisions);
+            execute();
+        });
+    }
+
+    void carryOut(const Scheduling::Dispatch &dispatch)
+    {
+        Exchange *exchange = find(ExchangeId{dispatch.request.value});
+        if (!exchange) {
+            return;
+        }
+        m_counters.attempts.fetch_add(1, std::memory_order_relaxed);
+        Target &target = m_targets.at(dispatch.target);
+        ++target.inFlight;
+        exchange->target = dispatch.target;
+        exchange->phase = Exchange::Phase::Attempting;
+        exchange->attemptStartedAt = now();
+        exchange->piecesSent = 0;
+        exchange->heldHead.reset();
+        exchange->heldBody.clear();
+        const auto notBefore = exchange->isIdempotent ? Base::Instant{} : now() - m_limits.freshness;
+        exchange->connection = m_pool.take(dispatch.target.value, notBefore);
+        const auto &first = exchange->pieces.front();
+        if (exchange->connection) {
+            m_byConnection.emplace(exchange->connection.get(), exchange);
+            exchange->connection->send(*exchange->head, first.chunk, first.isLast);
+        } else {
+            exchange->connection = std::make_shared<Internal::TargetConnection>(
+                m_duty.context(), m_duty.timers(), m_limits, *this, dispatch.target.value);
+            m_byConnection.emplace(exchange->connection.get(), exchange);
+            exchange->connection->connectAndSend(target.endpoint, *exchange->head, first.chunk, first.isLast);
+        }
+        for (std::size_t n = 1; n < exchange->pieces.size(); ++n) {
+            exchange->connection->sendBody(exchange->pieces[n].chunk, exchange->pieces[n].isLast);
+        }
+    }
+
+    void carryOut(const Scheduling::Refuse &refuse)
+    {
+        Exchange *exchange = find(ExchangeId{refuse.request.value});
+        if (!exchange) {
+            return;
+        }
+        auto &counter = refuse.verdict == Base::Verdict::NotRun ? m_counters.refused : m_counters.failed;
+        counter.fetch_add(1, std::memory_order_relaxed);
+        Failure failure{Internal::statusFor(refuse.reason, refuse.verdict),
+                        refuse.verdict,
+                        std::string(Scheduling::toString(refuse.reason)),
+                        std::nullopt};
+        if (refuse.retryAfter > Base::Duration::zero()) {
+            failure.retryAfter = refuse.retryAfter;
+        }
+        logFailure(*exchange, failure);
+        if (!exchange->isCallerGone) {
+            fail(exchange->id, std::move(failure));
+        }
+        erase(*exchange);
+    }
+
+    void carryOut(const Scheduling::Deliver &deliver)
+    {
+        Exchange *exchange = find(ExchangeId{deliver.request.value});
+        if (!exchange) {
+            return;
+        }
+        m_counters.answered.fetch_add(1, std::memory_order_relaxed);
+        if (exchange->heldHead && !exchange->isCallerGone) {
+            send(OpenResponse{
+                exchange->id, std::move(exchange->heldHead), std::move(exchange->heldBody), true});
+        }
+        erase(*exchange);
+    }
+
+    void logFailure(const Exchange &exchange, const Failure &failure)
+    {
+        Base::LogLine(Base::LogLevel::Info, "request-failed")
+            .with("exchange", exchange.id.value)
+            .with("method", exchange.head->method)
+            .with("target", exchange.head->target)
+            .with("status", failure.status)
+            .with("verdict", Base::toString(failure.verdict))
+            .with("reason", failure.reason);
+    }
+
+    void erase(Exchange &exchange)
+    {
+        releaseConnection(exchange);
+        m_exchanges.erase(exchange.id);
+        m_counters.inFlight.store(m_exchanges.size(), std::memory_order_relaxed);
+    }
+
+    Base::OneShotTimer m_wakeUp;
+    std::optional<Base::Instant> m_wakeUpAt;
+    std::shared_ptr<const RoutingTable> m_table;
+    std::unordered_map<Base::ServiceName, Scheduling::ServiceId> m_serviceIds;
+    std::unordered_map<Base::InstanceName, Scheduling::TargetId> m_targetIds;
+    std::unordered_map<Scheduling::TargetId, Target> m_targets;
+    std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> m_exchanges;
+    std::unordered_map<const Internal::TargetConnection *, Exchange *> m_byConnection;
+    Internal::ConnectionPool m_pool;
+    std::vector<Scheduling::Decision> m_decisions;
+    bool m_isExecuting = false;
+};
+
+template<SchedulerConcept Scheduler>
+TargetDuty<Scheduler>::TargetDuty(Runtime::Duty &duty, const TargetLimits &limits, Scheduler scheduler)
+    : d(std::make_unique<Private>(duty, limits, std::move(scheduler)))
+{
+}
+
+template<SchedulerConcept Scheduler>
+TargetDuty<Scheduler>::~TargetDuty() = default;
+
+template<SchedulerConcept Scheduler>
+void TargetDuty<Scheduler>::setOutput(Base::Ring<ToCallers> &output)
+{
+    d->m_output.setRing(output);
+}
+
+template<SchedulerConcept Scheduler>
+void TargetDuty<Scheduler>::receive(ToTargets &&message)
+{
+    d->receive(std::move(message));
+}
+
+template<SchedulerConcept Scheduler>
+void TargetDuty<Scheduler>::setRouting(std::shared_ptr<const RoutingTable> table)
+{
+    d->setRouting(std::move(table));
+}
+
+template<SchedulerConcept Scheduler>
+std::uint32_t TargetDuty<Scheduler>::inFlightOn(const Base::InstanceName &instance) const
+{
+    return d->inFlightOn(instance);
+}
+
+template<SchedulerConcept Scheduler>
+Scheduler &TargetDuty<Scheduler>::scheduler()
+{
+    return d->m_scheduler;
+}
+
+template<SchedulerConcept Scheduler>
+const TargetCounters &TargetDuty<Scheduler>::counters() const
+{
+    return d->m_counters;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/targetlimits.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <base/instant.h>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace Gateway
+{
+
+/// How targets are spoken to.
+struct TargetLimits {
+    Base::Duration connectTimeout = std::chrono::milliseconds{500};
+    Base::Duration progressTimeout = std::chrono::seconds{5}; ///< without a byte while the target has to act
+    Base::Duration idleTimeout = std::chrono::seconds{30}; ///< for a pooled connection
+    Base::Duration freshness = std::chrono::seconds{2}; ///< a non-idempotent request wants a pooled
+                                                        ///< connection that answered this recently
+    std::uint32_t headerBytes = 65536; ///< of a response
+    std::size_t resendBytes = 65536; ///< of a request's body kept for another attempt
+    std::size_t inFlight = 2048; ///< exchanges at once
+};
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/runtime/duty.cpp
@@ -0,0 +1,104 @@
+#include "duty.h"
+
+#include <base/logline.h>
+
+#include <boost/asio/post.hpp>
+
+#include <pthread.h>
+
+#include <exception>
+#include <utility>
+
+namespace Runtime
+{
+
+namespace
+{
+
+// Handlers run between two readings of the clock; after this many the clock is read again.
+constexpr int HandlersPerClockReading = 16;
+
+Base::Instant steadyNow()
+{
+    return std::chrono::time_point_cast<Base::Duration>(std::chrono::steady_clock::now());
+}
+
+} // namespace
+
+Duty::Duty(std::string name)
+    : m_name(std::move(name))
+    , m_work(boost::asio::make_work_guard(m_context))
+    , m_timers(steadyNow())
+{
+}
+
+Duty::~Duty()
+{
+    stop();
+}
+
+boost::asio::io_context &Duty::context()
+{
+    return m_context;
+}
+
+Base::TimerService &Duty::timers()
+{
+    return m_timers;
+}
+
+void Duty::start()
+{
+    m_thread = std::thread([this] { run(); });
+    pthread_setname_np(m_thread.native_handle(), m_name.substr(0, 15).c_str());
+}
+
+void Duty::stop()
+{
+    if (!m_thread.joinable()) {
+        return;
+    }
+    m_context.stop();
+    m_thread.join();
+}
+
+void Duty::post(std::function<void()> task)
+{
+    boost::asio::post(m_context, std::move(task));
+}
+
+std::function<void()> Duty::wake(std::function<void()> drain)
+{
+    return [this, drain = std::move(drain)] {
+        boost::asio::post(m_context, drain);
+    };
+}
+
+// A handler that throws is a bug, and the duty's state can't be trusted after it: the process ends rather
+// than answer wrongly.
+void Duty::run()
+{
+    try {
+        while (!m_context.stopped()) {
+            runOnce();
+        }
+    } catch (const std::exception &error) {
+        Base::LogLine(Base::LogLevel::Error, "duty-failed").with("duty", m_name).with("error", error.what());
+        std::terminate();
+    }
+}
+
+void Duty::runOnce()
+{
+    m_timers.advanceTo(steadyNow());
+    const auto due = m_timers.nextDue();
+    const auto handled = due ? m_context.run_one_until(*due) : m_context.run_one();
+    if (handled == 0) {
+        return;
+    }
+    m_timers.advanceTo(steadyNow());
+    for (int n = 0; n < HandlersPerClockReading && m_context.poll_one() > 0; ++n) {
+    }
+}
+
+} // namespace Runtime
