Decide on requests with a pure scheduler

Cause: an entry instance needs one place that decides which request goes to which target, when, and with which verdict a request ends. Kept free of sockets and clocks so that histories can be replayed against it. Change: package scheduling: bounded deadline queues per service and priority, admission by estimated wait, retry budget, outlier ejection with a cap and probes, power of two choices over indexed free targets. Conclusion: the interface stands for the gateway; tests follow.

--- /dev/null
+++ b/src/libs/scheduling/fleetspecs.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "ids.h"
+
+#include <base/names.h>
+#include <document/document.h>
+
+#include <cstdint>
+
+namespace Scheduling
+{
+
+/// One target as the document in force declares it.
+struct TargetSpec {
+    TargetId id;
+    Base::InstanceName instance;
+    Base::PoolName pool;
+    Base::AvailabilityZoneName zone;
+    std::uint32_t slots = 0; ///< requests executed at once, over all entry instances
+    std::uint32_t connections = 0; ///< open connections, over all entry instances
+    bool isDraining = false; ///< gets no new work
+
+    auto operator<=>(const TargetSpec &) const = default;
+};
+
+/// One service and the pool that carries it.
+struct ServiceSpec {
+    ServiceId id;
+    Base::PoolName pool;
+    Document::PerMille availability = 0; ///< share of the pool's slots that ejection has to leave in service
+
+    auto operator<=>(const ServiceSpec &) const = default;
+};
+
+} // namespace Scheduling
--- /dev/null
+++ b/src/libs/scheduling/poolstate.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "fleetspecs.h"
+#include "priorityorder.h"
+#include "requestqueue.h"
+#include "retrybudget.h"
+#include "runtimeestimate.h"
+#include "schedulerlimits.h"
+
+#include <base/instant.h>
+#include <base/names.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace Scheduling
+{
+
+/// The requests of one service at one priority.
+struct Lane {
+    explicit Lane(Base::Duration firstEstimate)
+        : runTime(firstEstimate)
+        , slotTime(firstEstimate)
+    {
+    }
+
+    RequestQueue queue;
+    RunTimeEstimate runTime; ///< of answered attempts
+    RunTimeEstimate slotTime; ///< of all attempts, however they ended
+    std::uint32_t inFlight = 0;
+};
+
+struct ServiceState {
+    explicit ServiceState(Base::Duration firstEstimate)
+        : lanes{Lane{firstEstimate}, Lane{firstEstimate}, Lane{firstEstimate}}
+    {
+    }
+
+    ServiceSpec spec;
+    PoolIndex pool = 0;
+    bool isRetired = true; ///< no longer in the fleet, its requests in flight finish
+    bool isListed = false; ///< in the fleet that is being set
+    std::uint32_t requests = 0; ///< queued and in flight
+    std::array<Lane, PriorityCount> lanes;
+};
+
+struct PoolState {
+    explicit PoolState(const SchedulerLimits &limits)
+        : order(limits.guaranteedShare)
+        , retryBudget(limits.retryShare, limits.retryBurst)
+        , batchSlotTime(limits.firstEstimate)
+    {
+    }
+
+    Base::PoolName name;
+    std::vector<ServiceIndex> services;
+    std::array<std::size_t, PriorityCount> cursors{}; ///< the service after the one served last
+    std::array<std::uint32_t, PriorityCount> busy{}; ///< slots taken
+    PriorityOrder order;
+    RetryBudget retryBudget;
+    RunTimeEstimate batchSlotTime;
+    RequestQueue retries; ///< waiting for a target that they didn't fail on
+    bool isChanged = false; ///< its targets or allowances changed since requests were last placed
+};
+
+} // namespace Scheduling
--- /dev/null
+++ b/src/libs/scheduling/requestscheduler.cpp
@@ -0,0 +1,595 @@
+#include "requestscheduler.h"
+
+#include "admission.h"
+
+#include <algorithm>
+
+namespace Scheduling
+{
+
+namespace
+{
+
+using Document::Priority;
+
+constexpr std::uint32_t FaultTargets = 2; // a request that fails on so many healthy targets is at fault
+constexpr double RetryAfterJitter = 0.25; // so that refused callers don't come back together
+
+} // namespace
+
+struct RequestScheduler::Turn {
+    ServiceIndex service = 0;
+    std::size_t priority = 0;
+    std::size_t nextCursor = 0;
+    WaitingByPriority waiting;
+};
+
+RequestScheduler::RequestScheduler(const SchedulerLimits &limits, std::uint64_t seed)
+    : m_limits(limits)
+    , m_random(seed)
+    , m_targets(limits.zone)
+    , m_detector(limits.outliers, m_targets)
+    , m_table(limits)
+    , m_pools(m_table.pools())
+    , m_services(m_table.services())
+{
+    m_limits.attempts = std::clamp<std::uint32_t>(limits.attempts, 1, MostAttempts);
+}
+
+void RequestScheduler::setFleet(std::span<const ServiceSpec> services, std::span<const TargetSpec> targets)
+{
+    m_table.setServices(services);
+    setTargets(targets);
+    setRequiredShares();
+    recyclePools();
+    for (PoolState &pool : m_pools) {
+        pool.isChanged = true;
+    }
+    m_isFleetChanged = true;
+}
+
+void RequestScheduler::setAllowance(TargetId target, std::uint32_t slots)
+{
+    if (const auto index = m_targets.find(target)) {
+        m_targets.setAllowance(*index, slots);
+        m_pools[m_targets.at(*index).pool].isChanged = true;
+        m_isFleetChanged = true;
+    }
+}
+
+void RequestScheduler::arrive(const Arrival &arrival, Base::Instant now, std::vector<Decision> &out)
+{
+    m_now = std::max(m_now, now);
+    if (m_requests.find(arrival.id)) {
+        return;
+    }
+    ++m_counters.arrived;
+    if (const auto refusal = refusalOnArrival(arrival, now)) {
+        ++m_counters.refused;
+        out.emplace_back(*refusal);
+        return;
+    }
+    Request &request = *m_requests.insert(arrival);
+    request.service = *m_table.find(arrival.service);
+    request.pool = m_services[request.service].pool;
+    request.latestStart = latestStart(arrival);
+    ++m_services[request.service].requests;
+    laneOf(request).queue.insert(request);
+    m_queueDue = std::min(m_queueDue.value_or(request.latestStart), request.latestStart);
+    placeWaiting(request.pool, now, out);
+}
+
+void RequestScheduler::attemptEnded(RequestId id,
+                                    const AttemptResult &result,
+                                    Base::Instant now,
+                                    std::vector<Decision> &out)
+{
+    m_now = std::max(m_now, now);
+    Request *request = m_requests.find(id);
+    const bool isTaken =
+        request && (request->state == RequestState::InFlight || request->state == RequestState::Abandoned);
+    if (!isTaken) {
+        return;
+    }
+    const PoolIndex pool = request->pool;
+    const std::size_t priority = indexOf(request->arrival.priority);
+    m_targets.release(request->target);
+    --m_pools[pool].busy[priority];
+    --laneOf(*request).inFlight;
+    request->verdict = Base::worstOf(request->verdict, verdictOf(result.outcome));
+    const bool isSuccess = result.outcome == AttemptOutcome::Answered && !result.isServerError;
+    if (request->state == RequestState::Abandoned) {
+        forget(*request);
+    } else if (isSuccess) {
+        learn(*request, result);
+        settleFailures(*request, true, now);
+        m_detector.addSuccess(request->target, now);
+        m_pools[pool].retryBudget.addSuccess();
+        ++m_counters.delivered;
+        out.emplace_back(Deliver{id});
+        forget(*request);
+    } else {
+        learn(*request, result);
+        endFailed(*request, result, now, out);
+    }
+    placeWaiting(pool, now, out);
+}
+
+void RequestScheduler::cancel(RequestId id, Base::Instant now, std::vector<Decision> &out)
+{
+    m_now = std::max(m_now, now);
+    Request *request = m_requests.find(id);
+    if (!request || request->state == RequestState::Abandoned) {
+        return;
+    }
+    if (request->state == RequestState::InFlight) {
+        request->verdict = Base::worstOf(request->verdict, Base::Verdict::MayHaveRun);
+        request->state = RequestState::Abandoned;
+        refuse(*request, RefusalReason::Cancelled, out);
+        return;
+    }
+    refuseWaiting(*request, RefusalReason::Cancelled, out);
+}
+
+void RequestScheduler::advance(Base::Instant now, std::vector<Decision> &out)
+{
+    m_now = std::max(m_now, now);
+    if (m_isFleetChanged) {
+        m_isFleetChanged = false;
+        refuseOfRetiredServices(out);
+    }
+    const bool isProbeDue = m_detector.advance(now);
+    const bool isQueueDue = m_queueDue && *m_queueDue <= now;
+    for (PoolIndex index = 0; index < m_pools.size(); ++index) {
+        PoolState &pool = m_pools[index];
+        if (pool.isChanged || isProbeDue || isQueueDue || m_detector.hasProbing(index)) {
+            pool.isChanged = false;
+            placeWaiting(index, now, out);
+        }
+    }
+    if (!isQueueDue) {
+        return;
+    }
+    m_queueDue.reset();
+    for (PoolState &pool : m_pools) {
+        refuseLate(pool.retries, now, out);
+    }
+    for (ServiceState &service : m_services) {
+        for (Lane &lane : service.lanes) {
+            refuseLate(lane.queue, now, out);
+        }
+    }
+}
+
+std::optional<Base::Instant> RequestScheduler::nextDue() const
+{
+    if (m_isFleetChanged) {
+        return m_now;
+    }
+    const auto probeDue = m_detector.nextDue(m_now);
+    if (probeDue && m_queueDue) {
+        return std::min(*probeDue, *m_queueDue);
+    }
+    return probeDue ? probeDue : m_queueDue;
+}
+
+SchedulerStatistics RequestScheduler::statistics() const
+{
+    SchedulerStatistics result;
+    result.counters = m_counters;
+    result.counters.ejections = m_detector.ejections();
+    result.requests = static_cast<std::uint32_t>(m_requests.size());
+    for (PoolIndex index = 0; index < m_pools.size(); ++index) {
+        const PoolState &state = m_pools[index];
+        if (state.name.isEmpty()) {
+            continue;
+        }
+        const PoolCapacity capacity = m_targets.capacity(index);
+        PoolStatistics pool;
+        pool.pool = state.name;
+        pool.slots = capacity.slots;
+        pool.targets = capacity.targets;
+        pool.ejectedTargets = m_detector.ejectedTargets(index);
+        pool.suspectTargets = m_detector.suspectTargets(index);
+        pool.busyForeground =
+            state.busy[indexOf(Priority::Interactive)] + state.busy[indexOf(Priority::Urgent)];
+        pool.busyBatch = state.busy[indexOf(Priority::Batch)];
+        for (const Request &it : state.retries) {
+            auto &queued = it.arrival.priority == Priority::Batch ? pool.queuedBatch : pool.queuedForeground;
+            ++queued;
+        }
+        for (const ServiceIndex service : state.services) {
+            for (std::size_t n = 0; n < PriorityCount; ++n) {
+                const Lane &lane = m_services[service].lanes[n];
+                const auto queued = static_cast<std::uint32_t>(lane.queue.size());
+                const auto priority = static_cast<Priority>(n);
+                result.queues.push_back({m_services[service].spec.id, priority, queued, lane.inFlight});
+                (priority == Priority::Batch ? pool.queuedBatch : pool.queuedForeground) += queued;
+            }
+        }
+        result.pools.push_back(std::move(pool));
+    }
+    return result;
+}
+
+void RequestScheduler::setTargets(std::span<const TargetSpec> targets)
+{
+    for (const TargetSpec &spec : targets) {
+        const PoolIndex pool = m_table.poolNamed(spec.pool);
+        const auto known = m_targets.find(spec.id);
+        const bool isReplaced = known && !m_targets.at(*known).isRetired
+            && (m_targets.at(*known).pool != pool || m_targets.at(*known).spec.instance != spec.instance);
+        if (isReplaced) {
+            m_detector.remove(*known);
+        }
+        const auto placement = m_targets.put(spec, pool);
+        if (placement.isNew) {
+            m_detector.add(placement.index);
+        }
+    }
+    for (const TargetIndex index : m_targets.retireUnlisted()) {
+        m_detector.remove(index);
+    }
+}
+
+void RequestScheduler::setRequiredShares()
+{
+    for (PoolIndex index = 0; index < m_pools.size(); ++index) {
+        Document::PerMille required = 0;
+        for (const ServiceIndex service : m_pools[index].services) {
+            required = std::max(required, m_services[service].spec.availability);
+        }
+        m_detector.setRequired(index, required);
+    }
+}
+
+void RequestScheduler::recyclePools()
+{
+    for (PoolIndex index = 0; index < m_pools.size(); ++index) {
+        const PoolState &pool = m_pools[index];
+        const bool isBusy =
+            std::any_of(pool.busy.begin(), pool.busy.end(), [](std::uint32_t it) { return it > 0; });
+        const bool isUsed = !pool.services.empty() || m_targets.capacity(index).targets > 0;
+        if (!pool.name.isEmpty() && !isUsed && !isBusy && pool.retries.isEmpty()) {
+            m_table.recycle(index);
+        }
+    }
+}
+
+std::optional<Refuse> RequestScheduler::refusalOnArrival(const Arrival &arrival, Base::Instant now)
+{
+    const auto refusal = [&](RefusalReason reason, Base::Duration wait) {
+        return Refuse{arrival.id, reason, Base::Verdict::NotRun, retryAfter(wait)};
+    };
+    const auto service = m_table.find(arrival.service);
+    if (!service) {
+        return refusal(RefusalReason::UnknownService, m_limits.noTargetRetryAfter);
+    }
+    if (arrival.deadline <= now) {
+        return refusal(RefusalReason::DeadlinePassed, {});
+    }
+    const ServiceState &state = m_services[*service];
+    const PoolState &pool = m_pools[state.pool];
+    const PoolCapacity capacity = m_targets.capacity(state.pool);
+    if (capacity.usableTargets == 0) {
+        return refusal(RefusalReason::NoTarget, m_limits.noTargetRetryAfter);
+    }
+    const std::size_t priority = indexOf(arrival.priority);
+    const bool mustWait = !m_targets.hasFree(state.pool);
+    const Base::Duration wait =
+        mustWait ? estimatedWait(pool, m_services, capacity, m_limits, priority) : Base::Duration::zero();
+    const bool isFull = state.lanes[priority].queue.size() >= m_limits.queueLength[priority];
+    if (isFull || m_requests.size() >= m_limits.requests) {
+        return refusal(RefusalReason::QueueFull, wait);
+    }
+    const Base::Instant start = now + wait;
+    if (start > latestStart(arrival)) {
+        return refusal(RefusalReason::DeadlineUnmeetable, start - latestStart(arrival));
+    }
+    return std::nullopt;
+}
+
+// The run time that was learned is trusted only while requests run: otherwise an estimate that is too high
+// would refuse everything and never be corrected.
+Base::Instant RequestScheduler::latestStart(const Arrival &arrival) const
+{
+    const Lane &lane = m_services[*m_table.find(arrival.service)].lanes[indexOf(arrival.priority)];
+    return lane.inFlight == 0 ? arrival.deadline : arrival.deadline - lane.runTime.low();
+}
+
+Base::Duration RequestScheduler::retryAfter(Base::Duration wait)
+{
+    const double jitter = std::uniform_real_distribution{1.0, 1.0 + RetryAfterJitter}(m_random);
+    const auto bounded = std::clamp(wait, m_limits.leastRetryAfter, m_limits.longestRetryAfter);
+    return Base::Duration{static_cast<Base::Duration::rep>(static_cast<double>(bounded.count()) * jitter)};
+}
+
+void RequestScheduler::placeWaiting(PoolIndex pool, Base::Instant now, std::vector<Decision> &out)
+{
+    placeRetries(pool, now, out);
+    while (m_targets.hasFree(pool) || m_detector.hasProbing(pool)) {
+        const auto turn = nextTurn(pool);
+        if (!turn) {
+            return;
+        }
+        RequestQueue &queue = m_services[turn->service].lanes[turn->priority].queue;
+        Request &request = queue.front();
+        if (request.latestStart < now) {
+            refuseWaiting(request, RefusalReason::DeadlineUnmeetable, out);
+            continue;
+        }
+        const auto target = targetFor(request, now);
+        if (!target) {
+            return;
+        }
+        PoolState &state = m_pools[pool];
+        state.order.addDispatch(turn->priority, turn->waiting[turn->priority].cost, turn->waiting);
+        state.cursors[turn->priority] = turn->nextCursor;
+        queue.erase(request);
+        dispatch(request, *target, now, out);
+    }
+}
+
+// Few requests wait here, since the retry budget pays for each of them.
+void RequestScheduler::placeRetries(PoolIndex pool, Base::Instant now, std::vector<Decision> &out)
+{
+    RequestQueue &retries = m_pools[pool].retries;
+    for (auto it = retries.begin(); it != retries.end();) {
+        Request &request = *it++;
+        if (request.latestStart < now) {
+            refuseWaiting(request, RefusalReason::AttemptFailed, out);
+        } else if (const auto target = m_targets.choose(pool, request.failures, m_random)) {
+            retries.erase(request);
+            dispatch(request, *target, now, out);
+        }
+    }
+}
+
+// Services of a pool take turns within a priority.
+std::optional<RequestScheduler::Turn> RequestScheduler::nextTurn(PoolIndex index) const
+{
+    const PoolState &pool = m_pools[index];
+    Turn turn;
+    std::array<std::size_t, PriorityCount> positions{};
+    for (std::size_t n = 0; n < PriorityCount; ++n) {
+        const bool isBatch = n == indexOf(Priority::Batch);
+        if (isBatch && pool.busy[n] >= batchSlots(m_targets.capacity(index), m_limits)) {
+            continue;
+        }
+        for (std::size_t step = 0; step < pool.services.size(); ++step) {
+            const std::size_t position = (pool.cursors[n] + step) % pool.services.size();
+            const Lane &lane = m_services[pool.services[position]].lanes[n];
+            if (!lane.queue.isEmpty()) {
+                turn.waiting[n] = {true, lane.slotTime.mean()};
+                positions[n] = position;
+                break;
+            }
+        }
+    }
+    const auto priority = pool.order.next(turn.waiting);
+    if (!priority) {
+        return std::nullopt;
+    }
+    turn.priority = *priority;
+    turn.service = pool.services[positions[*priority]];
+    turn.nextCursor = positions[*priority] + 1;
+    return turn;
+}
+
+std::optional<TargetIndex> RequestScheduler::targetFor(const Request &request, Base::Instant now)
+{
+    if (const auto probe = m_detector.probeFor(request.pool, request.arrival.isIdempotent, now)) {
+        return probe;
+    }
+    return m_targets.choose(request.pool, request.failures, m_random);
+}
+
+void RequestScheduler::dispatch(Request &request,
+                                TargetIndex target,
+                                Base::Instant now,
+                                std::vector<Decision> &out)
+{
+    m_targets.occupy(target);
+    ++m_pools[request.pool].busy[indexOf(request.arrival.priority)];
+    ++laneOf(request).inFlight;
+    ++request.attempts;
+    request.state = RequestState::InFlight;
+    request.target = target;
+    ++m_counters.dispatched;
+    m_counters.retried += request.attempts > 1 ? 1 : 0;
+    out.emplace_back(
+        Dispatch{request.arrival.id, m_targets.at(target).spec.id, request.attempts, giveUpAt(request, now)});
+}
+
+// An idempotent request is given up half-way when that leaves time for another target. Batch requests are
+// not: to start a long run again costs more than it saves.
+Base::Instant RequestScheduler::giveUpAt(const Request &request, Base::Instant now) const
+{
+    const Base::Duration half = (request.arrival.deadline - now) / 2;
+    const bool isRetriable = request.arrival.isIdempotent && request.attempts < m_limits.attempts
+        && request.arrival.priority != Priority::Batch;
+    const RunTimeEstimate &runTime = laneOf(request).runTime;
+    if (!isRetriable || !runTime.isLearned() || runTime.high() >= half) {
+        return request.arrival.deadline;
+    }
+    return now + half;
+}
+
+void RequestScheduler::endFailed(Request &request,
+                                 const AttemptResult &result,
+                                 Base::Instant now,
+                                 std::vector<Decision> &out)
+{
+    recordFailure(request, result, now);
+    if (tryAgain(request, result, now, out)) {
+        return;
+    }
+    const bool isAtFault = settleFailures(request, false, now);
+    if (result.outcome == AttemptOutcome::Answered) {
+        ++m_counters.delivered;
+        out.emplace_back(Deliver{request.arrival.id});
+        forget(request);
+        return;
+    }
+    const bool isLate = now >= request.arrival.deadline;
+    const RefusalReason failure = isLate ? RefusalReason::DeadlinePassed : RefusalReason::AttemptFailed;
+    refuse(request, isAtFault ? RefusalReason::RequestAtFault : failure, out);
+    forget(request);
+}
+
+bool RequestScheduler::tryAgain(Request &request,
+                                const AttemptResult &result,
+                                Base::Instant now,
+                                std::vector<Decision> &out)
+{
+    if (!canRetry(request, result, now)) {
+        return false;
+    }
+    const auto target = m_targets.choose(request.pool, request.failures, m_random);
+    // An error that is an answer is passed on at once rather than held while a slot is awaited.
+    const bool canWait = result.outcome != AttemptOutcome::Answered;
+    if ((!target && !canWait) || !m_pools[request.pool].retryBudget.tryWithdraw()) {
+        return false;
+    }
+    if (target) {
+        dispatch(request, *target, now, out);
+        return true;
+    }
+    request.state = RequestState::AwaitingTarget;
+    m_pools[request.pool].retries.insert(request);
+    m_queueDue = std::min(m_queueDue.value_or(request.latestStart), request.latestStart);
+    return true;
+}
+
+// The verdict covers all attempts, so that NotRun here means that no attempt has run it.
+bool RequestScheduler::canRetry(const Request &request, const AttemptResult &result, Base::Instant now) const
+{
+    const bool isSafe = request.arrival.isIdempotent || request.verdict == Base::Verdict::NotRun;
+    const bool isInTime = request.latestStart > now && request.arrival.deadline > now;
+    const bool hasAttempts = request.attempts < m_limits.attempts;
+    const bool isServed = !m_services[request.service].isRetired;
+    return result.canResend && isSafe && isInTime && hasAttempts && isServed && hasOtherTarget(request);
+}
+
+bool RequestScheduler::hasOtherTarget(const Request &request) const
+{
+    std::uint32_t others = m_targets.capacity(request.pool).usableTargets;
+    for (const FailedAttempt &it : request.failures) {
+        const auto index = m_targets.find(it.target);
+        const bool isCounted = index && m_targets.at(*index).pool == request.pool
+            && m_targets.at(*index).isInService() && m_targets.at(*index).limit() > 0;
+        others -= isCounted ? 1 : 0;
+    }
+    return others > 0;
+}
+
+void RequestScheduler::learn(const Request &request, const AttemptResult &result)
+{
+    Lane &lane = laneOf(request);
+    lane.slotTime.add(result.latency);
+    if (request.arrival.priority == Priority::Batch) {
+        m_pools[request.pool].batchSlotTime.add(result.latency);
+    }
+    if (result.outcome == AttemptOutcome::Answered && !result.isServerError) {
+        lane.runTime.add(result.latency);
+    }
+}
+
+// A target that can't be reached or refuses is at fault by itself. Any other failure may be the request's
+// own, which the next attempt shows; until then it is held and counts against nobody.
+void RequestScheduler::recordFailure(Request &request, const AttemptResult &result, Base::Instant now)
+{
+    const bool isTargets =
+        result.outcome == AttemptOutcome::ConnectFailed || result.outcome == AttemptOutcome::RefusedByTarget;
+    request.failures.push_back({m_targets.at(request.target).spec.id, !isTargets});
+    if (isTargets) {
+        m_detector.addFailure(request.target, now);
+    }
+}
+
+// Decides the failures that are held; true when the request itself is at fault.
+bool RequestScheduler::settleFailures(Request &request, bool isRequestSound, Base::Instant now)
+{
+    const auto isOnHealthy = [this](const FailedAttempt &it) {
+        const auto index = m_targets.find(it.target);
+        return it.isHeld && index && m_detector.isHealthy(*index);
+    };
+    const auto n = std::count_if(request.failures.begin(), request.failures.end(), isOnHealthy);
+    const bool isAtFault = !isRequestSound && n >= FaultTargets;
+    for (const FailedAttempt &it : request.failures) {
+        const auto index = m_targets.find(it.target);
+        const bool isCharged = it.isHeld && index && !(isAtFault && m_detector.isHealthy(*index));
+        if (isCharged && !m_targets.at(*index).isRetired) {
+            m_detector.addFailure(*index, now);
+        }
+    }
+    return isAtFault;
+}
+
+void RequestScheduler::refuse(Request &request, RefusalReason reason, std::vector<Decision> &out)
+{
+    ++m_counters.refused;
+    const bool mayComeAgain = request.verdict == Base::Verdict::NotRun && reason != RefusalReason::Cancelled;
+    const Base::Duration advice = mayComeAgain ? retryAfter({}) : Base::Duration::zero();
+    out.emplace_back(Refuse{request.arrival.id, reason, request.verdict, advice});
+}
+
+void RequestScheduler::refuseWaiting(Request &request, RefusalReason reason, std::vector<Decision> &out)
+{
+    queueOf(request).erase(request);
+    settleFailures(request, false, m_now);
+    refuse(request, reason, out);
+    forget(request);
+}
+
+void RequestScheduler::refuseLate(RequestQueue &queue, Base::Instant now, std::vector<Decision> &out)
+{
+    while (!queue.isEmpty() && queue.front().latestStart <= now) {
+        const bool isPast = queue.front().arrival.deadline <= now;
+        const RefusalReason reason =
+            isPast ? RefusalReason::DeadlinePassed : RefusalReason::DeadlineUnmeetable;
+        refuseWaiting(queue.front(), reason, out);
+    }
+    if (!queue.isEmpty()) {
+        const Base::Instant due = queue.front().latestStart;
+        m_queueDue = std::min(m_queueDue.value_or(due), due);
+    }
+}
+
+void RequestScheduler::refuseOfRetiredServices(std::vector<Decision> &out)
+{
+    for (ServiceState &service : m_services) {
+        if (!service.isRetired) {
+            continue;
+        }
+        for (Lane &lane : service.lanes) {
+            while (!lane.queue.isEmpty()) {
+                refuseWaiting(lane.queue.front(), RefusalReason::UnknownService, out);
+            }
+        }
+    }
+}
+
+void RequestScheduler::forget(Request &request)
+{
+    --m_services[request.service].requests;
+    m_requests.erase(request);
+}
+
+RequestQueue &RequestScheduler::queueOf(const Request &request)
+{
+    const bool isRetry = request.state == RequestState::AwaitingTarget;
+    return isRetry ? m_pools[request.pool].retries : laneOf(request).queue;
+}
+
+Lane &RequestScheduler::laneOf(const Request &request)
+{
+    return m_services[request.service].lanes[indexOf(request.arrival.priority)];
+}
+
+const Lane &RequestScheduler::laneOf(const Request &request) const
+{
+    return m_services[request.service].lanes[indexOf(request.arrival.priority)];
+}
+
+} // namespace Scheduling
--- /dev/null
+++ b/src/libs/scheduling/requestscheduler.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "attempt.h"
+#include "decision.h"
+#include "fleetspecs.h"
+#include "outlierdetector.h"
+#include "pooltable.h"
+#include "requesttable.h"
+#include "schedulerlimits.h"
+#include "statistics.h"
+#include "targettable.h"
+
+#include <base/instant.h>
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace Scheduling
+{
+
+/// Decides for one entry instance which request goes to which target, and when. Every arrival gets exactly
+/// one final outcome, a Refuse or a Deliver. The owner passes the time in, which never goes back, and
+/// executes the decisions appended to `out`, in their order.
+class RequestScheduler
+{
+public:
+    RequestScheduler(const SchedulerLimits &limits, std::uint64_t seed);
+    RequestScheduler(const RequestScheduler &) = delete;
+    RequestScheduler &operator=(const RequestScheduler &) = delete;
+
+    /// Replaces the fleet. Targets that stay keep their state; requests in flight on others finish. Takes
+    /// effect on waiting requests with the next advance(), which is then due at once.
+    void setFleet(std::span<const ServiceSpec> services, std::span<const TargetSpec> targets);
+
+    /// This entry instance's share of a target's slots; all of them until set. Unknown targets are ignored.
+    /// Requests in flight above a smaller share finish. advance() is then due at once.
+    void setAllowance(TargetId target, std::uint32_t slots);
+
+    /// An id that is still known is ignored.
+    void arrive(const Arrival &arrival, Base::Instant now, std::vector<Decision> &out);
+
+    /// The attempt in flight ended. Ignored when there is none.
+    void
+    attemptEnded(RequestId id, const AttemptResult &result, Base::Instant now, std::vector<Decision> &out);
+
+    /// The caller hung up. Refuses the request as Cancelled; an attempt in flight still has to be reported.
+    void cancel(RequestId id, Base::Instant now, std::vector<Decision> &out);
+
+    /// Does what is due: requests that can't start in time, ends of ejections, changes of the fleet.
+    void advance(Base::Instant now, std::vector<Decision> &out);
+
+    /// When to call advance() next, at the latest.
+    std::optional<Base::Instant> nextDue() const;
+
+    SchedulerStatistics statistics() const;
+
+private:
+    struct Turn; // whose turn it is in a pool
+
+    void setTargets(std::span<const TargetSpec> targets);
+    void setRequiredShares();
+    void recyclePools();
+
+    std::optional<Refuse> refusalOnArrival(const Arrival &arrival, Base::Instant now);
+    Base::Instant latestStart(const Arrival &arrival) const;
+    Base::Duration retryAfter(Base::Duration wait);
+
+    void placeWaiting(PoolIndex pool, Base::Instant now, std::vector<Decision> &out);
+    void placeRetries(PoolIndex pool, Base::Instant now, std::vector<Decision> &out);
+    std::optional<Turn> nextTurn(PoolIndex index) const;
+    std::optional<TargetIndex> targetFor(const Request &request, Base::Instant now);
+    void dispatch(Request &request, TargetIndex target, Base::Instant now, std::vector<Decision> &out);
+    Base::Instant giveUpAt(const Request &request, Base::Instant now) const;
+
+    void
+    endFailed(Request &request, const AttemptResult &result, Base::Instant now, std::vector<Decision> &out);
+    bool
+    tryAgain(Request &request, const AttemptResult &result, Base::Instant now, std::vector<Decision> &out);
+    bool canRetry(const Request &request, const AttemptResult &result, Base::Instant now) const;
+    bool hasOtherTarget(const Request &request) const;
+    void learn(const Request &request, const AttemptResult &result);
+    void recordFailure(Request &request, const AttemptResult &result, Base::Instant now);
+    bool settleFailures(Request &request, bool isRequestSound, Base::Instant now);
+
+    void refuse(Request &request, RefusalReason reason, std::vector<Decision> &out);
+    void refuseWaiting(Request &request, RefusalReason reason, std::vector<Decision> &out);
+    void refuseLate(RequestQueue &queue, Base::Instant now, std::vector<Decision> &out);
+    void refuseOfRetiredServices(std::vector<Decision> &out);
+    void forget(Request &request);
+    RequestQueue &queueOf(const Request &request);
+    Lane &laneOf(const Request &request);
+    const Lane &laneOf(const Request &request) const;
+
+    SchedulerLimits m_limits;
+    RandomEngine m_random;
+    TargetTable m_targets;
+    OutlierDetector m_detector;
+    RequestTable m_requests;
+    PoolTable m_table;
+    std::deque<PoolState> &m_pools;
+    std::deque<ServiceState> &m_services;
+    Base::Instant m_now;
+    std::optional<Base::Instant> m_queueDue; ///< no waiting request has to start earlier
+    bool m_isFleetChanged = false;
+    SchedulerCounters m_counters;
+};
+
+} // namespace Scheduling
--- /dev/null
+++ b/src/libs/scheduling/targettable.cpp
@@ -0,0 +1,276 @@
+#include "targettable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Scheduling
+{
+
+namespace
+{
+
+bool hasFailedOn(const FailedAttempts &failures, TargetId target)
+{
+    return std::any_of(
+        failures.begin(), failures.end(), [target](const FailedAttempt &it) { return it.target == target; });
+}
+
+std::size_t drawBelow(std::size_t bound, RandomEngine &random)
+{
+    return std::uniform_int_distribution<std::size_t>{0, bound - 1}(random);
+}
+
+} // namespace
+
+std::uint32_t Target::limit() const
+{
+    if (isRetired || spec.isDraining) {
+        return 0;
+    }
+    return std::min({allowance.value_or(spec.slots), spec.slots, spec.connections});
+}
+
+bool Target::isInService() const
+{
+    const bool isTrusted = standing == TargetStanding::InService || standing == TargetStanding::Suspect;
+    return isTrusted && !isRetired && !spec.isDraining;
+}
+
+TargetTable::TargetTable(Base::AvailabilityZoneName zone)
+    : m_zone(std::move(zone))
+{
+}
+
+TargetTable::Placement TargetTable::put(const TargetSpec &spec, PoolIndex pool)
+{
+    if (pool >= m_pools.size()) {
+        m_pools.resize(pool + 1);
+    }
+    const auto known = find(spec.id);
+    const TargetIndex index = known ? *known : addEntry(spec);
+    const Entry &entry = m_entries[index];
+    const bool isNew = entry.isRetired || entry.pool != pool || entry.spec.instance != spec.instance;
+    changeEntry(index, [&](Entry &it) {
+        it.spec = spec;
+        it.pool = pool;
+        it.isListed = true;
+        it.isRetired = false;
+        if (isNew) {
+            it.standing = TargetStanding::InService;
+        }
+    });
+    return {index, isNew};
+}
+
+std::vector<TargetIndex> TargetTable::retireUnlisted()
+{
+    std::vector<TargetIndex> retired;
+    for (TargetIndex index = 0; index < m_entries.size(); ++index) {
+        Entry &entry = m_entries[index];
+        if (entry.isListed || entry.isRetired) {
+            entry.isListed = false;
+            continue;
+        }
+        changeEntry(index, [](Entry &it) { it.isRetired = true; });
+        retired.push_back(index);
+        recycleIfDone(index);
+    }
+    return retired;
+}
+
+void TargetTable::setAllowance(TargetIndex index, std::uint32_t slots)
+{
+    changeEntry(index, [slots](Entry &it) { it.allowance = slots; });
+}
+
+void TargetTable::setStanding(TargetIndex index, TargetStanding standing)
+{
+    changeEntry(index, [standing](Entry &it) { it.standing = standing; });
+}
+
+std::optional<TargetIndex>
+TargetTable::choose(PoolIndex pool, const FailedAttempts &excluded, RandomEngine &random) const
+{
+    for (const auto &free : m_pools[pool].free) {
+        if (const auto chosen = chooseFrom(free, excluded, random)) {
+            return chosen;
+        }
+    }
+    return std::nullopt;
+}
+
+void TargetTable::occupy(TargetIndex index)
+{
+    ++m_entries[index].inFlight;
+    updateFree(index);
+}
+
+void TargetTable::release(TargetIndex index)
+{
+    --m_entries[index].inFlight;
+    updateFree(index);
+    recycleIfDone(index);
+}
+
+std::optional<TargetIndex> TargetTable::find(TargetId id) const
+{
+    const auto it = m_byId.find(id);
+    return it == m_byId.end() ? std::nullopt : std::optional{it->second};
+}
+
+const Target &TargetTable::at(TargetIndex index) const
+{
+    return m_entries[index];
+}
+
+PoolCapacity TargetTable::capacity(PoolIndex pool) const
+{
+    return pool < m_pools.size() ? m_pools[pool].capacity : PoolCapacity{};
+}
+
+bool TargetTable::hasFree(PoolIndex pool) const
+{
+    return pool < m_pools.size()
+        && std::any_of(m_pools[pool].free.begin(), m_pools[pool].free.end(), [](const auto &it) {
+               return !it.empty();
+           });
+}
+
+TargetIndex TargetTable::addEntry(const TargetSpec &spec)
+{
+    TargetIndex index = static_cast<TargetIndex>(m_entries.size());
+    if (m_unused.empty()) {
+        m_entries.emplace_back();
+    } else {
+        index = m_unused.back();
+        m_unused.pop_back();
+        m_entries[index] = Entry{};
+    }
+    // Retired while it is filled in, so that nothing is counted twice.
+    m_entries[index].isRetired = true;
+    m_byId.emplace(spec.id, index);
+    return index;
+}
+
+std::uint32_t TargetTable::tierOf(const Target &target) const
+{
+    const bool isRemote = !m_zone.isEmpty() && target.spec.zone != m_zone;
+    const bool isSuspect = target.standing == TargetStanding::Suspect;
+    return (isSuspect ? 2U : 0U) + (isRemote ? 1U : 0U);
+}
+
+// Two draws are enough to keep the longest queue short (Mitzenmacher, "The Power of Two Choices in Randomized
+// Load Balancing"), and their cost does not depend on the number of targets.
+std::optional<TargetIndex> TargetTable::chooseFrom(std::span<const TargetIndex> free,
+                                                   const FailedAttempts &excluded,
+                                                   RandomEngine &random) const
+{
+    if (free.empty()) {
+        return std::nullopt;
+    }
+    if (free.size() == 1) {
+        return firstAllowed(free, 0, excluded);
+    }
+    const std::size_t first = drawBelow(free.size(), random);
+    const std::size_t second = (first + 1 + drawBelow(free.size() - 1, random)) % free.size();
+    const auto a = firstAllowed(free, first, excluded);
+    const auto b = firstAllowed(free, second, excluded);
+    return a && b ? std::optional{lessLoaded(*a, *b)} : a;
+}
+
+// Passes over the few targets that the request failed on already, so it ends after a few steps.
+std::optional<TargetIndex> TargetTable::firstAllowed(std::span<const TargetIndex> free,
+                                                     std::size_t start,
+                                                     const FailedAttempts &excluded) const
+{
+    const std::size_t steps = std::min(free.size(), excluded.size() + 1);
+    for (std::size_t n = 0; n < steps; ++n) {
+        const TargetIndex index = free[(start + n) % free.size()];
+        if (!hasFailedOn(excluded, m_entries[index].spec.id)) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+TargetIndex TargetTable::lessLoaded(TargetIndex a, TargetIndex b) const
+{
+    const Entry &left = m_entries[a];
+    const Entry &right = m_entries[b];
+    const auto leftLoad = std::uint64_t{left.inFlight} * right.limit();
+    const auto rightLoad = std::uint64_t{right.inFlight} * left.limit();
+    return leftLoad <= rightLoad ? a : b;
+}
+
+template<typename Change>
+void TargetTable::changeEntry(TargetIndex index, Change change)
+{
+    Entry &entry = m_entries[index];
+    count(entry, -1);
+    if (entry.freePosition != NotFree) {
+        removeFree(index);
+    }
+    change(entry);
+    count(entry, 1);
+    updateFree(index);
+}
+
+void TargetTable::count(const Target &target, int sign)
+{
+    if (target.isRetired) {
+        return;
+    }
+    const auto add = [sign](std::uint32_t &sum, std::uint32_t amount) {
+        sum = sign > 0 ? sum + amount : sum - amount;
+    };
+    PoolCapacity &capacity = m_pools[target.pool].capacity;
+    add(capacity.targets, 1);
+    add(capacity.declaredSlots, target.spec.slots);
+    if (target.isInService()) {
+        add(capacity.inServiceSlots, target.spec.slots);
+        add(capacity.slots, target.limit());
+        add(capacity.usableTargets, target.limit() > 0 ? 1 : 0);
+    }
+}
+
+void TargetTable::updateFree(TargetIndex index)
+{
+    const Entry &entry = m_entries[index];
+    const bool isFree = entry.isInService() && entry.inFlight < entry.limit();
+    if (isFree && entry.freePosition == NotFree) {
+        addFree(index);
+    } else if (!isFree && entry.freePosition != NotFree) {
+        removeFree(index);
+    }
+}
+
+void TargetTable::addFree(TargetIndex index)
+{
+    Entry &entry = m_entries[index];
+    entry.freeTier = tierOf(entry);
+    auto &free = m_pools[entry.pool].free[entry.freeTier];
+    entry.freePosition = static_cast<std::uint32_t>(free.size());
+    free.push_back(index);
+}
+
+void TargetTable::removeFree(TargetIndex index)
+{
+    Entry &entry = m_entries[index];
+    auto &free = m_pools[entry.pool].free[entry.freeTier];
+    const TargetIndex last = free.back();
+    free[entry.freePosition] = last;
+    m_entries[last].freePosition = entry.freePosition;
+    free.pop_back();
+    entry.freePosition = NotFree;
+}
+
+// A retired target stays known while requests are in flight on it: should it come back, they still count.
+void TargetTable::recycleIfDone(TargetIndex index)
+{
+    if (m_entries[index].isRetired && m_entries[index].inFlight == 0) {
+        m_byId.erase(m_entries[index].spec.id);
+        m_unused.push_back(index);
+    }
+}
+
+} // namespace Scheduling
--- /dev/null
+++ b/src/libs/scheduling/targettable.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "fleetspecs.h"
+#include "request.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <vector>
+
+namespace Scheduling
+{
+
+using RandomEngine = std::mt19937_64;
+
+enum class TargetStanding {
+    InService,
+    Suspect, ///< an outlier that the pool can't do without: chosen last
+    Ejected, ///< gets no work
+    Probing, ///< gets one request at a time
+};
+
+struct Target {
+    TargetSpec spec;
+    PoolIndex pool = 0;
+    std::optional<std::uint32_t> allowance; ///< slots; not set: all of them
+    std::uint32_t inFlight = 0;
+    TargetStanding standing = TargetStanding::InService;
+    bool isRetired = false; ///< no longer in the fleet, its requests in flight finish
+    bool isListed = false; ///< in the fleet that is being set
+
+    /// Requests that this entry instance may have in flight on it.
+    std::uint32_t limit() const;
+
+    bool isInService() const;
+};
+
+struct PoolCapacity {
+    std::uint32_t targets = 0;
+    std::uint32_t declaredSlots = 0; ///< over all entry instances, draining targets included
+    std::uint32_t inServiceSlots = 0; ///< over all entry instances, on targets that get work
+    std::uint32_t slots = 0; ///< this entry instance's allowance, on targets that get work
+    std::uint32_t usableTargets = 0; ///< with an allowance, getting work
+};
+
+/// The targets with their requests in flight. Free targets are indexed by pool, so that a choice costs the
+/// same at any size of the pool.
+class TargetTable
+{
+public:
+    explicit TargetTable(Base::AvailabilityZoneName zone);
+
+    struct Placement {
+        TargetIndex index = 0;
+        bool isNew = false; ///< not there before, or another instance or pool than before
+    };
+
+    /// Adds or changes a target; what is in flight on it stays counted.
+    Placement put(const TargetSpec &spec, PoolIndex pool);
+
+    /// Retires the targets that were not put since the last call and returns them.
+    std::vector<TargetIndex> retireUnlisted();
+
+    void setAllowance(TargetIndex index, std::uint32_t slots);
+    void setStanding(TargetIndex index, TargetStanding standing);
+
+    /// The less loaded of two free targets drawn at random, of this zone while it has one, suspects last.
+    /// Nothing when no target outside of `excluded` is free.
+    std::optional<TargetIndex>
+    choose(PoolIndex pool, const FailedAttempts &excluded, RandomEngine &random) const;
+
+    void occupy(TargetIndex index);
+    void release(TargetIndex index);
+
+    std::optional<TargetIndex> find(TargetId id) const;
+    const Target &at(TargetIndex index) const;
+    PoolCapacity capacity(PoolIndex pool) const;
+    bool hasFree(PoolIndex pool) const;
+
+private:
+    static constexpr std::size_t TierCount = 4;
+    static constexpr std::uint32_t NotFree = UINT32_MAX;
+
+    struct Entry : Target {
+        std::uint32_t freeTier = 0;
+        std::uint32_t freePosition = NotFree;
+    };
+    struct Pool {
+        std::array<std::vector<TargetIndex>, TierCount> free;
+        PoolCapacity capacity;
+    };
+
+    TargetIndex addEntry(const TargetSpec &spec);
+    std::uint32_t tierOf(const Target &target) const;
+    std::optional<TargetIndex>
+    chooseFrom(std::span<const TargetIndex> free, const FailedAttempts &excluded, RandomEngine &random) const;
+    std::optional<TargetIndex>
+    firstAllowed(std::span<const TargetIndex> free, std::size_t start, const FailedAttempts &excluded) const;
+    TargetIndex lessLoaded(TargetIndex a, TargetIndex b) const;
+    template<typename Change>
+    void changeEntry(TargetIndex index, Change change);
+    void count(const Target &target, int sign);
+    void updateFree(TargetIndex index);
+    void addFree(TargetIndex index);
+    void removeFree(TargetIndex index);
+    void recycleIfDone(TargetIndex index);
+
+    Base::AvailabilityZoneName m_zone;
+    std::vector<Entry> m_entries;
+    std::vector<TargetIndex> m_unused;
+    std::vector<Pool> m_pools;
+    boost::unordered_flat_map<TargetId, TargetIndex, std::hash<TargetId>> m_byId;
+};
+
+} // namespace Scheduling
