Put the daemon together and test its request plane

Cause: the duties ran in no program, and nothing showed that an answer is whole and its verdict true.

--- /dev/null
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -0,0 +1,234 @@
+#include "daemon.h"
+
+#include "statuspage.h"
+
+#include <base/logline.h>
+#include <control/controlduty.h>
+#include <gateway/requestplane.h>
+#include <runtime/duty.h>
+#include <scheduling/requestscheduler.h>
+#include <telemetry/telemetryduty.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace Daemon
+{
+
+namespace
+{
+
+using Settings::DaemonSettings;
+using Plane = Gateway::RequestPlane<Scheduling::RequestScheduler>;
+
+Gateway::CallerLimits callerLimits(const DaemonSettings &settings)
+{
+    Gateway::CallerLimits limits;
+    limits.address = settings.callers.address.ip;
+    limits.port = settings.callers.address.port;
+    limits.headerBytes = static_cast<std::uint32_t>(settings.callers.headerLimit.value);
+    limits.bodyBytes = settings.callers.bodyLimit.value;
+    limits.headerTimeout = settings.callers.headerTimeout;
+    limits.bodyTimeout = settings.callers.bodyTimeout;
+    limits.idleTimeout = settings.callers.idleTimeout;
+    limits.drainNotice = settings.requests.drainNotice;
+    limits.connections = settings.callers.connectionLimit;
+    limits.inFlight = settings.requests.inFlightLimit;
+    return limits;
+}
+
+Gateway::TargetLimits targetLimits(const DaemonSettings &settings)
+{
+    Gateway::TargetLimits limits;
+    limits.connectTimeout = settings.targets.connectTimeout;
+    limits.progressTimeout = settings.targets.progressTimeout;
+    limits.idleTimeout = settings.targets.idleTimeout;
+    limits.freshness = settings.targets.heartbeat;
+    limits.resendBytes = settings.requests.resendLimit.value;
+    limits.inFlight = settings.requests.inFlightLimit;
+    return limits;
+}
+
+Scheduling::SchedulerLimits schedulerLimits(const DaemonSettings &settings)
+{
+    Scheduling::SchedulerLimits limits;
+    limits.zone = {settings.instance.zone};
+    limits.queueLength.fill(settings.requests.queueLimit);
+    limits.requests = settings.requests.inFlightLimit;
+    limits.retryShare = settings.requests.retryBudgetPercent / 100.0;
+    return limits;
+}
+
+Control::ControlSettings controlSettings(const DaemonSettings &settings, const std::string &shareFolder)
+{
+    Control::ControlSettings control;
+    control.environment = {settings.instance.environment};
+    control.zone = {settings.instance.zone};
+    control.instance = settings.instance.name;
+    control.chartsFolder = shareFolder + "/charts";
+    control.platform.host = settings.platform.address.ip;
+    control.platform.port = settings.platform.address.port;
+    control.platform.requestTimeout = settings.platform.requestTimeout;
+    control.listPeriod = settings.platform.poll;
+    control.seed = std::random_device{}();
+    return control;
+}
+
+Telemetry::TelemetryLimits telemetryLimits(const DaemonSettings &settings)
+{
+    Telemetry::TelemetryLimits limits;
+    limits.address = settings.operators.address.ip;
+    limits.port = settings.operators.address.port;
+    limits.instance = settings.instance.name;
+    if (settings.telemetry.tracesAddress) {
+        limits.tracesAddress = settings.telemetry.tracesAddress->ip;
+        limits.tracesPort = settings.telemetry.tracesAddress->port;
+    }
+    return limits;
+}
+
+} // namespace
+
+class Daemon::Private
+{
+public:
+    Private(const DaemonSettings &settings, const std::string &shareFolder)
+        : m_settings(settings)
+        , m_plane(callerLimits(settings),
+                  targetLimits(settings),
+                  schedulerLimits(settings),
+                  std::random_device{}())
+        , m_controlThread("control")
+        , m_control(m_controlThread, controlSettings(settings, shareFolder), requestPlanePort())
+        , m_telemetryThread("telemetry")
+        , m_telemetry(m_telemetryThread, telemetryLimits(settings))
+        , m_signals(m_context, SIGTERM, SIGINT)
+        , m_shutdownTimer(m_context)
+    {
+        addPages();
+    }
+
+    int run()
+    {
+        m_telemetry.start();
+        m_control.start();
+        m_plane.start();
+        m_telemetryThread.start();
+        m_controlThread.start();
+        Base::LogLine(Base::LogLevel::Info, "started")
+            .with("callers_port", m_plane.callers().port())
+            .with("operators_port", m_telemetry.port());
+        m_signals.async_wait([this](const boost::system::error_code &, int signal) { onSignal(signal); });
+        m_context.run();
+        m_plane.stop();
+        m_controlThread.stop();
+        m_telemetryThread.stop();
+        Base::LogLine(Base::LogLevel::Info, "stopped").with("exit_status", m_exitStatus);
+        return m_exitStatus;
+    }
+
+private:
+    Control::RequestPlanePort requestPlanePort()
+    {
+        return {[this](std::shared_ptr<const Gateway::RoutingTable> table) {
+                    m_plane.setRouting(std::move(table));
+                },
+                [this](std::vector<Base::InstanceName> instances, Control::InFlightAnswer answer) {
+                    askInFlight(std::move(instances), std::move(answer));
+                }};
+    }
+
+    void askInFlight(std::vector<Base::InstanceName> instances, Control::InFlightAnswer answer)
+    {
+        m_plane.withTargets(
+            [this, instances = std::move(instances), answer = std::move(answer)](auto &targets) {
+                std::vector<std::uint32_t> inFlight;
+                for (const auto &it : instances) {
+                    inFlight.push_back(targets.inFlightOn(it));
+                }
+                m_controlThread.post([answer, inFlight = std::move(inFlight)] { answer(inFlight); });
+            });
+    }
+
+    bool isReady() const
+    {
+        return m_control.status()->isReady && !m_isShuttingDown.load();
+    }
+
+    void addPages()
+    {
+        m_telemetry.addMetrics(
+            [this] { return gatewayMetrics(m_plane.callers().counters(), m_plane.targetCounters()); });
+        m_telemetry.addPage("/healthz", [] {
+            return Telemetry::Page{200, "text/plain; charset=utf-8", "ok\n"};
+        });
+        m_telemetry.addPage("/readyz", [this] {
+            return isReady() ? Telemetry::Page{200, "text/plain; charset=utf-8", "ready\n"}
+                             : Telemetry::Page{503, "text/plain; charset=utf-8", "not ready\n"};
+        });
+        m_telemetry.addPage("/status", [this] {
+            return Telemetry::Page{200,
+                                   "application/json",
+                                   statusPage(m_settings.instance,
+                                              *m_control.status(),
+                                              m_plane.callers().counters(),
+                                              m_plane.targetCounters(),
+                                              isReady())};
+        });
+    }
+
+    // Readiness goes first; the callers' side then serves through the notice, stops accepting and ends with
+    // its last response. Only after that this member leaves the zone.
+    void onSignal(int signal)
+    {
+        Base::LogLine(Base::LogLevel::Info, "shutdown-begins").with("signal", signal);
+        m_isShuttingDown.store(true);
+        m_shutdownTimer.expires_after(m_settings.requests.shutdownTimeout);
+        m_shutdownTimer.async_wait([this](const boost::system::error_code &ec) {
+            if (!ec) {
+                onShutdownTimeout();
+            }
+        });
+        m_plane.callers().drain([this] { m_control.leave([this] { m_context.stop(); }); });
+    }
+
+    void onShutdownTimeout()
+    {
+        Base::LogLine(Base::LogLevel::Error, "shutdown-timeout")
+            .with("in_flight", m_plane.callers().counters().inFlight.load());
+        m_exitStatus = 1;
+        m_context.stop();
+    }
+
+    DaemonSettings m_settings;
+    boost::asio::io_context m_context{1};
+    Plane m_plane;
+    Runtime::Duty m_controlThread;
+    Control::ControlDuty m_control;
+    Runtime::Duty m_telemetryThread;
+    Telemetry::TelemetryDuty m_telemetry;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_shutdownTimer;
+    std::atomic<bool> m_isShuttingDown{false};
+    int m_exitStatus = 0;
+};
+
+Daemon::Daemon(const Settings::DaemonSettings &settings, const std::string &shareFolder)
+    : d(std::make_unique<Private>(settings, shareFolder))
+{
+}
+
+Daemon::~Daemon() = default;
+
+int Daemon::run()
+{
+    return d->run();
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/control/controlduty.cpp
@@ -0,0 +1,348 @@
+#include "controlduty.h"
+
+#include "recordappender.h"
+#include "routingbuilder.h"
+#include "streamnames.h"
+
+#include <base/logline.h>
+#include <fleet/charts.h>
+#include <fleet/fold.h>
+#include <platform/httpplatform.h>
+#include <platform/streamfollower.h>
+#include <record/codec.h>
+#include <runtime/duty.h>
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <deque>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace Control
+{
+
+namespace
+{
+
+using Follower = Platform::StreamFollower<Platform::HttpPlatform>;
+
+constexpr Base::Duration AcknowledgePeriod = std::chrono::milliseconds{200};
+constexpr Base::Duration LeavePatience = std::chrono::seconds{2};
+
+Fleet::Charts loadCharts(const std::string &folder)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<Fleet::Charts> { return Fleet::Charts::load(folder); },
+        [&]() -> Fleet::Charts {
+            throw std::runtime_error("the state charts in " + folder + " can't be loaded");
+        });
+}
+
+// A restarted daemon must not be taken for the one before, which may have left work half done.
+Base::MemberName newMember(const std::string &instance)
+{
+    std::random_device device;
+    return {fmt::format("{}.{:08x}", instance, device())};
+}
+
+} // namespace
+
+class ControlDuty::Private
+{
+public:
+    Private(Runtime::Duty &duty, ControlSettings settings, RequestPlanePort requestPlane)
+        : m_duty(duty)
+        , m_settings(std::move(settings))
+        , m_requestPlane(std::move(requestPlane))
+        , m_member(newMember(m_settings.instance))
+        , m_charts(loadCharts(m_settings.chartsFolder))
+        , m_fold(m_charts, m_settings.zone)
+        , m_platform(duty.context(), duty.timers(), m_settings.platform)
+        , m_common(m_platform, duty.timers(), commonStream(m_settings.environment), {}, m_settings.seed)
+        , m_zone(m_platform,
+                 duty.timers(),
+                 zoneStream(m_settings.environment, m_settings.zone),
+                 {},
+                 m_settings.seed + 1)
+        , m_appender(m_platform, duty.timers(), zoneStream(m_settings.environment, m_settings.zone))
+    {
+        publishStatus();
+    }
+
+    void start()
+    {
+        m_common.start(Platform::FirstOffset,
+                       {[this](auto entries) { onCommonEntries(entries); },
+                        [this](auto first) { onTrimmedPast("common", first); },
+                        [this](bool isReachable) {
+                            onReachable(isReachable);
+                        }});
+        m_zone.start(Platform::FirstOffset,
+                     {[this](auto entries) { onZoneEntries(entries); },
+                      [this](auto first) { onTrimmedPast("zone", first); },
+                      [this](bool isReachable) {
+                          onReachable(isReachable);
+                      }});
+        m_duty.timers().subscribeEvery(AcknowledgePeriod, [this] { onTick(); });
+        m_duty.timers().subscribeEvery(m_settings.listPeriod, [this] { listInstances(); });
+        listInstances();
+    }
+
+    void leave(std::function<void()> done)
+    {
+        append(Fleet::MemberLeft{m_member, "shutdown"});
+        m_duty.timers().subscribeEvery(AcknowledgePeriod,
+                                       [this, done, until = now() + LeavePatience]() mutable {
+                                           if (done && (m_appender.pending() == 0 || now() >= until)) {
+                                               std::exchange(done, nullptr)();
+                                           }
+                                       });
+    }
+
+    Runtime::Duty &m_duty;
+    std::atomic<std::shared_ptr<const ControlStatus>> m_status;
+
+private:
+    Base::Instant now() const
+    {
+        return m_duty.timers().now();
+    }
+
+    const Fleet::FleetState &state() const
+    {
+        return m_fold.state();
+    }
+
+    void onReachable(bool isReachable)
+    {
+        Base::LogLine(isReachable ? Base::LogLevel::Info : Base::LogLevel::Warning, "platform-log")
+            .with("is_reachable", isReachable);
+        publishStatus();
+    }
+
+    void onTrimmedPast(std::string_view stream, Platform::Offset first)
+    {
+        Base::LogLine(Base::LogLevel::Error, "log-trimmed-past").with("stream", stream).with("first", first);
+    }
+
+    void onCommonEntries(std::span<const Platform::LogEntry> entries)
+    {
+        for (const auto &it : entries) {
+            const Fleet::Entry entry = Record::decodeEntry(Fleet::Offset{it.offset}, it.data);
+            report("common", entry, m_fold.applyCommon(entry));
+        }
+        applyWaitingZoneEntries();
+        onFolded();
+    }
+
+    void onZoneEntries(std::span<const Platform::LogEntry> entries)
+    {
+        for (const auto &it : entries) {
+            m_waitingZoneEntries.push_back(Record::decodeEntry(Fleet::Offset{it.offset}, it.data));
+        }
+        applyWaitingZoneEntries();
+        onFolded();
+    }
+
+    void applyWaitingZoneEntries()
+    {
+        while (!m_waitingZoneEntries.empty()) {
+            const Fleet::Entry &entry = m_waitingZoneEntries.front();
+            const Fleet::Outcome outcome = m_fold.applyZone(entry);
+            if (outcome.kind == Fleet::OutcomeKind::NotYet) {
+                return;
+            }
+            report("zone", entry, outcome);
+            m_waitingZoneEntries.pop_front();
+        }
+    }
+
+    static void report(std::string_view stream, const Fleet::Entry &entry, const Fleet::Outcome &outcome)
+    {
+        const bool isExpected = outcome.isApplied() || outcome.kind == Fleet::OutcomeKind::Duplicate;
+        Base::LogLine line(isExpected ? Base::LogLevel::Debug : Base::LogLevel::Warning, "record");
+        line.with("stream", stream)
+            .with("offset", entry.offset.value)
+            .with("outcome", toString(outcome.kind));
+        if (outcome.kind == Fleet::OutcomeKind::Refused) {
+            line.with("refusal", toString(outcome.refusal));
+        }
+    }
+
+    void onFolded()
+    {
+        putInForce();
+        if (!m_isReady && m_common.isCaughtUp() && m_zone.isCaughtUp() && m_waitingZoneEntries.empty()) {
+            m_isReady = true;
+            Base::LogLine(Base::LogLevel::Info, "ready")
+                .with("member", m_member.value)
+                .with("document_offset", state().documentOffset.value);
+            append(Fleet::MemberJoined{m_member, m_settings.zone});
+        }
+        publishStatus();
+    }
+
+    void putInForce()
+    {
+        auto table = buildRouting(state(), m_leaving);
+        const bool isSame =
+            m_table && m_table->services() == table->services() && m_table->targets() == table->targets();
+        if (isSame) {
+            return;
+        }
+        m_table = std::move(table);
+        m_requestPlane.setRouting(m_table);
+        Base::LogLine(Base::LogLevel::Info, "routing-in-force")
+            .with("document_offset", state().documentOffset.value)
+            .with("zone_offset", state().appliedTo.value)
+            .with("targets", m_table->targets().size());
+    }
+
+    void onTick()
+    {
+        if (!m_isReady) {
+            onFolded();
+        }
+        acknowledgeDrains();
+        publishStatus();
+    }
+
+    // Acknowledged once nothing of this entry instance is in flight there; the request plane answers after
+    // the routing table that stops new work is in force.
+    void acknowledgeDrains()
+    {
+        std::vector<Fleet::ActionId> actions;
+        std::vector<Base::InstanceName> instances;
+        const auto add = [&](const auto &open) {
+            for (const auto &[id, it] : open) {
+                const auto instance = state().instances.find(it.instance);
+                const bool isDraining = instance != state().instances.end()
+                    && instance->second.phase == Fleet::InstancePhase::Draining;
+                if (isDraining && !it.acknowledgedBy.contains(m_member) && !m_acknowledged.contains(id)) {
+                    actions.push_back(id);
+                    instances.push_back(it.instance);
+                }
+            }
+        };
+        add(state().moves);
+        add(state().maintenances);
+        if (actions.empty() || m_isAskingInFlight || !state().members.contains(m_member)) {
+            return;
+        }
+        m_isAskingInFlight = true;
+        m_requestPlane.askInFlight(instances, [this, actions](const std::vector<std::uint32_t> &inFlight) {
+            m_isAskingInFlight = false;
+            for (std::size_t n = 0; n < actions.size(); ++n) {
+                if (inFlight[n] == 0) {
+                    m_acknowledged.insert(actions[n]);
+                    append(Fleet::DrainAcknowledged{actions[n], m_member});
+                }
+            }
+        });
+    }
+
+    void listInstances()
+    {
+        if (m_isListing) {
+            return;
+        }
+        m_isListing = true;
+        m_platform.listInstances([this](const Platform::ListOutcome &outcome) {
+            m_isListing = false;
+            if (const auto *list = std::get_if<std::vector<Platform::ListedInstance>>(&outcome)) {
+                onList(*list);
+            }
+        });
+    }
+
+    // The last list known is kept while the platform is out.
+    void onList(const std::vector<Platform::ListedInstance> &list)
+    {
+        std::set<Base::InstanceName> leaving;
+        for (const auto &it : list) {
+            if (it.kind == Platform::InstanceKind::Target && it.state != Platform::InstanceState::Live) {
+                leaving.insert({it.name});
+            }
+        }
+        if (leaving != m_leaving) {
+            m_leaving = std::move(leaving);
+            putInForce();
+        }
+    }
+
+    void append(Fleet::Event event)
+    {
+        Fleet::Record record;
+        record.id = fmt::format("{}-{}", m_member.value, ++m_lastRecord);
+        record.author = m_member;
+        record.documentOffset = state().commonAppliedTo;
+        record.event = std::move(event);
+        m_appender.append(record);
+    }
+
+    void publishStatus()
+    {
+        auto status = std::make_shared<ControlStatus>();
+        status->member = m_member;
+        status->isReady = m_isReady;
+        status->isPlatformReachable = m_common.isReachable() && m_zone.isReachable();
+        status->commonAppliedTo = state().commonAppliedTo.value;
+        status->zoneAppliedTo = state().appliedTo.value;
+        status->documentOffset = state().documentOffset.value;
+        status->instances = state().instances.size();
+        for (const auto &[name, it] : state().instances) {
+            status->drainingInstances += it.phase == Fleet::InstancePhase::Serving ? 0 : 1;
+        }
+        status->openMoves = state().moves.size();
+        if (const auto it = state().planners.find(m_settings.zone); it != state().planners.end()) {
+            status->planner = it->second.holder.value;
+        }
+        status->pendingAppends = m_appender.pending();
+        m_status.store(std::move(status));
+    }
+
+    ControlSettings m_settings;
+    RequestPlanePort m_requestPlane;
+    Base::MemberName m_member;
+    Fleet::Charts m_charts;
+    Fleet::Fold m_fold;
+    Platform::HttpPlatform m_platform;
+    Follower m_common;
+    Follower m_zone;
+    RecordAppender m_appender;
+    std::deque<Fleet::Entry> m_waitingZoneEntries;
+    std::shared_ptr<const Gateway::RoutingTable> m_table;
+    std::set<Base::InstanceName> m_leaving;
+    std::set<Fleet::ActionId> m_acknowledged;
+    std::uint64_t m_lastRecord = 0;
+    bool m_isReady = false;
+    bool m_isAskingInFlight = false;
+    bool m_isListing = false;
+};
+
+ControlDuty::ControlDuty(Runtime::Duty &duty, ControlSettings settings, RequestPlanePort requestPlane)
+    : d(std::make_unique<Private>(duty, std::move(settings), std::move(requestPlane)))
+{
+}
+
+ControlDuty::~ControlDuty() = default;
+
+void ControlDuty::start()
+{
+    d->m_duty.post([this] { d->start(); });
+}
+
+void ControlDuty::leave(std::function<void()> done)
+{
+    d->m_duty.post([this, done = std::move(done)]() mutable { d->leave(std::move(done)); });
+}
+
+std::shared_ptr<const ControlStatus> ControlDuty::status() const
+{
+    return d->m_status.load();
+}
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/control/recordappender.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <base/oneshottimer.h>
+#include <fleet/record.h>
+#include <platform/httpplatform.h>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace Control
+{
+
+/// Appends records to one stream, in order and one batch at a time. A batch whose answer was lost is
+/// appended again under the same ids: the fold counts each once.
+class RecordAppender
+{
+public:
+    RecordAppender(Platform::HttpPlatform &platform, Base::TimerService &timers, std::string stream);
+
+    void append(const Fleet::Record &record);
+
+    /// Records that are not known to be in the log.
+    std::size_t pending() const;
+
+    /// Drops what has not been sent yet; what is under way goes on.
+    void dropUnsent();
+
+private:
+    void sendNext();
+    void onOutcome(const Platform::AppendOutcome &outcome);
+
+    Platform::HttpPlatform &m_platform;
+    std::string m_stream;
+    std::deque<Platform::LogRecord> m_records;
+    std::size_t m_underWay = 0;
+    Base::OneShotTimer m_retry;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace Control
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -30,7 +30,7 @@
     };
 
     explicit Exchange(Base::TimerService &timers)
-        : deadlineTimer(timers)
+        : giveUpTimer(timers)
     {
     }
 
@@ -39,6 +39,7 @@
     std::size_t service = 0; ///< index into the routing table that was in force at arrival
     bool isIdempotent = false;
     bool isCallerGone = false;
+    bool isServerError = false; ///< of the response that is being passed on
     Phase phase = Phase::Queued;
     Base::Instant deadline;
     Base::Instant attemptStartedAt;
@@ -52,7 +53,7 @@
     std::shared_ptr<TargetConnection> connection;
     std::unique_ptr<ResponseHead> heldHead; ///< a whole server error, until another attempt is ruled out
     std::string heldBody;
-    Base::OneShotTimer deadlineTimer;
+    Base::OneShotTimer giveUpTimer;
 };
 
 } // namespace Gateway::Internal
--- a/src/libs/gateway/targetduty.h
+++ b/src/libs/gateway/targetduty.h
@@ -8,6 +8,7 @@
 #include <scheduling/attempt.h>
 #include <scheduling/decision.h>
 #include <scheduling/fleetspecs.h>
+#include <scheduling/schedulerlimits.h>
 #include <scheduling/statistics.h>
 
 #include <atomic>
@@ -37,7 +38,7 @@
                                     std::span<const Scheduling::ServiceSpec> services,
                                     std::span<const Scheduling::TargetSpec> targets)
 {
-    scheduler.setFleet(services, targets, now, decisions);
+    scheduler.setFleet(services, targets);
     scheduler.arrive(arrival, now, decisions);
     scheduler.attemptEnded(request, result, now, decisions);
     scheduler.cancel(request, now, decisions);
@@ -64,7 +65,10 @@
 class TargetDuty
 {
 public:
-    TargetDuty(Runtime::Duty &duty, const TargetLimits &limits, Scheduler scheduler);
+    TargetDuty(Runtime::Duty &duty,
+               const TargetLimits &limits,
+               const Scheduling::SchedulerLimits &schedulerLimits,
+               std::uint64_t seed);
     ~TargetDuty();
 
     /// Where messages to the caller side go; to be set before the first message is received.
--- a/src/libs/gateway/targetduty_p.h
+++ b/src/libs/gateway/targetduty_p.h
@@ -37,10 +37,13 @@
     using Connection = std::shared_ptr<Internal::TargetConnection>;
     using Exchange = Internal::Exchange;
 
-    Private(Runtime::Duty &duty, const TargetLimits &limits, Scheduler scheduler)
+    Private(Runtime::Duty &duty,
+            const TargetLimits &limits,
+            const Scheduling::SchedulerLimits &schedulerLimits,
+            std::uint64_t seed)
         : m_duty(duty)
         , m_limits(limits)
-        , m_scheduler(std::move(scheduler))
+        , m_scheduler(schedulerLimits, seed)
         , m_output(duty.timers())
         , m_wakeUp(duty.timers())
         , m_table(std::make_shared<RoutingTable>())
@@ -73,7 +76,8 @@
             const auto id = targetId(it);
             targets.push_back({id, it.instance, it.pool, it.zone, it.slots, it.connections, it.isDraining});
         }
-        m_scheduler.setFleet(services, targets, now(), m_decisions);
+        m_scheduler.setFleet(services, targets);
+        m_scheduler.advance(now(), m_decisions);
         execute();
     }
 
@@ -114,13 +118,13 @@
             exchange->heldBody = std::move(chunk);
             endAttempt(*exchange, Scheduling::AttemptOutcome::Answered, true);
         } else {
-            const bool isServerError = held->status >= FirstServerError;
+            exchange->isServerError = held->status >= FirstServerError;
             exchange->phase = Exchange::Phase::Responding;
-            exchange->deadlineTimer.disarm();
+            exchange->giveUpTimer.disarm();
             dropPieces(*exchange);
             passOn(*exchange, OpenResponse{exchange->id, std::move(held), std::move(chunk), isLast});
             if (isLast) {
-                endAttempt(*exchange, Scheduling::AttemptOutcome::Answered, isServerError);
+                endAttempt(*exchange, Scheduling::AttemptOutcome::Answered, exchange->isServerError);
             }
         }
         execute();
@@ -135,7 +139,7 @@
         }
         passOn(*exchange, ResponseBody{exchange->id, std::move(chunk), isLast});
         if (isLast) {
-            endAttempt(*exchange, Scheduling::AttemptOutcome::Answered);
+            endAttempt(*exchange, Scheduling::AttemptOutcome::Answered, exchange->isServerError);
             execute();
         }
     }
@@ -251,7 +255,6 @@
                                           Internal::priorityFor(*exchange->head, service.priority),
                                           exchange->deadline,
                                           exchange->isIdempotent};
-        exchange->deadlineTimer.armAt(exchange->deadline, [this, id = exchange->id] { onDeadline(id); });
         m_exchanges.emplace(exchange->id, std::move(exchange));
         m_counters.inFlight.store(m_exchanges.size(), std::memory_order_relaxed);
         m_scheduler.arrive(arrival, now(), m_decisions);
@@ -330,18 +333,13 @@
         send(std::move(message));
     }
 
-    void onDeadline(ExchangeId id)
+    void giveUp(ExchangeId id)
     {
         Exchange *exchange = find(id);
-        if (!exchange) {
-            return;
-        }
-        if (exchange->phase == Exchange::Phase::Attempting) {
+        if (exchange && exchange->phase == Exchange::Phase::Attempting) {
             endAttempt(*exchange, Scheduling::AttemptOutcome::TimedOut);
-        } else {
-            m_scheduler.advance(now(), m_decisions);
+            execute();
         }
-        execute();
     }
 
     static Scheduling::AttemptOutcome outcomeOf(Internal::Break reason, bool mayHaveSent)
@@ -358,6 +356,7 @@
     void endAttempt(Exchange &exchange, Scheduling::AttemptOutcome outcome, bool isServerError = false)
     {
         releaseConnection(exchange);
+        exchange.giveUpTimer.disarm();
         const Scheduling::AttemptResult result{
             outcome, now() - exchange.attemptStartedAt, isServerError, canResend(exchange)};
         if (exchange.phase == Exchange::Phase::Attempting) {
@@ -429,6 +428,7 @@
         exchange->phase = Exchange::Phase::Attempting;
         exchange->attemptStartedAt = now();
         exchange->piecesSent = 0;
+        exchange->giveUpTimer.armAt(dispatch.giveUpAt, [this, id = exchange->id] { giveUp(id); });
         exchange->heldHead.reset();
         exchange->heldBody.clear();
         const auto notBefore = exchange->isIdempotent ? Base::Instant{} : now() - m_limits.freshness;
@@ -467,6 +467,9 @@
         if (!exchange->isCallerGone) {
             fail(exchange->id, std::move(failure));
         }
+        if (exchange->connection) {
+            endAttempt(*exchange, Scheduling::AttemptOutcome::BrokenAfterSend);
+        }
         erase(*exchange);
     }
 
@@ -516,8 +519,11 @@
 };
 
 template<SchedulerConcept Scheduler>
-TargetDuty<Scheduler>::TargetDuty(Runtime::Duty &duty, const TargetLimits &limits, Scheduler scheduler)
-    : d(std::make_unique<Private>(duty, limits, std::move(scheduler)))
+TargetDuty<Scheduler>::TargetDuty(Runtime::Duty &duty,
+                                  const TargetLimits &limits,
+                                  const Scheduling::SchedulerLimits &schedulerLimits,
+                                  std::uint64_t seed)
+    : d(std::make_unique<Private>(duty, limits, schedulerLimits, seed))
 {
 }
 
--- a/src/libs/runtime/duty.h
+++ b/src/libs/runtime/duty.h
@@ -42,9 +42,9 @@
     void runOnce();
 
     std::string m_name;
+    Base::TimerService m_timers; // outlives the handlers in the context, which hold timers
     boost::asio::io_context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
-    Base::TimerService m_timers;
     std::thread m_thread;
 };
 
--- /dev/null
+++ b/tests/auto/gateway/tst_framing.cpp
@@ -0,0 +1,107 @@
+#include "planefixture.h"
+#include "testcaller.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+TEST_GROUP(Framing)
+{
+    PlaneFixture fixture;
+
+    void setup() override
+    {
+        fixture.callerLimits.headerBytes = 4096;
+        fixture.callerLimits.bodyBytes = 100000;
+        fixture.start();
+    }
+
+    /// Sends the bytes and expects this status with the verdict not-run, and that no target ran anything.
+    void expectRefused(unsigned status, const std::string &bytes)
+    {
+        TestCaller caller(fixture.port());
+        caller.send(bytes);
+        const auto answer = caller.read();
+        CHECK_EQUAL(status, answer.status);
+        CHECK(answer.isWhole);
+        STRCMP_EQUAL("not-run", answer.verdict().c_str());
+        CHECK_EQUAL(0, fixture.targets.executions());
+    }
+};
+
+TEST(Framing, LengthAndTransferEncodingTogetherAreRefused)
+{
+    expectRefused(400,
+                  "POST /proof HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "0\r\n\r\n");
+}
+
+TEST(Framing, DuplicateLengthsAreRefusedEvenWhenTheyAgree)
+{
+    expectRefused(400, "POST /proof HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab");
+    expectRefused(400,
+                  "POST /proof HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc");
+}
+
+TEST(Framing, AnUnknownTransferEncodingIsRefused)
+{
+    expectRefused(501,
+                  "POST /proof HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n");
+}
+
+TEST(Framing, WhatIsNoHttpIsRefused)
+{
+    expectRefused(400, "rhubarb\r\n\r\n");
+    expectRefused(400, "GET /preview HTTP/1.1\r\nHost: a\r\nbad header\r\n\r\n");
+    expectRefused(400, "GET preview HTTP/1.1\r\nHost: a\r\n\r\n");
+    expectRefused(400, "GET /preview HTTP/1.1\r\n\r\n");
+    expectRefused(505, "GET /preview HTTP/1.0\r\nHost: a\r\n\r\n");
+    expectRefused(501, "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n");
+}
+
+TEST(Framing, AHeaderThatIsTooLargeIsRefused)
+{
+    expectRefused(431, "GET /preview HTTP/1.1\r\nHost: a\r\nX: " + std::string(8000, 'x') + "\r\n\r\n");
+}
+
+TEST(Framing, ABodyThatIsTooLargeIsRefused)
+{
+    expectRefused(413, "POST /proof HTTP/1.1\r\nHost: a\r\nContent-Length: 100001\r\n\r\n");
+}
+
+TEST(Framing, ARequestThatIsTooSlowIsRefused)
+{
+    expectRefused(408, "GET /preview HTTP/1.1\r\nHost:");
+    expectRefused(408, "POST /proof HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+}
+
+TEST(Framing, AnUnknownServiceIsRefused)
+{
+    expectRefused(404, "GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n");
+}
+
+TEST(Framing, MalformedFieldsOfOurOwnAreRefused)
+{
+    expectRefused(400, "GET /preview HTTP/1.1\r\nHost: a\r\nRhubarbcrank-Deadline-Ms: soon\r\n\r\n");
+    expectRefused(400, "GET /preview HTTP/1.1\r\nHost: a\r\nRhubarbcrank-Priority: first\r\n\r\n");
+    expectRefused(400,
+                  "POST /proof HTTP/1.1\r\nHost: a\r\nIdempotency-Key: 1\r\nIdempotency-Key: 2\r\n"
+                  "Content-Length: 0\r\n\r\n");
+}
+
+TEST(Framing, PipelinedRequestsAreAnsweredInTheirOrder)
+{
+    TestCaller caller(fixture.port());
+    caller.send("GET /preview?delay=50 HTTP/1.1\r\nHost: a\r\nX-Request: first\r\n\r\n"
+                "GET /preview HTTP/1.1\r\nHost: a\r\nX-Request: second\r\n\r\n");
+    STRNCMP_EQUAL("first\n", caller.read().body.c_str(), 6);
+    STRNCMP_EQUAL("second\n", caller.read().body.c_str(), 7);
+}
+
+TEST(Framing, HopByHopFieldsStayOnTheirConnection)
+{
+    TestCaller caller(fixture.port());
+    const auto answer = caller.request(
+        "GET", "/preview", "Connection: keep-alive, X-Private\r\nX-Private: 1\r\nX-Request: a\r\n");
+    CHECK_EQUAL(200, answer.status);
+}
