--- /dev/null
+++ b/src/libs/fleet/editapplication.cpp
@@ -0,0 +1,280 @@
+#include "editapplication.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Fleet
+{
+
+namespace
+{
+
+template<typename Item, typename Name>
+void invertList(const std::vector<Item> &items,
+                const std::vector<Item> &set,
+                const std::vector<Name> &removed,
+                std::vector<Item> &setBack,
+                std::vector<Name> &removedAgain)
+{
+    const auto restore = [&](const Name &name) {
+        const auto it =
+            std::lower_bound(items.begin(), items.end(), name, [](const Item &item, const Name &wanted) {
+                return item.name < wanted;
+            });
+        if (it != items.end() && it->name == name) {
+            setBack.push_back(*it);
+            return true;
+        }
+        return false;
+    };
+    for (const Item &it : set) {
+        if (!restore(it.name)) {
+            removedAgain.push_back(it.name);
+        }
+    }
+    for (const Name &it : removed) {
+        restore(it);
+    }
+}
+
+/// Brings instances, moves and maintenance in line with a document that has just changed.
+class Reconciliation
+{
+public:
+    Reconciliation(const Charts &charts, FleetState &state, EditUndo &undo)
+        : m_charts(charts)
+        , m_state(state)
+        , m_undo(undo)
+    {
+    }
+
+    void reconcileInstance(const Base::InstanceName &name)
+    {
+        const Document::Instance *declared = findInstance(m_state.document, name);
+        const bool isOurs = declared != nullptr && declared->zone == m_state.zone;
+        const auto it = m_state.instances.find(name);
+        if (it == m_state.instances.end()) {
+            if (isOurs) {
+                add(*declared);
+            }
+            return;
+        }
+        if (isOurs) {
+            redeclare(it->second, *declared);
+        } else {
+            remove(it->second);
+        }
+    }
+
+    void leavePool(const Base::PoolName &pool)
+    {
+        for (auto &it : m_state.instances) {
+            if (it.second.pool == pool && it.second.declared.pool != pool) {
+                keep(it.second);
+                abortMove(it.second);
+                it.second.pool = it.second.declared.pool;
+            }
+        }
+        abortMovesTo(pool);
+    }
+
+private:
+    void add(const Document::Instance &declared)
+    {
+        m_undo.addedInstances.push_back(declared.name);
+        m_state.instances[declared.name] = {
+            declared, m_charts.instance.initial(), declared.pool, std::nullopt};
+    }
+
+    void redeclare(InstanceState &instance, const Document::Instance &declared)
+    {
+        keep(instance);
+        const bool hasNewPool = instance.declared.pool != declared.pool;
+        instance.declared = declared;
+        if (hasNewPool) {
+            abortMove(instance);
+            instance.pool = declared.pool;
+        }
+    }
+
+    void remove(const InstanceState &instance)
+    {
+        const Base::InstanceName name = instance.declared.name;
+        keep(instance);
+        if (instance.action) {
+            takeMove(*instance.action);
+            takeMaintenance(*instance.action);
+        }
+        m_state.instances.erase(name);
+    }
+
+    void abortMovesTo(const Base::PoolName &pool)
+    {
+        std::vector<Base::InstanceName> movers;
+        for (const auto &it : m_state.moves) {
+            if (it.second.to == pool) {
+                movers.push_back(it.second.instance);
+            }
+        }
+        for (const Base::InstanceName &it : movers) {
+            InstanceState &instance = m_state.instances.at(it);
+            keep(instance);
+            abortMove(instance);
+        }
+    }
+
+    void abortMove(InstanceState &instance)
+    {
+        if (!instance.action || !takeMove(*instance.action)) {
+            return;
+        }
+        instance.phase =
+            m_charts.instance.next(instance.phase, InstanceEvent::Release).value_or(instance.phase);
+        instance.action.reset();
+    }
+
+    bool takeMove(const ActionId &id)
+    {
+        const auto it = m_state.moves.find(id);
+        if (it == m_state.moves.end()) {
+            return false;
+        }
+        m_undo.abortedMoves.push_back(std::move(it->second));
+        m_state.moves.erase(it);
+        return true;
+    }
+
+    void takeMaintenance(const ActionId &id)
+    {
+        const auto it = m_state.maintenances.find(id);
+        if (it == m_state.maintenances.end()) {
+            return;
+        }
+        m_undo.endedMaintenances.push_back(std::move(it->second));
+        m_state.maintenances.erase(it);
+    }
+
+    // Undoing goes backwards, so that the first state that was kept of an instance wins.
+    void keep(const InstanceState &instance)
+    {
+        m_undo.formerInstances.push_back(instance);
+    }
+
+    const Charts &m_charts;
+    FleetState &m_state;
+    EditUndo &m_undo;
+};
+
+template<typename Fields, typename Item, typename Name>
+void replaceFields(Fields &fields,
+                   const Fields &newer,
+                   const std::vector<Item> &set,
+                   const std::vector<Name> &removed)
+{
+    for (const Name &it : removed) {
+        fields.erase(it);
+    }
+    for (const Item &it : set) {
+        fields.erase(it.name);
+    }
+    for (const auto &it : newer) {
+        fields[it.first] = it.second;
+    }
+}
+
+/// Whatever the edit sets anew, it sets with its unknown fields. Returns the former ones if any changed.
+std::optional<UnknownFields> applyUnknownFields(UnknownFields &fields, const EditProposed &edit)
+{
+    if (fields == UnknownFields{} && edit.unknownFields == UnknownFields{}) {
+        return std::nullopt;
+    }
+    UnknownFields former = fields;
+    const UnknownFields &newer = edit.unknownFields;
+    replaceFields(fields.pools, newer.pools, edit.delta.setPools, edit.delta.removedPools);
+    replaceFields(fields.instances, newer.instances, edit.delta.setInstances, edit.delta.removedInstances);
+    replaceFields(fields.services, newer.services, edit.delta.setServices, edit.delta.removedServices);
+    fields.document += newer.document;
+    return former;
+}
+
+} // namespace
+
+Document::Delta inverseOf(const Document::Document &document, const Document::Delta &delta)
+{
+    Document::Delta inverse;
+    if (delta.environment) {
+        inverse.environment = document.environment;
+    }
+    if (delta.zones) {
+        inverse.zones = document.zones;
+    }
+    if (delta.maintenance) {
+        inverse.maintenance = document.maintenance;
+    }
+    if (delta.weights) {
+        inverse.weights = document.weights;
+    }
+    invertList(document.pools, delta.setPools, delta.removedPools, inverse.setPools, inverse.removedPools);
+    invertList(document.instances,
+               delta.setInstances,
+               delta.removedInstances,
+               inverse.setInstances,
+               inverse.removedInstances);
+    invertList(document.services,
+               delta.setServices,
+               delta.removedServices,
+               inverse.setServices,
+               inverse.removedServices);
+    return inverse;
+}
+
+EditUndo applyEdit(const Charts &charts, FleetState &state, Offset offset, const EditProposed &edit)
+{
+    const Document::Delta &delta = edit.delta;
+    EditUndo undo;
+    undo.previousDocumentOffset = state.documentOffset;
+    undo.inverse = inverseOf(state.document, delta);
+    state.document = Document::applied(std::move(state.document), delta);
+    state.documentOffset = offset;
+    undo.formerUnknownFields = applyUnknownFields(state.unknownFields, edit);
+
+    Reconciliation reconciliation(charts, state, undo);
+    for (const Base::InstanceName &it : delta.removedInstances) {
+        reconciliation.reconcileInstance(it);
+    }
+    for (const Document::Instance &it : delta.setInstances) {
+        reconciliation.reconcileInstance(it.name);
+    }
+    for (const Base::PoolName &it : delta.removedPools) {
+        if (!hasPool(state.document, it)) {
+            reconciliation.leavePool(it);
+        }
+    }
+    return undo;
+}
+
+void undoEdit(FleetState &state, EditUndo undo)
+{
+    for (const Base::InstanceName &it : undo.addedInstances) {
+        state.instances.erase(it);
+    }
+    for (auto it = undo.formerInstances.rbegin(); it != undo.formerInstances.rend(); ++it) {
+        const Base::InstanceName name = it->declared.name;
+        state.instances.insert_or_assign(name, std::move(*it));
+    }
+    for (Move &it : undo.abortedMoves) {
+        const ActionId id = it.id;
+        state.moves.insert_or_assign(id, std::move(it));
+    }
+    for (Maintenance &it : undo.endedMaintenances) {
+        const ActionId id = it.id;
+        state.maintenances.insert_or_assign(id, std::move(it));
+    }
+    state.document = Document::applied(std::move(state.document), undo.inverse);
+    state.documentOffset = undo.previousDocumentOffset;
+    if (undo.formerUnknownFields) {
+        state.unknownFields = std::move(*undo.formerUnknownFields);
+    }
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/entry.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "record.h"
+
+#include <string>
+#include <variant>
+
+namespace Fleet
+{
+
+/// A record whose bytes can't be trusted. Every reader skips it.
+struct DamagedRecord {
+    std::string reason;
+
+    bool operator==(const DamagedRecord &) const = default;
+};
+
+/// What one stream of the log holds at one offset.
+struct Entry {
+    Offset offset;
+    std::variant<Record, DamagedRecord> content;
+
+    bool operator==(const Entry &) const = default;
+    const Record *record() const
+    {
+        return std::get_if<Record>(&content);
+    }
+};
+
+} // namespace Fleet
--- a/src/libs/fleet/fleetstate.h
+++ b/src/libs/fleet/fleetstate.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "offset.h"
+#include "recordwindow.h"
+#include "unknownfields.h"
+
 #include <base/names.h>
 #include <document/document.h>
 
@@ -13,10 +17,6 @@
 namespace Fleet
 {
 
-/// A position in a stream of the log. The first record is at 1; 0 is before all of them.
-struct OffsetTag;
-using Offset = Base::StrongId<OffsetTag>;
-
 /// Names one planned action; made from the offset that decided it, so that a repeat is the same action.
 struct ActionTag;
 using ActionId = Base::StrongName<ActionTag>;
@@ -53,6 +53,17 @@
     bool operator==(const Move &) const = default;
 };
 
+/// The planned stop of one instance for a wave. How far it got is the instance's phase.
+struct Maintenance {
+    ActionId id;
+    ActionId wave;
+    Base::InstanceName instance;
+    Offset startedAt;
+    std::set<Base::MemberName> acknowledgedBy;
+
+    bool operator==(const Maintenance &) const = default;
+};
+
 enum class WavePhase { Running, Stopped, Finished };
 
 /// One maintenance wave of one availability zone.
@@ -87,18 +98,39 @@
     bool operator==(const Member &) const = default;
 };
 
-/// What the records up to `appliedTo` say; a pure function of them.
+/// What the records say to the members of one availability zone: a pure function of the common stream up to
+/// `commonAppliedTo` and the zone's stream up to `appliedTo`, in whatever order these two were read.
 struct FleetState {
-    Offset appliedTo;
+    Base::AvailabilityZoneName zone;
+    Offset appliedTo; ///< of the zone's stream
+    Offset commonAppliedTo;
+    Offset causalOffset; ///< the furthest that an applied zone record says its author had folded the common
+                         ///< stream
     Offset documentOffset; ///< of the last accepted edit
     Document::Document document;
-    std::map<Base::InstanceName, InstanceState> instances;
+    std::map<Base::InstanceName, InstanceState> instances; ///< of this zone
     std::map<ActionId, Move> moves; ///< open ones
+    std::map<ActionId, Maintenance> maintenances; ///< open ones
     std::map<ActionId, Wave> waves; ///< the latest of each zone
     std::map<Base::AvailabilityZoneName, PlannerLease> planners;
     std::map<Base::MemberName, Member> members;
+    RecordWindow recentCommon; ///< ids of the latest records of the common stream
+    RecordWindow recentZone; ///< ids of the latest records of the zone's stream
+    UnknownFields unknownFields; ///< of the document and of the snapshot it began with
 
     bool operator==(const FleetState &) const = default;
 };
 
+/// The term under which planner records of the state's zone count; 0 when nobody has claimed it yet.
+Offset currentTerm(const FleetState &state);
+
+/// True when every member is among `acknowledgedBy`.
+bool isAcknowledgedByAll(const FleetState &state, const std::set<Base::MemberName> &acknowledgedBy);
+
+/// True when the document declares the pool.
+bool hasPool(const Document::Document &document, const Base::PoolName &pool);
+
+/// The declaration of an instance; null when there is none. The document's lists are sorted by name.
+const Document::Instance *findInstance(const Document::Document &document, const Base::InstanceName &name);
+
 } // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/fold.cpp
@@ -0,0 +1,181 @@
+#include "fold.h"
+
+#include "zonerules.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace Fleet
+{
+
+namespace
+{
+
+template<typename Event, typename... Others>
+constexpr bool IsOneOf = (std::is_same_v<Event, Others> || ...);
+
+/// Events that only the holder of the planner's lease decides.
+template<typename Event>
+constexpr bool IsPlannerDecision = IsOneOf<Event,
+                                           PlannerObserved,
+                                           MoveStarted,
+                                           MoveCommitted,
+                                           MoveAborted,
+                                           WaveStarted,
+                                           MaintenanceStarted,
+                                           RebootRequested,
+                                           MaintenanceEnded,
+                                           WaveStopped,
+                                           WaveFinished>;
+
+bool needsTerm(const Event &event)
+{
+    return std::visit([](const auto &it) { return IsPlannerDecision<std::decay_t<decltype(it)>>; }, event);
+}
+
+} // namespace
+
+Fold::Fold(const Charts &charts, Base::AvailabilityZoneName zone)
+    : m_charts(&charts)
+{
+    m_state.zone = std::move(zone);
+}
+
+Fold::Fold(const Charts &charts, FleetState snapshot)
+    : m_charts(&charts)
+    , m_state(std::move(snapshot))
+{
+}
+
+Outcome Fold::applyCommon(const Entry &entry)
+{
+    if (entry.offset <= m_state.commonAppliedTo) {
+        return {OutcomeKind::Duplicate};
+    }
+    CommonStep step;
+    step.offset = entry.offset;
+    step.previous = std::exchange(m_state.commonAppliedTo, entry.offset);
+    const Record *record = entry.record();
+    const Outcome outcome =
+        record == nullptr ? Outcome{OutcomeKind::Damaged} : applyCommonRecord(*record, step);
+    m_ahead.push_back(std::move(step));
+    return outcome;
+}
+
+Outcome Fold::applyCommonRecord(const Record &record, CommonStep &step)
+{
+    if (m_state.recentCommon.contains(record.id)) {
+        return {OutcomeKind::Duplicate};
+    }
+    step.isRemembered = true;
+    step.evicted = m_state.recentCommon.remember(step.offset, record.id);
+    if (const auto *edit = std::get_if<EditProposed>(&record.event)) {
+        return applyEdit(*edit, step);
+    }
+    if (std::holds_alternative<SnapshotTaken>(record.event)) {
+        return {};
+    }
+    return {OutcomeKind::Refused, Refusal::WrongStream};
+}
+
+Outcome Fold::applyEdit(const EditProposed &event, CommonStep &step)
+{
+    const bool isOnLatest = event.base == m_state.documentOffset;
+    const EditEvent verdict = isOnLatest ? EditEvent::Accept : EditEvent::Refuse;
+    const std::optional<EditPhase> phase = m_charts->edit.next(m_charts->edit.initial(), verdict);
+    if (phase != EditPhase::Accepted) {
+        return {OutcomeKind::Refused, isOnLatest ? Refusal::IllegalTransition : Refusal::SupersededBase};
+    }
+    EditUndo undo = Fleet::applyEdit(*m_charts, m_state, step.offset, event);
+    step.edit = AcceptedEdit{step.offset, event, std::move(undo)};
+    return {};
+}
+
+Outcome Fold::applyZone(const Entry &entry)
+{
+    if (entry.offset <= m_state.appliedTo) {
+        return {OutcomeKind::Duplicate};
+    }
+    const Record *record = entry.record();
+    if (record != nullptr && record->documentOffset > m_state.commonAppliedTo) {
+        return {OutcomeKind::NotYet};
+    }
+    m_state.appliedTo = entry.offset;
+    if (record == nullptr) {
+        return {OutcomeKind::Damaged};
+    }
+    return applyZoneRecord(*record, entry.offset);
+}
+
+// A zone's record is judged by the document that the zone's records so far have built upon, and not by what
+// this reader happens to have read since. Later edits are taken back for it and then put in force again.
+Outcome Fold::applyZoneRecord(const Record &record, Offset offset)
+{
+    m_state.causalOffset = std::max(m_state.causalOffset, record.documentOffset);
+    while (!m_ahead.empty() && m_ahead.front().offset <= m_state.causalOffset) {
+        m_ahead.pop_front();
+    }
+    for (auto it = m_ahead.rbegin(); it != m_ahead.rend(); ++it) {
+        if (it->edit) {
+            undoEdit(m_state, std::move(it->edit->undo));
+        }
+    }
+    const Outcome outcome = applyZoneEvent(record, offset);
+    for (CommonStep &it : m_ahead) {
+        if (it.edit) {
+            it.edit->undo = Fleet::applyEdit(*m_charts, m_state, it.edit->offset, it.edit->edit);
+        }
+    }
+    return outcome;
+}
+
+Outcome Fold::applyZoneEvent(const Record &record, Offset offset)
+{
+    if (m_state.recentZone.contains(record.id)) {
+        return {OutcomeKind::Duplicate};
+    }
+    m_state.recentZone.remember(offset, record.id);
+    noteDocumentInForce(record);
+    if (!isUnderCurrentTerm(record)) {
+        return {OutcomeKind::StaleTerm};
+    }
+    return std::visit(ZoneRules(*m_charts, m_state, offset), record.event);
+}
+
+// A claim says itself which term it follows.
+bool Fold::isUnderCurrentTerm(const Record &record) const
+{
+    if (std::holds_alternative<PlannerClaimed>(record.event)) {
+        return true;
+    }
+    if (record.term == Offset{} && !needsTerm(record.event)) {
+        return true;
+    }
+    return record.term != Offset{} && record.term == currentTerm(m_state);
+}
+
+void Fold::noteDocumentInForce(const Record &record)
+{
+    const auto it = m_state.members.find(record.author);
+    if (it != m_state.members.end()) {
+        it->second.documentInForce = std::max(it->second.documentInForce, record.documentOffset);
+    }
+}
+
+FleetState Fold::snapshot() const
+{
+    FleetState settled = m_state;
+    for (auto it = m_ahead.rbegin(); it != m_ahead.rend(); ++it) {
+        if (it->edit) {
+            undoEdit(settled, it->edit->undo);
+        }
+        if (it->isRemembered) {
+            settled.recentCommon.forgetNewest(it->evicted);
+        }
+        settled.commonAppliedTo = it->previous;
+    }
+    return settled;
+}
+
+} // namespace Fleet
--- a/src/libs/fleet/record.h
+++ b/src/libs/fleet/record.h
@@ -20,6 +20,7 @@
     std::string author;
     std::string comment;
     Document::Delta delta;
+    UnknownFields unknownFields; ///< of the delta
 
     bool operator==(const EditProposed &) const = default;
 };
@@ -181,6 +182,7 @@
     Offset term; ///< of the planner that decided it; 0 for what is no planner's decision
     Offset documentOffset; ///< of the common stream, up to which the author had folded it
     Event event;
+    std::string unknownFields; ///< what a newer version wrote besides; encoded
 
     bool operator==(const Record &) const = default;
 };
--- /dev/null
+++ b/src/libs/fleet/recordwindow.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "offset.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string_view>
+#include <unordered_set>
+
+namespace Fleet
+{
+
+/// 128 bits that stand for a record's id.
+struct RecordDigest {
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    auto operator<=>(const RecordDigest &) const = default;
+};
+
+/// A record that was seen, and where.
+struct RecordMark {
+    Offset offset;
+    RecordDigest digest;
+
+    auto operator<=>(const RecordMark &) const = default;
+};
+
+/// The ids of a stream's latest records. It is part of the state, so that every reader drops the same
+/// repeats.
+class RecordWindow
+{
+public:
+    static constexpr std::size_t Capacity = 8192; ///< records
+
+    bool contains(std::string_view id) const;
+
+    /// Takes in the newest record. Returns the oldest when that made it fall out.
+    std::optional<RecordMark> remember(Offset offset, std::string_view id);
+
+    /// Takes back the last remember(), whose result was `evicted`.
+    void forgetNewest(const std::optional<RecordMark> &evicted);
+
+    /// In order of offset.
+    const std::deque<RecordMark> &marks() const
+    {
+        return m_marks;
+    }
+
+    static RecordWindow fromMarks(std::deque<RecordMark> marks);
+
+    bool operator==(const RecordWindow &other) const
+    {
+        return m_marks == other.m_marks;
+    }
+
+private:
+    struct DigestHash {
+        std::size_t operator()(const RecordDigest &digest) const noexcept
+        {
+            return static_cast<std::size_t>(digest.low);
+        }
+    };
+
+    std::deque<RecordMark> m_marks;
+    std::unordered_set<RecordDigest, DigestHash> m_digests; ///< of m_marks
+};
+
+} // namespace Fleet
