Read the clock where a delay begins

Cause: a duty's thread that slept in its context ran its handler before the time was advanced, so a timeout armed there began at the last advance and was up to the sleep's length too short: an answer written after 300 ms of silence closed its connection at once. Ruled out: keep-alive handling, the read timers, the target's connection (a trace of the system calls and a backtrace at the close showed the write timer). Change: a timer service can be given a clock, which now() reads. Conclusion: delays count from the moment they are asked for.

--- a/src/libs/base/timerservice.cpp
+++ b/src/libs/base/timerservice.cpp
@@ -11,9 +11,17 @@
 {
 }
 
+TimerService::TimerService(Clock clock)
+    : m_clock(clock)
+    , m_now(clock())
+{
+}
+
+// A thread that slept until something arrived runs its handler before anybody advances the time: delays
+// that began at the last advance would be too short.
 Instant TimerService::now() const
 {
-    return m_now;
+    return m_clock ? std::max(m_now, m_clock()) : m_now;
 }
 
 TimerId TimerService::subscribeAt(Instant when, Callback callback)
@@ -23,12 +31,12 @@
 
 TimerId TimerService::subscribeAfter(Duration delay, Callback callback)
 {
-    return subscribeAt(m_now + delay, std::move(callback));
+    return subscribeAt(now() + delay, std::move(callback));
 }
 
 TimerId TimerService::subscribeEvery(Duration period, Callback callback)
 {
-    return insert(m_now + period, {TimerId{++m_lastId}, period, std::move(callback)});
+    return insert(now() + period, {TimerId{++m_lastId}, period, std::move(callback)});
 }
 
 bool TimerService::cancel(TimerId id)
--- a/src/libs/base/timerservice.h
+++ b/src/libs/base/timerservice.h
@@ -15,15 +15,19 @@
 struct TimerTag;
 using TimerId = StrongId<TimerTag>;
 
-/// Calls subscribers back when their time has come. It has no clock of its own: its owner advances it,
-/// from one thread, by the steady clock in a daemon and by hand in a test.
+/// Calls subscribers back when their time has come. Its owner advances it, from one thread: in a daemon by
+/// a clock that it is given, in a test by hand.
 class TimerService
 {
 public:
     using Callback = std::function<void()>;
 
+    using Clock = Instant (*)();
+
     explicit TimerService(Instant start = {});
+    explicit TimerService(Clock clock);
 
+    /// The clock's time, or else the time that it was advanced to.
     Instant now() const;
 
     /// Calls back once at `when`, or at the next advance when that has passed.
@@ -55,6 +59,7 @@
     TimerId insert(Instant when, Subscription subscription);
     void fire(Queue::iterator it);
 
+    Clock m_clock = nullptr;
     Instant m_now;
     std::uint64_t m_lastId = 0;
     Queue m_queue;
--- a/src/libs/control/controlduty.cpp
+++ b/src/libs/control/controlduty.cpp
@@ -5,6 +5,7 @@
 #include "streamnames.h"
 
 #include <base/logline.h>
+#include <boost/leaf/handle_errors.hpp>
 #include <fleet/charts.h>
 #include <fleet/fold.h>
 #include <platform/httpplatform.h>
--- a/src/libs/runtime/duty.cpp
+++ b/src/libs/runtime/duty.cpp
@@ -27,7 +27,7 @@
 
 Duty::Duty(std::string name)
     : m_name(std::move(name))
-    , m_timers(steadyNow())
+    , m_timers(&steadyNow)
     , m_work(boost::asio::make_work_guard(m_context))
 {
 }
--- a/tests/auto/base/tst_timerservice.cpp
+++ b/tests/auto/base/tst_timerservice.cpp
@@ -61,3 +61,22 @@
     timers.advanceTo(Base::instantAt(2ms));
     CHECK(timers.now() == Base::instantAt(5ms));
 }
+
+namespace
+{
+
+Base::Instant sleepersClock;
+
+} // namespace
+
+TEST(TimerService, ADelayBeginsAtTheClocksTimeNotAtTheLastAdvance)
+{
+    sleepersClock = Base::instantAt(0ms);
+    Base::TimerService service([] { return sleepersClock; });
+    sleepersClock = Base::instantAt(300ms);
+    service.subscribeAfter(100ms, note('x'));
+    service.advanceTo(Base::instantAt(300ms));
+    STRCMP_EQUAL("", fired.c_str());
+    service.advanceTo(Base::instantAt(400ms));
+    STRCMP_EQUAL("x", fired.c_str());
+}
