Trace each hop of a request and count its outcome

Cause: nothing told where a request's time went. Change: the target side makes a span for the request, the wait, and each attempt when the trace is sampled, hands traceparent on, and counts every outcome; events cross to the telemetry duty through a ring that is drained by the clock.

--- a/src/app/rhubarbcrankd/daemon.cpp
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -25,6 +25,8 @@
 {
 
 using Settings::DaemonSettings;
+constexpr std::size_t EventCapacity = 8192;
+
 using Plane = Gateway::RequestPlane<Scheduling::RequestScheduler>;
 
 Gateway::CallerLimits callerLimits(const DaemonSettings &settings)
@@ -51,7 +53,7 @@
     limits.idleTimeout = settings.targets.idleTimeout;
     limits.freshness = settings.targets.heartbeat;
     limits.resendBytes = settings.requests.resendLimit.value;
-    limits.inFlight = settings.requests.inFlightLimit;
+    limits.traceSamplePerMille = settings.telemetry.traceSamplePerMille;
     return limits;
 }
 
@@ -111,6 +113,8 @@
         , m_signals(m_context, SIGTERM, SIGINT)
         , m_shutdownTimer(m_context)
     {
+        m_plane.setTelemetry(m_events);
+        m_telemetry.addSink(m_events);
         addPages();
     }
 
@@ -208,6 +212,7 @@
 
     DaemonSettings m_settings;
     boost::asio::io_context m_context{1};
+    Telemetry::EventSink m_events{EventCapacity};
     Plane m_plane;
     Runtime::Duty m_controlThread;
     Control::ControlDuty m_control;
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "message.h"
+#include "requesttracer.h"
 #include "targetconnection.h"
 
+#include <base/names.h>
 #include <base/oneshottimer.h>
 #include <base/verdict.h>
 #include <scheduling/ids.h>
@@ -36,7 +38,9 @@
 
     ExchangeId id;
     std::unique_ptr<RequestHead> head;
-    std::size_t service = 0; ///< index into the routing table that was in force at arrival
+    Base::ServiceName service;
+    RequestTrace trace;
+    unsigned status = 0; ///< of the response that is being passed on
     bool isIdempotent = false;
     bool isCallerGone = false;
     bool isServerError = false; ///< of the response that is being passed on
--- a/src/libs/gateway/requestplane.h
+++ b/src/libs/gateway/requestplane.h
@@ -50,6 +50,12 @@
         stop();
     }
 
+    /// Where spans and counts go; before start().
+    void setTelemetry(Telemetry::EventSink &sink)
+    {
+        m_targets.setTelemetry(sink);
+    }
+
     void start()
     {
         m_callers.start();
--- a/src/libs/gateway/targetconnection.cpp
+++ b/src/libs/gateway/targetconnection.cpp
@@ -132,6 +132,9 @@
     for (const auto &it : head.fields) {
         m_request->insert({it.name.data(), it.name.size()}, {it.value.data(), it.value.size()});
     }
+    if (!head.traceParent.empty()) {
+        m_request->set({TraceParentHeader.data(), TraceParentHeader.size()}, head.traceParent);
+    }
     if (head.length) {
         m_request->content_length(*head.length);
     } else if (head.hasBody) {
--- a/src/libs/gateway/targetduty.cpp
+++ b/src/libs/gateway/targetduty.cpp
@@ -38,6 +38,23 @@
     });
 }
 
+std::string_view toString(Scheduling::AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case Scheduling::AttemptOutcome::Answered:
+        return "answered";
+    case Scheduling::AttemptOutcome::ConnectFailed:
+        return "connect-failed";
+    case Scheduling::AttemptOutcome::RefusedByTarget:
+        return "refused-by-target";
+    case Scheduling::AttemptOutcome::BrokenAfterSend:
+        return "broken-after-send";
+    case Scheduling::AttemptOutcome::TimedOut:
+        return "timed-out";
+    }
+    return "unknown";
+}
+
 Document::Priority priorityFor(const RequestHead &head, Document::Priority ofService)
 {
     if (head.priority == "interactive") {
--- a/src/libs/gateway/targetduty.h
+++ b/src/libs/gateway/targetduty.h
@@ -10,6 +10,7 @@
 #include <scheduling/fleetspecs.h>
 #include <scheduling/schedulerlimits.h>
 #include <scheduling/statistics.h>
+#include <telemetry/span.h>
 
 #include <atomic>
 #include <concepts>
@@ -74,6 +75,9 @@
     /// Where messages to the caller side go; to be set before the first message is received.
     void setOutput(Base::Ring<ToCallers> &output);
 
+    /// Where spans and counts go; to be set before the first message is received.
+    void setTelemetry(Telemetry::EventSink &sink);
+
     /// Handles one message of the caller side; on the duty's thread.
     void receive(ToTargets &&message);
 
--- a/src/libs/gateway/targetduty_p.h
+++ b/src/libs/gateway/targetduty_p.h
@@ -26,6 +26,9 @@
 /// True when the target's own answer says that it did not execute the request.
 bool isRefusalByTarget(const ResponseHead &head);
 
+/// As spans have it.
+std::string_view toString(Scheduling::AttemptOutcome outcome);
+
 Document::Priority priorityFor(const RequestHead &head, Document::Priority ofService);
 
 } // namespace Internal
@@ -45,6 +48,7 @@
         , m_limits(limits)
         , m_scheduler(schedulerLimits, seed)
         , m_output(duty.timers())
+        , m_tracer(seed, limits.traceSamplePerMille)
         , m_wakeUp(duty.timers())
         , m_table(std::make_shared<RoutingTable>())
     {
@@ -114,10 +118,12 @@
         if (Internal::isRefusalByTarget(*held)) {
             endAttempt(*exchange, Scheduling::AttemptOutcome::RefusedByTarget);
         } else if (isLast && held->status >= FirstServerError && canResend(*exchange)) {
+            exchange->status = held->status;
             exchange->heldHead = std::move(held);
             exchange->heldBody = std::move(chunk);
             endAttempt(*exchange, Scheduling::AttemptOutcome::Answered, true);
         } else {
+            exchange->status = held->status;
             exchange->isServerError = held->status >= FirstServerError;
             exchange->phase = Exchange::Phase::Responding;
             exchange->giveUpTimer.disarm();
@@ -172,6 +178,7 @@
     Scheduler m_scheduler;
     Internal::Outbox<ToCallers> m_output;
     TargetCounters m_counters;
+    Internal::RequestTracer m_tracer;
 
 private:
     static constexpr unsigned FirstServerError = 500;
@@ -245,7 +252,8 @@
         const RoutedService &service = m_table->services()[match->service];
         auto exchange = std::make_unique<Exchange>(m_duty.timers());
         exchange->id = message.id;
-        exchange->service = match->service;
+        exchange->service = service.name;
+        exchange->trace = m_tracer.begin(message.head->traceParent, message.head->receivedAt);
         exchange->isIdempotent = match->isIdempotent;
         exchange->deadline = message.head->receivedAt + message.head->deadline.value_or(service.deadline);
         exchange->head = std::move(message.head);
@@ -357,6 +365,8 @@
     {
         releaseConnection(exchange);
         exchange.giveUpTimer.disarm();
+        m_tracer.attemptEnded(
+            exchange.trace, m_targets.at(exchange.target).instance.value, Internal::toString(outcome), now());
         const Scheduling::AttemptResult result{
             outcome, now() - exchange.attemptStartedAt, isServerError, canResend(exchange)};
         if (exchange.phase == Exchange::Phase::Attempting) {
@@ -427,6 +437,7 @@
         exchange->target = dispatch.target;
         exchange->phase = Exchange::Phase::Attempting;
         exchange->attemptStartedAt = now();
+        exchange->head->traceParent = m_tracer.attemptStarted(exchange->trace, now());
         exchange->piecesSent = 0;
         exchange->giveUpTimer.armAt(dispatch.giveUpAt, [this, id = exchange->id] { giveUp(id); });
         exchange->heldHead.reset();
@@ -464,6 +475,11 @@
             failure.retryAfter = refuse.retryAfter;
         }
         logFailure(*exchange, failure);
+        m_tracer.ended(
+            exchange->trace,
+            {exchange->service.value, failure.status, failure.verdict, now() - exchange->trace.receivedAt},
+            failure.reason,
+            now());
         if (!exchange->isCallerGone) {
             fail(exchange->id, std::move(failure));
         }
@@ -480,6 +496,11 @@
             return;
         }
         m_counters.answered.fetch_add(1, std::memory_order_relaxed);
+        m_tracer.ended(
+            exchange->trace,
+            {exchange->service.value, exchange->status, std::nullopt, now() - exchange->trace.receivedAt},
+            {},
+            now());
         if (exchange->heldHead && !exchange->isCallerGone) {
             send(OpenResponse{
                 exchange->id, std::move(exchange->heldHead), std::move(exchange->heldBody), true});
@@ -536,6 +557,12 @@
     d->m_output.setRing(output);
 }
 
+template<SchedulerConcept Scheduler>
+void TargetDuty<Scheduler>::setTelemetry(Telemetry::EventSink &sink)
+{
+    d->m_tracer.setSink(&sink);
+}
+
 template<SchedulerConcept Scheduler>
 void TargetDuty<Scheduler>::receive(ToTargets &&message)
 {
--- a/src/libs/gateway/targetlimits.h
+++ b/src/libs/gateway/targetlimits.h
@@ -17,7 +17,7 @@
                                                         ///< connection that answered this recently
     std::uint32_t headerBytes = 65536; ///< of a response
     std::size_t resendBytes = 65536; ///< of a request's body kept for another attempt
-    std::size_t inFlight = 2048; ///< exchanges at once
+    std::uint32_t traceSamplePerMille = 0; ///< of the traces that begin here
 };
 
 } // namespace Gateway
