Read, check, print and compare documents

Cause: Operators steer by one INI document, so every mistake in it must be reported at once, with line and key. A parser of its own was ruled out: the declarations of the settings give kinds, ranges and printing already.

A list may go on over repeated keys. Required is no longer made from empty braces, which took the place of an empty list's default.

--- a/src/libs/document/delta.h
+++ b/src/libs/document/delta.h
@@ -28,7 +28,7 @@
     }
 };
 
-/// The delta that leads from one document to another.
+/// The delta that leads from one document to another; the lists of both are sorted by name.
 Delta difference(const Document &from, const Document &to);
 
 /// The document with the changes made. Lists stay sorted by name; removing what isn't there does nothing.
--- a/src/libs/document/document.cpp
+++ /dev/null
@@ -1,3 +0,0 @@
-#include "document.h"
-
-#include "delta.h"
--- a/src/libs/ini/reader.cpp
+++ b/src/libs/ini/reader.cpp
@@ -250,7 +250,8 @@
     for (const Section &section : file.sections) {
         text += fmt::format("{}[{}]\n", text.empty() ? "" : "\n", section.name);
         for (const Entry &it : section.entries) {
-            text += fmt::format("{} = {}\n", it.key, it.value);
+            text +=
+                it.value.empty() ? fmt::format("{} =\n", it.key) : fmt::format("{} = {}\n", it.key, it.value);
         }
     }
     return text;
--- a/src/libs/settings/daemonsettings.cpp
+++ b/src/libs/settings/daemonsettings.cpp
@@ -22,17 +22,14 @@
     settings.section(&DaemonSettings::instance, "instance", "Which entry instance this is.")
         .add(&Part::name,
              "name",
-             Required{},
+             Required,
              NotEmpty{},
              "Name of the entry instance, as the platform lists it.")
-        .add(&Part::zone,
-             "zone",
-             Required{},
-             NotEmpty{},
-             "Availability zone that the entry instance stands in.")
+        .add(
+            &Part::zone, "zone", Required, NotEmpty{}, "Availability zone that the entry instance stands in.")
         .add(&Part::environment,
              "environment",
-             Required{},
+             Required,
              NotEmpty{},
              "Environment whose document is in force.");
 }
@@ -41,7 +38,7 @@
 {
     using Part = CallersSettings;
     settings.section(&DaemonSettings::callers, "callers", "How callers' requests are taken in.")
-        .add(&Part::address, "address", Required{}, AnyValue{}, "Where callers' requests are accepted.")
+        .add(&Part::address, "address", Required, AnyValue{}, "Where callers' requests are accepted.")
         .add(&Part::headerLimit,
              "header_limit_bytes",
              Bytes{16 * Kibibyte.value},
@@ -146,13 +143,13 @@
     settings.section(&DaemonSettings::operators, "operators", "What operators and the balancer ask.")
         .add(&OperatorsSettings::address,
              "address",
-             Required{},
+             Required,
              AnyValue{},
              "Where status, readiness and metrics are served.");
     settings.section(&DaemonSettings::peers, "peers", "What other entry instances ask.")
         .add(&PeersSettings::address,
              "address",
-             Required{},
+             Required,
              AnyValue{},
              "Where other entry instances are answered.");
 }
@@ -161,7 +158,7 @@
 {
     using Part = PlatformSettings;
     settings.section(&DaemonSettings::platform, "platform", "The platform's log, list and actions.")
-        .add(&Part::address, "address", Required{}, AnyValue{}, "Where the platform's service listens.")
+        .add(&Part::address, "address", Required, AnyValue{}, "Where the platform's service listens.")
         .add(&Part::poll,
              "poll_ms",
              500ms,
--- a/src/libs/settings/declarations.cpp
+++ b/src/libs/settings/declarations.cpp
@@ -35,6 +35,11 @@
                    : fmt::format("one of {}", fmt::join(known, ", "));
 }
 
+struct WrittenKey {
+    int line = 0; ///< 0: not written
+    std::string text;
+};
+
 class Checker
 {
 public:
@@ -84,48 +89,62 @@
     {
         const SectionDescription &declared = m_sections[section];
         const std::vector<std::string> known = names(declared.keys);
-        std::vector<int> lines(known.size());
+        std::vector<WrittenKey> written(known.size());
         int sectionLine = 0;
         for (const Ini::Section &it : m_file.sections) {
             if (it.name == declared.section) {
                 sectionLine = sectionLine == 0 ? it.line : sectionLine;
-                assignEntries(section, known, it, lines);
+                collect(it, declared.keys, known, written);
             }
         }
         for (std::size_t n = 0; n < known.size(); ++n) {
-            if (lines[n] == 0 && !declared.keys[n].defaultValue) {
+            if (written[n].line != 0) {
+                assign({section, n}, written[n]);
+            } else if (!declared.keys[n].defaultValue) {
                 report(sectionLine, declared.section, known[n], "missing", declared.keys[n].kind);
             }
         }
     }
 
-    void assignEntries(std::size_t section,
-                       std::span<const std::string> known,
-                       const Ini::Section &written,
-                       std::span<int> lines)
+    void collect(const Ini::Section &section,
+                 std::span<const KeyDescription> keys,
+                 std::span<const std::string> known,
+                 std::span<WrittenKey> written)
     {
-        for (const Ini::Entry &it : written.entries) {
+        for (const Ini::Entry &it : section.entries) {
             const auto found = std::find(known.begin(), known.end(), it.key);
             if (found == known.end()) {
-                report(it.line, written.name, it.key, "unknown key", hint(it.key, known));
+                report(it.line, section.name, it.key, "unknown key", hint(it.key, known));
                 continue;
             }
             const auto n = static_cast<std::size_t>(found - known.begin());
-            if (lines[n] != 0) {
+            if (written[n].line == 0) {
+                written[n] = {it.line, it.value};
+            } else if (keys[n].isList) {
+                written[n].text += ", " + it.value;
+            } else {
+                const int first = written[n].line;
                 report(it.line,
-                       written.name,
+                       section.name,
                        it.key,
-                       fmt::format("the key is there since line {}", lines[n]),
+                       fmt::format("the key is there since line {}", first),
                        "once");
-                continue;
-            }
-            lines[n] = it.line;
-            if (const auto refusal = m_assign({section, n}, it.value)) {
-                report(it.line, written.name, it.key, refusal->what, refusal->allowed);
             }
         }
     }
 
+    void assign(SettingPlace place, const WrittenKey &written)
+    {
+        if (const auto refusal = m_assign(place, written.text)) {
+            const SectionDescription &declared = m_sections[place.section];
+            report(written.line,
+                   declared.section,
+                   declared.keys[place.key].key,
+                   refusal->what,
+                   refusal->allowed);
+        }
+    }
+
     void report(int line,
                 std::string_view section,
                 std::string_view key,
--- a/src/libs/settings/declarations.h
+++ b/src/libs/settings/declarations.h
@@ -18,9 +18,14 @@
 namespace Settings
 {
 
-/// Stands in the place of a default for a setting that must be given.
-struct Required {
+/// Stands in the place of a default for a setting that must be given. Not made from empty braces, which are
+/// the default of an empty list.
+struct RequiredTag {
+    explicit constexpr RequiredTag(int)
+    {
+    }
 };
+inline constexpr RequiredTag Required{0};
 
 /// The values of a program's settings; nothing when there was any mistake.
 template<typename Values>
@@ -80,7 +85,7 @@
         /// Adds a setting that must be given.
         template<SettingValue T, ConstraintOf<T> Constraint = AnyValue>
         Section &
-        add(T Part::*field, std::string key, Required, Constraint constraint, std::string explanation)
+        add(T Part::*field, std::string key, RequiredTag, Constraint constraint, std::string explanation)
         {
             return bind(field, std::move(key), std::nullopt, constraint, std::move(explanation));
         }
@@ -106,7 +111,10 @@
                                                              ValueFormat<T>::kind(),
                                                              constraint.allowed(),
                                                              std::move(defaultValue),
-                                                             std::move(explanation)});
+                                                             std::move(explanation),
+                                                             ListValue<T>});
+            m_owner->m_printers[m_index].push_back(
+                [part = m_part, field](const Values &values) { return linesOf(values.*part.*field); });
             m_owner->m_assigners[m_index].push_back(
                 [part = m_part, field, constraint](Values &values,
                                                    std::string_view text) -> std::optional<Refusal> {
@@ -133,6 +141,7 @@
     {
         m_descriptions.push_back({std::move(name), std::move(explanation), {}});
         m_assigners.emplace_back();
+        m_printers.emplace_back();
         return Section<Part>(this, part, m_descriptions.size() - 1);
     }
 
@@ -151,18 +160,49 @@
     Loaded<Values> load(const Ini::Parsed &parsed) const
     {
         Values values = m_defaults;
-        const auto assign = [&](SettingPlace place, std::string_view text) {
-            return m_assigners[place.section][place.key](values, text);
-        };
-        std::vector<Ini::Mistake> mistakes = check(parsed, m_descriptions, assign);
+        std::vector<Ini::Mistake> mistakes = assign(values, parsed);
         if (!mistakes.empty()) {
             return {std::nullopt, std::move(mistakes)};
         }
         return {std::move(values), {}};
     }
 
+    /// As load(), but keeps what is right: `values` has all settings that were accepted.
+    std::vector<Ini::Mistake> assign(Values &values, const Ini::Parsed &parsed) const
+    {
+        return check(parsed, m_descriptions, [&](SettingPlace place, std::string_view text) {
+            return m_assigners[place.section][place.key](values, text);
+        });
+    }
+
+    /// The settings as sections that assign() reads back.
+    std::vector<Ini::Section> sections(const Values &values) const
+    {
+        std::vector<Ini::Section> sections;
+        for (std::size_t n = 0; n < m_descriptions.size(); ++n) {
+            sections.push_back({m_descriptions[n].section, 0, {}});
+            for (std::size_t key = 0; key < m_printers[n].size(); ++key) {
+                for (std::string &it : m_printers[n][key](values)) {
+                    sections.back().entries.push_back({m_descriptions[n].keys[key].key, std::move(it), 0});
+                }
+            }
+        }
+        return sections;
+    }
+
 private:
     using Assigner = std::function<std::optional<Refusal>(Values &, std::string_view)>;
+    using Printer = std::function<std::vector<std::string>(const Values &)>;
+
+    template<SettingValue T>
+    static std::vector<std::string> linesOf(const T &value)
+    {
+        if constexpr (ListValue<T>) {
+            return ValueFormat<T>::lines(value);
+        } else {
+            return {ValueFormat<T>::print(value)};
+        }
+    }
 
     template<typename Part, typename T>
     void setDefault(Part Values::*part, T Part::*field, const T &value)
@@ -173,6 +213,7 @@
     Values m_defaults{};
     std::vector<SectionDescription> m_descriptions;
     std::vector<std::vector<Assigner>> m_assigners; ///< as m_descriptions has them
+    std::vector<std::vector<Printer>> m_printers; ///< as m_descriptions has them
 };
 
 } // namespace Settings
--- a/src/libs/settings/description.h
+++ b/src/libs/settings/description.h
@@ -16,6 +16,7 @@
     std::string allowed; ///< range or choices; may be empty
     std::optional<std::string> defaultValue; ///< nothing: the setting must be given
     std::string explanation;
+    bool isList = false; ///< goes on when the key is repeated
 };
 
 struct SectionDescription {
--- a/src/libs/settings/valueformat.cpp
+++ b/src/libs/settings/valueformat.cpp
@@ -1,5 +1,6 @@
 #include "valueformat.h"
 
+#include <algorithm>
 #include <limits>
 
 #include <fmt/format.h>
@@ -7,6 +8,21 @@
 namespace Settings
 {
 
+namespace
+{
+
+// With the kind and a blank in front of it, a name fits into a section's header as the INI library has it.
+constexpr std::size_t LongestName = 40;
+
+constexpr std::size_t LongestLine = 80;
+
+bool isLetterOrDigit(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+}
+
+} // namespace
+
 std::optional<Milliseconds> ValueFormat<Milliseconds>::parse(std::string_view text)
 {
     const auto n = Ini::toInteger(text);
@@ -76,19 +92,80 @@
     return "text";
 }
 
-std::optional<std::vector<std::string>> ValueFormat<std::vector<std::string>>::parse(std::string_view text)
+std::optional<std::uint16_t> ValueFormat<std::uint16_t>::parse(std::string_view text)
+{
+    const auto n = Ini::toInteger(text);
+    if (!n || *n > std::numeric_limits<std::uint16_t>::max()) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint16_t>(*n);
+}
+
+std::string ValueFormat<std::uint16_t>::print(std::uint16_t value)
+{
+    return fmt::format("{}", value);
+}
+
+std::string ValueFormat<std::uint16_t>::kind()
+{
+    return "number";
+}
+
+std::optional<std::uint64_t> ValueFormat<std::uint64_t>::parse(std::string_view text)
 {
-    return Ini::toList(text);
+    return Ini::toInteger(text);
 }
 
-std::string ValueFormat<std::vector<std::string>>::print(const std::vector<std::string> &value)
+std::string ValueFormat<std::uint64_t>::print(std::uint64_t value)
 {
-    return fmt::format("{}", fmt::join(value, ", "));
+    return fmt::format("{}", value);
+}
+
+std::string ValueFormat<std::uint64_t>::kind()
+{
+    return "number";
+}
+
+std::optional<double> ValueFormat<double>::parse(std::string_view text)
+{
+    return Ini::toNumber(text);
+}
+
+// The shortest text that is read back to the same number.
+std::string ValueFormat<double>::print(double value)
+{
+    return fmt::format("{}", value);
+}
+
+std::string ValueFormat<double>::kind()
+{
+    return "decimal number";
 }
 
-std::string ValueFormat<std::vector<std::string>>::kind()
+bool isName(std::string_view text)
 {
-    return "list, separated by commas";
+    const bool isPlain = std::all_of(text.begin(), text.end(), [](char c) {
+        return isLetterOrDigit(c) || c == '-' || c == '_' || c == '.';
+    });
+    return isPlain && !text.empty() && text.size() <= LongestName && isLetterOrDigit(text.front());
+}
+
+std::string nameKind()
+{
+    return fmt::format("name of 1 to {} letters, digits, dashes, dots and underscores", LongestName);
+}
+
+std::vector<std::string> wrapped(std::span<const std::string> items)
+{
+    std::vector<std::string> lines(1);
+    for (const std::string &it : items) {
+        if (!lines.back().empty() && lines.back().size() + it.size() > LongestLine) {
+            lines.emplace_back();
+        }
+        lines.back() += lines.back().empty() ? "" : ", ";
+        lines.back() += it;
+    }
+    return lines;
 }
 
 std::optional<bool> ValueFormat<bool>::parse(std::string_view text)
--- a/src/libs/settings/valueformat.h
+++ b/src/libs/settings/valueformat.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/strongid.h>
 #include <ini/values.h>
 
 #include <array>
@@ -7,6 +8,7 @@
 #include <concepts>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -83,9 +85,23 @@
 };
 
 template<>
-struct ValueFormat<std::vector<std::string>> {
-    static std::optional<std::vector<std::string>> parse(std::string_view text);
-    static std::string print(const std::vector<std::string> &value);
+struct ValueFormat<std::uint16_t> {
+    static std::optional<std::uint16_t> parse(std::string_view text);
+    static std::string print(std::uint16_t value);
+    static std::string kind();
+};
+
+template<>
+struct ValueFormat<std::uint64_t> {
+    static std::optional<std::uint64_t> parse(std::string_view text);
+    static std::string print(std::uint64_t value);
+    static std::string kind();
+};
+
+template<>
+struct ValueFormat<double> {
+    static std::optional<double> parse(std::string_view text);
+    static std::string print(double value);
     static std::string kind();
 };
 
@@ -110,6 +126,84 @@
     static std::string kind();
 };
 
+/// A name is short enough for a section's header and has nothing in it that INI text or a path would take
+/// for something else.
+bool isName(std::string_view text);
+std::string nameKind();
+
+template<typename Tag>
+struct ValueFormat<Base::StrongName<Tag>> {
+    static std::optional<Base::StrongName<Tag>> parse(std::string_view text)
+    {
+        return isName(text) ? std::optional(Base::StrongName<Tag>{std::string(text)}) : std::nullopt;
+    }
+
+    static std::string print(const Base::StrongName<Tag> &value)
+    {
+        return value.value;
+    }
+
+    static std::string kind()
+    {
+        return nameKind();
+    }
+};
+
+/// The items in lines of moderate length, separated by commas.
+std::vector<std::string> wrapped(std::span<const std::string> items);
+
+template<SettingValue T>
+struct ValueFormat<std::vector<T>> {
+    static std::optional<std::vector<T>> parse(std::string_view text)
+    {
+        const auto items = Ini::toList(text);
+        if (!items) {
+            return std::nullopt;
+        }
+        std::vector<T> values;
+        for (const std::string &it : *items) {
+            const auto value = ValueFormat<T>::parse(it);
+            if (!value) {
+                return std::nullopt;
+            }
+            values.push_back(*value);
+        }
+        return values;
+    }
+
+    static std::string print(const std::vector<T> &values)
+    {
+        std::string text;
+        for (const T &it : values) {
+            text += text.empty() ? "" : ", ";
+            text += ValueFormat<T>::print(it);
+        }
+        return text;
+    }
+
+    /// One text for each time that the key is to be written.
+    static std::vector<std::string> lines(const std::vector<T> &values)
+    {
+        std::vector<std::string> items;
+        items.reserve(values.size());
+        for (const T &it : values) {
+            items.push_back(ValueFormat<T>::print(it));
+        }
+        return wrapped(items);
+    }
+
+    static std::string kind()
+    {
+        return "list of " + ValueFormat<T>::kind();
+    }
+};
+
+template<typename T>
+concept ListValue = SettingValue<T> && requires(const T &value)
+{
+    ValueFormat<T>::lines(value);
+};
+
 /// Empty text is no value.
 template<SettingValue T>
 struct ValueFormat<std::optional<T>> {
@@ -190,9 +284,10 @@
     return {std::move(least), std::move(most)};
 }
 
-/// For a text that must not be empty.
+/// For a text or a list that must not be empty.
 struct NotEmpty {
-    bool accepts(std::string_view value) const
+    template<typename T>
+    bool accepts(const T &value) const
     {
         return !value.empty();
     }
@@ -203,6 +298,19 @@
     }
 };
 
+/// For a text that has to be an IP number.
+struct IpNumber {
+    bool accepts(std::string_view value) const
+    {
+        return Ini::isIpAddress(value);
+    }
+
+    std::string allowed() const
+    {
+        return "an IP number";
+    }
+};
+
 /// For a value whose kind says all.
 struct AnyValue {
     template<typename T>
--- a/tests/auto/ini/tst_reader.cpp
+++ b/tests/auto/ini/tst_reader.cpp
@@ -89,7 +89,7 @@
 {
     parse("[a]\nk = 1, 2\nk =\n[b c]\n");
     const Ini::Parsed again = Ini::parse(Ini::print(parsed.file), "f.ini");
-    STRCMP_EQUAL("[a]\nk = 1, 2\nk = \n\n[b c]\n", Ini::print(parsed.file).c_str());
+    STRCMP_EQUAL("[a]\nk = 1, 2\nk =\n\n[b c]\n", Ini::print(parsed.file).c_str());
     STRCMP_EQUAL(Ini::print(parsed.file).c_str(), Ini::print(again.file).c_str());
 }
 
--- a/tests/auto/settings/tst_declarations.cpp
+++ b/tests/auto/settings/tst_declarations.cpp
@@ -48,7 +48,7 @@
     {
         using Settings::AnyValue;
         settings.section(&Values::shop, "shop", "The shop.")
-            .add(&Shop::name, "name", Settings::Required{}, Settings::NotEmpty{}, "Its name.")
+            .add(&Shop::name, "name", Settings::Required, Settings::NotEmpty{}, "Its name.")
             .add(&Shop::colour, "colour", Colour::Slate, AnyValue{}, "Its colour.")
             .add(&Shop::towns, "towns", {"here", "there"}, AnyValue{}, "Its towns.")
             .add(&Shop::isOpen, "open", true, AnyValue{}, "Whether it is open.");
