Prove the scheduler against a naive version

The histories found that a target which left the fleet and came back while requests were in flight kept an allowance set before; ruled out: counting those requests twice. An allowance ends with the target's stay in the fleet.

--- a/src/libs/scheduling/requestscheduler.cpp
+++ b/src/libs/scheduling/requestscheduler.cpp
@@ -50,7 +50,8 @@
 
 void RequestScheduler::setAllowance(TargetId target, std::uint32_t slots)
 {
-    if (const auto index = m_targets.find(target)) {
+    const auto index = m_targets.find(target);
+    if (index && !m_targets.at(*index).isRetired) {
         m_targets.setAllowance(*index, slots);
         m_pools[m_targets.at(*index).pool].isChanged = true;
         m_isFleetChanged = true;
--- a/src/libs/scheduling/requestscheduler.h
+++ b/src/libs/scheduling/requestscheduler.h
@@ -35,8 +35,9 @@
     /// effect on waiting requests with the next advance(), which is then due at once.
     void setFleet(std::span<const ServiceSpec> services, std::span<const TargetSpec> targets);
 
-    /// This entry instance's share of a target's slots; all of them until set. Unknown targets are ignored.
-    /// Requests in flight above a smaller share finish. advance() is then due at once.
+    /// This entry instance's share of a target's slots; all of them until set, and again when the target left
+    /// the fleet and came back. Unknown targets are ignored. Requests in flight above a smaller share finish.
+    /// advance() is then due at once.
     void setAllowance(TargetId target, std::uint32_t slots);
 
     /// An id that is still known is ignored.
--- a/src/libs/scheduling/targettable.cpp
+++ b/src/libs/scheduling/targettable.cpp
@@ -54,7 +54,10 @@
         it.spec = spec;
         it.pool = pool;
         it.isListed = true;
-        it.isRetired = false;
+        if (it.isRetired) {
+            it.isRetired = false;
+            it.allowance.reset();
+        }
         if (isNew) {
             it.standing = TargetStanding::InService;
         }
--- /dev/null
+++ b/tests/auto/scheduling/tst_underfaults.cpp
@@ -0,0 +1,256 @@
+#include "naivescheduler.h"
+#include "simulation.h"
+
+#include <scheduling/requestscheduler.h>
+
+#include <numeric>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using Document::Priority;
+using Scheduling::RequestScheduler;
+
+namespace
+{
+
+constexpr std::uint64_t Seeds = 5;
+const Base::PoolName Pool{"proofs"};
+const std::vector<Scheduling::ServiceSpec> Services{{Scheduling::ServiceId{1}, Pool, 700}};
+
+/// One run of a scheduler and what came of it.
+struct Outcome {
+    std::vector<Fate> fates;
+    std::uint32_t mostEjected = 0;
+    std::uint32_t ejectedAtEnd = 0;
+    std::uint32_t mostInFlight = 0;
+};
+
+std::uint32_t ejectedOf(const RequestScheduler &scheduler)
+{
+    return scheduler.statistics().pools.front().ejectedTargets;
+}
+
+std::uint32_t ejectedOf(const NaiveScheduler &scheduler)
+{
+    return scheduler.ejectedTargets();
+}
+
+template<typename Scheduler, typename Prepare>
+Outcome run(Scheduler &scheduler, std::uint64_t seed, Prepare prepare)
+{
+    const auto targets = targetsOf(10, Pool);
+    scheduler.setFleet(Services, targets);
+    Simulation<Scheduler> simulation(scheduler, targets, seed);
+    Outcome outcome;
+    for (auto when = 0ms; when < 30s; when += 100ms) {
+        simulation.at(when,
+                      [&] { outcome.mostEjected = std::max(outcome.mostEjected, ejectedOf(scheduler)); });
+    }
+    prepare(simulation);
+    simulation.run();
+    outcome.fates = simulation.fates();
+    outcome.ejectedAtEnd = ejectedOf(scheduler);
+    outcome.mostInFlight = simulation.mostInFlight();
+    return outcome;
+}
+
+template<typename Prepare>
+Outcome runOurs(std::uint64_t seed, Prepare prepare)
+{
+    RequestScheduler scheduler({}, seed);
+    return run(scheduler, seed, prepare);
+}
+
+template<typename Prepare>
+Outcome runNaive(std::uint64_t seed, Prepare prepare, bool isEjecting = false)
+{
+    NaiveScheduler scheduler(isEjecting);
+    return run(scheduler, seed, prepare);
+}
+
+template<typename Predicate>
+double shareOf(const std::vector<Fate> &fates, Predicate predicate)
+{
+    const auto n = std::count_if(fates.begin(), fates.end(), predicate);
+    return static_cast<double>(n) / static_cast<double>(fates.size());
+}
+
+double attemptsPerRequest(const std::vector<Fate> &fates)
+{
+    const auto sum = std::accumulate(
+        fates.begin(), fates.end(), 0U, [](std::uint32_t n, const Fate &it) { return n + it.attempts; });
+    return static_cast<double>(sum) / static_cast<double>(fates.size());
+}
+
+std::uint64_t refusedFor(const std::vector<Fate> &fates, Scheduling::RefusalReason reason)
+{
+    return static_cast<std::uint64_t>(std::count_if(fates.begin(), fates.end(), [reason](const Fate &it) {
+        return !it.isDelivered && it.refusal.reason == reason;
+    }));
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(UnderFaults)
+{
+    void checkThat(bool isTrue, const char *what, std::uint64_t seed)
+    {
+        CHECK_TEXT(isTrue, (std::string(what) + ", seed " + std::to_string(seed)).c_str());
+    }
+
+    void checkLimits(const Outcome &outcome, std::uint64_t seed)
+    {
+        const bool isEndedOnce = std::all_of(outcome.fates.begin(), outcome.fates.end(), [](const Fate &it) {
+            return it.outcomes == 1;
+        });
+        checkThat(isEndedOnce, "every request has one outcome", seed);
+        checkThat(outcome.mostInFlight <= 8, "slots stay within the allowance", seed);
+    }
+
+    // Targets 1 and 2 of 10 fail; requests can't be retried.
+    void checkFailingTargetsAreLeftOut(Behaviour behaviour)
+    {
+        const auto prepare = [behaviour](auto &simulation) {
+            simulation.setBehaviour(1, behaviour);
+            simulation.setBehaviour(2, behaviour);
+            simulation.addLoad({.perSecond = 400, .until = 20s, .deadline = 2s, .isIdempotent = false});
+        };
+        const auto isLateFailure = [](const Fate &it) {
+            return it.arrivedAt > Base::instantAt(5s) && !it.isAnsweredWell;
+        };
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            const Outcome ours = runOurs(seed, prepare);
+            checkLimits(ours, seed);
+            checkThat(shareOf(ours.fates, isLateFailure) < 0.01, "ours fails less than 1 %", seed);
+            const Outcome naive = runNaive(seed, prepare);
+            checkThat(attemptsPerRequest(naive.fates) > 1.15, "naive keeps failing on them", seed);
+        }
+    }
+};
+// clang-format on
+
+TEST(UnderFaults, AFullOutageCausesNoRetryStorm)
+{
+    const auto prepare = [](auto &simulation) {
+        for (std::uint32_t n = 1; n <= 10; ++n) {
+            simulation.setBehaviour(n, Behaviour::RefusesConnections);
+        }
+        simulation.addLoad({.perSecond = 200, .until = 10s, .deadline = 1s});
+    };
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        const Outcome ours = runOurs(seed, prepare);
+        checkLimits(ours, seed);
+        checkThat(attemptsPerRequest(ours.fates) < 1.2, "ours doesn't add to an outage", seed);
+        checkThat(ours.mostEjected <= 3, "ours keeps what the pool must", seed);
+        checkThat(attemptsPerRequest(runNaive(seed, prepare).fates) > 3, "naive storms", seed);
+    }
+}
+
+// The pool holds 1600 interactive requests a second. Batch may hold 80 % of the slots and is guaranteed 5 %
+// of the time, so that an overload of 2500 a second leaves interactive requests 48 % at the least.
+TEST(UnderFaults, InteractiveRequestsStayOnTimeInASurgeAndBatchFinishes)
+{
+    const auto prepare = [](auto &simulation) {
+        simulation.setRunTime(Priority::Batch, 500ms);
+        simulation.addLoad({.perSecond = 500, .until = 3s, .deadline = 300ms});
+        simulation.addLoad({.perSecond = 2500, .from = 3s, .until = 7s, .deadline = 300ms});
+        simulation.addLoad({.perSecond = 25, .from = 7s, .until = 12s, .deadline = 300ms});
+        simulation.addLoad({.priority = Priority::Batch, .perSecond = 40, .until = 9s, .deadline = 60s});
+    };
+    const auto isSurge = [](const Fate &it) {
+        return it.arrival.priority == Priority::Interactive && it.arrivedAt >= Base::instantAt(3s)
+            && it.arrivedAt < Base::instantAt(7s);
+    };
+    const auto isLostBatch = [](const Fate &it) {
+        return it.arrival.priority == Priority::Batch && !it.isAnsweredWell;
+    };
+    const auto isLateRefusal = [](const Fate &it) {
+        return it.attempts == 0 && it.endedAt > it.arrival.deadline;
+    };
+    const auto surgeGoodput = [&](const std::vector<Fate> &fates) {
+        const auto onTime = shareOf(fates, [&](const Fate &it) { return isSurge(it) && it.isOnTime(); });
+        return onTime / shareOf(fates, isSurge);
+    };
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        const Outcome ours = runOurs(seed, prepare);
+        checkLimits(ours, seed);
+        checkThat(
+            latencyAt(0.99, ours.fates, Priority::Interactive) <= 300ms, "p99 within the deadline", seed);
+        checkThat(surgeGoodput(ours.fates) >= 0.48, "the surge is served from what the pool holds", seed);
+        checkThat(shareOf(ours.fates, isLostBatch) == 0, "batch finishes", seed);
+        checkThat(shareOf(ours.fates, isLateRefusal) == 0, "nothing is held past its deadline", seed);
+        const Outcome naive = runNaive(seed, prepare);
+        checkThat(latencyAt(0.99, naive.fates, Priority::Interactive) > 300ms, "naive is late", seed);
+        checkThat(surgeGoodput(naive.fates) < 0.48, "naive wastes the pool on late answers", seed);
+    }
+}
+
+TEST(UnderFaults, TargetsThatFailFastAreLeftOut)
+{
+    checkFailingTargetsAreLeftOut(Behaviour::FailsFast);
+}
+
+TEST(UnderFaults, TargetsThatFailSlowlyAreLeftOut)
+{
+    checkFailingTargetsAreLeftOut(Behaviour::FailsSlowly);
+}
+
+TEST(UnderFaults, TargetsThatRefuseConnectionsAreLeftOut)
+{
+    checkFailingTargetsAreLeftOut(Behaviour::RefusesConnections);
+}
+
+TEST(UnderFaults, EjectionLeavesThePoolWhatItMustKeepAndEnds)
+{
+    const auto prepare = [](auto &simulation) {
+        for (std::uint32_t n = 1; n <= 6; ++n) {
+            simulation.setBehaviour(n, Behaviour::FailsFast);
+            simulation.at(8s, [&simulation, n] { simulation.setBehaviour(n, Behaviour::Serves); });
+        }
+        simulation.addLoad({.perSecond = 200, .until = 60s, .deadline = 2s});
+    };
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        const Outcome ours = runOurs(seed, prepare);
+        checkLimits(ours, seed);
+        checkThat(ours.mostEjected == 3, "three of ten may be ejected", seed);
+        checkThat(ours.ejectedAtEnd == 0, "targets that recovered are let back", seed);
+        const Outcome naive = runNaive(seed, prepare, true);
+        checkThat(naive.mostEjected > 3, "naive has no cap", seed);
+    }
+}
+
+TEST(UnderFaults, FaultyRequestsEjectNoTarget)
+{
+    const auto prepare = [](auto &simulation) {
+        simulation.addLoad({.perSecond = 200, .until = 20s, .deadline = 2s, .faultyShare = 0.2});
+    };
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        const Outcome ours = runOurs(seed, prepare);
+        checkLimits(ours, seed);
+        checkThat(ours.mostEjected == 0, "no target is blamed", seed);
+        const auto atFault = refusedFor(ours.fates, Scheduling::RefusalReason::RequestAtFault);
+        checkThat(atFault > 0, "the request gets its own error", seed);
+        checkThat(runNaive(seed, prepare, true).mostEjected > 0, "naive blames the targets", seed);
+    }
+}
+
+TEST(UnderFaults, IdempotentRequestsSurviveASilentTarget)
+{
+    const auto prepare = [](auto &simulation) {
+        simulation.setBehaviour(1, Behaviour::Silent);
+        simulation.addLoad({.perSecond = 100, .until = 20s, .deadline = 1s});
+    };
+    const auto isLost = [](const Fate &it) {
+        return it.arrivedAt > Base::instantAt(2s) && !it.isOnTime();
+    };
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        const Outcome ours = runOurs(seed, prepare);
+        checkLimits(ours, seed);
+        checkThat(shareOf(ours.fates, isLost) < 0.01, "retried in time", seed);
+        const auto isLate =
+            shareOf(runNaive(seed, prepare).fates, [](const Fate &it) { return it.attempts > 1; });
+        checkThat(isLate > 0.08, "naive goes on asking it", seed);
+    }
+}
