--- a/src/libs/platform/httpclient.cpp
+++ b/src/libs/platform/httpclient.cpp
@@ -9,8 +9,10 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -27,9 +29,11 @@
 using Error = boost::system::error_code;
 
 constexpr unsigned Http11 = 11;
+constexpr const char *RequestIdHeader = "X-Request-Id";
 
 /// One call on its way: answered once, by whichever of its connection and its timer comes first.
 struct Exchange {
+    std::uint64_t id = 0; ///< within its connection
     HttpCall call;
     HttpCallback callback;
     Base::Instant deadline;
@@ -91,6 +95,7 @@
     void send(HttpCall call, HttpCallback callback)
     {
         auto exchange = std::make_shared<Exchange>();
+        exchange->id = ++m_lastId;
         exchange->call = std::move(call);
         exchange->callback = std::move(callback);
         exchange->timer = m_timers.subscribeAfter(exchange->call.timeout,
@@ -159,18 +164,20 @@
         m_isWriting = true;
         m_inFlight.push_back(std::move(m_unsent.front()));
         m_unsent.pop_front();
-        setRequest(m_inFlight.back()->call);
+        setRequest(*m_inFlight.back());
         Http::async_write(
             m_socket, m_request, [self = shared_from_this()](Error ec, std::size_t) { self->onWritten(ec); });
     }
 
-    void setRequest(HttpCall &call)
+    void setRequest(Exchange &exchange)
     {
+        HttpCall &call = exchange.call;
         m_request = {};
         m_request.version(Http11);
         m_request.method(call.verb == HttpVerb::Get ? Http::verb::get : Http::verb::post);
         m_request.target(call.path);
         m_request.set(Http::field::host, m_settings.host);
+        m_request.set(RequestIdHeader, std::to_string(exchange.id));
         if (call.verb == HttpVerb::Post) {
             m_request.set(Http::field::content_type, "application/json");
             m_request.body() = std::move(call.body);
@@ -206,7 +213,7 @@
         if (!hasWoken()) {
             return;
         }
-        if (ec || m_inFlight.empty()) {
+        if (ec || m_inFlight.empty() || !isAnswerTo(*m_inFlight.front())) {
             close();
             return;
         }
@@ -223,6 +230,13 @@
         finish(*answered, std::move(reply));
     }
 
+    // A server that repeats an answer would shift all that follow it by one.
+    bool isAnswerTo(const Exchange &exchange) const
+    {
+        const auto it = m_parser->get().find(RequestIdHeader);
+        return it == m_parser->get().end() || it->value() == std::to_string(exchange.id);
+    }
+
     // An answer that is late once may come at any time: nothing on this connection can be told apart any
     // more.
     void onTimeout(const ExchangePtr &late)
@@ -282,6 +296,7 @@
     tcp::socket m_socket;
     State m_state = State::Connecting;
     Base::TimerId m_connectTimer;
+    std::uint64_t m_lastId = 0;
     std::deque<ExchangePtr> m_unsent;
     std::deque<ExchangePtr> m_inFlight; ///< in the order written, so of the answers
     bool m_isWriting = false;
--- a/src/libs/platform/streamfollower.h
+++ b/src/libs/platform/streamfollower.h
@@ -50,10 +50,10 @@
     }
 
     /// Begins at offset `from`, also after onTrimmedPast.
-    void start(Offset from, FollowerEvents events)
+    void start(Offset from, const FollowerEvents &events)
     {
         stop();
-        m_state->events = std::move(events);
+        m_state->events = events;
         m_state->next = from;
         m_state->isTailKnown = false;
         m_state->isRunning = true;
