Record open maintenance and the platform's word on reboots

Cause: acknowledgements of a maintenance drain and the outcome of a reboot had no place in the state or the observations; Move has one. Folding them into Wave was ruled out: a wave would carry a set per instance.

Change: FleetState::maintenances (open ones), Observations::actions, and what MaintenanceEnded means before and after the reboot was asked for.

Conclusion: moves and maintenance wait for acknowledgements alike.

--- a/src/libs/fleet/fleetstate.h
+++ b/src/libs/fleet/fleetstate.h
@@ -53,6 +53,20 @@
     bool operator==(const Move &) const = default;
 };
 
+enum class MaintenancePhase { Draining, Rebooting };
+
+/// One instance on its way through a maintenance wave; open until MaintenanceEnded.
+struct Maintenance {
+    ActionId id;
+    ActionId wave;
+    Base::InstanceName instance;
+    MaintenancePhase phase = MaintenancePhase::Draining;
+    Offset startedAt;
+    std::set<Base::MemberName> acknowledgedBy;
+
+    bool operator==(const Maintenance &) const = default;
+};
+
 enum class WavePhase { Running, Stopped, Finished };
 
 /// One maintenance wave of one availability zone.
@@ -94,6 +108,7 @@
     Document::Document document;
     std::map<Base::InstanceName, InstanceState> instances;
     std::map<ActionId, Move> moves; ///< open ones
+    std::map<ActionId, Maintenance> maintenances; ///< open ones
     std::map<ActionId, Wave> waves; ///< the latest of each zone
     std::map<Base::AvailabilityZoneName, PlannerLease> planners;
     std::map<Base::MemberName, Member> members;
--- a/src/libs/fleet/observations.h
+++ b/src/libs/fleet/observations.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "fleetstate.h"
+
 #include <base/instant.h>
 #include <base/names.h>
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace Fleet
@@ -32,6 +35,17 @@
     bool operator==(const InstanceReport &) const = default;
 };
 
+enum class ActionResult { Completed, Rejected };
+
+/// What the platform says of a reboot that it was asked for; nothing is known of one that is missing.
+struct ActionReport {
+    ActionId action;
+    ActionResult result = ActionResult::Completed;
+    std::string detail;
+
+    bool operator==(const ActionReport &) const = default;
+};
+
 /// All that a planner pass sees besides the FleetState. It is recorded with the decisions it led to.
 struct Observations {
     Base::Instant at; ///< on the planner's own clock
@@ -39,6 +53,7 @@
     bool arePeersReachable = true; ///< every live member of the zone answered
     std::vector<PoolDemand> demands; ///< sorted by pool
     std::vector<InstanceReport> instances; ///< sorted by instance; one that is missing is as before
+    std::vector<ActionReport> actions; ///< sorted by action
     std::vector<Base::MemberName> liveMembers; ///< sorted; the platform's list of entry instances
 
     bool operator==(const Observations &) const = default;
--- a/src/libs/fleet/record.h
+++ b/src/libs/fleet/record.h
@@ -113,6 +113,9 @@
     bool operator==(const RebootRequested &) const = default;
 };
 
+/// Ends a maintenance. While the instance drains it serves again, whatever the result; after the reboot was
+/// asked for, it serves again when successful and is failed otherwise. Only the latter counts as a failure
+/// of the wave.
 struct MaintenanceEnded {
     ActionId id;
     bool isSuccessful = true;
