Plan maintenance waves and moves within every budget

Cause: planned stops need one place that says whether they may happen, and a planner that replay can run again. Counting n at a time was ruled out: it breaks the floor as soon as a rack goes while n instances are down.

Change: package policy.

Before / after (build/bin/tst_policy, 40 seeded histories each with and without bad reboots): by count, services fall below their floor; by policy, in no history, and no request in flight is cut.

Conclusion: stops are decided by what stays after the next loss, not by a count. Moves are not measured yet.

--- a/src/libs/fleet/fleetstate.h
+++ b/src/libs/fleet/fleetstate.h
@@ -53,14 +53,11 @@
     bool operator==(const Move &) const = default;
 };
 
-enum class MaintenancePhase { Draining, Rebooting };
-
-/// One instance on its way through a maintenance wave; open until MaintenanceEnded.
+/// The planned stop of one instance for a wave. How far it got is the instance's phase.
 struct Maintenance {
     ActionId id;
     ActionId wave;
     Base::InstanceName instance;
-    MaintenancePhase phase = MaintenancePhase::Draining;
     Offset startedAt;
     std::set<Base::MemberName> acknowledgedBy;
 
--- /dev/null
+++ b/src/libs/policy/budget.cpp
@@ -0,0 +1,289 @@
+#include "budget.h"
+
+#include "fleetview.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace Policy
+{
+
+namespace
+{
+
+constexpr Slots WholePerMille = 1000;
+
+Slots valueOr0(const auto &map, const auto &key)
+{
+    const auto it = map.find(key);
+    return it == map.end() ? 0 : it->second;
+}
+
+Slots availableSlots(const Fleet::InstanceState &instance, const Fleet::InstanceReport *report)
+{
+    InstanceView view{.state = &instance};
+    if (report) {
+        view.platform = report->state;
+        view.isEjected = report->isEjected;
+    }
+    return view.isAvailable() ? instance.declared.slots : 0;
+}
+
+Slots largest(const auto &domains, const auto &stoppedIn, Slots stopped)
+{
+    Slots most = 0;
+    for (const auto &[name, slots] : domains) {
+        most = std::max(most, name == stoppedIn ? slots - stopped : slots);
+    }
+    return most;
+}
+
+} // namespace
+
+/// What the document declares for one pool, split as the shares need it.
+struct Budget::Declared {
+    std::map<Base::AvailabilityZoneName, Slots> zones;
+    std::map<std::pair<Base::AvailabilityZoneName, Base::RackName>, Slots> racks;
+    Slots smallestInstance = std::numeric_limits<Slots>::max();
+};
+
+Slots floorOf(Slots declared, Document::PerMille availability)
+{
+    return (declared * availability + WholePerMille - 1) / WholePerMille;
+}
+
+Budget::Budget(const Fleet::FleetState &state,
+               Base::AvailabilityZoneName zone,
+               std::span<const Fleet::InstanceReport> reports)
+    : m_zone(std::move(zone))
+{
+    addServices(state.document);
+    addDeclared(state.document);
+    addAvailable(state, reports);
+}
+
+void Budget::addServices(const Document::Document &document)
+{
+    for (const Document::Service &it : document.services) {
+        Requirement &requirement = m_pools[it.pool].requirement;
+        if (it.zoneAvailability > requirement.zoneAvailability) {
+            requirement.zoneAvailability = it.zoneAvailability;
+            requirement.zoneService = it.name;
+        }
+        if (it.availability > requirement.availability) {
+            requirement.availability = it.availability;
+            requirement.service = it.name;
+        }
+        requirement.survivesZoneLoss |= it.survivesZoneLoss;
+    }
+}
+
+void Budget::addDeclared(const Document::Document &document)
+{
+    std::map<Base::PoolName, Declared> pools;
+    for (const Document::Instance &it : document.instances) {
+        Declared &declared = pools[it.pool];
+        const Slots slots = it.slots;
+        declared.zones[it.zone] += slots;
+        declared.racks[{it.zone, it.rack}] += slots;
+        declared.smallestInstance = std::min(declared.smallestInstance, slots);
+    }
+    for (const auto &[name, declared] : pools) {
+        PoolEntry &entry = m_pools[name];
+        for (const auto &[zone, slots] : declared.zones) {
+            entry.declared += slots;
+        }
+        entry.declaredInZone = valueOr0(declared.zones, m_zone);
+        entry.mostMissingInZone = shareOf(entry, declared);
+    }
+}
+
+Slots Budget::shareOf(const PoolEntry &entry, const Declared &declared) const
+{
+    const Requirement &requirement = entry.requirement;
+    Slots reserve = 0;
+    if (requirement.survivesZoneLoss) {
+        reserve = largest(declared.zones, Base::AvailabilityZoneName{}, 0);
+    } else {
+        for (const auto &[rack, slots] : declared.racks) {
+            reserve = std::max(reserve, slots);
+        }
+    }
+    const Slots floor = floorOf(entry.declared, requirement.availability);
+
+    // A zone that keeps its own rule has at least its floor and one more instance. When that already adds up
+    // to the floor over all zones, the zones need no shares.
+    Slots keptByZones = 0;
+    for (const auto &[zone, slots] : declared.zones) {
+        const Slots kept = floorOf(slots, requirement.zoneAvailability) + declared.smallestInstance;
+        keptByZones += std::min(slots, kept);
+    }
+    if (keptByZones - reserve >= floor) {
+        return entry.declaredInZone;
+    }
+
+    // Whole instances are dealt out to the zones in turn: a share below one instance would be of no use to
+    // anyone. Every zone deals the same way from the same document, so that no share is spent twice.
+    std::map<Base::AvailabilityZoneName, Slots> shares;
+    Slots left = entry.declared - floor - reserve;
+    const Slots unit = declared.smallestInstance;
+    for (bool hasDealt = true; hasDealt;) {
+        hasDealt = false;
+        for (const auto &[zone, slots] : declared.zones) {
+            if (left >= unit && shares[zone] + unit <= slots) {
+                shares[zone] += unit;
+                left -= unit;
+                hasDealt = true;
+            }
+        }
+    }
+    return valueOr0(shares, m_zone);
+}
+
+void Budget::addAvailable(const Fleet::FleetState &state, std::span<const Fleet::InstanceReport> reports)
+{
+    std::map<RackKey, Slots> elsewhere;
+    for (const auto &[name, instance] : state.instances) {
+        const Slots slots = availableSlots(instance, findReport(reports, name));
+        addInstance(instance.declared, instance.pool, slots, elsewhere);
+    }
+    // What other zones do isn't visible where the state has this zone only. They keep within their own
+    // shares, so that their instances count as declared.
+    for (const Document::Instance &it : state.document.instances) {
+        if (it.zone != m_zone && !state.instances.contains(it.name)) {
+            addInstance(it, it.pool, it.slots, elsewhere);
+        }
+    }
+}
+
+void Budget::addInstance(const Document::Instance &declared,
+                         const Base::PoolName &pool,
+                         Slots slots,
+                         std::map<RackKey, Slots> &elsewhere)
+{
+    PoolEntry &entry = m_pools[pool];
+    entry.zones[declared.zone] += slots;
+    if (declared.zone == m_zone) {
+        entry.racks[declared.rack] += slots;
+        m_instances.emplace(declared.name, InstanceEntry{pool, declared.rack, slots});
+        return;
+    }
+    Slots &rack = elsewhere[{pool, declared.zone, declared.rack}];
+    rack += slots;
+    entry.largestRackElsewhere = std::max(entry.largestRackElsewhere, rack);
+}
+
+BudgetAnswer Budget::mayStop(const Base::InstanceName &instance) const
+{
+    const auto it = m_instances.find(instance);
+    if (it == m_instances.end()) {
+        return {false, fmt::format("instance {} is not in zone {}", instance.value, m_zone.value)};
+    }
+    return check(m_pools.at(it->second.pool), it->second.rack, it->second.availableSlots);
+}
+
+void Budget::stop(const Base::InstanceName &instance)
+{
+    const auto it = m_instances.find(instance);
+    if (it == m_instances.end()) {
+        return;
+    }
+    PoolEntry &entry = m_pools.at(it->second.pool);
+    entry.racks[it->second.rack] -= it->second.availableSlots;
+    entry.zones[m_zone] -= it->second.availableSlots;
+    it->second.availableSlots = 0;
+}
+
+BudgetAnswer Budget::holds(const Base::PoolName &pool) const
+{
+    const auto it = m_pools.find(pool);
+    if (it == m_pools.end()) {
+        return {};
+    }
+    return check(it->second, {}, 0);
+}
+
+Slots Budget::availableInRack(const Base::PoolName &pool, const Base::RackName &rack) const
+{
+    const auto it = m_pools.find(pool);
+    return it == m_pools.end() ? 0 : valueOr0(it->second.racks, rack);
+}
+
+Slots Budget::availableInZone(const Base::PoolName &pool) const
+{
+    const auto it = m_pools.find(pool);
+    return it == m_pools.end() ? 0 : valueOr0(it->second.zones, m_zone);
+}
+
+BudgetAnswer Budget::check(const PoolEntry &entry, const Base::RackName &rack, Slots stopped) const
+{
+    BudgetAnswer answer = checkZone(entry, rack, stopped);
+    if (!answer.isAllowed) {
+        return answer;
+    }
+    BudgetAnswer share = checkShare(entry, stopped);
+    if (!share.isAllowed) {
+        return share;
+    }
+    BudgetAnswer overall = checkOverall(entry, rack, stopped);
+    return overall.isAllowed ? answer : overall;
+}
+
+BudgetAnswer Budget::checkZone(const PoolEntry &entry, const Base::RackName &rack, Slots stopped) const
+{
+    const Requirement &requirement = entry.requirement;
+    const Slots floor = floorOf(entry.declaredInZone, requirement.zoneAvailability);
+    const Slots left = valueOr0(entry.zones, m_zone) - stopped;
+    const Slots domain = largest(entry.racks, rack, stopped);
+    BudgetAnswer answer;
+    answer.isAllowed = floor == 0 || left - domain >= floor;
+    answer.reason =
+        fmt::format("zone {} keeps {} of {} slots, {} without its largest rack; service {} needs {}",
+                    m_zone.value,
+                    left,
+                    entry.declaredInZone,
+                    left - domain,
+                    requirement.zoneService.value,
+                    floor);
+    return answer;
+}
+
+BudgetAnswer Budget::checkShare(const PoolEntry &entry, Slots stopped) const
+{
+    if (entry.requirement.availability == 0) {
+        return {};
+    }
+    const Slots missing = entry.declaredInZone - (valueOr0(entry.zones, m_zone) - stopped);
+    return {missing <= entry.mostMissingInZone,
+            fmt::format("zone {} would miss {} slots; its share of the budget of service {} is {}",
+                        m_zone.value,
+                        missing,
+                        entry.requirement.service.value,
+                        entry.mostMissingInZone)};
+}
+
+BudgetAnswer Budget::checkOverall(const PoolEntry &entry, const Base::RackName &rack, Slots stopped) const
+{
+    const Requirement &requirement = entry.requirement;
+    const Slots floor = floorOf(entry.declared, requirement.availability);
+    Slots left = -stopped;
+    for (const auto &[zone, slots] : entry.zones) {
+        left += slots;
+    }
+    const Slots domain = requirement.survivesZoneLoss
+        ? largest(entry.zones, m_zone, stopped)
+        : std::max(entry.largestRackElsewhere, largest(entry.racks, rack, stopped));
+    return {floor == 0 || left - domain >= floor,
+            fmt::format("{} of {} slots stay over all zones, {} without the largest {}; service {} needs {}",
+                        left,
+                        entry.declared,
+                        left - domain,
+                        requirement.survivesZoneLoss ? "zone" : "rack",
+                        requirement.service.value,
+                        floor)};
+}
+
+} // namespace Policy
--- /dev/null
+++ b/src/libs/policy/demandestimate.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <base/instant.h>
+#include <base/names.h>
+#include <fleet/observations.h>
+
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace Policy
+{
+
+/// The demand of one pool in slots, interactive and urgent, learned on two time scales: `fast` follows surges
+/// of seconds, `slow` what lasts.
+struct DemandEstimate {
+    Base::PoolName pool;
+    double fast = 0;
+    double slow = 0;
+    Base::Duration seenFor{}; ///< how long the pool has been observed
+    double shortage = 0; ///< instance-seconds missing since the pool last had enough
+    double excess = 0; ///< instance-seconds held beyond need since the pool last needed them
+
+    bool operator==(const DemandEstimate &) const = default;
+};
+
+struct DemandMemory {
+    std::optional<Base::Instant> at; ///< of the last update
+    std::vector<DemandEstimate> pools; ///< sorted by pool
+
+    bool operator==(const DemandMemory &) const = default;
+};
+
+inline constexpr Base::Duration FastTimeScale = std::chrono::seconds(5);
+inline constexpr Base::Duration SlowTimeScale = std::chrono::seconds(120);
+
+/// Slots that the requests there are would occupy at once.
+double slotsWanted(const Fleet::PoolDemand &demand);
+
+/// Takes in one observation; `demands` are sorted by pool. A pool that isn't observed stays as it was.
+void updateDemand(DemandMemory &memory, std::span<const Fleet::PoolDemand> demands, Base::Instant now);
+
+/// Null when the pool was never observed.
+DemandEstimate *findDemand(DemandMemory &memory, const Base::PoolName &pool);
+
+/// The time from the last update to `now` in seconds; 0 before the first one.
+double secondsSinceUpdate(const DemandMemory &memory, Base::Instant now);
+
+} // namespace Policy
--- /dev/null
+++ b/src/libs/policy/drain.cpp
@@ -0,0 +1,83 @@
+#include "drain.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace Policy
+{
+
+namespace
+{
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// Of this zone, or listed by the platform without having joined: then its zone isn't known.
+std::set<Base::MemberName> membersThatRoute(const PassContext &context)
+{
+    std::set<Base::MemberName> members;
+    for (const auto &[name, member] : context.state.members) {
+        if (member.zone == context.identity.zone) {
+            members.insert(name);
+        }
+    }
+    for (const Base::MemberName &it : context.observations.liveMembers) {
+        if (!context.state.members.contains(it)) {
+            members.insert(it);
+        }
+    }
+    return members;
+}
+
+} // namespace
+
+bool isGoneForLong(const PassContext &context, const Base::MemberName &member)
+{
+    const auto it = context.memory.goneSince.find(member);
+    return it != context.memory.goneSince.end()
+        && context.now() - it->second > longestDeadline(context.state.document);
+}
+
+DrainProgress drainProgress(const PassContext &context,
+                            const Base::InstanceName &instance,
+                            const std::set<Base::MemberName> &acknowledgedBy)
+{
+    std::size_t missing = 0;
+    std::string first;
+    for (const Base::MemberName &it : membersThatRoute(context)) {
+        if (!acknowledgedBy.contains(it) && !isGoneForLong(context, it)) {
+            first = missing == 0 ? it.value : first;
+            ++missing;
+        }
+    }
+    if (missing > 0) {
+        return {false, fmt::format("{} members have not acknowledged, the first is {}", missing, first)};
+    }
+    const InstanceView *view = context.view.find(instance);
+    if (view && view->inFlight > 0) {
+        return {false, fmt::format("{} requests are in flight", view->inFlight)};
+    }
+    return {true, fmt::format("all {} members acknowledged, no request in flight", acknowledgedBy.size())};
+}
+
+void waitForDrain(PassContext &context,
+                  const Fleet::ActionId &id,
+                  const Base::InstanceName &instance,
+                  const DrainProgress &progress)
+{
+    const auto it = context.memory.actions.find(id);
+    const auto waited =
+        it == context.memory.actions.end() ? Base::Duration{0} : context.now() - it->second.firstSeen;
+    const auto timeout = context.state.document.maintenance.drainTimeout;
+    std::string reason = progress.reason;
+    if (waited > timeout) {
+        reason += fmt::format("; late: {} ms of at most {} ms, still waiting, nothing in flight is cut",
+                              duration_cast<milliseconds>(waited).count(),
+                              timeout.count());
+    }
+    context.wait(fmt::format("drain of {}", instance.value), std::move(reason));
+}
+
+} // namespace Policy
--- /dev/null
+++ b/src/libs/policy/healthplanner.cpp
@@ -0,0 +1,97 @@
+#include "healthplanner.h"
+
+#include "drain.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+
+namespace Policy
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// An ejection that lasts longer is a failure.
+constexpr Base::Duration EjectionGrace = 30s;
+/// A failed instance that was healthy for this long has recovered.
+constexpr Base::Duration RecoveryGrace = 30s;
+
+auto secondsOf(Base::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(duration).count();
+}
+
+Base::Duration timeInHealth(const PassContext &context, const InstanceView &instance)
+{
+    const auto it = context.memory.health.find(instance.name());
+    return it == context.memory.health.end() ? Base::Duration{0} : context.now() - it->second.since;
+}
+
+void fail(PassContext &context, const InstanceView &instance, const std::string &reason)
+{
+    context.budget.stop(instance.name());
+    if (instance.state->action) {
+        context.markDecided(*instance.state->action);
+    }
+    context.decide(Fleet::InstanceFailed{instance.name(), reason}, reason);
+}
+
+void planEjected(PassContext &context, const InstanceView &instance)
+{
+    const Base::Duration ejected = timeInHealth(context, instance);
+    if (ejected < EjectionGrace) {
+        return;
+    }
+    // A whole pool that looks ejected is more likely the fault of something else: it is left to the entry
+    // instances, which try it again.
+    const BudgetAnswer budget = context.budget.holds(instance.state->pool);
+    if (!budget.isAllowed) {
+        context.wait(fmt::format("failure of {}", instance.name().value), budget.reason);
+        return;
+    }
+    fail(context, instance, fmt::format("ejected for {} s", secondsOf(ejected)));
+}
+
+void planFailed(PassContext &context, const InstanceView &instance)
+{
+    const Base::Duration healthy = timeInHealth(context, instance);
+    if (instance.isHealthy() && healthy >= RecoveryGrace) {
+        const std::string reason = fmt::format("live and not ejected for {} s", secondsOf(healthy));
+        context.decide(Fleet::InstanceRecovered{instance.name(), reason}, reason);
+    }
+}
+
+void planMembers(PassContext &context)
+{
+    const auto deadline = longestDeadline(context.state.document);
+    for (const auto &[name, member] : context.state.members) {
+        if (member.zone == context.identity.zone && isGoneForLong(context, name)) {
+            const std::string reason =
+                fmt::format("the platform has not listed it for longer than {} ms", deadline.count());
+            context.decide(Fleet::MemberLeft{name, reason}, reason);
+        }
+    }
+}
+
+} // namespace
+
+void planHealth(PassContext &context)
+{
+    planMembers(context);
+    for (const InstanceView &it : context.view.instances()) {
+        if (it.state->phase == Fleet::InstancePhase::Failed) {
+            planFailed(context, it);
+        } else if (it.state->phase == Fleet::InstancePhase::Rebooting) {
+            continue; // down on purpose
+        } else if (it.platform == Fleet::PlatformState::Gone) {
+            fail(context, it, "the platform lists it as gone");
+        } else if (it.isEjected && !it.state->action) {
+            planEjected(context, it);
+        }
+    }
+}
+
+} // namespace Policy
--- /dev/null
+++ b/src/libs/policy/passcontext.cpp
@@ -0,0 +1,61 @@
+#include "passcontext.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Policy
+{
+
+PassContext::PassContext(const Fleet::FleetState &fleetState,
+                         const Fleet::Observations &seen,
+                         PlannerIdentity planner,
+                         PlannerMemory remembered)
+    : state(fleetState)
+    , observations(seen)
+    , identity(std::move(planner))
+    , memory(std::move(remembered))
+    , view(state, identity.zone, memory.reports)
+    , budget(state, identity.zone, memory.reports)
+{
+}
+
+Fleet::ActionId PassContext::nextActionId()
+{
+    // The offset makes ids of later passes differ; a second pass over the same state repeats the ids of the
+    // first, so that the fold takes only one of the two.
+    return {fmt::format(
+        "{}-{}-{}-{}", identity.zone.value, identity.term.value, state.appliedTo.value, m_actions++)};
+}
+
+void PassContext::decide(Fleet::Event event, std::string reason)
+{
+    decisions.push_back({std::move(event), std::move(reason)});
+}
+
+void PassContext::wait(std::string subject, std::string reason)
+{
+    waits.push_back({std::move(subject), std::move(reason)});
+}
+
+bool PassContext::hasDecidedOn(const Fleet::ActionId &id) const
+{
+    return m_decided.contains(id);
+}
+
+void PassContext::markDecided(const Fleet::ActionId &id)
+{
+    m_decided.insert(id);
+}
+
+Document::Milliseconds longestDeadline(const Document::Document &document)
+{
+    Document::Milliseconds longest{};
+    for (const Document::Service &it : document.services) {
+        longest = std::max(longest, it.deadline);
+    }
+    return longest;
+}
+
+} // namespace Policy
--- /dev/null
+++ b/src/libs/policy/waveplanner.cpp
@@ -0,0 +1,333 @@
+#include "waveplanner.h"
+
+#include "drain.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <optional>
+
+namespace Policy
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Of restarts on an ordinary day, how many fail.
+constexpr double OrdinaryFailureRate = 0.035;
+/// A wave stops when failures as many as its own would be rarer than this among ordinary restarts.
+constexpr double HarmSignificance = 0.01;
+/// For an instance to come back after a reboot.
+constexpr Base::Duration RebootTimeout = 10min;
+/// A wave may have this many open stops for each one that went well.
+constexpr std::size_t RampFactor = 2;
+
+struct Harm {
+    std::size_t stops = 0;
+    std::size_t failures = 0;
+};
+
+const Fleet::Wave *latestWave(const PassContext &context)
+{
+    const Fleet::Wave *latest = nullptr;
+    for (const auto &[id, wave] : context.state.waves) {
+        if (wave.zone == context.identity.zone && (!latest || wave.number > latest->number)) {
+            latest = &wave;
+        }
+    }
+    return latest;
+}
+
+std::vector<const Fleet::Maintenance *> openMaintenances(const PassContext &context)
+{
+    std::vector<const Fleet::Maintenance *> open;
+    for (const auto &[id, maintenance] : context.state.maintenances) {
+        if (context.view.find(maintenance.instance)) {
+            open.push_back(&maintenance);
+        }
+    }
+    return open;
+}
+
+bool isTouched(const Fleet::Wave &wave, const Base::InstanceName &instance)
+{
+    return wave.done.contains(instance) || wave.failed.contains(instance);
+}
+
+/// An instance whose reboot went well and that is down or ejected now may have been harmed as well. Several
+/// in one rack count once: a rack fails as a whole for other reasons, and the wave spreads over the racks.
+Harm harmOf(const PassContext &context, const Fleet::Wave &wave)
+{
+    std::set<Base::RackName> harmedRacks;
+    for (const Base::InstanceName &it : wave.done) {
+        const InstanceView *view = context.view.find(it);
+        if (!view || wave.failed.contains(it)) {
+            continue;
+        }
+        if (!view->isHealthy() || view->state->phase == Fleet::InstancePhase::Failed) {
+            harmedRacks.insert(view->state->declared.rack);
+        }
+    }
+    return {wave.done.size() + wave.failed.size(), wave.failed.size() + harmedRacks.size()};
+}
+
+void endMaintenance(PassContext &context,
+                    const Fleet::Maintenance &it,
+                    bool isSuccessful,
+                    const std::string &reason)
+{
+    context.markDecided(it.id);
+    context.decide(Fleet::MaintenanceEnded{it.id, isSuccessful, reason}, reason);
+}
+
+const Fleet::ActionReport *actionReport(const PassContext &context, const Fleet::ActionId &id)
+{
+    const auto &reports = context.observations.actions;
+    const auto it = std::find_if(reports.begin(), reports.end(), [&id](const Fleet::ActionReport &report) {
+        return report.action == id;
+    });
+    return it == reports.end() ? nullptr : &*it;
+}
+
+void followDrain(PassContext &context, const Fleet::Maintenance &it, const InstanceView &view)
+{
+    const BudgetAnswer budget = context.budget.holds(view.state->pool);
+    if (!budget.isAllowed) {
+        endMaintenance(context,
+                       it,
+                       false,
+                       fmt::format("serves again, failures have spent the budget: {}", budget.reason));
+        return;
+    }
+    const DrainProgress progress = drainProgress(context, it.instance, it.acknowledgedBy);
+    if (!progress.isComplete) {
+        waitForDrain(context, it.id, it.instance, progress);
+        return;
+    }
+    context.markDecided(it.id);
+    context.decide(Fleet::RebootRequested{it.id}, fmt::format("{}: {}", it.instance.value, progress.reason));
+}
+
+void followReboot(PassContext &context, const Fleet::Maintenance &it, const InstanceView &view)
+{
+    const ActionMemory &memory = context.memory.actions[it.id];
+    const Fleet::ActionReport *report = actionReport(context, it.id);
+    const auto waited = context.now() - memory.rebootSeen.value_or(context.now());
+    if (report && report->result == Fleet::ActionResult::Rejected) {
+        endMaintenance(
+            context, it, false, fmt::format("the platform refused the reboot: {}", report->detail));
+        return;
+    }
+    if (view.isHealthy() && (report || memory.wasDown)) {
+        endMaintenance(context, it, true, fmt::format("{} is back and live", it.instance.value));
+        return;
+    }
+    if (waited > RebootTimeout) {
+        const auto minutes = std::chrono::duration_cast<std::chrono::minutes>(RebootTimeout).count();
+        endMaintenance(context, it, false, fmt::format("not back within {} min of the reboot", minutes));
+        return;
+    }
+    context.wait(fmt::format("reboot of {}", it.instance.value),
+                 memory.wasDown ? "not live yet" : "the platform has not listed it as down yet");
+}
+
+void followMaintenances(PassContext &context)
+{
+    for (const Fleet::Maintenance *it : openMaintenances(context)) {
+        const InstanceView &view = *context.view.find(it->instance);
+        if (context.hasDecidedOn(it->id)) {
+            continue;
+        }
+        if (view.state->phase == Fleet::InstancePhase::Draining) {
+            followDrain(context, *it, view);
+        } else {
+            followReboot(context, *it, view);
+        }
+    }
+}
+
+std::size_t wantedInstances(const PassContext &context)
+{
+    std::size_t n = 0;
+    for (const Base::PoolName &it : context.state.document.maintenance.wave) {
+        n += context.view.instancesOf(it).size();
+    }
+    return n;
+}
+
+void beginWave(PassContext &context, const Fleet::Wave *previous)
+{
+    const Document::Maintenance &wanted = context.state.document.maintenance;
+    if (wanted.wave.empty() || wanted.waveNumber == 0) {
+        return;
+    }
+    if (previous && wanted.waveNumber <= previous->number) {
+        if (previous->phase == Fleet::WavePhase::Stopped) {
+            context.wait(
+                fmt::format("wave {}", previous->number),
+                fmt::format("stopped: {}; goes on under a higher wave number", previous->stopReason));
+        }
+        return;
+    }
+    if (const std::size_t open = openMaintenances(context).size(); open > 0) {
+        context.wait(fmt::format("wave {}", wanted.waveNumber),
+                     fmt::format("{} instances are still in the maintenance of the wave before", open));
+        return;
+    }
+    const std::string reason = fmt::format("the document asks for wave {}: {} pools, {} instances in zone {}",
+                                           wanted.waveNumber,
+                                           wanted.wave.size(),
+                                           wantedInstances(context),
+                                           context.identity.zone.value);
+    context.decide(
+        Fleet::WaveStarted{context.nextActionId(), wanted.waveNumber, context.identity.zone, reason}, reason);
+}
+
+void stopWave(PassContext &context, const Fleet::Wave &wave, const std::string &reason)
+{
+    context.decide(Fleet::WaveStopped{wave.id, reason}, reason);
+    // Drains that have not come to a reboot are given up; reboots that were asked for run their course.
+    for (const Fleet::Maintenance *it : openMaintenances(context)) {
+        const bool isDraining =
+            context.view.find(it->instance)->state->phase == Fleet::InstancePhase::Draining;
+        if (isDraining && !context.hasDecidedOn(it->id)) {
+            endMaintenance(context, *it, false, fmt::format("serves again, the wave stopped: {}", reason));
+        }
+    }
+}
+
+std::optional<std::string> reasonToStop(const PassContext &context, const Fleet::Wave &wave)
+{
+    const Document::Maintenance &wanted = context.state.document.maintenance;
+    if (wanted.waveNumber > wave.number) {
+        return fmt::format("the document asks for wave {}", wanted.waveNumber);
+    }
+    if (wanted.wave.empty()) {
+        return "the document asks for no wave";
+    }
+    const Harm harm = harmOf(context, wave);
+    const double chance = chanceOfFailures(harm.stops, harm.failures, OrdinaryFailureRate);
+    if (harm.failures > 0 && chance < HarmSignificance) {
+        return fmt::format("{} of {} stops failed; at the ordinary rate of {:.3f} the chance of it is {:.5f}",
+                           harm.failures,
+                           harm.stops,
+                           OrdinaryFailureRate,
+                           chance);
+    }
+    return {};
+}
+
+/// Instances of the first pool of the wave that isn't through; empty when all are.
+std::vector<const InstanceView *> nextInstances(const PassContext &context, const Fleet::Wave &wave)
+{
+    std::vector<const InstanceView *> next;
+    for (const Base::PoolName &pool : context.state.document.maintenance.wave) {
+        for (const InstanceView *it : context.view.instancesOf(pool)) {
+            // One that is down was not rebooted by us and comes back as new.
+            const bool isDown = it->state->phase == Fleet::InstancePhase::Failed
+                || it->platform != Fleet::PlatformState::Live;
+            if (!isTouched(wave, it->name()) && !isDown) {
+                next.push_back(it);
+            }
+        }
+        if (!next.empty()) {
+            return next;
+        }
+    }
+    return next;
+}
+
+std::size_t mostOpen(const PassContext &context, const Fleet::Wave &wave)
+{
+    // The first stop goes alone: failures within a wave come together.
+    const std::size_t ramp = std::max<std::size_t>(1, wave.done.size() * RampFactor);
+    return std::min<std::size_t>(context.state.document.maintenance.mostAtOnce, ramp);
+}
+
+/// The largest rack first: it is the one whose loss the budget has to stand, so that taking from it leaves
+/// room for more stops than taking from any other.
+void sortByRack(const PassContext &context, std::vector<const InstanceView *> &instances)
+{
+    std::stable_sort(
+        instances.begin(), instances.end(), [&context](const InstanceView *a, const InstanceView *b) {
+            const Base::PoolName &pool = a->state->pool;
+            return context.budget.availableInRack(pool, a->state->declared.rack)
+                > context.budget.availableInRack(pool, b->state->declared.rack);
+        });
+}
+
+void startMaintenance(PassContext &context,
+                      const Fleet::Wave &wave,
+                      const InstanceView &instance,
+                      const BudgetAnswer &budget)
+{
+    const std::string reason = fmt::format("wave {}, instance {}, {} done: {}",
+                                           wave.number,
+                                           instance.name().value,
+                                           wave.done.size(),
+                                           budget.reason);
+    context.budget.stop(instance.name());
+    context.decide(Fleet::MaintenanceStarted{context.nextActionId(), wave.id, instance.name(), reason},
+                   reason);
+}
+
+void startMaintenances(PassContext &context, const Fleet::Wave &wave)
+{
+    std::size_t open = openMaintenances(context).size();
+    const std::size_t most = mostOpen(context, wave);
+    std::vector<const InstanceView *> next = nextInstances(context, wave);
+    if (next.empty() && open == 0) {
+        context.decide(
+            Fleet::WaveFinished{wave.id},
+            fmt::format(
+                "wave {}: {} rebooted, {} failed", wave.number, wave.done.size(), wave.failed.size()));
+        return;
+    }
+    std::erase_if(next, [](const InstanceView *it) { return it->state->action.has_value(); });
+    while (open < most && !next.empty()) {
+        sortByRack(context, next);
+        const InstanceView &first = *next.front();
+        const BudgetAnswer budget = context.budget.mayStop(first.name());
+        if (!budget.isAllowed) {
+            context.wait(fmt::format("wave {}, instance {}", wave.number, first.name().value), budget.reason);
+            return;
+        }
+        startMaintenance(context, wave, first, budget);
+        next.erase(next.begin());
+        ++open;
+    }
+}
+
+} // namespace
+
+double chanceOfFailures(std::size_t stops, std::size_t failures, double rate)
+{
+    double fewer = 0;
+    double term = std::pow(1 - rate, static_cast<double>(stops));
+    for (std::size_t n = 0; n < failures; ++n) {
+        fewer += term;
+        term *= static_cast<double>(stops - n) / static_cast<double>(n + 1) * rate / (1 - rate);
+    }
+    return std::max(0.0, 1 - fewer);
+}
+
+void planWave(PassContext &context)
+{
+    followMaintenances(context);
+    const Fleet::Wave *wave = latestWave(context);
+    if (!wave || wave->phase != Fleet::WavePhase::Running) {
+        beginWave(context, wave);
+        return;
+    }
+    if (const auto reason = reasonToStop(context, *wave)) {
+        stopWave(context, *wave, *reason);
+        return;
+    }
+    startMaintenances(context, *wave);
+}
+
+} // namespace Policy
--- /dev/null
+++ b/tests/auto/policy/tst_budget.cpp
@@ -0,0 +1,121 @@
+#include "fleetmodel.h"
+
+#include <policy/budget.h>
+
+#include <CppUTest/TestHarness.h>
+
+using Policy::Budget;
+
+TEST_GROUP(Budget){
+    /// How many instances of the pool may stop, taken in this order of instance numbers.
+    std::size_t stopsAllowed(FleetModel & model, std::size_t first, std::size_t step, std::size_t count){
+        Budget budget(model.state, model.identity.zone, model.observations.instances);
+std::size_t n = 0;
+for (std::size_t it = 0; it < count; ++it) {
+    const Base::InstanceName name = model.state.document.instances.at(first + it * step).name;
+    if (budget.mayStop(name).isAllowed) {
+        budget.stop(name);
+        ++n;
+    }
+}
+return n;
+}
+}
+;
+
+TEST(Budget, LeavesTheFloorAfterTheLossOfTheLargestRack)
+{
+    // 12 instances of 8 slots in 4 racks, floor 48: with 4 stops in 4 racks 64 stay, 48 without a rack.
+    FleetModel model(FleetShape{});
+    CHECK_EQUAL(4, stopsAllowed(model, 0, 1, 12));
+}
+
+TEST(Budget, StopsInOneRackLeaveTheOthersWhole)
+{
+    // Of 3 stops in one rack, 72 slots stay and 48 without one of the other racks.
+    FleetModel model(FleetShape{});
+    CHECK_EQUAL(3, stopsAllowed(model, 0, 4, 3));
+    Budget budget(model.state, model.identity.zone, {});
+    for (const auto *it : {"z00-i00000", "z00-i00004", "z00-i00008"}) {
+        budget.stop({it});
+    }
+    CHECK_FALSE(budget.mayStop({"z00-i00001"}).isAllowed);
+}
+
+TEST(Budget, FailuresSpendFirst)
+{
+    FleetModel model(FleetShape{});
+    model.instance("z00-i00000").phase = Fleet::InstancePhase::Failed;
+    model.report({"z00-i00001"}).state = Fleet::PlatformState::Gone;
+    model.report({"z00-i00002"}).isEjected = true;
+    CHECK_EQUAL(1, stopsAllowed(model, 3, 1, 9));
+    model.report({"z00-i00005"}).isEjected = true;
+    CHECK_EQUAL(0, stopsAllowed(model, 3, 1, 9));
+}
+
+TEST(Budget, AReasonGivesTheNumbers)
+{
+    FleetModel model(FleetShape{});
+    model.report({"z00-i00000"}).isEjected = true;
+    Budget budget(model.state, model.identity.zone, model.observations.instances);
+    const Policy::BudgetAnswer answer = budget.mayStop({"z00-i00001"});
+    STRCMP_EQUAL("zone z00 keeps 80 of 96 slots, 56 without its largest rack; service p000 needs 48",
+                 answer.reason.c_str());
+}
+
+TEST(Budget, ZonesThatSeeEachOtherNotCannotSpendTheSameTwice)
+{
+    FleetShape shape;
+    shape.zones = 3;
+    shape.zoneAvailability = 0;
+    for (const Document::PerMille availability : {500U, 700U, 800U, 880U, 950U}) {
+        shape.availability = availability;
+        FleetModel model(shape);
+        Policy::Slots stopped = 0;
+        for (std::size_t zone = 0; zone < shape.zones; ++zone) {
+            // Each zone's own state has nothing of the others.
+            model.identity.zone = zoneName(zone);
+            model.state.instances.clear();
+            for (const Document::Instance &it : model.state.document.instances) {
+                if (it.zone == zoneName(zone)) {
+                    model.state.instances[it.name] = {it, Fleet::InstancePhase::Serving, it.pool, {}};
+                }
+            }
+            stopped += 8 * static_cast<Policy::Slots>(stopsAllowed(model, zone * 24, 1, 12));
+        }
+        const Policy::Slots declared = 288;
+        const Policy::Slots rack = 24;
+        const bool isKept = declared - stopped - rack >= Policy::floorOf(declared, availability);
+        // At 950 per mille the loss of a rack alone is too much: nothing may stop.
+        CHECK_EQUAL(availability < 950, isKept);
+        CHECK_EQUAL(availability<950, stopped> 0);
+    }
+}
+
+TEST(Budget, AServiceThatSurvivesAZoneKeepsAZoneInReserve)
+{
+    FleetShape shape;
+    shape.zones = 3;
+    shape.zoneAvailability = 0;
+    shape.availability = 600;
+    FleetModel model(shape);
+    const std::size_t withRack = stopsAllowed(model, 0, 1, 12);
+    model.state.document.services.front().survivesZoneLoss = true;
+    const std::size_t withZone = stopsAllowed(model, 0, 1, 12);
+    // 36 instances, floor 22: 3 in reserve leave 11 for three zones, 12 in reserve leave 2.
+    CHECK_EQUAL(4, withRack);
+    CHECK_EQUAL(1, withZone);
+}
+
+TEST(Budget, AZoneOfNoSharesIsRefusedWithItsReason)
+{
+    FleetShape shape;
+    shape.zones = 3;
+    shape.zoneAvailability = 0;
+    shape.availability = 990;
+    FleetModel model(shape);
+    Budget budget(model.state, model.identity.zone, {});
+    const Policy::BudgetAnswer answer = budget.mayStop({"z00-i00000"});
+    CHECK_FALSE(answer.isAllowed);
+    STRCMP_CONTAINS("its share of the budget of service p000 is 0", answer.reason.c_str());
+}
--- /dev/null
+++ b/tests/auto/policy/tst_waveplanner.cpp
@@ -0,0 +1,200 @@
+#include "wavehistory.h"
+
+#include <policy/waveplanner.h>
+
+#include <fmt/format.h>
+
+#include <CppUTest/TestHarness.h>
+
+namespace
+{
+
+constexpr std::uint64_t Histories = 40;
+
+FleetModel modelWithWave(std::uint32_t mostAtOnce = 5)
+{
+    FleetModel model(FleetShape{});
+    model.state.document.maintenance.mostAtOnce = mostAtOnce;
+    model.state.document.maintenance.wave = {poolName(0)};
+    model.state.document.maintenance.waveNumber = 1;
+    model.pass(0);
+    return model;
+}
+
+/// Drains and reboots what is open; the reboots go well or not.
+void rebootAll(FleetModel &model, double &seconds, bool isGood)
+{
+    model.acknowledgeDrains();
+    model.pass(++seconds);
+    for (const auto &[id, it] : model.state.maintenances) {
+        model.observations.actions = {};
+        model.report(it.instance).state = Fleet::PlatformState::Gone;
+    }
+    ++model.state.appliedTo.value;
+    model.pass(++seconds);
+    for (const auto &[id, it] : model.state.maintenances) {
+        model.report(it.instance).state = isGood ? Fleet::PlatformState::Live : Fleet::PlatformState::Gone;
+    }
+    seconds += isGood ? 30 : 1000;
+    ++model.state.appliedTo.value;
+    model.pass(seconds);
+    ++model.state.appliedTo.value;
+}
+
+std::string seedText(std::uint64_t seed)
+{
+    return fmt::format("seed {}", seed);
+}
+
+} // namespace
+
+TEST_GROUP(WavePlanner)
+{
+    double seconds = 1;
+};
+
+TEST(WavePlanner, BeginsWithOneInstanceAndGrowsAsStopsGoWell)
+{
+    FleetModel model = modelWithWave();
+    model.pass(seconds);
+    CHECK_EQUAL(1, model.state.maintenances.size());
+    rebootAll(model, seconds, true);
+    model.pass(++seconds);
+    CHECK_EQUAL(1, model.state.waves.begin()->second.done.size());
+    CHECK_EQUAL(2, model.state.maintenances.size());
+}
+
+TEST(WavePlanner, TakesFromDifferentRacksAtOnce)
+{
+    FleetModel model = modelWithWave();
+    for (int n = 0; n < 3; ++n) {
+        model.pass(++seconds);
+        rebootAll(model, seconds, true);
+    }
+    model.pass(++seconds);
+    std::set<Base::RackName> racks;
+    for (const auto &[id, it] : model.state.maintenances) {
+        racks.insert(model.state.instances.at(it.instance).declared.rack);
+    }
+    CHECK_EQUAL(4, racks.size());
+    CHECK_EQUAL(4, model.state.maintenances.size());
+}
+
+TEST(WavePlanner, WaitsForEveryMembersAcknowledgement)
+{
+    FleetModel model = modelWithWave();
+    model.pass(seconds);
+    model.state.maintenances.begin()->second.acknowledgedBy = {{"m0"}};
+    const Policy::Pass pass = model.pass(++seconds);
+    CHECK_EQUAL(0, countOf<Fleet::RebootRequested>(pass.decisions));
+    STRCMP_CONTAINS("the first is m1", pass.waits.front().reason.c_str());
+}
+
+TEST(WavePlanner, ALateDrainGoesOnAndSaysWhy)
+{
+    FleetModel model = modelWithWave();
+    model.pass(seconds);
+    model.acknowledgeDrains();
+    const Base::InstanceName instance = model.state.maintenances.begin()->second.instance;
+    model.report(instance).inFlight = 1;
+    model.pass(2);
+    const Policy::Pass pass = model.pass(3600);
+    CHECK(pass.decisions.empty());
+    STRCMP_CONTAINS("1 requests are in flight; late", pass.waits.front().reason.c_str());
+}
+
+TEST(WavePlanner, AMemberGoneCountsOnlyAfterTheLongestDeadline)
+{
+    FleetModel model = modelWithWave();
+    model.pass(seconds);
+    model.state.maintenances.begin()->second.acknowledgedBy = {{"m0"}};
+    model.observations.liveMembers = {{"m0"}};
+    for (const double it : {10.0, 12.0}) {
+        const Policy::Pass early = model.pass(it);
+        CHECK_EQUAL(0, countOf<Fleet::RebootRequested>(early.decisions));
+    }
+    const Policy::Pass pass = model.pass(12.1);
+    CHECK_EQUAL(1, countOf<Fleet::MemberLeft>(pass.decisions));
+    CHECK_EQUAL(1, countOf<Fleet::RebootRequested>(pass.decisions));
+}
+
+TEST(WavePlanner, StopsAWaveThatDoesHarmAndGoesOnOnlyUnderAHigherNumber)
+{
+    FleetModel model = modelWithWave();
+    for (int n = 0; n < 2; ++n) {
+        model.pass(++seconds);
+        rebootAll(model, seconds, false);
+    }
+    model.pass(++seconds);
+    const Fleet::Wave &wave = model.state.waves.begin()->second;
+    CHECK(wave.phase == Fleet::WavePhase::Stopped);
+    STRCMP_CONTAINS("2 of 2 stops failed", wave.stopReason.c_str());
+    ++model.state.appliedTo.value;
+    const Policy::Pass stopped = model.pass(++seconds);
+    CHECK_EQUAL(0, countOf<Fleet::WaveStarted>(stopped.decisions));
+    STRCMP_CONTAINS("goes on under a higher wave number", stopped.waits.back().reason.c_str());
+    ++model.state.document.maintenance.waveNumber;
+    const Policy::Pass resumed = model.pass(++seconds);
+    CHECK_EQUAL(1, countOf<Fleet::WaveStarted>(resumed.decisions));
+}
+
+TEST(WavePlanner, ARackLossIsNotTakenForHarm)
+{
+    FleetModel model = modelWithWave();
+    for (int n = 0; n < 3; ++n) {
+        model.pass(++seconds);
+        rebootAll(model, seconds, true);
+    }
+    for (const auto &[name, it] : model.state.instances) {
+        if (it.declared.rack.value == "r000") {
+            model.report(name).state = Fleet::PlatformState::Gone;
+        }
+    }
+    ++model.state.appliedTo.value;
+    model.pass(++seconds);
+    CHECK(model.state.waves.begin()->second.phase == Fleet::WavePhase::Running);
+}
+
+TEST(WavePlanner, FailuresThatSpendTheBudgetEndDrainsThatHaveNotComeToAReboot)
+{
+    FleetModel model = modelWithWave();
+    model.pass(seconds);
+    for (const auto *it : {"z00-i00001", "z00-i00002", "z00-i00003", "z00-i00005"}) {
+        model.report({it}).isEjected = true;
+    }
+    const Policy::Pass pass = model.pass(++seconds);
+    CHECK_EQUAL(1, countOf<Fleet::MaintenanceEnded>(pass.decisions));
+    CHECK(model.state.maintenances.empty());
+    CHECK(model.state.waves.begin()->second.failed.empty());
+}
+
+TEST(WavePlanner, KeepsTheBudgetInHistoriesWhereTheNaiveVersionBreaksIt)
+{
+    std::size_t naiveBroken = 0;
+    std::size_t finished = 0;
+    for (std::uint64_t seed = 1; seed <= Histories; ++seed) {
+        const WaveFaults faults{.losesRacks = true, .hasBadReboots = false};
+        const WaveOutcome policy = runWave(seed, faults, planByPolicy);
+        CHECK_EQUAL_TEXT(0, policy.brokenSeconds, seedText(seed).c_str());
+        CHECK_EQUAL_TEXT(0, policy.cutRequests, seedText(seed).c_str());
+        finished += policy.isFinished ? 1 : 0;
+        naiveBroken += runWave(seed, faults, planByCount).brokenSeconds > 0 ? 1 : 0;
+    }
+    CHECK(naiveBroken > 0);
+    CHECK_EQUAL(Histories, finished);
+}
+
+TEST(WavePlanner, StopsInHistoriesOfBadRebootsWhereTheNaiveVersionGoesOn)
+{
+    std::size_t naiveBroken = 0;
+    for (std::uint64_t seed = 1; seed <= Histories; ++seed) {
+        const WaveFaults faults{.losesRacks = true, .hasBadReboots = true};
+        const WaveOutcome policy = runWave(seed, faults, planByPolicy);
+        const WaveOutcome naive = runWave(seed, faults, planByCount);
+        CHECK_EQUAL_TEXT(0, policy.brokenSeconds, seedText(seed).c_str());
+        CHECK_TEXT(policy.isStopped, seedText(seed).c_str());
+        CHECK_TEXT(policy.failedReboots < naive.failedReboots, seedText(seed).c_str());
+        naiveBroken += naive.brokenSeconds > 0 ? 1 : 0;
+    }
+    CHECK(naiveBroken > 0);
+}
