--- a/src/libs/gateway/targetduty_p.h
+++ b/src/libs/gateway/targetduty_p.h
@@ -400,7 +400,7 @@
         m_isExecuting = true;
         for (std::size_t n = 0; n < m_decisions.size(); ++n) {
             const Scheduling::Decision decision = m_decisions[n];
-            std::visit([this](const auto &it) { carryOut(it); }, decision);
+            std::visit([this](const auto &it) { this->carryOut(it); }, decision);
         }
         m_decisions.clear();
         m_isExecuting = false;
