--- a/tests/auto/document/tst_examples.cpp
+++ b/tests/auto/document/tst_examples.cpp
@@ -1,11 +1,8 @@
 #include <document/documentreader.h>
-#include <document/sections.h>
 
 #include <algorithm>
-#include <fstream>
 #include <map>
 #include <set>
-#include <sstream>
 #include <string>
 #include <utility>
 
@@ -59,13 +56,3 @@
     checkSizes(document, "billing-notices");
     CHECK(document.weights.moves > document.weights.buffer);
 }
-
-TEST(Examples, ThePageOfTheSectionsIsTheOneThatIsCommitted)
-{
-    std::ifstream file(RHUBARBCRANK_SHARE "/../../docs/document.md");
-    std::stringstream page;
-    page << file.rdbuf();
-    const std::string expected =
-        Settings::markdownText(Document::sectionDescriptions(), "Sections of a document");
-    STRCMP_EQUAL(expected.c_str(), page.str().c_str());
-}
