--- a/src/libs/fleet/fold.h
+++ b/src/libs/fleet/fold.h
@@ -8,6 +8,8 @@
 
 #include <deque>
 #include <optional>
+#include <span>
+#include <vector>
 
 namespace Fleet
 {
@@ -30,6 +32,11 @@
     /// again once the common stream was folded up to its `documentOffset`.
     Outcome applyZone(const Entry &entry);
 
+    /// Applies the next entries of the zone's stream at the cost of one pass over the edits that are ahead of
+    /// them. Returns one outcome for each entry; with NotYet for the last one, it and those after it are
+    /// left.
+    std::vector<Outcome> applyZone(std::span<const Entry> entries);
+
     const FleetState &state() const
     {
         return m_state;
@@ -57,7 +64,11 @@
 
     Outcome applyCommonRecord(const Record &record, CommonStep &step);
     Outcome applyEdit(const EditProposed &event, CommonStep &step);
-    Outcome applyZoneRecord(const Record &record, Offset offset);
+    Outcome applyNextZone(const Entry &entry);
+    bool isWaiting(const Entry &entry) const;
+    void settle(Offset causalOffset);
+    void takeBackAhead();
+    void putAheadInForce();
     Outcome applyZoneEvent(const Record &record, Offset offset);
     bool isUnderCurrentTerm(const Record &record) const;
     void noteDocumentInForce(const Record &record);
--- a/src/libs/fleet/zonerules.h
+++ b/src/libs/fleet/zonerules.h
@@ -46,7 +46,8 @@
     InstanceState *findInstanceState(const Base::InstanceName &name);
     Wave *findWave(const ActionId &id);
     void endMove(const ActionId &id, InstancePhase phase);
-    void endMaintenance(const ActionId &id, InstancePhase phase, bool isSuccessful);
+    void endMaintenance(const ActionId &id, InstancePhase phase);
+    void countReboot(const Maintenance &maintenance, bool isSuccessful);
 
     const Charts &m_charts;
     FleetState &m_state;
--- a/src/libs/record/statedecoder.cpp
+++ b/src/libs/record/statedecoder.cpp
@@ -12,15 +12,6 @@
 namespace
 {
 
-Fleet::Maintenance readMaintenance(const Wire::Maintenance &message)
-{
-    return {{message.id()},
-            {message.wave()},
-            {message.instance()},
-            {message.started_at()},
-            readNameSet<Base::MemberName>(message.acknowledged_by())};
-}
-
 Fleet::PlannerLease readPlannerLease(const Wire::PlannerLease &message)
 {
     return {{message.zone()}, {message.holder()}, {message.term()}};
@@ -47,7 +38,7 @@
         state.moves[{it.id()}] = read(it);
     }
     for (const Wire::Maintenance &it : message.maintenances()) {
-        state.maintenances[{it.id()}] = readMaintenance(it);
+        state.maintenances[{it.id()}] = read(it);
     }
     for (const Wire::Wave &it : message.waves()) {
         state.waves[{it.id()}] = read(it);
@@ -102,6 +93,16 @@
             readNameSet<Base::MemberName>(message.acknowledged_by())};
 }
 
+Fleet::Maintenance Decoder::read(const Wire::Maintenance &message)
+{
+    return {{message.id()},
+            {message.wave()},
+            {message.instance()},
+            toEnum<Fleet::MaintenancePhase>(message.phase(), Wire::MaintenancePhase_IsValid(message.phase())),
+            {message.started_at()},
+            readNameSet<Base::MemberName>(message.acknowledged_by())};
+}
+
 Fleet::Wave Decoder::read(const Wire::Wave &message)
 {
     return {{message.id()},
--- /dev/null
+++ b/tests/auto/fleet/tst_differential.cpp
@@ -0,0 +1,365 @@
+#include <fleet/editapplication.h>
+#include <fleet/fold.h>
+#include <fleet/zonerules.h>
+#include <histories/history.h>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <random>
+#include <utility>
+
+using namespace Fleet;
+
+// Each group runs the same seeded history through a naive version and through the fold, and checks one
+// property.
+
+namespace
+{
+
+constexpr std::uint64_t Seeds = 100;
+const Base::AvailabilityZoneName Zone{"a"};
+
+FleetState emptyState()
+{
+    FleetState state;
+    state.zone = Zone;
+    return state;
+}
+
+/// The seeds at which a property breaks.
+template<typename HoldsAt>
+std::vector<std::uint64_t> brokenSeeds(HoldsAt holdsAt)
+{
+    std::vector<std::uint64_t> seeds;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        if (!holdsAt(seed)) {
+            seeds.push_back(seed);
+        }
+    }
+    return seeds;
+}
+
+void checkOnlyNaiveBreaks(const char *what,
+                          const std::vector<std::uint64_t> &naive,
+                          const std::vector<std::uint64_t> &ours)
+{
+    fmt::print(
+        "\n{}: naive breaks at {} of {} seeds: {}\n", what, naive.size(), Seeds, fmt::join(naive, " "));
+    fmt::print("{}: fold breaks at {} of {} seeds: {}\n", what, ours.size(), Seeds, fmt::join(ours, " "));
+    CHECK(!naive.empty());
+    CHECK(ours.empty());
+}
+
+// Racing operators
+
+/// Whoever writes last replaces the whole document.
+class NaiveStore
+{
+public:
+    explicit NaiveStore(Document::Document document)
+        : m_document(std::move(document))
+    {
+    }
+
+    Offset tail() const
+    {
+        return {};
+    }
+
+    const Document::Document &document() const
+    {
+        return m_document;
+    }
+
+    bool
+    publish(Offset, const Document::Document &, const Document::Document &changed, const Document::Delta &)
+    {
+        m_document = changed;
+        return true;
+    }
+
+private:
+    Document::Document m_document;
+};
+
+class FoldedStore
+{
+public:
+    explicit FoldedStore(const Document::Document &document)
+    {
+        append(EditProposed{{}, "first", "", Histories::wholeDelta(document), {}});
+    }
+
+    Offset tail() const
+    {
+        return m_fold.state().documentOffset;
+    }
+
+    const Document::Document &document() const
+    {
+        return m_fold.state().document;
+    }
+
+    bool
+    publish(Offset base, const Document::Document &, const Document::Document &, const Document::Delta &delta)
+    {
+        return append(EditProposed{base, "operator", "", delta, {}});
+    }
+
+private:
+    bool append(EditProposed edit)
+    {
+        ++m_tail;
+        return m_fold.applyCommon({{m_tail}, Histories::makeRecord(std::to_string(m_tail), std::move(edit))})
+            .isApplied();
+    }
+
+    Fold m_fold{Histories::shippedCharts(), Zone};
+    std::uint64_t m_tail = 0;
+};
+
+/// Two operators, who each change instances of their own; true if every change that was accepted is there.
+template<typename Store>
+bool keepsAcceptedEdits(std::uint64_t seed)
+{
+    struct Operator {
+        Offset base;
+        Document::Document read;
+        bool isEditing = false;
+    };
+    constexpr std::size_t Instances = 8;
+    Store store(Histories::makeDocument(Instances, 2));
+    std::array<Operator, 2> operators;
+    std::map<Base::InstanceName, std::uint32_t> accepted;
+    std::mt19937_64 random(seed);
+    for (std::uint32_t slots = 100; slots < 140; ++slots) {
+        const std::size_t n = random() % 2;
+        Operator &it = operators[n];
+        if (!it.isEditing) {
+            it = {store.tail(), store.document(), true};
+            continue;
+        }
+        it.isEditing = false;
+        Document::Document changed = it.read;
+        Document::Instance &instance = changed.instances[random() % (Instances / 2) * 2 + n];
+        instance.slots = slots;
+        Document::Delta delta;
+        delta.setInstances.push_back(instance);
+        if (store.publish(it.base, it.read, changed, delta)) {
+            accepted[instance.name] = slots;
+        }
+    }
+    return std::all_of(accepted.begin(), accepted.end(), [&](const auto &it) {
+        return findInstance(store.document(), it.first)->slots == it.second;
+    });
+}
+
+// Paused planners
+
+/// Takes the records of any planner.
+class UnfencedZone
+{
+public:
+    UnfencedZone()
+    {
+        applyEdit(Histories::shippedCharts(),
+                  m_state,
+                  {1},
+                  EditProposed{{}, "", "", Histories::wholeDelta(Histories::makeDocument(12, 3)), {}});
+    }
+
+    const FleetState &state() const
+    {
+        return m_state;
+    }
+
+    void append(Event event, Offset)
+    {
+        ++m_tail;
+        std::visit(ZoneRules(Histories::shippedCharts(), m_state, {m_tail}), event);
+    }
+
+private:
+    FleetState m_state = emptyState();
+    std::uint64_t m_tail = 0;
+};
+
+class FencedZone
+{
+public:
+    FencedZone()
+    {
+        const Document::Document document = Histories::makeDocument(12, 3);
+        m_fold.applyCommon(
+            {{1},
+             Histories::makeRecord("first", EditProposed{{}, "", "", Histories::wholeDelta(document), {}})});
+    }
+
+    const FleetState &state() const
+    {
+        return m_fold.state();
+    }
+
+    void append(Event event, Offset term)
+    {
+        ++m_tail;
+        m_fold.applyZone({{m_tail}, Record{std::to_string(m_tail), {}, term, {1}, std::move(event), {}}});
+    }
+
+private:
+    Fold m_fold{Histories::shippedCharts(), Zone};
+    std::uint64_t m_tail = 0;
+};
+
+/// Two planners that each may be paused between decision and append; true if no more than one instance is
+/// ever in maintenance, which is what each planner's own view allows.
+template<typename ZoneUnderTest>
+bool keepsOneAtOnce(std::uint64_t seed)
+{
+    struct Planner {
+        Base::MemberName name;
+        Offset term;
+        std::optional<MaintenanceStarted> decided;
+    };
+    ZoneUnderTest zone;
+    std::array<Planner, 2> planners{{{{"p"}, {}, {}}, {{"q"}, {}, {}}}};
+    std::mt19937_64 random(seed);
+    std::uint64_t actions = 0;
+    const auto claim = [&](Planner &it) {
+        zone.append(PlannerClaimed{Zone, it.name, currentTerm(zone.state())}, {});
+        it.term = currentTerm(zone.state());
+        it.decided.reset();
+    };
+    claim(planners[0]);
+    zone.append(WaveStarted{{"wave"}, 1, Zone, ""}, planners[0].term);
+    for (int step = 0; step < 60; ++step) {
+        Planner &it = planners[random() % 2];
+        const auto &open = zone.state().maintenances;
+        const std::uint64_t n = random() % 10;
+        if (n == 0) {
+            claim(it);
+        } else if (it.decided) {
+            zone.append(*std::exchange(it.decided, std::nullopt), it.term);
+        } else if (open.empty()) {
+            auto instance = zone.state().instances.begin();
+            std::advance(instance, random() % zone.state().instances.size());
+            it.decided = MaintenanceStarted{{fmt::format("a-{}", ++actions)}, {"wave"}, instance->first, ""};
+        } else if (n < 4) {
+            zone.append(MaintenanceEnded{open.begin()->first, false, ""}, it.term);
+        }
+        if (zone.state().maintenances.size() > 1) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// Two streams
+
+/// Judges each record by whatever was read before it.
+class ArrivalOrder
+{
+public:
+    void applyCommon(const Entry &entry)
+    {
+        m_commonAppliedTo = entry.offset;
+        const Record *record = entry.record();
+        if (record == nullptr) {
+            return;
+        }
+        const auto *edit = std::get_if<EditProposed>(&record->event);
+        if (edit != nullptr && edit->base == m_state.documentOffset) {
+            applyEdit(Histories::shippedCharts(), m_state, entry.offset, *edit);
+        }
+    }
+
+    bool applyZone(const Entry &entry)
+    {
+        const Record *record = entry.record();
+        if (record == nullptr) {
+            return true;
+        }
+        if (record->documentOffset > m_commonAppliedTo) {
+            return false;
+        }
+        std::visit(ZoneRules(Histories::shippedCharts(), m_state, entry.offset), record->event);
+        return true;
+    }
+
+    const FleetState &state() const
+    {
+        return m_state;
+    }
+
+private:
+    FleetState m_state = emptyState();
+    Offset m_commonAppliedTo;
+};
+
+FleetState readInArrivalOrder(const Histories::History &history, bool isCommonFirst)
+{
+    ArrivalOrder reader;
+    auto zone = history.zone.begin();
+    for (const Entry &it : history.common) {
+        reader.applyCommon(it);
+        while (!isCommonFirst && zone != history.zone.end() && reader.applyZone(*zone)) {
+            ++zone;
+        }
+    }
+    std::for_each(zone, history.zone.end(), [&](const Entry &it) { reader.applyZone(it); });
+    return reader.state();
+}
+
+Histories::History historyOf(std::uint64_t seed)
+{
+    Histories::HistoryOptions options;
+    options.seed = seed;
+    return Histories::makeHistory(options);
+}
+
+bool agreesInArrivalOrder(std::uint64_t seed)
+{
+    const Histories::History history = historyOf(seed);
+    return readInArrivalOrder(history, true) == readInArrivalOrder(history, false);
+}
+
+bool agreesInFold(std::uint64_t seed)
+{
+    const Histories::History history = historyOf(seed);
+    const auto fold = [&](bool isCommonFirst) {
+        return Histories::foldInterleaved(
+            history, Fold(Histories::shippedCharts(), Zone), [&] { return isCommonFirst; });
+    };
+    return fold(true) == fold(false);
+}
+
+} // namespace
+
+TEST_GROUP(Differential){};
+
+TEST(Differential, AcceptedEditsStayAgainstLastWriterWins)
+{
+    checkOnlyNaiveBreaks("an accepted edit stays",
+                         brokenSeeds(keepsAcceptedEdits<NaiveStore>),
+                         brokenSeeds(keepsAcceptedEdits<FoldedStore>));
+}
+
+TEST(Differential, OneAtOnceHoldsAgainstPlannersWithoutFencing)
+{
+    checkOnlyNaiveBreaks("one instance at once",
+                         brokenSeeds(keepsOneAtOnce<UnfencedZone>),
+                         brokenSeeds(keepsOneAtOnce<FencedZone>));
+}
+
+TEST(Differential, ReadersAgreeAgainstArrivalOrder)
+{
+    checkOnlyNaiveBreaks(
+        "readers of both streams agree", brokenSeeds(agreesInArrivalOrder), brokenSeeds(agreesInFold));
+}
