--- a/src/libs/fleet/fold.cpp
+++ b/src/libs/fleet/fold.cpp
@@ -93,41 +93,77 @@
 }
 
 Outcome Fold::applyZone(const Entry &entry)
+{
+    return applyZone(std::span<const Entry>(&entry, 1)).back();
+}
+
+// A zone's record is judged by the document that the zone's records so far have built upon, and not by what
+// this reader happens to have read since. Later edits are taken back for it and then put in force again.
+std::vector<Outcome> Fold::applyZone(std::span<const Entry> entries)
+{
+    std::vector<Outcome> outcomes;
+    outcomes.reserve(entries.size());
+    takeBackAhead();
+    for (const Entry &it : entries) {
+        outcomes.push_back(applyNextZone(it));
+        if (outcomes.back().kind == OutcomeKind::NotYet) {
+            break;
+        }
+    }
+    putAheadInForce();
+    return outcomes;
+}
+
+Outcome Fold::applyNextZone(const Entry &entry)
 {
     if (entry.offset <= m_state.appliedTo) {
         return {OutcomeKind::Duplicate};
     }
-    const Record *record = entry.record();
-    if (record != nullptr && record->documentOffset > m_state.commonAppliedTo) {
+    if (isWaiting(entry)) {
         return {OutcomeKind::NotYet};
     }
     m_state.appliedTo = entry.offset;
+    const Record *record = entry.record();
     if (record == nullptr) {
         return {OutcomeKind::Damaged};
     }
-    return applyZoneRecord(*record, entry.offset);
+    settle(std::max(m_state.causalOffset, record->documentOffset));
+    return applyZoneEvent(*record, entry.offset);
 }
 
-// A zone's record is judged by the document that the zone's records so far have built upon, and not by what
-// this reader happens to have read since. Later edits are taken back for it and then put in force again.
-Outcome Fold::applyZoneRecord(const Record &record, Offset offset)
+bool Fold::isWaiting(const Entry &entry) const
 {
-    m_state.causalOffset = std::max(m_state.causalOffset, record.documentOffset);
-    while (!m_ahead.empty() && m_ahead.front().offset <= m_state.causalOffset) {
+    const Record *record = entry.record();
+    return record != nullptr && record->documentOffset > m_state.commonAppliedTo;
+}
+
+void Fold::settle(Offset causalOffset)
+{
+    m_state.causalOffset = causalOffset;
+    while (!m_ahead.empty() && m_ahead.front().offset <= causalOffset) {
+        if (const auto &edit = m_ahead.front().edit) {
+            Fleet::applyEdit(*m_charts, m_state, edit->offset, edit->edit);
+        }
         m_ahead.pop_front();
     }
+}
+
+void Fold::takeBackAhead()
+{
     for (auto it = m_ahead.rbegin(); it != m_ahead.rend(); ++it) {
         if (it->edit) {
             undoEdit(m_state, std::move(it->edit->undo));
         }
     }
-    const Outcome outcome = applyZoneEvent(record, offset);
+}
+
+void Fold::putAheadInForce()
+{
     for (CommonStep &it : m_ahead) {
         if (it.edit) {
             it.edit->undo = Fleet::applyEdit(*m_charts, m_state, it.edit->offset, it.edit->edit);
         }
     }
-    return outcome;
 }
 
 Outcome Fold::applyZoneEvent(const Record &record, Offset offset)
--- a/src/libs/record/decoder_p.h
+++ b/src/libs/record/decoder_p.h
@@ -31,6 +31,7 @@
     Fleet::EditProposed read(const Wire::EditProposed &message);
     Fleet::Observations read(const Wire::Observations &message);
     Fleet::InstanceReport read(const Wire::InstanceReport &message);
+    Fleet::ActionReport read(const Wire::ActionReport &message);
 
     Document::Delta read(const Wire::Delta &message, Fleet::UnknownFields &unknownFields);
     Document::Document read(const Wire::Document &message, Fleet::UnknownFields &unknownFields);
@@ -41,6 +42,7 @@
     Fleet::FleetState read(const Wire::FleetState &message);
     void readInstances(const Wire::FleetState &message, Fleet::FleetState &state);
     Fleet::Move read(const Wire::Move &message);
+    Fleet::Maintenance read(const Wire::Maintenance &message);
     Fleet::Wave read(const Wire::Wave &message);
     Fleet::RecordWindow read(const Wire::RecordWindow &message);
 
--- a/src/libs/record/encoder_p.h
+++ b/src/libs/record/encoder_p.h
@@ -14,6 +14,7 @@
 void write(const Document::Maintenance &maintenance, Wire::MaintenanceRules &message);
 void write(const Document::Weights &weights, Wire::Weights &message);
 void write(const Fleet::PoolDemand &demand, Wire::PoolDemand &message);
+void write(const Fleet::ActionReport &report, Wire::ActionReport &message);
 void write(const Fleet::InstanceReport &report, Wire::InstanceReport &message);
 void write(const Fleet::InstanceState &instance, Wire::InstanceState &message);
 void write(const Fleet::Move &move, Wire::Move &message);
--- a/src/libs/record/eventdecoder.cpp
+++ b/src/libs/record/eventdecoder.cpp
@@ -123,10 +123,20 @@
     for (const Wire::InstanceReport &it : message.instances()) {
         observations.instances.push_back(read(it));
     }
+    for (const Wire::ActionReport &it : message.actions()) {
+        observations.actions.push_back(read(it));
+    }
     observations.liveMembers = readNames<Base::MemberName>(message.live_members());
     return observations;
 }
 
+Fleet::ActionReport Decoder::read(const Wire::ActionReport &message)
+{
+    const auto result =
+        toEnum<Fleet::ActionResult>(message.result(), Wire::ActionResult_IsValid(message.result()));
+    return {{message.action()}, result, message.detail()};
+}
+
 Fleet::InstanceReport Decoder::read(const Wire::InstanceReport &message)
 {
     Fleet::InstanceReport report;
--- a/src/libs/record/eventencoder.cpp
+++ b/src/libs/record/eventencoder.cpp
@@ -176,6 +176,13 @@
     message.set_queued_batch(demand.queuedBatch);
 }
 
+void write(const Fleet::ActionReport &report, Wire::ActionReport &message)
+{
+    message.set_action(report.action.value);
+    message.set_result(static_cast<Wire::ActionResult>(report.result));
+    message.set_detail(report.detail);
+}
+
 void write(const Fleet::InstanceReport &report, Wire::InstanceReport &message)
 {
     message.set_instance(report.instance.value);
@@ -191,6 +198,7 @@
     message.set_are_peers_reachable(observations.arePeersReachable);
     writeItems(observations.demands, *message.mutable_demands());
     writeItems(observations.instances, *message.mutable_instances());
+    writeItems(observations.actions, *message.mutable_actions());
     writeNames(observations.liveMembers, *message.mutable_live_members());
 }
 
--- /dev/null
+++ b/tests/auto/fleet/tst_statechart.cpp
@@ -0,0 +1,115 @@
+#include <fleet/charts.h>
+#include <histories/history.h>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <string_view>
+
+using Fleet::Chart;
+using Fleet::MoveEvent;
+using Fleet::MovePhase;
+
+namespace
+{
+
+constexpr std::string_view Head = "[chart]\ninitial = draining\nevents = acknowledge, commit, abort\n";
+constexpr std::string_view Body = "[draining]\nacknowledge = draining\ncommit = committed\nabort = aborted\n";
+constexpr std::string_view Finals = "[committed]\nfinal = true\n[aborted]\nfinal = true\n";
+
+/// All mistakes of a move chart, one a line; empty when it is taken.
+std::string mistakesOf(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_AUTO(
+                chart, Fleet::StateChart::parse(text, "move.ini", Chart<MovePhase, MoveEvent>::Vocabulary));
+            return chart.initial() == 0 ? std::string() : std::string("another initial state");
+        },
+        [](const Fleet::ChartMistakes &found) {
+            std::string lines;
+            for (const Ini::Mistake &it : found.mistakes) {
+                lines += Ini::toString(it) + "\n";
+            }
+            return lines;
+        },
+        [] { return std::string("unknown error"); });
+}
+
+std::string chartText(std::string_view head, std::string_view body, std::string_view finals)
+{
+    return std::string(head) + std::string(body) + std::string(finals);
+}
+
+void checkMistake(const std::string &text, const char *expected)
+{
+    STRCMP_CONTAINS(expected, mistakesOf(text).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(StateChart){};
+
+TEST(StateChart, ASoundChartIsTaken)
+{
+    STRCMP_EQUAL("", mistakesOf(chartText(Head, Body, Finals)).c_str());
+}
+
+TEST(StateChart, TheShippedChartsAreTaken)
+{
+    const Fleet::Charts &charts = Histories::shippedCharts();
+    CHECK(charts.move.next(MovePhase::Draining, MoveEvent::Commit) == MovePhase::Committed);
+    CHECK(!charts.move.next(MovePhase::Aborted, MoveEvent::Commit));
+    CHECK(charts.instance.initial() == Fleet::InstancePhase::Serving);
+}
+
+TEST(StateChart, AnUnreachableStateIsFound)
+{
+    const std::string body = "[draining]\nacknowledge = draining\ncommit = committed\nabort = none\n";
+    checkMistake(chartText(Head, body, Finals), "aborted: unreachable state");
+}
+
+TEST(StateChart, AnUndefinedEventIsFound)
+{
+    checkMistake(chartText(Head, std::string(Body) + "explode = aborted\n", Finals),
+                 "draining.explode: undefined event");
+}
+
+TEST(StateChart, AMissingTransitionIsFound)
+{
+    const std::string body = "[draining]\nacknowledge = draining\ncommit = committed\n";
+    checkMistake(chartText(Head, body, Finals), "draining.abort: missing transition");
+}
+
+TEST(StateChart, AnUndefinedTargetIsFoundWithItsLine)
+{
+    const std::string body = "[draining]\nacknowledge = draining\ncommit = gone\nabort = aborted\n";
+    checkMistake(chartText(Head, body, Finals), "move.ini:6: draining.commit: undefined state");
+}
+
+TEST(StateChart, AMissingStateAndAMissingHeadAreFoundTogether)
+{
+    const std::string lines = mistakesOf(std::string(Body) + "[committed]\nfinal = true\n");
+    STRCMP_CONTAINS("chart.initial: missing key", lines.c_str());
+    STRCMP_CONTAINS("aborted: state is missing", lines.c_str());
+}
+
+TEST(StateChart, AFinalStateHasNoWayOut)
+{
+    const std::string finals = "[committed]\nfinal = true\nabort = aborted\n[aborted]\nfinal = true\n";
+    checkMistake(chartText(Head, Body, finals), "committed.abort: a final state has no transition");
+}
+
+TEST(StateChart, AFolderWithoutChartsNamesEachFile)
+{
+    const std::size_t count = boost::leaf::try_handle_all(
+        []() -> boost::leaf::result<std::size_t> {
+            BOOST_LEAF_AUTO(charts, Fleet::Charts::load("/nowhere"));
+            return static_cast<std::size_t>(charts.edit.initial());
+        },
+        [](const Fleet::ChartMistakes &found) { return found.mistakes.size(); },
+        [] { return std::size_t{0}; });
+    CHECK(count >= 4);
+}
