Let requests use borrowed slots of a target

Cause: entry instances share the slots of targets. A slot that is lent for a while is only safe for a request that ends before the loan does; a plain count of slots can't say so. Change: an allowance has own and borrowed slots. Requests that may outlast the loan never outnumber the own slots. A priority whose next request fits no free slot no longer holds up the other priorities. Conclusion: ready for lending between entry instances.

--- a/src/libs/scheduling/request.h
+++ b/src/libs/scheduling/request.h
@@ -43,6 +43,7 @@
     ServiceIndex service = 0;
     PoolIndex pool = 0;
     TargetIndex target = 0; ///< of the attempt in flight
+    bool isBounded = false; ///< the attempt in flight ends before the target's borrowed slots do
     std::uint32_t attempts = 0;
     Base::Verdict verdict = Base::Verdict::NotRun; ///< the worst over the attempts that ended
     RequestState state = RequestState::Queued;
--- a/src/libs/scheduling/requestscheduler.cpp
+++ b/src/libs/scheduling/requestscheduler.cpp
@@ -49,15 +49,26 @@
 }
 
 void RequestScheduler::setAllowance(TargetId target, std::uint32_t slots)
+{
+    setAllowance(target, Allowance{slots, 0, {}});
+}
+
+void RequestScheduler::setAllowance(TargetId target, const Allowance &allowance)
 {
     const auto index = m_targets.find(target);
     if (index && !m_targets.at(*index).isRetired) {
-        m_targets.setAllowance(*index, slots);
+        m_targets.setAllowance(*index, allowance);
         m_pools[m_targets.at(*index).pool].isChanged = true;
         m_isFleetChanged = true;
     }
 }
 
+std::uint32_t RequestScheduler::inFlightOn(TargetId target) const
+{
+    const auto index = m_targets.find(target);
+    return index ? m_targets.at(*index).inFlight : 0;
+}
+
 void RequestScheduler::arrive(const Arrival &arrival, Base::Instant now, std::vector<Decision> &out)
 {
     m_now = std::max(m_now, now);
@@ -94,7 +105,7 @@
     }
     const PoolIndex pool = request->pool;
     const std::size_t priority = indexOf(request->arrival.priority);
-    m_targets.release(request->target);
+    m_targets.release(request->target, request->isBounded);
     --m_pools[pool].busy[priority];
     --laneOf(*request).inFlight;
     request->verdict = Base::worstOf(request->verdict, verdictOf(result.outcome));
@@ -308,8 +319,9 @@
 void RequestScheduler::placeWaiting(PoolIndex pool, Base::Instant now, std::vector<Decision> &out)
 {
     placeRetries(pool, now, out);
+    PrioritySet blocked;
     while (m_targets.hasFree(pool) || m_detector.hasProbing(pool)) {
-        const auto turn = nextTurn(pool);
+        const auto turn = nextTurn(pool, blocked);
         if (!turn) {
             return;
         }
@@ -321,7 +333,9 @@
         }
         const auto target = targetFor(request, now);
         if (!target) {
-            return;
+            // What is free is not for this one: a probe, or a borrowed slot that it may outlast.
+            blocked.set(turn->priority);
+            continue;
         }
         PoolState &state = m_pools[pool];
         state.order.addDispatch(turn->priority, turn->waiting[turn->priority].cost, turn->waiting);
@@ -339,7 +353,8 @@
         Request &request = *it++;
         if (request.latestStart < now) {
             refuseWaiting(request, RefusalReason::AttemptFailed, out);
-        } else if (const auto target = m_targets.choose(pool, request.failures, m_random)) {
+        } else if (const auto target =
+                       m_targets.choose(pool, {request.failures, giveUpAt(request, now)}, m_random)) {
             retries.erase(request);
             dispatch(request, *target, now, out);
         }
@@ -347,14 +362,16 @@
 }
 
 // Services of a pool take turns within a priority.
-std::optional<RequestScheduler::Turn> RequestScheduler::nextTurn(PoolIndex index) const
+std::optional<RequestScheduler::Turn> RequestScheduler::nextTurn(PoolIndex index,
+                                                                 const PrioritySet &blocked) const
 {
     const PoolState &pool = m_pools[index];
     Turn turn;
     std::array<std::size_t, PriorityCount> positions{};
     for (std::size_t n = 0; n < PriorityCount; ++n) {
         const bool isBatch = n == indexOf(Priority::Batch);
-        if (isBatch && pool.busy[n] >= batchSlots(m_targets.capacity(index), m_limits)) {
+        const bool isFull = isBatch && pool.busy[n] >= batchSlots(m_targets.capacity(index), m_limits);
+        if (isFull || blocked[n]) {
             continue;
         }
         for (std::size_t step = 0; step < pool.services.size(); ++step) {
@@ -379,10 +396,11 @@
 
 std::optional<TargetIndex> RequestScheduler::targetFor(const Request &request, Base::Instant now)
 {
-    if (const auto probe = m_detector.probeFor(request.pool, request.arrival.isIdempotent, now)) {
+    const auto probe = m_detector.probeFor(request.pool, request.arrival.isIdempotent, now);
+    if (probe && m_targets.at(*probe).canTake(giveUpAt(request, now))) {
         return probe;
     }
-    return m_targets.choose(request.pool, request.failures, m_random);
+    return m_targets.choose(request.pool, {request.failures, giveUpAt(request, now)}, m_random);
 }
 
 void RequestScheduler::dispatch(Request &request,
@@ -390,7 +408,9 @@
                                 Base::Instant now,
                                 std::vector<Decision> &out)
 {
-    m_targets.occupy(target);
+    const Base::Instant end = giveUpAt(request, now);
+    request.isBounded = m_targets.at(target).isBounded(end);
+    m_targets.occupy(target, request.isBounded);
     ++m_pools[request.pool].busy[indexOf(request.arrival.priority)];
     ++laneOf(request).inFlight;
     ++request.attempts;
@@ -398,8 +418,7 @@
     request.target = target;
     ++m_counters.dispatched;
     m_counters.retried += request.attempts > 1 ? 1 : 0;
-    out.emplace_back(
-        Dispatch{request.arrival.id, m_targets.at(target).spec.id, request.attempts, giveUpAt(request, now)});
+    out.emplace_back(Dispatch{request.arrival.id, m_targets.at(target).spec.id, request.attempts, end});
 }
 
 // An idempotent request is given up half-way when that leaves time for another target. Batch requests are
@@ -446,7 +465,7 @@
     if (!canRetry(request, result, now)) {
         return false;
     }
-    const auto target = m_targets.choose(request.pool, request.failures, m_random);
+    const auto target = m_targets.choose(request.pool, {request.failures, giveUpAt(request, now)}, m_random);
     // An error that is an answer is passed on at once rather than held while a slot is awaited.
     const bool canWait = result.outcome != AttemptOutcome::Answered;
     if ((!target && !canWait) || !m_pools[request.pool].retryBudget.tryWithdraw()) {
--- a/src/libs/scheduling/requestscheduler.h
+++ b/src/libs/scheduling/requestscheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "allowance.h"
 #include "attempt.h"
 #include "decision.h"
 #include "fleetspecs.h"
@@ -12,6 +13,7 @@
 
 #include <base/instant.h>
 
+#include <bitset>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -40,6 +42,12 @@
     /// advance() is then due at once.
     void setAllowance(TargetId target, std::uint32_t slots);
 
+    /// The same with slots that are borrowed for a while.
+    void setAllowance(TargetId target, const Allowance &allowance);
+
+    /// Attempts on the target that have not ended.
+    std::uint32_t inFlightOn(TargetId target) const;
+
     /// An id that is still known is ignored.
     void arrive(const Arrival &arrival, Base::Instant now, std::vector<Decision> &out);
 
@@ -60,6 +68,7 @@
 
 private:
     struct Turn; // whose turn it is in a pool
+    using PrioritySet = std::bitset<PriorityCount>;
 
     void setTargets(std::span<const TargetSpec> targets);
     void setRequiredShares();
@@ -71,7 +80,7 @@
 
     void placeWaiting(PoolIndex pool, Base::Instant now, std::vector<Decision> &out);
     void placeRetries(PoolIndex pool, Base::Instant now, std::vector<Decision> &out);
-    std::optional<Turn> nextTurn(PoolIndex index) const;
+    std::optional<Turn> nextTurn(PoolIndex index, const PrioritySet &blocked) const;
     std::optional<TargetIndex> targetFor(const Request &request, Base::Instant now);
     void dispatch(Request &request, TargetIndex target, Base::Instant now, std::vector<Decision> &out);
     Base::Instant giveUpAt(const Request &request, Base::Instant now) const;
--- a/src/libs/scheduling/targettable.cpp
+++ b/src/libs/scheduling/targettable.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+constexpr std::size_t StepsOverBorrowed = 8;
+
 bool hasFailedOn(const FailedAttempts &failures, TargetId target)
 {
     return std::any_of(
@@ -27,7 +29,21 @@
     if (isRetired || spec.isDraining) {
         return 0;
     }
-    return std::min({allowance.value_or(spec.slots), spec.slots, spec.connections});
+    const std::uint32_t allowed = allowance ? allowance->slots + allowance->borrowed : spec.slots;
+    return std::min({allowed, spec.slots, spec.connections});
+}
+
+bool Target::isBounded(Base::Instant giveUpAt) const
+{
+    return allowance && allowance->borrowed > 0 && giveUpAt <= allowance->borrowedUntil;
+}
+
+// Requests that may outlast the borrowed slots never outnumber the own ones. So when the borrowed slots end,
+// what is still in flight fits the own ones, whichever slot it was started on.
+bool Target::canTake(Base::Instant giveUpAt) const
+{
+    const std::uint32_t own = allowance ? allowance->slots : spec.slots;
+    return inFlight < limit() && (unboundedInFlight < own || isBounded(giveUpAt));
 }
 
 bool Target::isInService() const
@@ -81,9 +97,9 @@
     return retired;
 }
 
-void TargetTable::setAllowance(TargetIndex index, std::uint32_t slots)
+void TargetTable::setAllowance(TargetIndex index, const Allowance &allowance)
 {
-    changeEntry(index, [slots](Entry &it) { it.allowance = slots; });
+    changeEntry(index, [&allowance](Entry &it) { it.allowance = allowance; });
 }
 
 void TargetTable::setStanding(TargetIndex index, TargetStanding standing)
@@ -92,25 +108,27 @@
 }
 
 std::optional<TargetIndex>
-TargetTable::choose(PoolIndex pool, const FailedAttempts &excluded, RandomEngine &random) const
+TargetTable::choose(PoolIndex pool, const Wanted &wanted, RandomEngine &random) const
 {
     for (const auto &free : m_pools[pool].free) {
-        if (const auto chosen = chooseFrom(free, excluded, random)) {
+        if (const auto chosen = chooseFrom(free, wanted, random)) {
             return chosen;
         }
     }
     return std::nullopt;
 }
 
-void TargetTable::occupy(TargetIndex index)
+void TargetTable::occupy(TargetIndex index, bool isBounded)
 {
     ++m_entries[index].inFlight;
+    m_entries[index].unboundedInFlight += isBounded ? 0 : 1;
     updateFree(index);
 }
 
-void TargetTable::release(TargetIndex index)
+void TargetTable::release(TargetIndex index, bool isBounded)
 {
     --m_entries[index].inFlight;
+    m_entries[index].unboundedInFlight -= isBounded ? 0 : 1;
     updateFree(index);
     recycleIfDone(index);
 }
@@ -164,32 +182,35 @@
 
 // Two draws are enough to keep the longest queue short (Mitzenmacher, "The Power of Two Choices in Randomized
 // Load Balancing"), and their cost does not depend on the number of targets.
-std::optional<TargetIndex> TargetTable::chooseFrom(std::span<const TargetIndex> free,
-                                                   const FailedAttempts &excluded,
-                                                   RandomEngine &random) const
+std::optional<TargetIndex>
+TargetTable::chooseFrom(std::span<const TargetIndex> free, const Wanted &wanted, RandomEngine &random) const
 {
     if (free.empty()) {
         return std::nullopt;
     }
     if (free.size() == 1) {
-        return firstAllowed(free, 0, excluded);
+        return firstAllowed(free, 0, wanted);
     }
     const std::size_t first = drawBelow(free.size(), random);
     const std::size_t second = (first + 1 + drawBelow(free.size() - 1, random)) % free.size();
-    const auto a = firstAllowed(free, first, excluded);
-    const auto b = firstAllowed(free, second, excluded);
-    return a && b ? std::optional{lessLoaded(*a, *b)} : a;
+    const auto a = firstAllowed(free, first, wanted);
+    const auto b = firstAllowed(free, second, wanted);
+    if (a && b) {
+        return lessLoaded(*a, *b);
+    }
+    return a ? a : b;
 }
 
-// Passes over the few targets that the request failed on already, so it ends after a few steps.
-std::optional<TargetIndex> TargetTable::firstAllowed(std::span<const TargetIndex> free,
-                                                     std::size_t start,
-                                                     const FailedAttempts &excluded) const
+// Passes over the few targets that the request failed on already, and over some that have only borrowed slots
+// left when it may outlast those; so it ends after a few steps.
+std::optional<TargetIndex>
+TargetTable::firstAllowed(std::span<const TargetIndex> free, std::size_t start, const Wanted &wanted) const
 {
-    const std::size_t steps = std::min(free.size(), excluded.size() + 1);
+    const std::size_t steps = std::min(free.size(), wanted.excluded.size() + StepsOverBorrowed);
     for (std::size_t n = 0; n < steps; ++n) {
         const TargetIndex index = free[(start + n) % free.size()];
-        if (!hasFailedOn(excluded, m_entries[index].spec.id)) {
+        const Entry &entry = m_entries[index];
+        if (entry.canTake(wanted.giveUpAt) && !hasFailedOn(wanted.excluded, entry.spec.id)) {
             return index;
         }
     }
--- a/src/libs/scheduling/targettable.h
+++ b/src/libs/scheduling/targettable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "allowance.h"
 #include "fleetspecs.h"
 #include "request.h"
 
@@ -28,8 +29,9 @@
 struct Target {
     TargetSpec spec;
     PoolIndex pool = 0;
-    std::optional<std::uint32_t> allowance; ///< slots; not set: all of them
+    std::optional<Allowance> allowance; ///< not set: all of the target's slots
     std::uint32_t inFlight = 0;
+    std::uint32_t unboundedInFlight = 0; ///< of them those that may outlast the borrowed slots
     TargetStanding standing = TargetStanding::InService;
     bool isRetired = false; ///< no longer in the fleet, its requests in flight finish
     bool isListed = false; ///< in the fleet that is being set
@@ -37,6 +39,12 @@
     /// Requests that this entry instance may have in flight on it.
     std::uint32_t limit() const;
 
+    /// A request that ends by `giveUpAt` may use a borrowed slot.
+    bool isBounded(Base::Instant giveUpAt) const;
+
+    /// There is a slot for a request that ends by `giveUpAt`.
+    bool canTake(Base::Instant giveUpAt) const;
+
     bool isInService() const;
 };
 
@@ -55,6 +63,12 @@
 public:
     explicit TargetTable(Base::AvailabilityZoneName zone);
 
+    /// What a request asks of its target.
+    struct Wanted {
+        const FailedAttempts &excluded;
+        Base::Instant giveUpAt;
+    };
+
     struct Placement {
         TargetIndex index = 0;
         bool isNew = false; ///< not there before, or another instance or pool than before
@@ -66,16 +80,15 @@
     /// Retires the targets that were not put since the last call and returns them.
     std::vector<TargetIndex> retireUnlisted();
 
-    void setAllowance(TargetIndex index, std::uint32_t slots);
+    void setAllowance(TargetIndex index, const Allowance &allowance);
     void setStanding(TargetIndex index, TargetStanding standing);
 
     /// The less loaded of two free targets drawn at random, of this zone while it has one, suspects last.
-    /// Nothing when no target outside of `excluded` is free.
-    std::optional<TargetIndex>
-    choose(PoolIndex pool, const FailedAttempts &excluded, RandomEngine &random) const;
+    /// Nothing when no target is free for it.
+    std::optional<TargetIndex> choose(PoolIndex pool, const Wanted &wanted, RandomEngine &random) const;
 
-    void occupy(TargetIndex index);
-    void release(TargetIndex index);
+    void occupy(TargetIndex index, bool isBounded);
+    void release(TargetIndex index, bool isBounded);
 
     std::optional<TargetIndex> find(TargetId id) const;
     const Target &at(TargetIndex index) const;
@@ -98,9 +111,9 @@
     TargetIndex addEntry(const TargetSpec &spec);
     std::uint32_t tierOf(const Target &target) const;
     std::optional<TargetIndex>
-    chooseFrom(std::span<const TargetIndex> free, const FailedAttempts &excluded, RandomEngine &random) const;
+    chooseFrom(std::span<const TargetIndex> free, const Wanted &wanted, RandomEngine &random) const;
     std::optional<TargetIndex>
-    firstAllowed(std::span<const TargetIndex> free, std::size_t start, const FailedAttempts &excluded) const;
+    firstAllowed(std::span<const TargetIndex> free, std::size_t start, const Wanted &wanted) const;
     TargetIndex lessLoaded(TargetIndex a, TargetIndex b) const;
     template<typename Change>
     void changeEntry(TargetIndex index, Change change);
--- a/tests/auto/scheduling/tst_requestscheduler.cpp
+++ b/tests/auto/scheduling/tst_requestscheduler.cpp
@@ -298,3 +298,17 @@
     end(lastId - 1, answered(1ms), due + 1ms);
     LONGS_EQUAL(1, targetOf(arrive(due + limits.outliers.probePatience, 1h, false)));
 }
+
+TEST(RequestScheduler, BorrowedSlotsAreForRequestsThatEndBeforeTheyDo)
+{
+    setFleet({target(1, 8)});
+    scheduler->setAllowance(TargetId{1}, {1, 2, Base::instantAt(1s)});
+    advance(0ms);
+    LONGS_EQUAL(1, targetOf(arrive(0ms, 10s, false)));
+    LONGS_EQUAL(0, arrive(0ms, 10s, false).size());
+    LONGS_EQUAL(1, targetOf(arrive(0ms, 1s, false)));
+    LONGS_EQUAL(1, targetOf(arrive(0ms, 500ms, false)));
+    LONGS_EQUAL(3, scheduler->inFlightOn(TargetId{1}));
+    LONGS_EQUAL(0, arrive(0ms, 400ms, false).size());
+    LONGS_EQUAL(1, targetOf(end(3, answered(1ms), 300ms)));
+}
