--- a/tests/auto/policy/fleetmodel.cpp
+++ b/tests/auto/policy/fleetmodel.cpp
@@ -126,7 +126,8 @@
             },
             [&](const Fleet::MaintenanceStarted &it) {
                 drain(it.instance, it.id);
-                state.maintenances[it.id] = {it.id, it.wave, it.instance, state.appliedTo, {}};
+                state.maintenances[it.id] = {
+                    it.id, it.wave, it.instance, Fleet::MaintenancePhase::Draining, state.appliedTo, {}};
             },
             [&](const Fleet::RebootRequested &it) {
                 state.instances.at(state.maintenances.at(it.id).instance).phase =
