Claim idempotency keys before a request is dispatched

Cause: a keyed request that came again through another entry instance could run twice: nothing on the request path asked the record. Change: the target side claims the key of a non-idempotent request through a port, dispatches on the grant, records how it ended, and answers repeats with the kept answer.

--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -7,6 +7,7 @@
 #include <base/names.h>
 #include <base/oneshottimer.h>
 #include <base/verdict.h>
+#include <document/document.h>
 #include <scheduling/ids.h>
 
 #include <cstdint>
@@ -26,6 +27,7 @@
 /// A request on its way through the target side.
 struct Exchange {
     enum class Phase {
+        Claiming, ///< waits for its idempotency key
         Queued, ///< waits for a target
         Attempting, ///< sent, or being sent; no part of a response has been passed on
         Responding, ///< the response is being passed on
@@ -42,6 +44,7 @@
     RequestTrace trace;
     unsigned status = 0; ///< of the response that is being passed on
     bool isIdempotent = false;
+    Document::Priority priority = Document::Priority::Interactive;
     bool isCallerGone = false;
     bool isServerError = false; ///< of the response that is being passed on
     Phase phase = Phase::Queued;
@@ -57,6 +60,10 @@
     std::shared_ptr<TargetConnection> connection;
     std::unique_ptr<ResponseHead> heldHead; ///< a whole server error, until another attempt is ruled out
     std::string heldBody;
+    bool isKeyGranted = false; ///< its outcome is to be recorded
+    std::unique_ptr<ResponseHead> keptHead; ///< of a keyed request's answer, for repeats
+    std::string keptBody;
+    bool isAnswerKept = true; ///< not too large
     Base::OneShotTimer giveUpTimer;
 };
 
--- a/src/libs/gateway/requestplane.h
+++ b/src/libs/gateway/requestplane.h
@@ -56,6 +56,12 @@
         m_targets.setTelemetry(sink);
     }
 
+    /// How idempotency keys are claimed; before start().
+    void setClaims(ClaimPort port)
+    {
+        m_targets.setClaims(std::move(port));
+    }
+
     void start()
     {
         m_callers.start();
--- a/src/libs/gateway/targetduty.cpp
+++ b/src/libs/gateway/targetduty.cpp
@@ -38,6 +38,25 @@
     });
 }
 
+std::string_view toString(Claims::AnswerKind kind)
+{
+    switch (kind) {
+    case Claims::AnswerKind::StoredAnswer:
+        return "stored-answer";
+    case Claims::AnswerKind::AnswerNotKept:
+        return "answer-not-kept";
+    case Claims::AnswerKind::InProgressElsewhere:
+        return "in-progress-elsewhere";
+    case Claims::AnswerKind::OutcomeUnknown:
+        return "outcome-unknown";
+    case Claims::AnswerKind::KeyReused:
+        return "key-reused";
+    case Claims::AnswerKind::RefusedNotRun:
+        return "claim-not-made";
+    }
+    return "unknown";
+}
+
 std::string_view toString(Scheduling::AttemptOutcome outcome)
 {
     switch (outcome) {
--- a/src/libs/gateway/targetduty.h
+++ b/src/libs/gateway/targetduty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claimport.h"
 #include "message.h"
 #include "routingtable.h"
 #include "targetlimits.h"
@@ -78,9 +79,16 @@
     /// Where spans and counts go; to be set before the first message is received.
     void setTelemetry(Telemetry::EventSink &sink);
 
+    /// How idempotency keys are claimed; without it keyed requests are refused. To be set before the first
+    /// message is received.
+    void setClaims(ClaimPort port);
+
     /// Handles one message of the caller side; on the duty's thread.
     void receive(ToTargets &&message);
 
+    /// Handles the answer to a claim; on the duty's thread.
+    void receive(ClaimReply &&reply);
+
     /// Puts another routing table in force; on the duty's thread.
     void setRouting(std::shared_ptr<const RoutingTable> table);
 
--- a/src/libs/gateway/targetduty_p.h
+++ b/src/libs/gateway/targetduty_p.h
@@ -3,6 +3,7 @@
 #include "connectionpool.h"
 #include "exchange.h"
 #include "outbox.h"
+#include "storedanswer.h"
 #include "targetduty.h"
 
 #include <base/logline.h>
@@ -11,6 +12,8 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
+#include <array>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
@@ -26,6 +29,9 @@
 /// True when the target's own answer says that it did not execute the request.
 bool isRefusalByTarget(const ResponseHead &head);
 
+/// As spans and answers have it.
+std::string_view toString(Claims::AnswerKind kind);
+
 /// As spans have it.
 std::string_view toString(Scheduling::AttemptOutcome outcome);
 
@@ -68,6 +74,16 @@
         execute();
     }
 
+    void receive(ClaimReply &&reply)
+    {
+        if (const auto *grant = std::get_if<Claims::Grant>(&reply)) {
+            onGrant(*grant);
+        } else {
+            onClaimAnswer(std::get<Claims::ClaimAnswer>(std::move(reply)));
+        }
+        execute();
+    }
+
     void setRouting(std::shared_ptr<const RoutingTable> table)
     {
         m_table = std::move(table);
@@ -128,6 +144,7 @@
             exchange->phase = Exchange::Phase::Responding;
             exchange->giveUpTimer.disarm();
             dropPieces(*exchange);
+            keepForRepeats(*exchange, held.get(), chunk);
             passOn(*exchange, OpenResponse{exchange->id, std::move(held), std::move(chunk), isLast});
             if (isLast) {
                 endAttempt(*exchange, Scheduling::AttemptOutcome::Answered, exchange->isServerError);
@@ -143,6 +160,7 @@
             connection.close();
             return;
         }
+        keepForRepeats(*exchange, nullptr, chunk);
         passOn(*exchange, ResponseBody{exchange->id, std::move(chunk), isLast});
         if (isLast) {
             endAttempt(*exchange, Scheduling::AttemptOutcome::Answered, exchange->isServerError);
@@ -179,8 +197,10 @@
     Internal::Outbox<ToCallers> m_output;
     TargetCounters m_counters;
     Internal::RequestTracer m_tracer;
+    ClaimPort m_claims;
 
 private:
+    static constexpr Base::Duration ClaimRetryAfter = std::chrono::seconds{1};
     static constexpr unsigned FirstServerError = 500;
 
     struct Target {
@@ -255,19 +275,136 @@
         exchange->service = service.name;
         exchange->trace = m_tracer.begin(message.head->traceParent, message.head->receivedAt);
         exchange->isIdempotent = match->isIdempotent;
+        exchange->priority = Internal::priorityFor(*message.head, service.priority);
         exchange->deadline = message.head->receivedAt + message.head->deadline.value_or(service.deadline);
         exchange->head = std::move(message.head);
         keepPiece(*exchange, {std::move(message.chunk), message.isLast});
-        const Scheduling::Arrival arrival{Scheduling::RequestId{exchange->id.value},
-                                          serviceId(service.name),
-                                          Internal::priorityFor(*exchange->head, service.priority),
-                                          exchange->deadline,
-                                          exchange->isIdempotent};
-        m_exchanges.emplace(exchange->id, std::move(exchange));
+        Exchange &opened = *exchange;
+        m_exchanges.emplace(opened.id, std::move(exchange));
         m_counters.inFlight.store(m_exchanges.size(), std::memory_order_relaxed);
+        if (!opened.isIdempotent && !opened.head->idempotencyKey.empty()) {
+            claim(opened);
+        } else {
+            arrive(opened);
+        }
+    }
+
+    void arrive(Exchange &exchange)
+    {
+        exchange.phase = Exchange::Phase::Queued;
+        const Scheduling::Arrival arrival{Scheduling::RequestId{exchange.id.value},
+                                          serviceId(exchange.service),
+                                          exchange.priority,
+                                          exchange.deadline,
+                                          exchange.isIdempotent};
         m_scheduler.arrive(arrival, now(), m_decisions);
     }
 
+    // The fingerprint tells a repeat from another request that was given the same key by mistake.
+    void claim(Exchange &exchange)
+    {
+        exchange.phase = Exchange::Phase::Claiming;
+        const std::string length = exchange.head->length ? std::to_string(*exchange.head->length) : "";
+        const std::array<std::string_view, 4> parts{
+            exchange.head->method, exchange.head->target, length, exchange.pieces.front().chunk};
+        const Claims::ClaimRequest request{
+            exchange.id.value,
+            Claims::digestOf(exchange.service.value, exchange.head->idempotencyKey),
+            Claims::fingerprintOf(parts),
+            exchange.deadline};
+        if (!m_claims.claim || !m_claims.claim(request)) {
+            end(exchange, {503, Base::Verdict::NotRun, "claims-not-taken", ClaimRetryAfter});
+        }
+    }
+
+    void onGrant(const Claims::Grant &grant)
+    {
+        Exchange *exchange = find(ExchangeId{grant.requestId});
+        if (!exchange) {
+            m_claims.finish(grant.requestId, Claims::RequestNotRun{});
+            return;
+        }
+        exchange->isKeyGranted = true;
+        m_tracer.claimEnded(exchange->trace, "granted", now());
+        if (exchange->isCallerGone) {
+            end(*exchange, {503, Base::Verdict::NotRun, "cancelled", std::nullopt});
+            return;
+        }
+        arrive(*exchange);
+    }
+
+    void onClaimAnswer(Claims::ClaimAnswer &&answer)
+    {
+        Exchange *exchange = find(ExchangeId{answer.requestId});
+        if (!exchange) {
+            return;
+        }
+        const std::string_view reason = Internal::toString(answer.kind);
+        m_tracer.claimEnded(exchange->trace, reason, now());
+        if (answer.kind == Claims::AnswerKind::StoredAnswer) {
+            if (auto stored = Internal::decodeAnswer(answer.storedAnswer)) {
+                deliverStored(*exchange, std::move(*stored));
+                return;
+            }
+        }
+        Failure failure{Claims::httpStatusOf(answer.kind),
+                        Claims::verdictOf(answer.kind),
+                        std::string(reason),
+                        std::nullopt};
+        if (answer.retryAfter > Base::Duration::zero()) {
+            failure.retryAfter = answer.retryAfter;
+        }
+        end(*exchange, std::move(failure));
+    }
+
+    void deliverStored(Exchange &exchange, Internal::StoredAnswer stored)
+    {
+        exchange.status = stored.head.status;
+        if (!exchange.isCallerGone) {
+            auto head = std::make_unique<ResponseHead>(std::move(stored.head));
+            send(OpenResponse{exchange.id, std::move(head), std::move(stored.body), true});
+        }
+        countAnswered(exchange);
+        erase(exchange);
+    }
+
+    /// Keeps what may be asked for again under the request's key.
+    void keepForRepeats(Exchange &exchange, const ResponseHead *head, std::string_view chunk)
+    {
+        if (!exchange.isKeyGranted || !exchange.isAnswerKept) {
+            return;
+        }
+        if (head) {
+            exchange.keptHead = std::make_unique<ResponseHead>(*head);
+        }
+        exchange.keptBody += chunk;
+        if (exchange.keptBody.size() > m_limits.storedAnswerBytes) {
+            exchange.isAnswerKept = false;
+            exchange.keptBody.clear();
+        }
+    }
+
+    void recordOutcome(Exchange &exchange, Base::Verdict verdict)
+    {
+        if (!std::exchange(exchange.isKeyGranted, false)) {
+            return;
+        }
+        if (verdict == Base::Verdict::NotRun) {
+            m_claims.finish(exchange.id.value, Claims::RequestNotRun{});
+        } else if (verdict == Base::Verdict::MayHaveRun || !exchange.keptHead) {
+            m_claims.finish(exchange.id.value, Claims::RequestMayHaveRun{});
+        } else {
+            // An answer too large to keep is handed over as such: the record then says that it ran.
+            auto answer = Internal::encodeAnswer(*exchange.keptHead, exchange.keptBody);
+            if (!exchange.isAnswerKept) {
+                answer.resize(m_limits.storedAnswerBytes + 1);
+            }
+            m_claims.finish(
+                exchange.id.value,
+                Claims::RequestCompleted{static_cast<std::uint16_t>(exchange.status), std::move(answer)});
+        }
+    }
+
     void keepPiece(Exchange &exchange, Internal::BodyPiece piece)
     {
         exchange.isBodyWhole = piece.isLast;
@@ -322,6 +459,9 @@
             return;
         }
         exchange->isCallerGone = true;
+        if (exchange->phase == Exchange::Phase::Claiming) {
+            return;
+        }
         const bool isWorthwhile = exchange->connection && !exchange->isIdempotent && exchange->isBodyWhole;
         if (isWorthwhile) {
             for (std::uint32_t n = 0; n < ChunkWindow; ++n) {
@@ -465,8 +605,6 @@
         if (!exchange) {
             return;
         }
-        auto &counter = refuse.verdict == Base::Verdict::NotRun ? m_counters.refused : m_counters.failed;
-        counter.fetch_add(1, std::memory_order_relaxed);
         Failure failure{Internal::statusFor(refuse.reason, refuse.verdict),
                         refuse.verdict,
                         std::string(Scheduling::toString(refuse.reason)),
@@ -474,19 +612,10 @@
         if (refuse.retryAfter > Base::Duration::zero()) {
             failure.retryAfter = refuse.retryAfter;
         }
-        logFailure(*exchange, failure);
-        m_tracer.ended(
-            exchange->trace,
-            {exchange->service.value, failure.status, failure.verdict, now() - exchange->trace.receivedAt},
-            failure.reason,
-            now());
-        if (!exchange->isCallerGone) {
-            fail(exchange->id, std::move(failure));
-        }
         if (exchange->connection) {
             endAttempt(*exchange, Scheduling::AttemptOutcome::BrokenAfterSend);
         }
-        erase(*exchange);
+        end(*exchange, std::move(failure));
     }
 
     void carryOut(const Scheduling::Deliver &deliver)
@@ -495,19 +624,46 @@
         if (!exchange) {
             return;
         }
-        m_counters.answered.fetch_add(1, std::memory_order_relaxed);
-        m_tracer.ended(
-            exchange->trace,
-            {exchange->service.value, exchange->status, std::nullopt, now() - exchange->trace.receivedAt},
-            {},
-            now());
+        if (exchange->heldHead) {
+            keepForRepeats(*exchange, exchange->heldHead.get(), exchange->heldBody);
+        }
+        recordOutcome(*exchange, Base::Verdict::Ran);
         if (exchange->heldHead && !exchange->isCallerGone) {
             send(OpenResponse{
                 exchange->id, std::move(exchange->heldHead), std::move(exchange->heldBody), true});
         }
+        countAnswered(*exchange);
         erase(*exchange);
     }
 
+    void countAnswered(const Exchange &exchange)
+    {
+        m_counters.answered.fetch_add(1, std::memory_order_relaxed);
+        m_tracer.ended(
+            exchange.trace,
+            {exchange.service.value, exchange.status, std::nullopt, now() - exchange.trace.receivedAt},
+            {},
+            now());
+    }
+
+    /// Ends the exchange without a target's answer.
+    void end(Exchange &exchange, Failure failure)
+    {
+        auto &counter = failure.verdict == Base::Verdict::NotRun ? m_counters.refused : m_counters.failed;
+        counter.fetch_add(1, std::memory_order_relaxed);
+        logFailure(exchange, failure);
+        m_tracer.ended(
+            exchange.trace,
+            {exchange.service.value, failure.status, failure.verdict, now() - exchange.trace.receivedAt},
+            failure.reason,
+            now());
+        recordOutcome(exchange, failure.verdict);
+        if (!exchange.isCallerGone) {
+            fail(exchange.id, std::move(failure));
+        }
+        erase(exchange);
+    }
+
     void logFailure(const Exchange &exchange, const Failure &failure)
     {
         Base::LogLine(Base::LogLevel::Info, "request-failed")
@@ -563,6 +719,18 @@
     d->m_tracer.setSink(&sink);
 }
 
+template<SchedulerConcept Scheduler>
+void TargetDuty<Scheduler>::setClaims(ClaimPort port)
+{
+    d->m_claims = std::move(port);
+}
+
+template<SchedulerConcept Scheduler>
+void TargetDuty<Scheduler>::receive(ClaimReply &&reply)
+{
+    d->receive(std::move(reply));
+}
+
 template<SchedulerConcept Scheduler>
 void TargetDuty<Scheduler>::receive(ToTargets &&message)
 {
--- a/src/libs/gateway/targetlimits.h
+++ b/src/libs/gateway/targetlimits.h
@@ -17,6 +17,7 @@
                                                         ///< connection that answered this recently
     std::uint32_t headerBytes = 65536; ///< of a response
     std::size_t resendBytes = 65536; ///< of a request's body kept for another attempt
+    std::size_t storedAnswerBytes = 1024; ///< of an answer kept for repeats of its idempotency key
     std::uint32_t traceSamplePerMille = 0; ///< of the traces that begin here
 };
 
