Publish and promote documents, and ask for their status

Cause: Operators race each other, answers of the log are lost after their effect, and an accepted edit counts only when it is in force. Judging edits in the command itself was ruled out: the daemons' fold judges them, over the record read back.

Change: publish, promote and status over the platform package's client. A publication names its base and a unique record id; an unknown outcome is read back for, and the same record is sent again under the same id.

Before / after: no commands before; build/bin/tst_rhubarbcrank passes (31 tests). With a new record id for each repeat 2 of them fail.

--- a/src/tools/rhubarbcrank/arguments.h
+++ b/src/tools/rhubarbcrank/arguments.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <ini/values.h>
+
 #include <docopt/docopt.h>
 
+#include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -23,6 +27,15 @@
 
     bool isSet(const std::string &name) const;
 
+    /// The value as a whole number; throws docopt::DocoptArgumentError when it is none.
+    std::optional<std::uint64_t> integer(const std::string &name) const;
+
+    /// The value as a time in milliseconds; throws as above.
+    std::chrono::milliseconds milliseconds(const std::string &name) const;
+
+    /// The value as "IP:port"; throws as above.
+    Ini::Endpoint endpoint(const std::string &name) const;
+
 private:
     std::map<std::string, docopt::value> m_values;
 };
--- a/src/tools/rhubarbcrank/commandlist.cpp
+++ b/src/tools/rhubarbcrank/commandlist.cpp
@@ -3,13 +3,17 @@
 #include "checkcommand.h"
 #include "diffcommand.h"
 #include "keyscommand.h"
+#include "promotecommand.h"
+#include "publishcommand.h"
+#include "statuscommand.h"
 
 namespace Commands
 {
 
 std::vector<Command> allCommands()
 {
-    return {checkCommand(), diffCommand(), keysCommand()};
+    return {
+        checkCommand(), diffCommand(), keysCommand(), publishCommand(), promoteCommand(), statusCommand()};
 }
 
 } // namespace Commands
