--- a/src/libs/fleet/fleetstate.h
+++ b/src/libs/fleet/fleetstate.h
@@ -53,11 +53,14 @@
     bool operator==(const Move &) const = default;
 };
 
-/// The planned stop of one instance for a wave. How far it got is the instance's phase.
+enum class MaintenancePhase { Draining, Rebooting };
+
+/// One instance on its way through a maintenance wave; open until MaintenanceEnded.
 struct Maintenance {
     ActionId id;
     ActionId wave;
     Base::InstanceName instance;
+    MaintenancePhase phase = MaintenancePhase::Draining;
     Offset startedAt;
     std::set<Base::MemberName> acknowledgedBy;
 
--- a/src/libs/fleet/zonerules.cpp
+++ b/src/libs/fleet/zonerules.cpp
@@ -194,7 +194,8 @@
     wave->phase = *wavePhase;
     instance->phase = *m_charts.instance.next(instance->phase, InstanceEvent::Drain);
     instance->action = event.id;
-    m_state.maintenances[event.id] = {event.id, event.wave, event.instance, m_offset, {}};
+    m_state.maintenances[event.id] = {
+        event.id, event.wave, event.instance, MaintenancePhase::Draining, m_offset, {}};
     return applied();
 }
 
@@ -213,25 +214,30 @@
         return refused(Refusal::IllegalTransition);
     }
     instance.phase = *phase;
+    it->second.phase = MaintenancePhase::Rebooting;
     return applied();
 }
 
-// Maintenance that ends before the reboot was requested leaves the instance as it was: it goes on serving.
+// Maintenance that ends before the reboot was requested leaves the instance as it was: it goes on serving,
+// and the wave may come back to it.
 Outcome ZoneRules::operator()(const MaintenanceEnded &event)
 {
     const auto it = m_state.maintenances.find(event.id);
     if (it == m_state.maintenances.end()) {
         return refused(Refusal::UnknownAction);
     }
-    const InstancePhase before = m_state.instances.at(it->second.instance).phase;
-    const bool isGivenUp = before == InstancePhase::Draining && !event.isSuccessful;
+    const bool isRebooted = it->second.phase == MaintenancePhase::Rebooting;
     const InstanceEvent rebooted =
         event.isSuccessful ? InstanceEvent::RebootSucceeded : InstanceEvent::RebootFailed;
-    const auto phase = m_charts.instance.next(before, isGivenUp ? InstanceEvent::Release : rebooted);
+    const InstancePhase before = m_state.instances.at(it->second.instance).phase;
+    const auto phase = m_charts.instance.next(before, isRebooted ? rebooted : InstanceEvent::Release);
     if (!phase) {
         return refused(Refusal::IllegalTransition);
     }
-    endMaintenance(event.id, *phase, event.isSuccessful);
+    if (isRebooted) {
+        countReboot(it->second, event.isSuccessful);
+    }
+    endMaintenance(event.id, *phase);
     return applied();
 }
 
@@ -267,7 +273,7 @@
     return applied();
 }
 
-// A failure ends what was planned for the instance: a move is aborted, maintenance counts as failed.
+// A failure ends what was planned for the instance.
 Outcome ZoneRules::operator()(const InstanceFailed &event)
 {
     InstanceState *instance = findInstanceState(event.instance);
@@ -286,7 +292,7 @@
     if (m_state.moves.contains(action)) {
         endMove(action, *phase);
     } else {
-        endMaintenance(action, *phase, false);
+        endMaintenance(action, *phase);
     }
     return applied();
 }
@@ -357,20 +363,23 @@
     m_state.moves.erase(id);
 }
 
-void ZoneRules::endMaintenance(const ActionId &id, InstancePhase phase, bool isSuccessful)
+void ZoneRules::endMaintenance(const ActionId &id, InstancePhase phase)
 {
     const Maintenance maintenance = m_state.maintenances.at(id);
     InstanceState &instance = m_state.instances.at(maintenance.instance);
     instance.phase = phase;
     instance.action.reset();
     m_state.maintenances.erase(id);
+    if (Wave *wave = findWave(maintenance.wave); wave != nullptr) {
+        wave->phase = m_charts.wave.next(wave->phase, WaveEvent::EndMaintenance).value_or(wave->phase);
+    }
+}
 
-    Wave *wave = findWave(maintenance.wave);
-    if (wave == nullptr) {
-        return;
+void ZoneRules::countReboot(const Maintenance &maintenance, bool isSuccessful)
+{
+    if (Wave *wave = findWave(maintenance.wave); wave != nullptr) {
+        (isSuccessful ? wave->done : wave->failed).insert(maintenance.instance);
     }
-    wave->phase = m_charts.wave.next(wave->phase, WaveEvent::EndMaintenance).value_or(wave->phase);
-    (isSuccessful ? wave->done : wave->failed).insert(maintenance.instance);
 }
 
 } // namespace Fleet
--- a/src/libs/record/stateencoder.cpp
+++ b/src/libs/record/stateencoder.cpp
@@ -45,6 +45,7 @@
     message.set_id(maintenance.id.value);
     message.set_wave(maintenance.wave.value);
     message.set_instance(maintenance.instance.value);
+    message.set_phase(static_cast<Wire::MaintenancePhase>(maintenance.phase));
     message.set_started_at(maintenance.startedAt.value);
     writeNames(maintenance.acknowledgedBy, *message.mutable_acknowledged_by());
 }
