Run the claim desk on a thread of its own

Cause: the request plane must not wait for the log, and a ClaimDesk needs its stream followed and its batches appended.

Change: package claimservice. ClaimRunner joins a ClaimDesk to a log and its follower on one thread; ClaimDuty runs it over HTTP on a thread of its own, joined by bounded rings, and ends its claims before it stops. It is not ready before it has folded up to the tail seen at its start.

Conclusion: one of two members is granted a key though answers are lost, late and repeated.

--- /dev/null
+++ b/src/libs/claimservice/claimrunner.h
@@ -0,0 +1,236 @@
+#pragma once
+
+#include <base/logline.h>
+#include <base/timerservice.h>
+#include <claims/claimdesk.h>
+#include <platform/streamfollower.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace ClaimService
+{
+
+struct RunnerSettings {
+    std::string stream = "claims";
+    Base::MemberName member;
+    Claims::DeskSettings desk;
+    Platform::FollowerSettings follower;
+    Base::Duration startRetryDelay = std::chrono::milliseconds(200); ///< while the log can't be reached
+    std::uint64_t seed = 0; ///< of the jitter
+};
+
+/// What becomes of a keyed request: it is to be dispatched, or it has its final answer.
+using ClaimReply = std::variant<Claims::Grant, Claims::ClaimAnswer>;
+
+/// Runs a ClaimDesk over a stream of the log; for one thread. Not ready, and refusing, until it has folded
+/// the records that were there at its start.
+template<Platform::LogService Log>
+class ClaimRunner
+{
+public:
+    struct Events {
+        std::function<void(ClaimReply)> onReply;
+        std::function<void(bool isReady)> onReadiness; ///< when this changes
+    };
+
+    ClaimRunner(Log &log, Base::TimerService &timers, const RunnerSettings &settings, Events events)
+        : m_log(log)
+        , m_timers(timers)
+        , m_settings(settings)
+        , m_events(std::move(events))
+        , m_desk(std::make_unique<Claims::ClaimDesk>(settings.desk, settings.member, Platform::FirstOffset))
+        , m_follower(log, timers, settings.stream, settings.follower, settings.seed)
+        , m_alive(std::make_shared<ClaimRunner *>(this))
+    {
+    }
+    ClaimRunner(const ClaimRunner &) = delete;
+    ClaimRunner &operator=(const ClaimRunner &) = delete;
+    ~ClaimRunner()
+    {
+        m_timers.cancel(m_tickTimer);
+        m_timers.cancel(m_startTimer);
+    }
+
+    void start()
+    {
+        findTail(Platform::FirstOffset);
+    }
+
+    void claim(const Claims::ClaimRequest &request)
+    {
+        m_desk->claim(request, m_timers.now());
+        takeOutputs();
+    }
+
+    void finish(std::uint64_t requestId, const Claims::RequestOutcome &outcome)
+    {
+        m_desk->onOutcome(requestId, outcome, m_timers.now());
+        takeOutputs();
+    }
+
+    bool isReady() const
+    {
+        return m_desk->isReady();
+    }
+
+    /// Claims whose end isn't in the log yet.
+    std::size_t openClaims() const
+    {
+        return m_desk->openClaims();
+    }
+
+private:
+    // The log tells its end with any read; where it starts too late for one, it tells its first offset.
+    void findTail(Platform::Offset from)
+    {
+        m_log.read({m_settings.stream, from, 1, 0},
+                   [alive = std::weak_ptr(m_alive)](const Platform::ReadOutcome &outcome) {
+                       if (const auto self = alive.lock()) {
+                           (*self)->onTailRead(outcome);
+                       }
+                   });
+    }
+
+    void onTailRead(const Platform::ReadOutcome &outcome)
+    {
+        if (const auto *read = std::get_if<Platform::ReadEntries>(&outcome)) {
+            begin(*read);
+        } else if (const auto *trimmed = std::get_if<Platform::TrimmedPast>(&outcome)) {
+            findTail(trimmed->first);
+        } else {
+            m_startTimer = m_timers.subscribeAfter(m_settings.startRetryDelay,
+                                                   [this] { findTail(Platform::FirstOffset); });
+        }
+    }
+
+    // Two windows: keys claimed in the first one may have been held before it, see ClaimTable.
+    void begin(const Platform::ReadEntries &tail)
+    {
+        const Platform::Offset span = 2 * m_settings.desk.table.window;
+        const Platform::Offset wanted = tail.end > span ? tail.end - span : Platform::FirstOffset;
+        const Platform::Offset from = std::max(tail.first, wanted);
+        m_desk = std::make_unique<Claims::ClaimDesk>(m_settings.desk, m_settings.member, from);
+        m_desk->setTail(tail.end);
+        follow(from);
+        takeOutputs();
+        Base::LogLine(Base::LogLevel::Info, "claims-start").with("from", from).with("tail", tail.end);
+    }
+
+    void follow(Platform::Offset from)
+    {
+        Platform::FollowerEvents events;
+        events.onEntries = [this](std::span<const Platform::LogEntry> entries) {
+            fold(entries);
+        };
+        events.onTrimmedPast = [this](Platform::Offset first) {
+            startOver(first);
+        };
+        m_follower.start(from, events);
+    }
+
+    void fold(std::span<const Platform::LogEntry> entries)
+    {
+        for (const Platform::LogEntry &it : entries) {
+            m_desk->fold(it.data, m_timers.now());
+        }
+        takeOutputs();
+    }
+
+    void startOver(Platform::Offset first)
+    {
+        Base::LogLine(Base::LogLevel::Warning, "claims-lost-records")
+            .with("next", m_desk->next())
+            .with("first", first);
+        m_desk->startOver(first, m_timers.now());
+        m_desk->setTail(std::max(first, m_follower.tail()));
+        takeOutputs();
+        follow(first);
+    }
+
+    void takeOutputs()
+    {
+        for (auto &it : m_desk->takeOutputs()) {
+            if (const auto *batch = std::get_if<Claims::AppendBatch>(&it)) {
+                append(*batch);
+            } else if (const auto *grant = std::get_if<Claims::Grant>(&it)) {
+                m_events.onReply(*grant);
+            } else {
+                m_events.onReply(std::get<Claims::ClaimAnswer>(std::move(it)));
+            }
+        }
+        armTick();
+        noteReadiness();
+    }
+
+    void noteReadiness()
+    {
+        if (std::exchange(m_wasReady, isReady()) != isReady()) {
+            m_events.onReadiness(isReady());
+        }
+    }
+
+    void armTick()
+    {
+        m_timers.cancel(m_tickTimer);
+        if (const auto due = m_desk->nextDue()) {
+            m_tickTimer = m_timers.subscribeAt(*due, [this] {
+                m_desk->tick(m_timers.now());
+                takeOutputs();
+            });
+        }
+    }
+
+    void append(const Claims::AppendBatch &batch)
+    {
+        std::vector<Platform::LogRecord> records;
+        records.reserve(batch.records.size());
+        for (const Claims::EncodedRecord &it : batch.records) {
+            records.push_back({it.id, it.data});
+        }
+        m_log.append(m_settings.stream,
+                     records,
+                     [alive = std::weak_ptr(m_alive)](const Platform::AppendOutcome &outcome) {
+                         if (const auto self = alive.lock()) {
+                             (*self)->onAppend(outcome);
+                         }
+                     });
+    }
+
+    void onAppend(const Platform::AppendOutcome &outcome)
+    {
+        if (const auto *rejected = std::get_if<Platform::AppendRejected>(&outcome)) {
+            Base::LogLine(Base::LogLevel::Error, "claims-rejected").with("reason", rejected->reason);
+        }
+        m_desk->onAppend(resultOf(outcome), m_timers.now());
+        takeOutputs();
+    }
+
+    static Claims::AppendResult resultOf(const Platform::AppendOutcome &outcome)
+    {
+        if (std::holds_alternative<Platform::Appended>(outcome)) {
+            return Claims::AppendResult::Appended;
+        }
+        const bool isUnknown = std::holds_alternative<Platform::AppendUnknown>(outcome);
+        return isUnknown ? Claims::AppendResult::Unknown : Claims::AppendResult::Unavailable;
+    }
+
+    Log &m_log;
+    Base::TimerService &m_timers;
+    RunnerSettings m_settings;
+    Events m_events;
+    std::unique_ptr<Claims::ClaimDesk> m_desk;
+    Platform::StreamFollower<Log> m_follower;
+    bool m_wasReady = false;
+    Base::TimerId m_tickTimer;
+    Base::TimerId m_startTimer;
+    std::shared_ptr<ClaimRunner *> m_alive; ///< for callbacks of the log
+};
+
+} // namespace ClaimService
--- /dev/null
+++ b/tests/auto/claimservice/tst_claimduty.cpp
@@ -0,0 +1,235 @@
+#include <claimservice/claimduty.h>
+#include <platform/standinthread.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+
+#include <fmt/format.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using Claims::AnswerKind;
+using Claims::ClaimAnswer;
+using ClaimService::ClaimReply;
+
+namespace
+{
+
+constexpr auto LongestWait = 20s;
+
+Base::Instant steadyNow()
+{
+    return std::chrono::time_point_cast<Base::Duration>(std::chrono::steady_clock::now());
+}
+
+/// Plays the thread that a ClaimDuty is joined to.
+class Requests
+{
+public:
+    Requests(std::uint16_t port, const std::string &member)
+        : m_duty(settings(port, member), [this] {
+            const std::lock_guard lock(m_mutex);
+            m_isWoken = true;
+            m_wake.notify_one();
+        })
+    {
+    }
+
+    ClaimService::ClaimDuty &duty()
+    {
+        return m_duty;
+    }
+
+    bool waitUntilReady()
+    {
+        return waitUntil([this] { return m_duty.isReady(); });
+    }
+
+    std::uint64_t claim(const std::string &key, Base::Duration patience = 10s)
+    {
+        const std::uint64_t requestId = ++m_lastId;
+        CHECK(m_duty.claim({requestId, Claims::digestOf("proofs", key), 1, steadyNow() + patience}));
+        return requestId;
+    }
+
+    ClaimReply reply(std::uint64_t requestId)
+    {
+        CHECK(waitUntil([&] { return m_replies.contains(requestId); }));
+        return m_replies.at(requestId);
+    }
+
+    bool isGranted(std::uint64_t requestId)
+    {
+        return std::holds_alternative<Claims::Grant>(reply(requestId));
+    }
+
+    ClaimAnswer answer(std::uint64_t requestId)
+    {
+        return std::get<ClaimAnswer>(reply(requestId));
+    }
+
+    /// Repeats the request until it is told something else than that it is in progress.
+    ClaimAnswer finalAnswer(const std::string &key)
+    {
+        ClaimAnswer last = answer(claim(key));
+        for (int n = 0; n < 1000 && last.kind == AnswerKind::InProgressElsewhere; ++n) {
+            waitUntil([] { return false; }, 5ms);
+            last = answer(claim(key));
+        }
+        return last;
+    }
+
+    template<typename Condition>
+    bool waitUntil(Condition condition, std::chrono::milliseconds bound = LongestWait)
+    {
+        const auto end = std::chrono::steady_clock::now() + bound;
+        while (std::chrono::steady_clock::now() < end) {
+            m_duty.drainReplies([this](ClaimReply reply) { note(std::move(reply)); });
+            if (condition()) {
+                return true;
+            }
+            std::unique_lock lock(m_mutex);
+            m_wake.wait_for(lock, 5ms, [this] { return m_isWoken; });
+            m_isWoken = false;
+        }
+        return false;
+    }
+
+private:
+    static ClaimService::DutySettings settings(std::uint16_t port, const std::string &member)
+    {
+        ClaimService::DutySettings settings;
+        settings.platform.port = port;
+        settings.platform.requestTimeout = 200ms;
+        settings.runner.member = Base::MemberName{member};
+        settings.runner.desk.outbox = {5ms, 50ms, 1000};
+        settings.runner.startRetryDelay = 10ms;
+        settings.runner.follower.firstRetryDelay = 5ms;
+        settings.runner.follower.longestRetryDelay = 50ms;
+        return settings;
+    }
+
+    void note(ClaimReply reply)
+    {
+        const auto *grant = std::get_if<Claims::Grant>(&reply);
+        const std::uint64_t id = grant ? grant->requestId : std::get<ClaimAnswer>(reply).requestId;
+        CHECK(m_replies.emplace(id, std::move(reply)).second);
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_isWoken = false;
+    std::uint64_t m_lastId = 0;
+    std::map<std::uint64_t, ClaimReply> m_replies;
+    ClaimService::ClaimDuty m_duty;
+};
+
+} // namespace
+
+TEST_GROUP(ClaimDuty)
+{
+    PlatformStandin::StandinThread standin;
+
+    /// 1 for a grant. Otherwise the request lost to the other member, or its own lost the log for a while.
+    int checkReply(Requests & requests, std::uint64_t requestId)
+    {
+        if (requests.isGranted(requestId)) {
+            CHECK(requests.duty().finish(requestId, Claims::RequestMayHaveRun{}));
+            return 1;
+        }
+        const AnswerKind kind = requests.answer(requestId).kind;
+        CHECK(kind == AnswerKind::InProgressElsewhere || kind == AnswerKind::OutcomeUnknown
+              || kind == AnswerKind::RefusedNotRun);
+        return 0;
+    }
+};
+
+TEST(ClaimDuty, AnotherMemberGivesTheStoredAnswer)
+{
+    Requests a(standin.port(), "a");
+    Requests b(standin.port(), "b");
+    CHECK(a.waitUntilReady() && b.waitUntilReady());
+    const auto request = a.claim("k");
+    CHECK(a.isGranted(request));
+    CHECK(a.duty().finish(request, Claims::RequestCompleted{201, "proof 7"}));
+    CHECK(a.duty().stop(5s));
+    const auto answer = b.finalAnswer("k");
+    CHECK(answer.kind == AnswerKind::StoredAnswer);
+    CHECK_EQUAL(201, answer.status);
+    STRCMP_EQUAL("proof 7", answer.storedAnswer.c_str());
+}
+
+TEST(ClaimDuty, OneOfTwoMembersIsGrantedEachKeyThoughAnswersAreLostLateAndRepeated)
+{
+    Requests a(standin.port(), "a");
+    Requests b(standin.port(), "b");
+    CHECK(a.waitUntilReady() && b.waitUntilReady());
+    PlatformStandin::Faults faults;
+    faults.loseEvery = 3;
+    faults.lateMs = 30;
+    faults.duplicatesAppends = true;
+    standin.setFaults(faults);
+    int grantCount = 0;
+    for (int n = 0; n < 60; ++n) {
+        const std::string key = fmt::format("k{}", n);
+        const auto requestA = a.claim(key);
+        const auto requestB = b.claim(key);
+        const int grants = checkReply(a, requestA) + checkReply(b, requestB);
+        CHECK(grants <= 1);
+        grantCount += grants;
+    }
+    CHECK(grantCount > 0);
+    CHECK(standin.counters().lost > 0);
+}
+
+TEST(ClaimDuty, RefusesUntilItHasFoldedTheLogAndIsReadyWhenTheLogIsBack)
+{
+    PlatformStandin::Faults faults;
+    faults.isOut = true;
+    standin.setFaults(faults);
+    Requests a(standin.port(), "a");
+    const auto answer = a.answer(a.claim("k"));
+    CHECK(answer.kind == AnswerKind::RefusedNotRun);
+    CHECK(answer.retryAfter > 0ms);
+    CHECK(!a.duty().isReady());
+    standin.setFaults({});
+    CHECK(a.waitUntilReady());
+    CHECK(a.isGranted(a.claim("k")));
+}
+
+TEST(ClaimDuty, InAnOutageEveryClaimIsRefusedAndNoKeyStaysHeld)
+{
+    Requests a(standin.port(), "a");
+    CHECK(a.waitUntilReady());
+    PlatformStandin::Faults faults;
+    faults.isOut = true;
+    standin.setFaults(faults);
+    const auto first = a.claim("k", 300ms);
+    CHECK(a.answer(first).kind == AnswerKind::RefusedNotRun);
+    standin.setFaults({});
+    CHECK(a.waitUntil([&] { return a.isGranted(a.claim("k")); }));
+}
+
+TEST(ClaimDuty, AMemberThatStartsLaterKnowsTheKeysOfThoseBeforeIt)
+{
+    {
+        Requests a(standin.port(), "a");
+        CHECK(a.waitUntilReady());
+        for (int n = 0; n < 20; ++n) {
+            const auto request = a.claim(fmt::format("k{}", n));
+            CHECK(a.isGranted(request));
+            a.duty().finish(request, Claims::RequestCompleted{200, fmt::format("answer {}", n)});
+        }
+        CHECK(a.duty().stop(5s));
+    }
+    Requests b(standin.port(), "b");
+    CHECK(b.waitUntilReady());
+    for (int n = 0; n < 20; ++n) {
+        const auto answer = b.answer(b.claim(fmt::format("k{}", n)));
+        CHECK(answer.kind == AnswerKind::StoredAnswer);
+        CHECK(answer.storedAnswer == fmt::format("answer {}", n));
+    }
+}
