--- a/src/libs/settings/declarations.h
+++ b/src/libs/settings/declarations.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "constraint.h"
 #include "description.h"
 #include "valueformat.h"
 
--- a/src/tools/rhubarbcrank/publishing.cpp
+++ b/src/tools/rhubarbcrank/publishing.cpp
@@ -155,11 +155,11 @@
     report.details["entry_instances"] = toJson(rollOut, offset);
     if (isDone) {
         report.text +=
-            fmt::format("in force on {} entry instances after {:.2f} s\n", rollOut.entries.size(), seconds);
+            fmt::format("in force on {} entry instances after {:.3f} s\n", rollOut.entries.size(), seconds);
         return;
     }
     report.status = ExitStatus::Refused;
-    report.text += fmt::format("not in force everywhere after {:.2f} s:\n", seconds);
+    report.text += fmt::format("not in force everywhere after {:.3f} s:\n", seconds);
     report.text += textOfBehind(rollOut, offset);
 }
 
--- a/tests/auto/rhubarbcrank/tst_rollout.cpp
+++ b/tests/auto/rhubarbcrank/tst_rollout.cpp
@@ -45,7 +45,7 @@
     };
     const Commands::Report report = publishAndWait();
     CHECK(report.status == ExitStatus::Done);
-    STRCMP_CONTAINS("in force on 2 entry instances after 0.60 s\n", report.text.c_str());
+    STRCMP_CONTAINS("in force on 2 entry instances after 0.600 s\n", report.text.c_str());
 }
 
 TEST(RollOut, NamesThoseBehindAndWhy)
@@ -57,7 +57,7 @@
     fixture.session.pages.erase("e3:1");
     const Commands::Report report = publishAndWait();
     CHECK(report.status == ExitStatus::Refused);
-    STRCMP_CONTAINS("not in force everywhere after 5.00 s:\n"
+    STRCMP_CONTAINS("not in force everywhere after 5.000 s:\n"
                     "  e2 in zone-b: has offset 0 in force, cut off from the platform's log\n"
                     "  e3 in zone-c: does not answer\n",
                     report.text.c_str());
