--- a/src/app/rhubarbcrankd/daemon.cpp
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -3,6 +3,7 @@
 #include "statuspage.h"
 
 #include <base/logline.h>
+#include <claimservice/claimduty.h>
 #include <control/controlduty.h>
 #include <gateway/requestplane.h>
 #include <runtime/duty.h>
@@ -26,6 +27,7 @@
 
 using Settings::DaemonSettings;
 constexpr std::size_t EventCapacity = 8192;
+constexpr Base::Duration ClaimPatience = std::chrono::seconds{2};
 
 using Plane = Gateway::RequestPlane<Scheduling::RequestScheduler>;
 
@@ -82,6 +84,20 @@
     return control;
 }
 
+ClaimService::DutySettings claimSettings(const DaemonSettings &settings, const Base::MemberName &member)
+{
+    ClaimService::DutySettings claims;
+    claims.runner.stream = settings.instance.environment + ".claims";
+    claims.runner.member = member;
+    claims.runner.desk.outbox.minAppendInterval = settings.platform.claimBatch;
+    claims.runner.desk.maxOpenClaims = settings.requests.inFlightLimit;
+    claims.runner.seed = std::random_device{}();
+    claims.platform.host = settings.platform.address.ip;
+    claims.platform.port = settings.platform.address.port;
+    claims.platform.requestTimeout = settings.platform.requestTimeout;
+    return claims;
+}
+
 Telemetry::TelemetryLimits telemetryLimits(const DaemonSettings &settings)
 {
     Telemetry::TelemetryLimits limits;
@@ -108,11 +124,16 @@
                   std::random_device{}())
         , m_controlThread("control")
         , m_control(m_controlThread, controlSettings(settings, shareFolder), requestPlanePort())
+        , m_claims(claimSettings(settings, m_control.status()->member), [this] { onClaimReplies(); })
         , m_telemetryThread("telemetry")
         , m_telemetry(m_telemetryThread, telemetryLimits(settings))
         , m_signals(m_context, SIGTERM, SIGINT)
         , m_shutdownTimer(m_context)
     {
+        m_plane.setClaims({[this](const Claims::ClaimRequest &request) { return m_claims.claim(request); },
+                           [this](std::uint64_t id, Claims::RequestOutcome outcome) {
+                               m_claims.finish(id, std::move(outcome));
+                           }});
         m_plane.setTelemetry(m_events);
         m_telemetry.addSink(m_events);
         addPages();
@@ -131,6 +152,9 @@
         m_signals.async_wait([this](const boost::system::error_code &, int signal) { onSignal(signal); });
         m_context.run();
         m_plane.stop();
+        if (!m_claims.stop(ClaimPatience)) {
+            Base::LogLine(Base::LogLevel::Warning, "claims-left-open");
+        }
         m_controlThread.stop();
         m_telemetryThread.stop();
         Base::LogLine(Base::LogLevel::Info, "stopped").with("exit_status", m_exitStatus);
@@ -160,6 +184,14 @@
             });
     }
 
+    void onClaimReplies()
+    {
+        m_plane.withTargets([this](auto &targets) {
+            m_claims.drainReplies(
+                [&targets](Gateway::ClaimReply reply) { targets.receive(std::move(reply)); });
+        });
+    }
+
     bool isReady() const
     {
         return m_control.status()->isReady && !m_isShuttingDown.load();
@@ -216,6 +248,7 @@
     Plane m_plane;
     Runtime::Duty m_controlThread;
     Control::ControlDuty m_control;
+    ClaimService::ClaimDuty m_claims;
     Runtime::Duty m_telemetryThread;
     Telemetry::TelemetryDuty m_telemetry;
     boost::asio::signal_set m_signals;
--- a/tests/standins/target/main.cpp
+++ b/tests/standins/target/main.cpp
@@ -14,15 +14,14 @@
 constexpr const char *Usage = R"(A target that counts what it executes and misbehaves on request.
 
 Usage:
-  targetstandin [--address=IP] [--delay=MS] [--size=BYTES] PORT...
+  targetstandin [--delay=MS] [--size=BYTES] LISTEN...
   targetstandin --help
 
-Each PORT (0: any free one) is a target of its own; the ports are printed, one a line, once all listen.
+Each LISTEN, IP:PORT (port 0: any free one), is a target of its own; the ports are printed, one a line.
 A request's query may hold fault, delay, size and chunked; GET /control/set?... makes them the default,
 GET /control/counters says what was executed.
 
 Options:
-  --address=IP   IP number to listen on [default: 127.0.0.1]
   --delay=MS     milliseconds that each request takes [default: 0]
   --size=BYTES   bytes of each answer's body [default: 64]
 )";
@@ -35,9 +34,10 @@
         auto arguments = docopt::docopt(Usage, {argv + 1, argv + argc});
         boost::asio::io_context context(1);
         std::vector<std::unique_ptr<TargetStandin::TargetServer>> servers;
-        for (const auto &it : arguments["PORT"].asStringList()) {
+        for (const auto &it : arguments["LISTEN"].asStringList()) {
+            const auto colon = it.rfind(':');
             servers.push_back(std::make_unique<TargetStandin::TargetServer>(
-                context, arguments["--address"].asString(), static_cast<std::uint16_t>(std::stoul(it))));
+                context, it.substr(0, colon), static_cast<std::uint16_t>(std::stoul(it.substr(colon + 1)))));
             servers.back()->defaults().delay = static_cast<std::uint32_t>(arguments["--delay"].asLong());
             servers.back()->defaults().size = static_cast<std::uint32_t>(arguments["--size"].asLong());
             servers.back()->start();
