--- a/src/libs/policy/budget.cpp
+++ b/src/libs/policy/budget.cpp
@@ -41,12 +41,30 @@
     return most;
 }
 
+std::set<Base::AvailabilityZoneName> zonesIn(const Fleet::FleetState &state)
+{
+    std::set<Base::AvailabilityZoneName> zones;
+    for (const auto &[name, instance] : state.instances) {
+        zones.insert(instance.declared.zone);
+    }
+    return zones;
+}
+
 } // namespace
 
-/// What the document declares for one pool, split as the shares need it.
+/// What the document declares for one pool, by zone.
+struct Budget::DeclaredZone {
+    Slots slots = 0;
+    std::map<Base::RackName, Slots> racks;
+
+    Slots largestRack() const
+    {
+        return largest(racks, Base::RackName{}, 0);
+    }
+};
+
 struct Budget::Declared {
-    std::map<Base::AvailabilityZoneName, Slots> zones;
-    std::map<std::pair<Base::AvailabilityZoneName, Base::RackName>, Slots> racks;
+    std::map<Base::AvailabilityZoneName, DeclaredZone> zones;
     Slots smallestInstance = std::numeric_limits<Slots>::max();
 };
 
@@ -61,7 +79,7 @@
     : m_zone(std::move(zone))
 {
     addServices(state.document);
-    addDeclared(state.document);
+    addDeclared(state);
     addAvailable(state, reports);
 }
 
@@ -81,22 +99,31 @@
     }
 }
 
-void Budget::addDeclared(const Document::Document &document)
+void Budget::addDeclared(const Fleet::FleetState &state)
 {
     std::map<Base::PoolName, Declared> pools;
-    for (const Document::Instance &it : document.instances) {
+    for (const Document::Instance &it : state.document.instances) {
         Declared &declared = pools[it.pool];
+        DeclaredZone &zone = declared.zones[it.zone];
         const Slots slots = it.slots;
-        declared.zones[it.zone] += slots;
-        declared.racks[{it.zone, it.rack}] += slots;
+        zone.slots += slots;
+        zone.racks[it.rack] += slots;
         declared.smallestInstance = std::min(declared.smallestInstance, slots);
     }
+    const std::set<Base::AvailabilityZoneName> visible = zonesIn(state);
     for (const auto &[name, declared] : pools) {
         PoolEntry &entry = m_pools[name];
-        for (const auto &[zone, slots] : declared.zones) {
-            entry.declared += slots;
+        for (const auto &[zone, it] : declared.zones) {
+            entry.declared += it.slots;
+            // What other zones do isn't visible where the state has this zone only. They keep within their
+            // own shares, so that their instances count as declared.
+            if (zone != m_zone && !visible.contains(zone)) {
+                entry.zones[zone] = it.slots;
+                entry.largestRackElsewhere = std::max(entry.largestRackElsewhere, it.largestRack());
+            }
         }
-        entry.declaredInZone = valueOr0(declared.zones, m_zone);
+        const auto own = declared.zones.find(m_zone);
+        entry.declaredInZone = own == declared.zones.end() ? 0 : own->second.slots;
         entry.mostMissingInZone = shareOf(entry, declared);
     }
 }
@@ -105,37 +132,37 @@
 {
     const Requirement &requirement = entry.requirement;
     Slots reserve = 0;
-    if (requirement.survivesZoneLoss) {
-        reserve = largest(declared.zones, Base::AvailabilityZoneName{}, 0);
-    } else {
-        for (const auto &[rack, slots] : declared.racks) {
-            reserve = std::max(reserve, slots);
-        }
+    for (const auto &[zone, it] : declared.zones) {
+        reserve = std::max(reserve, requirement.survivesZoneLoss ? it.slots : it.largestRack());
     }
     const Slots floor = floorOf(entry.declared, requirement.availability);
 
     // A zone that keeps its own rule has at least its floor and one more instance. When that already adds up
     // to the floor over all zones, the zones need no shares.
     Slots keptByZones = 0;
-    for (const auto &[zone, slots] : declared.zones) {
-        const Slots kept = floorOf(slots, requirement.zoneAvailability) + declared.smallestInstance;
-        keptByZones += std::min(slots, kept);
+    for (const auto &[zone, it] : declared.zones) {
+        const Slots kept = floorOf(it.slots, requirement.zoneAvailability) + declared.smallestInstance;
+        keptByZones += std::min(it.slots, kept);
     }
     if (keptByZones - reserve >= floor) {
         return entry.declaredInZone;
     }
+    return dealtShare(declared, entry.declared - floor - reserve);
+}
 
-    // Whole instances are dealt out to the zones in turn: a share below one instance would be of no use to
-    // anyone. Every zone deals the same way from the same document, so that no share is spent twice.
+// Whole instances are dealt out to the zones in turn: a share below one instance would be of no use to
+// anyone. Every zone deals the same way from the same document, so that no share is spent twice.
+Slots Budget::dealtShare(const Declared &declared, Slots spendable) const
+{
     std::map<Base::AvailabilityZoneName, Slots> shares;
-    Slots left = entry.declared - floor - reserve;
     const Slots unit = declared.smallestInstance;
     for (bool hasDealt = true; hasDealt;) {
         hasDealt = false;
-        for (const auto &[zone, slots] : declared.zones) {
-            if (left >= unit && shares[zone] + unit <= slots) {
-                shares[zone] += unit;
-                left -= unit;
+        for (const auto &[zone, it] : declared.zones) {
+            Slots &share = shares[zone];
+            if (unit > 0 && spendable >= unit && share + unit <= it.slots) {
+                share += unit;
+                spendable -= unit;
                 hasDealt = true;
             }
         }
@@ -147,35 +174,21 @@
 {
     std::map<RackKey, Slots> elsewhere;
     for (const auto &[name, instance] : state.instances) {
+        const Document::Instance &declared = instance.declared;
         const Slots slots = availableSlots(instance, findReport(reports, name));
-        addInstance(instance.declared, instance.pool, slots, elsewhere);
-    }
-    // What other zones do isn't visible where the state has this zone only. They keep within their own
-    // shares, so that their instances count as declared.
-    for (const Document::Instance &it : state.document.instances) {
-        if (it.zone != m_zone && !state.instances.contains(it.name)) {
-            addInstance(it, it.pool, it.slots, elsewhere);
+        PoolEntry &entry = m_pools[instance.pool];
+        entry.zones[declared.zone] += slots;
+        if (declared.zone == m_zone) {
+            entry.racks[declared.rack] += slots;
+            m_instances.emplace(name, InstanceEntry{instance.pool, declared.rack, slots});
+            continue;
         }
+        Slots &rack = elsewhere[{instance.pool, declared.zone, declared.rack}];
+        rack += slots;
+        entry.largestRackElsewhere = std::max(entry.largestRackElsewhere, rack);
     }
 }
 
-void Budget::addInstance(const Document::Instance &declared,
-                         const Base::PoolName &pool,
-                         Slots slots,
-                         std::map<RackKey, Slots> &elsewhere)
-{
-    PoolEntry &entry = m_pools[pool];
-    entry.zones[declared.zone] += slots;
-    if (declared.zone == m_zone) {
-        entry.racks[declared.rack] += slots;
-        m_instances.emplace(declared.name, InstanceEntry{pool, declared.rack, slots});
-        return;
-    }
-    Slots &rack = elsewhere[{pool, declared.zone, declared.rack}];
-    rack += slots;
-    entry.largestRackElsewhere = std::max(entry.largestRackElsewhere, rack);
-}
-
 BudgetAnswer Budget::mayStop(const Base::InstanceName &instance) const
 {
     const auto it = m_instances.find(instance);
--- a/src/libs/policy/budget.h
+++ b/src/libs/policy/budget.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -84,16 +85,14 @@
         auto operator<=>(const RackKey &) const = default;
     };
 
+    struct DeclaredZone;
     struct Declared;
 
     void addServices(const Document::Document &document);
-    void addDeclared(const Document::Document &document);
+    void addDeclared(const Fleet::FleetState &state);
     void addAvailable(const Fleet::FleetState &state, std::span<const Fleet::InstanceReport> reports);
-    void addInstance(const Document::Instance &declared,
-                     const Base::PoolName &pool,
-                     Slots slots,
-                     std::map<RackKey, Slots> &elsewhere);
     Slots shareOf(const PoolEntry &entry, const Declared &declared) const;
+    Slots dealtShare(const Declared &declared, Slots spendable) const;
     BudgetAnswer check(const PoolEntry &entry, const Base::RackName &rack, Slots stopped) const;
     BudgetAnswer checkZone(const PoolEntry &entry, const Base::RackName &rack, Slots stopped) const;
     BudgetAnswer checkShare(const PoolEntry &entry, Slots stopped) const;
--- a/src/libs/policy/demandestimate.h
+++ b/src/libs/policy/demandestimate.h
@@ -12,11 +12,12 @@
 {
 
 /// The demand of one pool in slots, interactive and urgent, learned on two time scales: `fast` follows surges
-/// of seconds, `slow` what lasts.
+/// of seconds, `slow` what lasts. The third, of `peak`, forgets how far surges lift `slow`.
 struct DemandEstimate {
     Base::PoolName pool;
     double fast = 0;
     double slow = 0;
+    double peak = 0; ///< the highest that `slow` was of late
     Base::Duration seenFor{}; ///< how long the pool has been observed
     double shortage = 0; ///< instance-seconds missing since the pool last had enough
     double excess = 0; ///< instance-seconds held beyond need since the pool last needed them
@@ -32,11 +33,15 @@
 };
 
 inline constexpr Base::Duration FastTimeScale = std::chrono::seconds(5);
-inline constexpr Base::Duration SlowTimeScale = std::chrono::seconds(120);
+inline constexpr Base::Duration SlowTimeScale = std::chrono::seconds(240);
+inline constexpr Base::Duration PeakTimeScale = std::chrono::seconds(1800);
 
 /// Slots that the requests there are would occupy at once.
 double slotsWanted(const Fleet::PoolDemand &demand);
 
+/// Slots that the arriving requests occupy: those busy, and a bounded part for the queue.
+double slotsOffered(const Fleet::PoolDemand &demand);
+
 /// Takes in one observation; `demands` are sorted by pool. A pool that isn't observed stays as it was.
 void updateDemand(DemandMemory &memory, std::span<const Fleet::PoolDemand> demands, Base::Instant now);
 
--- a/src/libs/policy/healthplanner.cpp
+++ b/src/libs/policy/healthplanner.cpp
@@ -32,7 +32,7 @@
 
 void fail(PassContext &context, const InstanceView &instance, const std::string &reason)
 {
-    context.budget.stop(instance.name());
+    context.take(instance.name());
     if (instance.state->action) {
         context.markDecided(*instance.state->action);
     }
@@ -88,7 +88,7 @@
             continue; // down on purpose
         } else if (it.platform == Fleet::PlatformState::Gone) {
             fail(context, it, "the platform lists it as gone");
-        } else if (it.isEjected && !it.state->action) {
+        } else if (it.isEjected && !context.isTaken(it)) {
             planEjected(context, it);
         }
     }
--- a/src/libs/policy/moveplanner.cpp
+++ b/src/libs/policy/moveplanner.cpp
@@ -19,8 +19,11 @@
 constexpr double HighUtilization = 0.75;
 /// and is sized so that it takes this much.
 constexpr double TargetUtilization = 0.6;
+/// A pool keeps so many slots that the peaks of its lasting demand take at most this much, below
+/// HighUtilization: what it gives away it doesn't miss at the next peak.
+constexpr double PeakUtilization = 0.7;
 /// Instance-seconds of shortage that cost as much as one move, at equal weights.
-constexpr double ShortageBreakEven = 30;
+constexpr double ShortageBreakEven = 120;
 /// Instance-seconds of unneeded buffer that cost as much as one move, at equal weights.
 constexpr double ExcessBreakEven = 900;
 
@@ -69,17 +72,18 @@
     return std::ceil(missing / slotsPerInstance(context, capacity));
 }
 
-/// Whole instances that the pool holds beyond what `wanted` slots take.
-double unneededInstances(const PassContext &context, double wanted, const PoolCapacity &capacity)
+/// Whole instances that the pool holds beyond its lasting demand and the peaks of it.
+double
+unneededInstances(const PassContext &context, const DemandEstimate &demand, const PoolCapacity &capacity)
 {
-    const double spare = capacity.slots - wanted / TargetUtilization;
-    return std::max(0.0, std::floor(spare / slotsPerInstance(context, capacity)));
+    const double needed = std::max(demand.slow / TargetUtilization, demand.peak / PeakUtilization);
+    return std::max(0.0, std::floor((capacity.slots - needed) / slotsPerInstance(context, capacity)));
 }
 
-/// A pool in a surge gives nothing, however low its lasting demand.
-double wantedToKeep(const DemandEstimate &demand)
+/// A pool that uses what it has gives nothing, however low its lasting demand.
+bool isSurging(const DemandEstimate &demand, const PoolCapacity &capacity)
 {
-    return std::max(demand.slow, demand.fast);
+    return demand.fast > capacity.slots * HighUtilization;
 }
 
 bool isSpare(const PassContext &context, const Base::PoolName &pool)
@@ -130,7 +134,7 @@
 {
     const InstanceView *best = nullptr;
     for (const InstanceView *it : context.view.instancesOf(pool)) {
-        if (!it->isAvailable() || it->state->action || !context.budget.mayStop(it->name()).isAllowed) {
+        if (!it->isAvailable() || context.isTaken(*it) || !context.budget.mayStop(it->name()).isAllowed) {
             continue;
         }
         const auto rank = [&](const InstanceView &view) {
@@ -155,21 +159,21 @@
     std::vector<Donor> donors;
     for (const DemandEstimate &it : context.memory.demand.pools) {
         const PoolCapacity capacity = capacityOf(context, it.pool);
-        const double unneeded = unneededInstances(context, wantedToKeep(it), capacity);
-        if (unneeded > 0) {
+        const double unneeded = unneededInstances(context, it, capacity);
+        if (unneeded > 0 && !isSurging(it, capacity)) {
             donors.push_back({it.pool, unneeded, isSpare(context, it.pool)});
         }
     }
     return donors;
 }
 
-/// The spare pool gives first; then the pool that holds most beyond its need.
+/// The pool that holds most beyond its need gives first: what the spare pool holds can be lent to any.
 Donor *bestDonor(std::vector<Donor> &donors, const Base::PoolName &to)
 {
     Donor *best = nullptr;
     for (Donor &it : donors) {
         const bool isBetter =
-            best && (it.isSpare != best->isSpare ? it.isSpare : it.unneeded > best->unneeded);
+            best && (it.isSpare != best->isSpare ? best->isSpare : it.unneeded > best->unneeded);
         if (it.pool != to && it.unneeded >= 1 && (!best || isBetter)) {
             best = &it;
         }
@@ -184,7 +188,7 @@
 {
     const BudgetAnswer budget = context.budget.mayStop(instance.name());
     const std::string reason = fmt::format("{}; {}", cause, budget.reason);
-    context.budget.stop(instance.name());
+    context.take(instance.name());
     context.decide(
         Fleet::MoveStarted{context.nextActionId(), instance.name(), instance.state->pool, to, reason},
         reason);
@@ -306,7 +310,7 @@
         const PoolCapacity capacity = capacityOf(context, it.pool);
         const double missing = missingInstances(context, it, capacity);
         it.shortage = missing > 0 ? it.shortage + missing * elapsed : 0;
-        const double unneeded = unneededInstances(context, it.slow, capacity);
+        const double unneeded = unneededInstances(context, it, capacity);
         it.excess = unneeded > 0 ? it.excess + unneeded * elapsed : 0;
     }
 }
--- a/src/libs/policy/passcontext.cpp
+++ b/src/libs/policy/passcontext.cpp
@@ -49,6 +49,17 @@
     m_decided.insert(id);
 }
 
+bool PassContext::isTaken(const InstanceView &instance) const
+{
+    return instance.state->action.has_value() || m_taken.contains(instance.name());
+}
+
+void PassContext::take(const Base::InstanceName &instance)
+{
+    budget.stop(instance);
+    m_taken.insert(instance);
+}
+
 Document::Milliseconds longestDeadline(const Document::Document &document)
 {
     Document::Milliseconds longest{};
--- a/src/libs/policy/passcontext.h
+++ b/src/libs/policy/passcontext.h
@@ -6,6 +6,7 @@
 
 #include <fleet/record.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,10 +70,14 @@
     /// An open action of this zone that was decided on in this pass already.
     bool hasDecidedOn(const Fleet::ActionId &id) const;
     void markDecided(const Fleet::ActionId &id);
+    /// In an open action, or decided on in this pass.
+    bool isTaken(const InstanceView &instance) const;
+    void take(const Base::InstanceName &instance);
 
 private:
     std::uint64_t m_actions = 0;
     std::set<Fleet::ActionId> m_decided;
+    std::set<Base::InstanceName> m_taken;
 };
 
 /// The document's longest deadline over all services: no request in flight is older.
--- a/src/libs/policy/waveplanner.cpp
+++ b/src/libs/policy/waveplanner.cpp
@@ -270,7 +270,7 @@
                                            instance.name().value,
                                            wave.done.size(),
                                            budget.reason);
-    context.budget.stop(instance.name());
+    context.take(instance.name());
     context.decide(Fleet::MaintenanceStarted{context.nextActionId(), wave.id, instance.name(), reason},
                    reason);
 }
@@ -287,7 +287,7 @@
                 "wave {}: {} rebooted, {} failed", wave.number, wave.done.size(), wave.failed.size()));
         return;
     }
-    std::erase_if(next, [](const InstanceView *it) { return it->state->action.has_value(); });
+    std::erase_if(next, [&context](const InstanceView *it) { return context.isTaken(*it); });
     while (open < most && !next.empty()) {
         sortByRack(context, next);
         const InstanceView &first = *next.front();
--- a/tests/auto/policy/fleetmodel.cpp
+++ b/tests/auto/policy/fleetmodel.cpp
@@ -44,13 +44,13 @@
     }
     for (std::size_t zone = 0; zone < shape.zones; ++zone) {
         document.zones.push_back(zoneName(zone));
-        for (std::size_t n = 0; n < shape.pools * shape.instancesPerPool; ++n) {
+        for (std::size_t n = 0; n < shape.pools * shape.instancesPerPool + shape.spareExtra; ++n) {
             Document::Instance it;
             it.name = {fmt::format("{}-i{:05}", zoneName(zone).value, n)};
             it.zone = zoneName(zone);
             it.rack = {fmt::format("r{:03}", n % shape.racks)};
             it.slots = shape.slots;
-            it.pool = poolName(n / shape.instancesPerPool);
+            it.pool = poolName(std::min(n / shape.instancesPerPool, shape.pools - 1));
             document.instances.push_back(it);
         }
     }
--- a/tests/auto/policy/fleetmodel.h
+++ b/tests/auto/policy/fleetmodel.h
@@ -18,6 +18,7 @@
     Document::PerMille availability = 0;
     Document::PerMille zoneAvailability = 500;
     bool hasSpare = false; ///< the last pool is the spare one
+    std::size_t spareExtra = 0; ///< instances that the last pool has more than the others, in each zone
 };
 
 Document::Document makeDocument(const FleetShape &shape);
--- /dev/null
+++ b/tests/auto/policy/tst_moveplanner.cpp
@@ -0,0 +1,212 @@
+#include "demandhistory.h"
+#include "wavehistory.h"
+
+#include <policy/demandestimate.h>
+#include <policy/lending.h>
+
+#include <fmt/format.h>
+
+#include <CppUTest/TestHarness.h>
+
+namespace
+{
+
+constexpr std::uint64_t Seeds = 6;
+
+FleetShape withSpare()
+{
+    FleetShape shape;
+    shape.pools = 3;
+    shape.instancesPerPool = 6;
+    shape.zoneAvailability = 300;
+    shape.hasSpare = true;
+    return shape;
+}
+
+std::string seedText(std::uint64_t seed)
+{
+    return fmt::format("seed {}", seed);
+}
+
+} // namespace
+
+TEST_GROUP(MovePlanner)
+{
+    FleetModel model{withSpare()};
+
+    /// The slots that each pool wants.
+    void demand(double first, double second, double spare)
+    {
+        model.observations.demands = {
+            {poolName(0), first, 0, 0, 0}, {poolName(1), second, 0, 0, 0}, {poolName(2), spare, 0, 0, 0}};
+    }
+
+    /// Passes every five seconds; returns the moves started.
+    std::size_t passes(double from, double until)
+    {
+        std::size_t moves = 0;
+        for (double it = from; it < until; it += 5) {
+            const Policy::Pass pass = model.pass(it);
+            moves += countOf<Fleet::MoveStarted>(pass.decisions);
+            model.acknowledgeDrains();
+        }
+        return moves;
+    }
+
+    std::size_t instancesIn(std::size_t pool) const
+    {
+        std::size_t n = 0;
+        for (const auto &[name, it] : model.state.instances) {
+            n += it.pool == poolName(pool) ? 1 : 0;
+        }
+        return n;
+    }
+};
+
+TEST(MovePlanner, ASurgeOfSecondsMovesNothing)
+{
+    demand(20, 20, 10);
+    passes(0, 600);
+    demand(100, 1, 1);
+    CHECK_EQUAL(0, passes(600, 620));
+    demand(1, 20, 10);
+    CHECK_EQUAL(0, passes(620, 700));
+}
+
+TEST(MovePlanner, ALastingShiftMovesNoMoreThanItMust)
+{
+    demand(20, 20, 5);
+    passes(0, 600);
+    demand(45, 20, 5);
+    // 45 slots at a utilization of at most 0.75 take 60 slots: 8 instances, two more than it has.
+    const std::size_t moves = passes(600, 2400);
+    CHECK(moves >= 2 && moves <= 4);
+    CHECK(instancesIn(0) >= 8);
+    CHECK_EQUAL(0, passes(2400, 4000));
+}
+
+TEST(MovePlanner, UnneededBufferGoesBackToTheSparePool)
+{
+    model.state.document.weights = PlaquewrightWeights;
+    demand(10, 30, 10);
+    CHECK(passes(0, 2000) > 0);
+    CHECK_EQUAL(0, passes(2000, 4000));
+    CHECK(instancesIn(2) > 6);
+}
+
+TEST(MovePlanner, HeavyMovesWaitLongerForTheSameBuffer)
+{
+    demand(10, 30, 10);
+    model.state.document.weights = KapotakshaWeights;
+    CHECK_EQUAL(0, passes(0, 2000));
+}
+
+TEST(MovePlanner, AMoveIsCommittedOnlyWhenAllMembersAcknowledged)
+{
+    demand(45, 20, 5);
+    double seconds = 0;
+    while (model.state.moves.empty() && seconds < 2000) {
+        model.pass(seconds += 5);
+        ++model.state.appliedTo.value;
+    }
+    CHECK_FALSE(model.state.moves.empty());
+    const Policy::Pass waiting = model.pass(seconds += 5);
+    CHECK_EQUAL(0, countOf<Fleet::MoveCommitted>(waiting.decisions));
+    model.acknowledgeDrains();
+    const Policy::Pass pass = model.pass(seconds += 5);
+    CHECK(countOf<Fleet::MoveCommitted>(pass.decisions) > 0);
+}
+
+TEST(MovePlanner, NeverMovesAnInstanceThatTheSamePassMaintains)
+{
+    demand(45, 20, 5);
+    passes(0, 600);
+    model.state.document.maintenance.wave = {poolName(2), poolName(1)};
+    model.state.document.maintenance.waveNumber = 1;
+    model.state.document.maintenance.mostAtOnce = 4;
+    demand(80, 1, 1);
+    for (double it = 600; it < 2000; it += 5) {
+        const Policy::Pass pass = model.pass(it);
+        std::set<Base::InstanceName> taken;
+        std::size_t n = 0;
+        for (const Policy::Decision &decision : pass.decisions) {
+            if (const auto *move = std::get_if<Fleet::MoveStarted>(&decision.event)) {
+                taken.insert(move->instance);
+                ++n;
+            } else if (const auto *start = std::get_if<Fleet::MaintenanceStarted>(&decision.event)) {
+                taken.insert(start->instance);
+                ++n;
+            }
+        }
+        CHECK_EQUAL(n, taken.size());
+        model.acknowledgeDrains();
+    }
+}
+
+TEST(MovePlanner, LendsWholeInstancesOfTheSparePoolToTheLargestSurge)
+{
+    demand(70, 60, 20);
+    const Policy::FleetView view(model.state, model.identity.zone, {});
+    // The spare pool has 48 slots, of which 20 are wanted: three whole instances are free.
+    CHECK_EQUAL(3, Policy::lendableInstances(view, model.state.document, model.observations.demands).size());
+    const auto reliefs = Policy::relieveSurges(view, model.state.document, model.observations.demands);
+    CHECK_EQUAL(2, reliefs.size());
+    CHECK_EQUAL(3, reliefs.front().lentInstances.size());
+    CHECK(reliefs.front().pool == poolName(0));
+    CHECK(reliefs.back().lentInstances.empty());
+    DOUBLES_EQUAL(12, reliefs.back().queuedSlots, 0.001);
+}
+
+TEST(MovePlanner, ASurgeThrottlesBatchBeforeItBorrows)
+{
+    demand(70, 20, 20);
+    model.observations.demands.front().busyBatchSlots = 15;
+    const Policy::FleetView view(model.state, model.identity.zone, {});
+    const auto reliefs = Policy::relieveSurges(view, model.state.document, model.observations.demands);
+    DOUBLES_EQUAL(15, reliefs.front().throttledBatchSlots, 0.001);
+    CHECK_EQUAL(1, reliefs.front().lentInstances.size());
+}
+
+TEST(MovePlanner, MovesFarLessThanTheNaiveVersionAndBreaksNoBudget)
+{
+    for (const Document::Weights &weights : {PlaquewrightWeights, KapotakshaWeights}) {
+        DemandOutcome policySum;
+        DemandOutcome naiveSum;
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            const DemandShape shape{
+                .hasSurges = true, .hasShifts = true, .losesRacks = true, .lends = true, .weights = weights};
+            const DemandOutcome policy = runDemand(seed, shape, planByPolicy);
+            const DemandOutcome naive = runDemand(seed, shape, moveByThreshold);
+            CHECK_EQUAL_TEXT(0, policy.brokenSeconds, seedText(seed).c_str());
+            CHECK_TEXT(policy.moves * 10 < naive.moves, seedText(seed).c_str());
+            policySum += policy;
+            naiveSum += naive;
+        }
+        CHECK(naiveSum.brokenSeconds > 0);
+        CHECK(policySum.lateRequests < naiveSum.lateRequests);
+    }
+}
+
+TEST(MovePlanner, SurgesAloneMoveNothing)
+{
+    DemandShape shape;
+    shape.weights = {.buffer = 0, .moves = 1, .rollOutTime = 4};
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        CHECK_EQUAL_TEXT(0, runDemand(seed, shape, planByPolicy).moves, seedText(seed).c_str());
+    }
+}
+
+TEST(MovePlanner, UnderSurgesAnInstanceIsGivenUpOnceAndNotFetchedBack)
+{
+    // Each of the four service pools can do without one of its three instances.
+    constexpr std::size_t MostGiven = 4;
+    for (const Document::Weights &weights : {PlaquewrightWeights, KapotakshaWeights}) {
+        DemandShape shape;
+        shape.weights = weights;
+        shape.seconds *= 2;
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            const DemandOutcome outcome = runDemand(seed, shape, planByPolicy);
+            CHECK_TEXT(outcome.moves <= MostGiven, seedText(seed).c_str());
+        }
+    }
+}
--- /dev/null
+++ b/tests/bench/moves/main.cpp
@@ -0,0 +1,120 @@
+#include <demandhistory.h>
+#include <wavehistory.h>
+
+#include <fmt/format.h>
+
+#include <array>
+#include <string_view>
+
+namespace
+{
+
+constexpr std::uint64_t Seeds = 20;
+
+struct Firm {
+    std::string_view name;
+    Document::Weights weights;
+};
+
+struct Contender {
+    std::string_view name;
+    MovePlanner planner;
+    bool lends = true;
+};
+
+void printRow(std::string_view firm, std::string_view contender, const DemandOutcome &sum)
+{
+    const double hours = static_cast<double>(Seeds) * DemandShape{}.seconds / 3600.0;
+    fmt::print("{:13} {:24} {:8.2f} {:8.1f} {:10.0f} {:8} {:9.3f} {:10}\n",
+               firm,
+               contender,
+               static_cast<double>(sum.moves) / hours,
+               sum.bufferSlots / Seeds,
+               sum.rollOutSeconds / Seeds,
+               sum.brokenSeconds,
+               100.0 * static_cast<double>(sum.lateRequests) / static_cast<double>(sum.requests),
+               sum.unfinished);
+}
+
+void runHistories(std::string_view title, const DemandShape &base)
+{
+    const std::array<Firm, 2> firms{
+        {{"Plaquewright", PlaquewrightWeights}, {"Kapotaksha", KapotakshaWeights}}};
+    const std::array<Contender, 5> contenders{{{"policy", planByPolicy, true},
+                                               {"policy, no lending", planByPolicy, false},
+                                               {"threshold", moveByThreshold, true},
+                                               {"threshold, no lending", moveByThreshold, false},
+                                               {"no moves", moveNothing, true}}};
+    fmt::print("\n{}\n{:13} {:24} {:>8} {:>8} {:>10} {:>8} {:>9} {:>10}\n",
+               title,
+               "weights",
+               "planner",
+               "moves/h",
+               "buffer",
+               "roll-out s",
+               "broken s",
+               "late %",
+               "unfinished");
+    for (const Firm &firm : firms) {
+        for (const Contender &contender : contenders) {
+            DemandShape shape = base;
+            shape.weights = firm.weights;
+            shape.lends = contender.lends;
+            DemandOutcome sum;
+            for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+                sum += runDemand(seed, shape, contender.planner);
+            }
+            printRow(firm.name, contender.name, sum);
+        }
+    }
+}
+
+void runWaves(std::string_view title, const WaveFaults &faults)
+{
+    fmt::print("\n{}\n", title);
+    const std::array<std::pair<std::string_view, WavePlanner>, 2> contenders{
+        {{"policy", planByPolicy}, {"n at a time", planByCount}}};
+    for (const auto &[name, planner] : contenders) {
+        WaveOutcome sum;
+        std::size_t broken = 0;
+        std::size_t finished = 0;
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            const WaveOutcome outcome = runWave(seed, faults, planner);
+            broken += outcome.brokenSeconds > 0 ? 1 : 0;
+            finished += outcome.isFinished ? 1 : 0;
+            sum.brokenSeconds += outcome.brokenSeconds;
+            sum.rebooted += outcome.rebooted;
+            sum.failedReboots += outcome.failedReboots;
+        }
+        fmt::print("{:12} histories broken {:2} of {}, broken s {:6}, finished {:2}, rebooted {:4}, failed "
+                   "reboots {:3}\n",
+                   name,
+                   broken,
+                   Seeds,
+                   sum.brokenSeconds,
+                   finished,
+                   sum.rebooted,
+                   sum.failedReboots);
+    }
+}
+
+} // namespace
+
+int main()
+{
+    fmt::print("{} seeds of {} s in virtual time; one zone, 17 instances of 8 slots, 5 pools\n",
+               Seeds,
+               DemandShape{}.seconds);
+    DemandShape shape;
+    runHistories("surges", shape);
+    shape.hasShifts = true;
+    runHistories("surges and lasting shifts", shape);
+    shape.losesRacks = true;
+    runHistories("surges, lasting shifts and rack losses", shape);
+    shape.hasSurges = false;
+    runHistories("lasting shifts and rack losses, no surges", shape);
+    runWaves("waves with rack losses", {.losesRacks = true, .hasBadReboots = false});
+    runWaves("waves with bad reboots", {.losesRacks = false, .hasBadReboots = true});
+    runWaves("waves with rack losses and bad reboots", {.losesRacks = true, .hasBadReboots = true});
+    return 0;
+}
