Run the zone's planner in the daemon

Cause: the planner decided nothing outside its tests, since no daemon observed, claimed the lease or acted. The zones without a share of the budget wait and say so; turning the share is open.

--- a/src/app/rhubarbcrankd/daemon.cpp
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -80,6 +80,9 @@
     control.platform.port = settings.platform.address.port;
     control.platform.requestTimeout = settings.platform.requestTimeout;
     control.listPeriod = settings.platform.poll;
+    control.plannerPeriod = settings.planner.period;
+    control.plannerLease = settings.planner.lease;
+    control.peersAddress = Ini::toString(settings.peers.address);
     control.seed = std::random_device{}();
     return control;
 }
@@ -151,6 +154,7 @@
             .with("operators_port", m_telemetry.port());
         m_signals.async_wait([this](const boost::system::error_code &, int signal) { onSignal(signal); });
         m_context.run();
+        m_control.stopPeers();
         m_plane.stop();
         if (!m_claims.stop(ClaimPatience)) {
             Base::LogLine(Base::LogLevel::Warning, "claims-left-open");
@@ -169,6 +173,9 @@
                 },
                 [this](std::vector<Base::InstanceName> instances, Control::InFlightAnswer answer) {
                     askInFlight(std::move(instances), std::move(answer));
+                },
+                [this](std::function<void(Control::PlaneLoad)> answer) {
+                    askLoad(std::move(answer));
                 }};
     }
 
@@ -184,6 +191,24 @@
             });
     }
 
+    void askLoad(std::function<void(Control::PlaneLoad)> answer)
+    {
+        m_plane.withTargets([this, answer = std::move(answer)](auto &targets) {
+            Control::PlaneLoad load;
+            for (const auto &it : targets.scheduler().statistics().pools) {
+                load.demands.push_back({it.pool,
+                                        static_cast<double>(it.busyForeground),
+                                        static_cast<double>(it.busyBatch),
+                                        static_cast<double>(it.queuedForeground),
+                                        static_cast<double>(it.queuedBatch)});
+            }
+            for (const auto &it : targets.inFlight()) {
+                load.instances.push_back({it.instance, it.requests, false});
+            }
+            m_controlThread.post([answer, load = std::move(load)]() mutable { answer(std::move(load)); });
+        });
+    }
+
     void onClaimReplies()
     {
         m_plane.withTargets([this](auto &targets) {
--- a/src/libs/control/controlduty.cpp
+++ b/src/libs/control/controlduty.cpp
@@ -1,5 +1,8 @@
 #include "controlduty.h"
 
+#include "observer.h"
+#include "peerwatch.h"
+#include "plannerrunner.h"
 #include "recordappender.h"
 #include "routingbuilder.h"
 #include "streamnames.h"
@@ -8,6 +11,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <fleet/charts.h>
 #include <fleet/fold.h>
+#include <peering/peerserver.h>
 #include <platform/httpplatform.h>
 #include <platform/streamfollower.h>
 #include <record/codec.h>
@@ -42,6 +46,19 @@
         });
 }
 
+Fleet::PlatformState platformState(Platform::InstanceState state)
+{
+    switch (state) {
+    case Platform::InstanceState::Live:
+        return Fleet::PlatformState::Live;
+    case Platform::InstanceState::Leaving:
+        return Fleet::PlatformState::Leaving;
+    case Platform::InstanceState::Gone:
+        return Fleet::PlatformState::Gone;
+    }
+    return Fleet::PlatformState::Gone;
+}
+
 // A restarted daemon must not be taken for the one before, which may have left work half done.
 Base::MemberName newMember(const std::string &instance)
 {
@@ -69,8 +86,22 @@
                  {},
                  m_settings.seed + 1)
         , m_appender(m_platform, duty.timers(), zoneStream(m_settings.environment, m_settings.zone))
+        , m_peers(identity(),
+                  m_settings.instance,
+                  duty.timers(),
+                  m_settings.plannerPeriod,
+                  [&duty](std::function<void()> task) { duty.post(std::move(task)); })
+        , m_planner(m_platform,
+                    duty.timers(),
+                    m_member,
+                    m_settings.zone,
+                    [this](Fleet::Event event, Fleet::Offset term) { append(std::move(event), term); })
     {
         publishStatus();
+        if (!m_settings.peersAddress.empty()) {
+            m_server =
+                std::make_unique<Peering::PeerServer>(m_settings.peersAddress, identity(), providers());
+        }
     }
 
     void start()
@@ -89,11 +120,13 @@
                       }});
         m_duty.timers().subscribeEvery(AcknowledgePeriod, [this] { onTick(); });
         m_duty.timers().subscribeEvery(m_settings.listPeriod, [this] { listInstances(); });
+        m_duty.timers().subscribeEvery(m_settings.plannerPeriod, [this] { observeAndPlan(); });
         listInstances();
     }
 
     void leave(std::function<void()> done)
     {
+        m_isLeaving = true;
         append(Fleet::MemberLeft{m_member, "shutdown"});
         m_duty.timers().subscribeEvery(AcknowledgePeriod,
                                        [this, done, until = now() + LeavePatience]() mutable {
@@ -103,10 +136,75 @@
                                        });
     }
 
+    void stopPeers()
+    {
+        m_server.reset();
+    }
+
     Runtime::Duty &m_duty;
     std::atomic<std::shared_ptr<const ControlStatus>> m_status;
 
 private:
+    Peering::PeerIdentity identity() const
+    {
+        return {m_settings.environment, m_settings.zone, m_member};
+    }
+
+    // Called on threads of gRPC: the answers are made on the duty's thread.
+    Peering::PeerServer::Providers providers()
+    {
+        return {[this](std::function<void(Peering::PeerReport)> answer) {
+                    m_duty.post([this, answer = std::move(answer)] { answer(ownReport()); });
+                },
+                [this](std::function<void(Peering::PeerState)> answer) {
+                    m_duty.post([this, answer = std::move(answer)] { answer(ownState()); });
+                }};
+    }
+
+    Peering::PeerReport ownReport() const
+    {
+        return {identity(),
+                state().commonAppliedTo.value,
+                state().appliedTo.value,
+                state().documentOffset.value,
+                m_ownLoad.demands,
+                m_ownLoad.instances};
+    }
+
+    Peering::PeerState ownState() const
+    {
+        Fleet::Record record;
+        record.event = Fleet::SnapshotTaken{m_fold.snapshot()};
+        return {identity(), Record::encode(record), {}};
+    }
+
+    void observeAndPlan()
+    {
+        m_peers.ask();
+        m_requestPlane.askLoad([this](PlaneLoad load) {
+            m_ownLoad = std::move(load);
+            plan();
+        });
+    }
+
+    // Decisions wait while earlier ones are not known to be in the log: what is decided is decided on the
+    // state that they lead to.
+    void plan()
+    {
+        const bool isMember = state().members.contains(m_member);
+        if (!m_isReady || m_isLeaving || !isMember || m_appender.pending() > 0) {
+            return;
+        }
+        const ObservationSources sources{now(),
+                                         m_isListFresh && m_common.isReachable() && m_zone.isReachable(),
+                                         m_peers,
+                                         m_ownLoad,
+                                         m_platformStates,
+                                         m_planner.actionReports()};
+        const auto observations = observe(state(), sources);
+        m_planner.pass(state(), observations, m_peers.silentMembers(state(), m_settings.plannerLease));
+    }
+
     Base::Instant now() const
     {
         return m_duty.timers().now();
@@ -253,6 +351,7 @@
         m_isListing = true;
         m_platform.listInstances([this](const Platform::ListOutcome &outcome) {
             m_isListing = false;
+            m_isListFresh = std::holds_alternative<std::vector<Platform::ListedInstance>>(outcome);
             if (const auto *list = std::get_if<std::vector<Platform::ListedInstance>>(&outcome)) {
                 onList(*list);
             }
@@ -262,9 +361,15 @@
     // The last list known is kept while the platform is out.
     void onList(const std::vector<Platform::ListedInstance> &list)
     {
+        m_peers.setList(list);
+        m_platformStates.clear();
         std::set<Base::InstanceName> leaving;
         for (const auto &it : list) {
-            if (it.kind == Platform::InstanceKind::Target && it.state != Platform::InstanceState::Live) {
+            if (it.kind != Platform::InstanceKind::Target) {
+                continue;
+            }
+            m_platformStates[{it.name}] = platformState(it.state);
+            if (it.state != Platform::InstanceState::Live) {
                 leaving.insert({it.name});
             }
         }
@@ -274,11 +379,12 @@
         }
     }
 
-    void append(Fleet::Event event)
+    void append(Fleet::Event event, Fleet::Offset term = {})
     {
         Fleet::Record record;
         record.id = fmt::format("{}-{}", m_member.value, ++m_lastRecord);
         record.author = m_member;
+        record.term = term;
         record.documentOffset = state().commonAppliedTo;
         record.event = std::move(event);
         m_appender.append(record);
@@ -319,6 +425,13 @@
     std::set<Base::InstanceName> m_leaving;
     std::set<Fleet::ActionId> m_acknowledged;
     std::uint64_t m_lastRecord = 0;
+    PeerWatch m_peers;
+    PlannerRunner m_planner;
+    std::unique_ptr<Peering::PeerServer> m_server;
+    PlaneLoad m_ownLoad;
+    std::map<Base::InstanceName, Fleet::PlatformState> m_platformStates;
+    bool m_isListFresh = false;
+    bool m_isLeaving = false;
     bool m_isReady = false;
     bool m_isAskingInFlight = false;
     bool m_isListing = false;
@@ -329,8 +442,14 @@
 {
 }
 
+// Calls from peers wait for the duty's thread: their server ends first, while that thread still runs.
 ControlDuty::~ControlDuty() = default;
 
+void ControlDuty::stopPeers()
+{
+    d->stopPeers();
+}
+
 void ControlDuty::start()
 {
     d->m_duty.post([this] { d->start(); });
--- a/src/libs/control/controlduty.h
+++ b/src/libs/control/controlduty.h
@@ -2,6 +2,7 @@
 
 #include "controlsettings.h"
 #include "controlstatus.h"
+#include "planeload.h"
 
 #include <gateway/routingtable.h>
 
@@ -27,6 +28,9 @@
 
     /// Calls `answer` on the control duty's thread, after all routing tables set before are in force.
     std::function<void(std::vector<Base::InstanceName>, InFlightAnswer answer)> askInFlight;
+
+    /// Calls back on the control duty's thread.
+    std::function<void(std::function<void(PlaneLoad)>)> askLoad;
 };
 
 /// Follows the log, folds it into the fleet's state, and puts what it says in force on this entry instance.
@@ -42,6 +46,9 @@
     /// Leaves the zone's members: the record says so before `done` is called, or the platform is out.
     void leave(std::function<void()> done);
 
+    /// Ends the server for peers; to be called while the duty's thread runs, from another thread.
+    void stopPeers();
+
     /// May be called from any thread.
     std::shared_ptr<const ControlStatus> status() const;
 
--- /dev/null
+++ b/src/libs/control/peerwatch.cpp
@@ -0,0 +1,165 @@
+#include "peerwatch.h"
+
+#include <base/logline.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Control
+{
+
+PeerWatch::PeerWatch(Peering::PeerIdentity self,
+                     std::string instance,
+                     Base::TimerService &timers,
+                     Base::Duration period,
+                     std::function<void(std::function<void()>)> post)
+    : m_self(self)
+    , m_instance(std::move(instance))
+    , m_timers(timers)
+    , m_period(period)
+    , m_post(std::move(post))
+    , m_client(std::move(self), period)
+{
+}
+
+void PeerWatch::setList(const std::vector<Platform::ListedInstance> &list)
+{
+    std::map<std::string, Peer> peers;
+    for (const auto &it : list) {
+        const bool isPeer = it.kind == Platform::InstanceKind::Entry && it.zone == m_self.zone.value
+            && it.state != Platform::InstanceState::Gone && it.name != m_instance;
+        if (!isPeer) {
+            continue;
+        }
+        const auto known = m_peers.find(it.name);
+        if (known != m_peers.end() && known->second.address == it.peersAddress) {
+            peers.insert(*known);
+        } else {
+            peers[it.name] = {it.peersAddress, std::nullopt, m_timers.now()};
+        }
+    }
+    m_peers = std::move(peers);
+}
+
+void PeerWatch::ask()
+{
+    for (const auto &[instance, peer] : m_peers) {
+        if (peer.address.empty()) {
+            continue;
+        }
+        m_client.askReport(
+            peer.address,
+            [this, alive = std::weak_ptr(m_isAlive), post = m_post, name = instance](auto report) mutable {
+                post([this, alive, name = std::move(name), report = std::move(report)]() mutable {
+                    if (alive.lock()) {
+                        onReport(name, std::move(report));
+                    }
+                });
+            });
+    }
+}
+
+void PeerWatch::askStates(std::function<void(Peering::PeerState)> callback)
+{
+    for (const auto &[instance, peer] : m_peers) {
+        if (peer.address.empty()) {
+            continue;
+        }
+        m_client.askState(peer.address,
+                          [alive = std::weak_ptr(m_isAlive), post = m_post, callback](auto state) {
+                              if (!state) {
+                                  return;
+                              }
+                              post([alive, callback, state = std::move(*state)]() mutable {
+                                  if (alive.lock()) {
+                                      callback(std::move(state));
+                                  }
+                              });
+                          });
+    }
+}
+
+bool PeerWatch::areAllReachable() const
+{
+    return std::all_of(m_peers.begin(), m_peers.end(), [this](const auto &it) { return isFresh(it.second); });
+}
+
+std::vector<Base::MemberName> PeerWatch::liveMembers(const Fleet::FleetState &state) const
+{
+    std::vector<Base::MemberName> members{m_self.member};
+    for (const auto &[instance, peer] : m_peers) {
+        if (peer.report) {
+            members.push_back(peer.report->from.member);
+        } else if (const auto member = lastMemberOf(instance, state)) {
+            members.push_back(*member);
+        }
+    }
+    std::sort(members.begin(), members.end());
+    return members;
+}
+
+std::vector<Base::MemberName> PeerWatch::silentMembers(const Fleet::FleetState &state,
+                                                       Base::Duration patience) const
+{
+    std::vector<Base::MemberName> members;
+    for (const auto &[instance, peer] : m_peers) {
+        if (m_timers.now() - peer.answeredAt < patience) {
+            continue;
+        }
+        const auto member =
+            peer.report ? std::optional(peer.report->from.member) : lastMemberOf(instance, state);
+        if (member) {
+            members.push_back(*member);
+        }
+    }
+    return members;
+}
+
+std::vector<Peering::PeerReport> PeerWatch::reports() const
+{
+    std::vector<Peering::PeerReport> reports;
+    for (const auto &[instance, peer] : m_peers) {
+        if (peer.report && isFresh(peer)) {
+            reports.push_back(*peer.report);
+        }
+    }
+    return reports;
+}
+
+void PeerWatch::onReport(const std::string &instance, std::optional<Peering::PeerReport> report)
+{
+    const auto it = m_peers.find(instance);
+    if (it == m_peers.end() || !report) {
+        return;
+    }
+    Peer &peer = it->second;
+    if (peer.report && peer.report->from.member != report->from.member) {
+        Base::LogLine(Base::LogLevel::Info, "peer-replaced")
+            .with("instance", instance)
+            .with("member", report->from.member.value);
+    }
+    peer.report = std::move(report);
+    peer.answeredAt = m_timers.now();
+}
+
+bool PeerWatch::isFresh(const Peer &peer) const
+{
+    return peer.report && m_timers.now() - peer.answeredAt <= 2 * m_period;
+}
+
+// A daemon's members are named after its instance; the one that joined last is the one that may be alive.
+std::optional<Base::MemberName> PeerWatch::lastMemberOf(const std::string &instance,
+                                                        const Fleet::FleetState &state) const
+{
+    std::optional<Base::MemberName> latest;
+    Fleet::Offset joinedAt;
+    for (const auto &[name, member] : state.members) {
+        if (name.value.starts_with(instance + '.') && member.joinedAt >= joinedAt) {
+            latest = name;
+            joinedAt = member.joinedAt;
+        }
+    }
+    return latest;
+}
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/control/plannerrunner.cpp
@@ -0,0 +1,140 @@
+#include "plannerrunner.h"
+
+#include <base/logline.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace Control
+{
+
+PlannerRunner::PlannerRunner(Platform::HttpPlatform &platform,
+                             Base::TimerService &timers,
+                             Base::MemberName member,
+                             Base::AvailabilityZoneName zone,
+                             Append append)
+    : m_platform(platform)
+    , m_timers(timers)
+    , m_member(std::move(member))
+    , m_zone(std::move(zone))
+    , m_append(std::move(append))
+{
+}
+
+void PlannerRunner::pass(const Fleet::FleetState &state,
+                         const Fleet::Observations &observations,
+                         std::span<const Base::MemberName> silentMembers)
+{
+    const auto lease = state.planners.find(m_zone);
+    const bool isHolder = lease != state.planners.end() && lease->second.holder == m_member;
+    if (!isHolder) {
+        claim(state, observations, silentMembers);
+        return;
+    }
+    plan(state, observations, lease->second.term);
+    requestReboots(state);
+}
+
+const std::vector<Fleet::ActionReport> &PlannerRunner::actionReports() const
+{
+    return m_reports;
+}
+
+// A holder that is listed as live and silent may be frozen. A claim against it does no harm: what it decides
+// afterwards is under an older term. Its drains are still waited for, since only the claim leaves it out.
+void PlannerRunner::claim(const Fleet::FleetState &state,
+                          const Fleet::Observations &observations,
+                          std::span<const Base::MemberName> silentMembers)
+{
+    Fleet::Observations seen = observations;
+    std::erase_if(seen.liveMembers, [&](const Base::MemberName &it) {
+        return std::find(silentMembers.begin(), silentMembers.end(), it) != silentMembers.end();
+    });
+    const Fleet::Offset term = Fleet::currentTerm(state);
+    if (m_hasClaimed && m_claimedAfter == term) {
+        return;
+    }
+    const auto decision = Policy::claimLease(state, seen, m_member, m_zone);
+    if (!decision) {
+        return;
+    }
+    m_hasClaimed = true;
+    m_claimedAfter = term;
+    Base::LogLine(Base::LogLevel::Info, "planner-claim")
+        .with("term", term.value)
+        .with("reason", decision->reason);
+    m_append(decision->event, Fleet::Offset{});
+}
+
+void PlannerRunner::plan(const Fleet::FleetState &state,
+                         const Fleet::Observations &observations,
+                         Fleet::Offset term)
+{
+    Policy::Pass pass = Policy::plan(state, observations, m_memory, {m_member, m_zone, term});
+    m_memory = std::move(pass.memory);
+    logWaits(pass.waits);
+    if (pass.decisions.empty()) {
+        return;
+    }
+    m_append(Fleet::PlannerObserved{observations}, term);
+    for (auto &it : pass.decisions) {
+        Base::LogLine(Base::LogLevel::Info, "planner-decision")
+            .with("term", term.value)
+            .with("reason", it.reason);
+        m_append(std::move(it.event), term);
+    }
+}
+
+// Only what was read back from the log under the own term is asked of the platform. The action's id comes
+// from the record, so asking again after a lost answer is the same action.
+void PlannerRunner::requestReboots(const Fleet::FleetState &state)
+{
+    for (const auto &[id, it] : state.maintenances) {
+        const auto instance = state.instances.find(it.instance);
+        const bool isWanted = instance != state.instances.end()
+            && instance->second.phase == Fleet::InstancePhase::Rebooting && !m_requested.contains(id)
+            && !m_underWay.contains(id);
+        if (!isWanted) {
+            continue;
+        }
+        m_underWay.insert(id);
+        m_platform.act({id.value, Platform::ActionKind::Reboot, it.instance.value},
+                       [this, alive = std::weak_ptr(m_isAlive), action = id](const auto &outcome) {
+                           if (alive.lock()) {
+                               onAction(action, outcome);
+                           }
+                       });
+    }
+}
+
+void PlannerRunner::onAction(const Fleet::ActionId &id, const Platform::ActionOutcome &outcome)
+{
+    m_underWay.erase(id);
+    if (std::holds_alternative<Platform::ActionAccepted>(outcome)) {
+        m_requested.insert(id);
+    } else if (const auto *rejected = std::get_if<Platform::ActionRejected>(&outcome)) {
+        m_requested.insert(id);
+        m_reports.push_back({id, Fleet::ActionResult::Rejected, rejected->reason});
+        std::sort(m_reports.begin(), m_reports.end(), [](const auto &a, const auto &b) {
+            return a.action < b.action;
+        });
+    }
+}
+
+void PlannerRunner::logWaits(const std::vector<Policy::Wait> &waits)
+{
+    std::map<std::string, std::string> now;
+    for (const auto &it : waits) {
+        const auto last = m_lastWaits.find(it.subject);
+        if (last == m_lastWaits.end()) {
+            Base::LogLine(Base::LogLevel::Info, "planner-waits")
+                .with("subject", it.subject)
+                .with("reason", it.reason);
+        }
+        now[it.subject] = it.reason;
+    }
+    m_lastWaits = std::move(now);
+}
+
+} // namespace Control
--- a/src/libs/gateway/targetduty.h
+++ b/src/libs/gateway/targetduty.h
@@ -50,6 +50,11 @@
         } -> std::same_as<std::optional<Base::Instant>>;
 };
 
+struct InstanceInFlight {
+    Base::InstanceName instance;
+    std::uint32_t requests = 0;
+};
+
 /// Counts of the target side since the start.
 struct TargetCounters {
     std::atomic<std::uint64_t> exchanges{0};
@@ -95,6 +100,9 @@
     /// The number of exchanges in flight on an instance; on the duty's thread.
     std::uint32_t inFlightOn(const Base::InstanceName &instance) const;
 
+    /// Instances with requests in flight; on the duty's thread.
+    std::vector<InstanceInFlight> inFlight() const;
+
     /// The scheduler, to read its statistics and set allowances; on the duty's thread.
     Scheduler &scheduler();
 
--- a/src/libs/gateway/targetduty_p.h
+++ b/src/libs/gateway/targetduty_p.h
@@ -107,6 +107,17 @@
         return it == m_targetIds.end() ? 0 : m_targets.at(it->second).inFlight;
     }
 
+    std::vector<InstanceInFlight> inFlight() const
+    {
+        std::vector<InstanceInFlight> busy;
+        for (const auto &[id, it] : m_targets) {
+            if (it.inFlight > 0) {
+                busy.push_back({it.instance, it.inFlight});
+            }
+        }
+        return busy;
+    }
+
     void onRequestCredit(Internal::TargetConnection &connection) override
     {
         Exchange *exchange = exchangeOn(connection);
@@ -749,6 +760,12 @@
     return d->inFlightOn(instance);
 }
 
+template<SchedulerConcept Scheduler>
+std::vector<InstanceInFlight> TargetDuty<Scheduler>::inFlight() const
+{
+    return d->inFlight();
+}
+
 template<SchedulerConcept Scheduler>
 Scheduler &TargetDuty<Scheduler>::scheduler()
 {
--- /dev/null
+++ b/src/libs/peering/peerclient.cpp
@@ -0,0 +1,134 @@
+#include "peerclient.h"
+
+#include "generated/peering.grpc.pb.h"
+#include "peercodec.h"
+
+#include <grpcpp/channel.h>
+#include <grpcpp/client_context.h>
+#include <grpcpp/create_channel.h>
+#include <grpcpp/security/credentials.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace Peering
+{
+
+namespace Proto = rhubarbcrank::peering;
+
+namespace
+{
+
+constexpr int LongestReconnectMilliseconds = 1000;
+
+template<typename Request, typename Response>
+struct Call {
+    grpc::ClientContext context;
+    Request request;
+    Response response;
+};
+
+} // namespace
+
+class PeerClient::Private
+{
+public:
+    Private(PeerIdentity self, Base::Duration timeout)
+        : m_self(std::move(self))
+        , m_timeout(timeout)
+    {
+    }
+
+    ~Private()
+    {
+        std::unique_lock lock(m_mutex);
+        m_idle.wait(lock, [this] { return m_underWay == 0; });
+    }
+
+    Proto::Peers::Stub &stubFor(const std::string &address)
+    {
+        auto &stub = m_stubs[address];
+        if (!stub) {
+            grpc::ChannelArguments arguments;
+            arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, LongestReconnectMilliseconds);
+            arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+            stub = Proto::Peers::NewStub(
+                grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+        }
+        return *stub;
+    }
+
+    template<typename Request, typename Response>
+    std::shared_ptr<Call<Request, Response>> newCall()
+    {
+        auto call = std::make_shared<Call<Request, Response>>();
+        call->context.set_deadline(std::chrono::system_clock::now() + m_timeout);
+        Internal::encode(m_self, *call->request.mutable_from());
+        const std::lock_guard lock(m_mutex);
+        ++m_underWay;
+        return call;
+    }
+
+    bool isOurs(const PeerIdentity &from) const
+    {
+        return from.environment == m_self.environment && from.zone == m_self.zone;
+    }
+
+    void ended()
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_underWay;
+        m_idle.notify_all();
+    }
+
+private:
+    PeerIdentity m_self;
+    Base::Duration m_timeout;
+    std::map<std::string, std::unique_ptr<Proto::Peers::Stub>> m_stubs;
+    std::mutex m_mutex;
+    std::condition_variable m_idle;
+    std::size_t m_underWay = 0;
+};
+
+PeerClient::PeerClient(PeerIdentity self, Base::Duration timeout)
+    : d(std::make_unique<Private>(std::move(self), timeout))
+{
+}
+
+PeerClient::~PeerClient() = default;
+
+void PeerClient::askReport(const std::string &address,
+                           std::function<void(std::optional<PeerReport>)> callback)
+{
+    auto call = d->newCall<Proto::ReportRequest, Proto::Report>();
+    auto done = [this, call, callback = std::move(callback)](const grpc::Status &status) {
+        std::optional<PeerReport> report;
+        if (status.ok()) {
+            report = Internal::decode(call->response);
+        }
+        callback(report && d->isOurs(report->from) ? std::move(report) : std::nullopt);
+        d->ended();
+    };
+    auto &stub = d->stubFor(address);
+    stub.async()->GetReport(&call->context, &call->request, &call->response, std::move(done));
+}
+
+void PeerClient::askState(const std::string &address, std::function<void(std::optional<PeerState>)> callback)
+{
+    auto call = d->newCall<Proto::StateRequest, Proto::State>();
+    auto done = [this, call, callback = std::move(callback)](const grpc::Status &status) {
+        std::optional<PeerState> state;
+        if (status.ok()) {
+            state = Internal::decode(call->response);
+        }
+        callback(state && d->isOurs(state->from) ? std::move(state) : std::nullopt);
+        d->ended();
+    };
+    auto &stub = d->stubFor(address);
+    stub.async()->GetState(&call->context, &call->request, &call->response, std::move(done));
+}
+
+} // namespace Peering
--- /dev/null
+++ b/src/libs/peering/peercodec.cpp
@@ -0,0 +1,83 @@
+#include "peercodec.h"
+
+#include "generated/peering.pb.h"
+
+namespace Peering::Internal
+{
+
+namespace Proto = rhubarbcrank::peering;
+
+void encode(const PeerIdentity &identity, Proto::Identity &message)
+{
+    message.set_environment(identity.environment.value);
+    message.set_zone(identity.zone.value);
+    message.set_member(identity.member.value);
+}
+
+void encode(const PeerReport &report, Proto::Report &message)
+{
+    encode(report.from, *message.mutable_from());
+    message.set_common_offset(report.commonOffset);
+    message.set_zone_offset(report.zoneOffset);
+    message.set_document_offset(report.documentOffset);
+    for (const auto &it : report.demands) {
+        Proto::PoolDemand &demand = *message.add_demands();
+        demand.set_pool(it.pool.value);
+        demand.set_busy_slots(it.busySlots);
+        demand.set_busy_batch_slots(it.busyBatchSlots);
+        demand.set_queued_requests(it.queuedRequests);
+        demand.set_queued_batch(it.queuedBatch);
+    }
+    for (const auto &it : report.instances) {
+        Proto::InstanceLoad &load = *message.add_instances();
+        load.set_instance(it.instance.value);
+        load.set_in_flight(it.inFlight);
+        load.set_is_ejected(it.isEjected);
+    }
+}
+
+void encode(const PeerState &state, Proto::State &message)
+{
+    encode(state.from, *message.mutable_from());
+    message.set_snapshot(state.snapshot);
+    for (const auto &it : state.commonEntries) {
+        Proto::LogEntry &entry = *message.add_common_entries();
+        entry.set_offset(it.offset);
+        entry.set_data(it.data);
+    }
+}
+
+PeerIdentity decode(const Proto::Identity &message)
+{
+    return {{message.environment()}, {message.zone()}, {message.member()}};
+}
+
+PeerReport decode(const Proto::Report &message)
+{
+    PeerReport report;
+    report.from = decode(message.from());
+    report.commonOffset = message.common_offset();
+    report.zoneOffset = message.zone_offset();
+    report.documentOffset = message.document_offset();
+    for (const auto &it : message.demands()) {
+        report.demands.push_back(
+            {{it.pool()}, it.busy_slots(), it.busy_batch_slots(), it.queued_requests(), it.queued_batch()});
+    }
+    for (const auto &it : message.instances()) {
+        report.instances.push_back({{it.instance()}, it.in_flight(), it.is_ejected()});
+    }
+    return report;
+}
+
+PeerState decode(const Proto::State &message)
+{
+    PeerState state;
+    state.from = decode(message.from());
+    state.snapshot = message.snapshot();
+    for (const auto &it : message.common_entries()) {
+        state.commonEntries.push_back({it.offset(), it.data()});
+    }
+    return state;
+}
+
+} // namespace Peering::Internal
--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -16,12 +16,13 @@
 constexpr const char *Usage = R"(Stands in for the platform in tests: its log, instance list and actions.
 
 Usage:
-  platformstandin [--port=PORT] [--retention=RECORDS]
+  platformstandin [--port=PORT] [--retention=RECORDS] [--reboot-ms=TIME]
   platformstandin --help
 
 Options:
   --port=PORT          TCP port on loopback, 0 for any; it is printed. [default: 0]
   --retention=RECORDS  How many records of each stream are kept, 0 for all. [default: 0]
+  --reboot-ms=TIME     How long a rebooted instance is listed as gone. [default: 1000]
   --help               Shows this text.
 
 Faults are set by POST /control/faults, see faults.h; counts are at GET /control/counters.
@@ -48,6 +49,7 @@
         PlatformStandin::Settings settings;
         settings.port = static_cast<std::uint16_t>(arguments["--port"].asLong());
         settings.retention = static_cast<std::size_t>(arguments["--retention"].asLong());
+        settings.rebootTime = std::chrono::milliseconds(arguments["--reboot-ms"].asLong());
         return run(settings);
     } catch (const std::exception &e) {
         fmt::print(stderr, "platformstandin: {}\n", e.what());
--- a/tests/standins/platform/standin.cpp
+++ b/tests/standins/platform/standin.cpp
@@ -90,6 +90,7 @@
 
 Standin::Standin(boost::asio::io_context &context, const Settings &settings)
     : m_context(context)
+    , m_rebootTime(settings.rebootTime)
     , m_log(settings.retention)
     , m_server(context, settings.port, [this](Request request, ReplyCallback reply) {
         handle(std::move(request), std::move(reply));
@@ -281,7 +282,7 @@
 void Standin::list(const ReplyCallback &reply)
 {
     ++m_counters.lists;
-    reply({200, fmt::format(R"({{"instances":{}}})", m_instances)});
+    reply({200, fmt::format(R"({{"instances":{}}})", listedInstances())});
 }
 
 void Standin::act(const std::string &instance, const Request &request, const ReplyCallback &reply)
@@ -297,10 +298,36 @@
         m_actionIds.push_back(id);
         m_actions.push_back(Json::serialize(
             Json::object{{"id", id}, {"kind", textAt(*object, "kind")}, {"instance", instance}}));
+        if (textAt(*object, "kind") == "reboot") {
+            reboot(instance);
+        }
     }
     answerEffect({200, "{}"}, reply);
 }
 
+void Standin::reboot(const std::string &instance)
+{
+    m_rebooting.insert(instance);
+    after(m_rebootTime, [this, instance] { m_rebooting.erase(instance); });
+}
+
+// A rebooting instance is listed as gone, whatever else was set for it.
+std::string Standin::listedInstances() const
+{
+    Json::array listed;
+    const Json::value all = Json::parse(m_instances);
+    for (const auto &it : all.as_array()) {
+        const auto *name = it.is_object() ? it.as_object().if_contains("name") : nullptr;
+        if (!name || !name->is_string() || !m_rebooting.contains(std::string(name->as_string()))) {
+            listed.push_back(it);
+        }
+    }
+    for (const auto &it : m_rebooting) {
+        listed.push_back(Json::object{{"name", it}, {"kind", "target"}, {"state", "gone"}});
+    }
+    return Json::serialize(listed);
+}
+
 void Standin::setInstances(const Request &request, const ReplyCallback &reply)
 {
     const auto object = parseObject(request.body);
--- a/tests/standins/platform/standin.h
+++ b/tests/standins/platform/standin.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
 struct Settings {
     std::uint16_t port = 0; ///< 0 for any
     std::size_t retention = 0; ///< records kept of each stream; 0 for all
+    std::chrono::milliseconds rebootTime{1000}; ///< for which a rebooted instance is listed as gone
 };
 
 /// The platform's log, instance list and instance actions in memory, with faults on request.
@@ -51,6 +53,8 @@
     void trim(const std::string &stream, const Request &request, const ReplyCallback &reply);
     void list(const ReplyCallback &reply);
     void act(const std::string &instance, const Request &request, const ReplyCallback &reply);
+    void reboot(const std::string &instance);
+    std::string listedInstances() const;
     void setInstances(const Request &request, const ReplyCallback &reply);
     void answer(Reply answer, const ReplyCallback &reply);
     void answerEffect(Reply effect, const ReplyCallback &reply);
@@ -62,6 +66,7 @@
     std::string countersJson() const;
 
     boost::asio::io_context &m_context;
+    std::chrono::milliseconds m_rebootTime;
     LogStore m_log;
     Faults m_faults;
     Counters m_counters;
@@ -70,6 +75,7 @@
     std::string m_instances = "[]"; ///< JSON
     std::vector<std::string> m_actions; ///< JSON of each distinct action, in order
     std::vector<std::string> m_actionIds;
+    std::set<std::string> m_rebooting; ///< instances
     std::uint64_t m_effects = 0;
     Clock::time_point m_secondStart{};
     std::uint32_t m_appendsThisSecond = 0;
