--- a/src/libs/fleet/editapplication.cpp
+++ b/src/libs/fleet/editapplication.cpp
@@ -37,6 +37,18 @@
     }
 }
 
+template<typename Item, typename Name>
+bool isNamedIn(const std::vector<Item> &items, const Name &name)
+{
+    return std::any_of(items.begin(), items.end(), [&](const Item &it) { return it.name == name; });
+}
+
+template<typename Name>
+bool isIn(const std::vector<Name> &names, const Name &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 /// Brings instances, moves and maintenance in line with a document that has just changed.
 class Reconciliation
 {
@@ -228,6 +240,25 @@
     return inverse;
 }
 
+bool leavesPoolsDeclared(const Document::Document &document, const Document::Delta &delta)
+{
+    const auto isDeclared = [&](const Base::PoolName &pool) {
+        return isNamedIn(delta.setPools, pool)
+            || (hasPool(document, pool) && !isIn(delta.removedPools, pool));
+    };
+    const bool areNewOnesFine = std::all_of(delta.setInstances.begin(),
+                                            delta.setInstances.end(),
+                                            [&](const auto &it) { return isDeclared(it.pool); });
+    if (!areNewOnesFine || delta.removedPools.empty()) {
+        return areNewOnesFine;
+    }
+    return std::all_of(
+        document.instances.begin(), document.instances.end(), [&](const Document::Instance &it) {
+            return isDeclared(it.pool) || isIn(delta.removedInstances, it.name)
+                || isNamedIn(delta.setInstances, it.name);
+        });
+}
+
 EditUndo applyEdit(const Charts &charts, FleetState &state, Offset offset, const EditProposed &edit)
 {
     const Document::Delta &delta = edit.delta;
--- a/src/libs/fleet/editapplication.h
+++ b/src/libs/fleet/editapplication.h
@@ -21,6 +21,9 @@
     std::optional<UnknownFields> formerUnknownFields; ///< when they changed
 };
 
+/// True when the document after the edit declares the pool of every instance that it declares.
+bool leavesPoolsDeclared(const Document::Document &document, const Document::Delta &delta);
+
 /// Puts an accepted edit in force.
 /// - An instance that is removed, or goes to another zone, leaves the state; its move or maintenance ends.
 /// - A changed declared pool is where the instance belongs from this offset on; its move is aborted.
--- a/src/libs/fleet/fold.cpp
+++ b/src/libs/fleet/fold.cpp
@@ -81,17 +81,30 @@
 
 Outcome Fold::applyEdit(const EditProposed &event, CommonStep &step)
 {
-    const bool isOnLatest = event.base == m_state.documentOffset;
-    const EditEvent verdict = isOnLatest ? EditEvent::Accept : EditEvent::Refuse;
+    const Refusal refusal = whyRefused(event);
+    const EditEvent verdict = refusal == Refusal::None ? EditEvent::Accept : EditEvent::Refuse;
     const std::optional<EditPhase> phase = m_charts->edit.next(m_charts->edit.initial(), verdict);
     if (phase != EditPhase::Accepted) {
-        return {OutcomeKind::Refused, isOnLatest ? Refusal::IllegalTransition : Refusal::SupersededBase};
+        return {OutcomeKind::Refused, refusal == Refusal::None ? Refusal::IllegalTransition : refusal};
     }
     EditUndo undo = Fleet::applyEdit(*m_charts, m_state, step.offset, event);
     step.edit = AcceptedEdit{step.offset, event, std::move(undo)};
     return {};
 }
 
+// Only what the fold itself relies on is checked here. All other rules for documents may change from one
+// version to the next, and readers of two versions have to agree on which edit was accepted.
+Refusal Fold::whyRefused(const EditProposed &event) const
+{
+    if (event.base != m_state.documentOffset) {
+        return Refusal::SupersededBase;
+    }
+    if (!leavesPoolsDeclared(m_state.document, event.delta)) {
+        return Refusal::UndeclaredPool;
+    }
+    return Refusal::None;
+}
+
 Outcome Fold::applyZone(const Entry &entry)
 {
     return applyZone(std::span<const Entry>(&entry, 1)).back();
--- a/src/libs/fleet/fold.h
+++ b/src/libs/fleet/fold.h
@@ -64,6 +64,7 @@
 
     Outcome applyCommonRecord(const Record &record, CommonStep &step);
     Outcome applyEdit(const EditProposed &event, CommonStep &step);
+    Refusal whyRefused(const EditProposed &event) const;
     Outcome applyNextZone(const Entry &entry);
     bool isWaiting(const Entry &entry) const;
     void settle(Offset causalOffset);
--- a/src/libs/fleet/outcome.cpp
+++ b/src/libs/fleet/outcome.cpp
@@ -31,6 +31,8 @@
         return "wrong-stream";
     case Refusal::SupersededBase:
         return "superseded-base";
+    case Refusal::UndeclaredPool:
+        return "undeclared-pool";
     case Refusal::SupersededTerm:
         return "superseded-term";
     case Refusal::OtherZone:
--- a/src/libs/fleet/outcome.h
+++ b/src/libs/fleet/outcome.h
@@ -20,6 +20,7 @@
     None,
     WrongStream,
     SupersededBase, ///< the edit was not made against the last accepted one
+    UndeclaredPool, ///< the edit would leave an instance in a pool that the document doesn't declare
     SupersededTerm, ///< the claim was not made against the current term
     OtherZone,
     UnknownInstance,
--- a/src/libs/fleet/record.h
+++ b/src/libs/fleet/record.h
@@ -53,6 +53,7 @@
 /// What the planner saw when it took the decisions that follow it with the same term.
 struct PlannerObserved {
     Observations observations;
+    Offset zoneOffset; ///< of the zone's stream, up to which the planner had folded it for this pass
 
     bool operator==(const PlannerObserved &) const = default;
 };
--- a/src/libs/record/eventdecoder.cpp
+++ b/src/libs/record/eventdecoder.cpp
@@ -48,8 +48,10 @@
         const Wire::PlannerClaimed &it = message.planner_claimed();
         return Fleet::PlannerClaimed{{it.zone()}, {it.holder()}, {it.previous_term()}};
     }
-    case Wire::Record::kPlannerObserved:
-        return Fleet::PlannerObserved{read(message.planner_observed().observations())};
+    case Wire::Record::kPlannerObserved: {
+        const Wire::PlannerObserved &it = message.planner_observed();
+        return Fleet::PlannerObserved{read(it.observations()), {it.zone_offset()}};
+    }
     case Wire::Record::kMoveStarted: {
         const Wire::MoveStarted &it = message.move_started();
         return Fleet::MoveStarted{{it.id()}, {it.instance()}, {it.from()}, {it.to()}, it.reason()};
--- a/src/libs/record/eventencoder.cpp
+++ b/src/libs/record/eventencoder.cpp
@@ -57,7 +57,9 @@
 
     void operator()(const Fleet::PlannerObserved &event)
     {
-        write(event.observations, *m_message.mutable_planner_observed()->mutable_observations());
+        Wire::PlannerObserved &it = *m_message.mutable_planner_observed();
+        write(event.observations, *it.mutable_observations());
+        it.set_zone_offset(event.zoneOffset.value);
     }
 
     void operator()(const Fleet::MoveStarted &event)
