--- a/src/libs/fleet/fold.cpp
+++ b/src/libs/fleet/fold.cpp
@@ -116,6 +116,14 @@
 {
     std::vector<Outcome> outcomes;
     outcomes.reserve(entries.size());
+    if (entries.empty()) {
+        return outcomes;
+    }
+    if (isWaiting(entries.front())) {
+        outcomes.push_back({OutcomeKind::NotYet});
+        return outcomes;
+    }
+    keepInForceFor(entries.front());
     takeBackAhead();
     for (const Entry &it : entries) {
         outcomes.push_back(applyNextZone(it));
@@ -147,7 +155,21 @@
 bool Fold::isWaiting(const Entry &entry) const
 {
     const Record *record = entry.record();
-    return record != nullptr && record->documentOffset > m_state.commonAppliedTo;
+    return record != nullptr && entry.offset > m_state.appliedTo
+        && record->documentOffset > m_state.commonAppliedTo;
+}
+
+// Edits that the first record builds upon need not be taken back for it.
+void Fold::keepInForceFor(const Entry &entry)
+{
+    const Record *record = entry.record();
+    if (record == nullptr || entry.offset <= m_state.appliedTo) {
+        return;
+    }
+    m_state.causalOffset = std::max(m_state.causalOffset, record->documentOffset);
+    while (!m_ahead.empty() && m_ahead.front().offset <= m_state.causalOffset) {
+        m_ahead.pop_front();
+    }
 }
 
 void Fold::settle(Offset causalOffset)
--- a/src/libs/fleet/fold.h
+++ b/src/libs/fleet/fold.h
@@ -67,6 +67,7 @@
     Refusal whyRefused(const EditProposed &event) const;
     Outcome applyNextZone(const Entry &entry);
     bool isWaiting(const Entry &entry) const;
+    void keepInForceFor(const Entry &entry);
     void settle(Offset causalOffset);
     void takeBackAhead();
     void putAheadInForce();
--- /dev/null
+++ b/tests/bench/foldrate/main.cpp
@@ -0,0 +1,256 @@
+#include <fleet/fold.h>
+#include <histories/history.h>
+#include <record/codec.h>
+
+#include <fmt/format.h>
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace
+{
+
+constexpr std::size_t Pools = 175;
+constexpr std::size_t Members = 8;
+constexpr std::size_t Moves = 2000;
+constexpr std::size_t Edits = 10'000; // more than a window holds
+constexpr int Rounds = 5;
+const Base::AvailabilityZoneName Zone{"a"};
+
+struct Subject {
+    std::size_t instances = 0;
+    std::size_t zones = 1; ///< over which the instances are spread; one of them is folded
+};
+
+/// The log's bytes of both streams.
+struct Log {
+    std::vector<std::string> common;
+    std::vector<std::string> zone;
+};
+
+std::size_t usedBytes()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+double secondsOf(const std::function<void()> &work)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    work();
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
+}
+
+double median(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    return values[values.size() / 2];
+}
+
+/// Writes a log in which members join, instances move and operators edit one instance at a time.
+class LogWriter
+{
+public:
+    explicit LogWriter(const Subject &subject)
+        : m_document(Histories::makeDocument(subject.instances, Pools, subject.zones))
+    {
+        for (const Document::Instance &it : m_document.instances) {
+            if (it.zone == Zone) {
+                m_own.push_back(it);
+            }
+        }
+    }
+
+    Log write()
+    {
+        edit(Histories::wholeDelta(m_document));
+        for (std::size_t n = 0; n < Members; ++n) {
+            append(Fleet::MemberJoined{memberName(n), Zone}, {});
+        }
+        append(Fleet::PlannerClaimed{Zone, memberName(0), {}}, {});
+        m_term = {m_log.zone.size()};
+        for (std::size_t n = 0; n < Moves; ++n) {
+            move(n);
+            for (std::size_t k = 0; k < Edits / Moves; ++k) {
+                Document::Delta delta;
+                delta.setInstances.push_back(m_own[(n * 7 + k) % m_own.size()]);
+                delta.setInstances.front().connections = static_cast<std::uint32_t>(n);
+                edit(std::move(delta));
+            }
+        }
+        return std::move(m_log);
+    }
+
+private:
+    static Base::MemberName memberName(std::size_t n)
+    {
+        return {fmt::format("entry-a-{}-20261204", n)};
+    }
+
+    void edit(Document::Delta delta)
+    {
+        const Fleet::Offset base{m_log.common.size()};
+        const std::string id = fmt::format("operator-4711-{}", base.value);
+        m_log.common.push_back(Record::encode(
+            Histories::makeRecord(id, Fleet::EditProposed{base, "operator", "", std::move(delta), {}})));
+    }
+
+    void append(Fleet::Event event, Fleet::Offset term)
+    {
+        const std::string id = fmt::format("entry-a-0-20261204-{}", m_log.zone.size());
+        m_log.zone.push_back(
+            Record::encode({id, memberName(0), term, {m_log.common.size()}, std::move(event), {}}));
+    }
+
+    void move(std::size_t n)
+    {
+        const Fleet::ActionId id{fmt::format("move-{}", n)};
+        const std::size_t index = n % m_own.size();
+        Document::Instance &instance = m_own[index];
+        const Base::PoolName from = m_pools.try_emplace(index, instance.pool).first->second;
+        const Base::PoolName to = m_document.pools[(n + index) % Pools].name;
+        append(Fleet::MoveStarted{id, instance.name, from, to, "demand shifted for 60 s"}, m_term);
+        for (std::size_t k = 0; k < Members; ++k) {
+            append(Fleet::DrainAcknowledged{id, memberName(k)}, {});
+        }
+        append(Fleet::MoveCommitted{id}, m_term);
+        if (from != to) {
+            m_pools[index] = to;
+        }
+    }
+
+    Document::Document m_document;
+    std::vector<Document::Instance> m_own;
+    std::map<std::size_t, Base::PoolName> m_pools;
+    Fleet::Offset m_term;
+    Log m_log;
+};
+
+std::vector<Fleet::Entry> decodeAll(const std::vector<std::string> &bytes)
+{
+    std::vector<Fleet::Entry> entries;
+    entries.reserve(bytes.size());
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        entries.push_back(Record::decodeEntry({n + 1}, bytes[n]));
+    }
+    return entries;
+}
+
+std::size_t bytesOf(const std::vector<std::string> &records)
+{
+    std::size_t bytes = 0;
+    for (const std::string &it : records) {
+        bytes += it.size();
+    }
+    return bytes;
+}
+
+/// Folds both streams in causal order; adds up the seconds spent on each.
+struct FoldTimes {
+    double common = 0;
+    double zone = 0;
+};
+
+FoldTimes foldAll(Fleet::Fold &fold, const Histories::History &history)
+{
+    FoldTimes times;
+    auto common = history.common.begin();
+    auto zone = history.zone.begin();
+    while (zone != history.zone.end()) {
+        times.zone += secondsOf([&] {
+            while (zone != history.zone.end() && fold.applyZone(*zone).kind != Fleet::OutcomeKind::NotYet) {
+                ++zone;
+            }
+        });
+        if (common == history.common.end()) {
+            break;
+        }
+        times.common += secondsOf([&] { fold.applyCommon(*common++); });
+    }
+    return times;
+}
+
+void measure(const Subject &subject)
+{
+    const Log log = LogWriter(subject).write();
+    const Histories::History history{decodeAll(log.common), decodeAll(log.zone)};
+
+    std::vector<double> decodeSeconds;
+    std::vector<double> editSeconds;
+    std::vector<double> zoneSeconds;
+    Fleet::Fold last(Histories::shippedCharts(), Zone);
+    for (int round = 0; round < Rounds; ++round) {
+        decodeSeconds.push_back(secondsOf([&] { decodeAll(log.zone); }));
+        Fleet::Fold fold(Histories::shippedCharts(), Zone);
+        const FoldTimes times = foldAll(fold, history);
+        editSeconds.push_back(times.common);
+        zoneSeconds.push_back(times.zone);
+        last = std::move(fold);
+    }
+
+    const Fleet::FleetState snapshot = last.snapshot();
+    std::string bytes;
+    std::vector<double> encodeSeconds;
+    std::vector<double> loadSeconds;
+    for (int round = 0; round < Rounds; ++round) {
+        encodeSeconds.push_back(secondsOf([&] {
+            bytes = Record::encode(Histories::makeRecord("snapshot", Fleet::SnapshotTaken{snapshot}));
+        }));
+        loadSeconds.push_back(secondsOf([&] { Record::decode(bytes); }));
+    }
+    const std::size_t before = usedBytes();
+    const Fleet::FleetState copy = snapshot;
+    const std::size_t stateBytes = usedBytes() - before;
+
+    const auto perSecond = [](std::size_t n, double seconds) {
+        return static_cast<double>(n) / seconds;
+    };
+    fmt::print(
+        "{:>9} {:>5} {:>6} {:>8} {:>10.0f} {:>10.0f} {:>10.0f} {:>11} {:>8.2f} {:>8.2f} {:>11} {:>6} {:>6}\n",
+        subject.instances,
+        subject.zones,
+        copy.instances.size(),
+        copy.recentZone.marks().size(),
+        perSecond(log.zone.size(), median(decodeSeconds)),
+        perSecond(log.zone.size(), median(zoneSeconds)),
+        perSecond(log.common.size(), median(editSeconds)),
+        bytes.size(),
+        median(encodeSeconds) * 1e3,
+        median(loadSeconds) * 1e3,
+        stateBytes,
+        bytesOf(log.zone) / log.zone.size(),
+        (bytesOf(log.common) - log.common.front().size()) / (log.common.size() - 1));
+}
+
+} // namespace
+
+int main()
+{
+    fmt::print("One zone's fold, {} pools, {} members; median of {} rounds\n", Pools, Members, Rounds);
+    fmt::print("{:>9} {:>5} {:>6} {:>8} {:>10} {:>10} {:>10} {:>11} {:>8} {:>8} {:>11} {:>6} {:>6}\n",
+               "instances",
+               "zones",
+               "own",
+               "window",
+               "decode/s",
+               "zone/s",
+               "edits/s",
+               "snapshot B",
+               "write ms",
+               "read ms",
+               "state B",
+               "rec B",
+               "edit B");
+    const Subject subjects[] = {{50, 1}, {1000, 1}, {11'000, 1}, {11'000, 19}};
+    for (const Subject &it : subjects) {
+        measure(it);
+    }
+}
