--- a/src/libs/fleet/fold.h
+++ b/src/libs/fleet/fold.h
@@ -64,8 +64,10 @@
 
     Outcome applyCommonRecord(const Record &record, CommonStep &step);
     Outcome applyEdit(const EditProposed &event, CommonStep &step);
+    Refusal whyRefused(const EditProposed &event) const;
     Outcome applyNextZone(const Entry &entry);
     bool isWaiting(const Entry &entry) const;
+    void keepInForceFor(const Entry &entry);
     void settle(Offset causalOffset);
     void takeBackAhead();
     void putAheadInForce();
