--- a/src/libs/claims/claimdesk.cpp
+++ b/src/libs/claims/claimdesk.cpp
@@ -8,11 +8,6 @@
 namespace
 {
 
-bool isClaim(const ClaimRecord &record)
-{
-    return std::holds_alternative<Claimed>(record.event);
-}
-
 AnswerKind kindOf(const KeyStatus &held)
 {
     switch (held.phase) {
@@ -52,25 +47,17 @@
     } else if (!canClaim(request, now)) {
         answer(request, AnswerKind::RefusedNotRun);
     } else {
-        open(request);
+        open(request, now);
         flush(now);
     }
 }
 
 void ClaimDesk::fold(std::string_view data, Base::Instant now)
 {
-    const auto applied = m_table->apply(data);
-    if (!applied || applied->claim.owner != m_owner) {
-        return;
-    }
-    const auto it = m_open.find(applied->claim.sequence);
-    if (it == m_open.end()) {
-        return;
-    }
-    if (applied->isClaim && it->second.stage == Stage::Waiting) {
-        onOwnClaim(it, applied->takesEffect, now);
-    } else if (!applied->isClaim && it->second.stage == Stage::Ending) {
-        m_open.erase(it);
+    for (const Applied &it : m_table->apply(data)) {
+        if (it.claim.owner == m_owner) {
+            onOwn(it, now);
+        }
     }
     flush(now);
 }
@@ -95,9 +82,9 @@
     for (const std::uint64_t sequence : sequences) {
         const auto it = m_open.find(sequence);
         if (it->second.stage == Stage::Waiting) {
-            giveUp(it);
+            giveUp(it, now);
         } else if (it->second.stage == Stage::Ending) {
-            m_outbox.add(*it->second.end);
+            m_outbox.add(*it->second.end, now);
         }
     }
     flush(now);
@@ -113,9 +100,9 @@
         m_outbox.onUnknown(now);
         break;
     case AppendResult::Unavailable:
-        for (const ClaimRecord &record : m_outbox.onUnavailable(now)) {
-            const auto it = m_open.find(record.claim.sequence);
-            if (it != m_open.end() && isClaim(record)) {
+        for (const ClaimEvent &event : m_outbox.onUnavailable(now)) {
+            const auto it = m_open.find(event.claim.sequence);
+            if (it != m_open.end() && isBeginning(event)) {
                 --it->second.sends;
             }
         }
@@ -137,11 +124,11 @@
         if (completed->answer.size() <= m_settings.maxStoredAnswerBytes) {
             event.answer = completed->answer;
         }
-        end(it, std::move(event));
+        end(it, std::move(event), now);
     } else if (std::holds_alternative<RequestNotRun>(outcome)) {
-        end(it, Released{});
+        end(it, Released{}, now);
     } else {
-        end(it, Uncertain{});
+        end(it, Uncertain{}, now);
     }
     flush(now);
 }
@@ -204,13 +191,26 @@
         && !m_outbox.isLogOut(now);
 }
 
-void ClaimDesk::open(const ClaimRequest &request)
+void ClaimDesk::open(const ClaimRequest &request, Base::Instant now)
 {
     const std::uint64_t sequence = ++m_lastSequence;
     m_open.emplace(sequence, OpenClaim{request, Stage::Waiting, 0, std::nullopt});
     m_waitingKeys.emplace(request.key, sequence);
     m_deadlines.emplace(request.deadline, sequence);
-    m_outbox.add({idOf(sequence), Claimed{m_member.value, request.key, request.fingerprint}});
+    m_outbox.add({idOf(sequence), Claimed{request.key, request.fingerprint}}, now);
+}
+
+void ClaimDesk::onOwn(const Applied &applied, Base::Instant now)
+{
+    const auto it = m_open.find(applied.claim.sequence);
+    if (it == m_open.end()) {
+        return;
+    }
+    if (applied.isClaim && it->second.stage == Stage::Waiting) {
+        onOwnClaim(it, applied.takesEffect, now);
+    } else if (!applied.isClaim && it->second.stage == Stage::Ending) {
+        m_open.erase(it);
+    }
 }
 
 // A process that was frozen folds its own claim late: the deadline is looked at before the grant.
@@ -223,7 +223,7 @@
         m_byRequest.emplace(request.requestId, it->first);
         m_outputs.emplace_back(Grant{request.requestId});
     } else if (takesEffect) {
-        giveUp(it);
+        giveUp(it, now);
     } else {
         stopWaiting(it);
         m_open.erase(it);
@@ -231,12 +231,12 @@
     }
 }
 
-void ClaimDesk::giveUp(OpenClaims::iterator it)
+void ClaimDesk::giveUp(OpenClaims::iterator it, Base::Instant now)
 {
     const ClaimRequest request = it->second.request;
     stopWaiting(it);
     if (it->second.sends > 0) {
-        end(it, Released{});
+        end(it, Released{}, now);
     } else {
         m_open.erase(it);
     }
@@ -246,15 +246,16 @@
 void ClaimDesk::giveUpLate(Base::Instant now)
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        giveUp(m_open.find(m_deadlines.begin()->second));
+        giveUp(m_open.find(m_deadlines.begin()->second), now);
     }
 }
 
-void ClaimDesk::end(OpenClaims::iterator it, decltype(ClaimRecord::event) event)
+// Nobody waits for an end: it may go with the next claims, which saves an append.
+void ClaimDesk::end(OpenClaims::iterator it, decltype(ClaimEvent::kind) kind, Base::Instant now)
 {
     it->second.stage = Stage::Ending;
-    it->second.end = ClaimRecord{idOf(it->first), std::move(event)};
-    m_outbox.add(*it->second.end);
+    it->second.end = ClaimEvent{idOf(it->first), std::move(kind)};
+    m_outbox.add(*it->second.end, now + m_settings.endDelay);
 }
 
 void ClaimDesk::stopWaiting(OpenClaims::iterator it)
@@ -277,28 +278,27 @@
     m_outputs.emplace_back(std::move(answer));
 }
 
+// A record's own id is new each time: what was sent before is told by its events.
 void ClaimDesk::flush(Base::Instant now)
 {
-    const auto batch =
-        m_outbox.takeBatch(now, [this](const ClaimRecord &record) { return isWanted(record); });
+    const auto batch = m_outbox.takeBatch(now, [this](const ClaimEvent &event) { return isWanted(event); });
     if (batch.empty()) {
         return;
     }
-    AppendBatch append;
-    append.records.reserve(batch.size());
-    for (const ClaimRecord &record : batch) {
-        if (isClaim(record)) {
-            ++m_open.at(record.claim.sequence).sends;
+    for (const ClaimEvent &it : batch) {
+        if (isBeginning(it)) {
+            ++m_open.at(it.claim.sequence).sends;
         }
-        append.records.push_back(encode(record));
     }
-    m_outputs.emplace_back(std::move(append));
+    std::string id = m_member.value;
+    id.append("-").append(std::to_string(++m_lastRecord));
+    m_outputs.emplace_back(AppendRecord{std::move(id), encode(m_member.value, batch)});
 }
 
-bool ClaimDesk::isWanted(const ClaimRecord &record) const
+bool ClaimDesk::isWanted(const ClaimEvent &event) const
 {
-    const auto it = m_open.find(record.claim.sequence);
-    return it != m_open.end() && it->second.stage == (isClaim(record) ? Stage::Waiting : Stage::Ending);
+    const auto it = m_open.find(event.claim.sequence);
+    return it != m_open.end() && it->second.stage == (isBeginning(event) ? Stage::Waiting : Stage::Ending);
 }
 
 ClaimId ClaimDesk::idOf(std::uint64_t sequence) const
--- a/src/libs/claims/claimdesk.h
+++ b/src/libs/claims/claimdesk.h
@@ -2,7 +2,7 @@
 
 #include "claimanswer.h"
 #include "claimtable.h"
-#include "recordoutbox.h"
+#include "eventoutbox.h"
 
 #include <base/instant.h>
 #include <base/names.h>
@@ -26,6 +26,8 @@
     OutboxSettings outbox;
     std::size_t maxOpenClaims = 4096; ///< claims whose end is not in the log yet
     std::size_t maxStoredAnswerBytes = 1024; ///< of one answer; a larger one is not kept
+    Base::Duration endDelay =
+        std::chrono::milliseconds(200); ///< how long an end may wait for a claim to go with
     Base::Duration retryAfter = std::chrono::seconds(1); ///< told to callers who may try again
 };
 
@@ -50,19 +52,20 @@
 
 enum class AppendResult {
     Appended,
-    Unknown, ///< the records may be in the log, or may yet get there
+    Unknown, ///< the record may be in the log, or may yet get there
     Unavailable, ///< proven not taken
 };
 
-/// Append these records in one go, and tell onAppend() what became of it.
-struct AppendBatch {
-    std::vector<EncodedRecord> records;
+/// Append this record, and tell onAppend() what became of it.
+struct AppendRecord {
+    std::string id; ///< unique; a record that is tried again gets another one
+    std::string data;
 };
 /// Dispatch the request now, and tell onOutcome() what became of it.
 struct Grant {
     std::uint64_t requestId = 0;
 };
-using DeskOutput = std::variant<AppendBatch, Grant, ClaimAnswer>;
+using DeskOutput = std::variant<AppendRecord, Grant, ClaimAnswer>;
 
 /// One member's side of at most once: claims keys in the log, and grants a request when its own claim is seen
 /// to have taken effect. Every request gets one Grant or one ClaimAnswer. A pure state machine: each input is
@@ -110,30 +113,32 @@
         ClaimRequest request;
         Stage stage = Stage::Waiting;
         unsigned sends = 0; ///< appends that may have carried the claim
-        std::optional<ClaimRecord> end;
+        std::optional<ClaimEvent> end;
     };
     using OpenClaims = std::unordered_map<std::uint64_t, OpenClaim>;
 
     std::optional<AnswerKind> kindOfHeld(const ClaimRequest &request) const;
     bool canClaim(const ClaimRequest &request, Base::Instant now) const;
-    void open(const ClaimRequest &request);
+    void open(const ClaimRequest &request, Base::Instant now);
+    void onOwn(const Applied &applied, Base::Instant now);
     void onOwnClaim(OpenClaims::iterator it, bool takesEffect, Base::Instant now);
-    void giveUp(OpenClaims::iterator it);
+    void giveUp(OpenClaims::iterator it, Base::Instant now);
     void giveUpLate(Base::Instant now);
-    void end(OpenClaims::iterator it, decltype(ClaimRecord::event) event);
+    void end(OpenClaims::iterator it, decltype(ClaimEvent::kind) kind, Base::Instant now);
     void stopWaiting(OpenClaims::iterator it);
     void answer(const ClaimRequest &request, AnswerKind kind);
     void flush(Base::Instant now);
-    bool isWanted(const ClaimRecord &record) const;
+    bool isWanted(const ClaimEvent &event) const;
     ClaimId idOf(std::uint64_t sequence) const;
 
     DeskSettings m_settings;
     Base::MemberName m_member;
     std::uint64_t m_owner;
     std::unique_ptr<ClaimTable> m_table;
-    RecordOutbox m_outbox;
+    EventOutbox m_outbox;
     std::optional<Offset> m_firstTail;
     std::uint64_t m_lastSequence = 0;
+    std::uint64_t m_lastRecord = 0;
     OpenClaims m_open; ///< by sequence
     std::unordered_map<std::uint64_t, std::uint64_t> m_byRequest; ///< granted ones
     std::unordered_map<KeyDigest, std::uint64_t, KeyDigestHash> m_waitingKeys;
--- a/src/libs/claims/claimrecord.cpp
+++ b/src/libs/claims/claimrecord.cpp
@@ -27,63 +27,58 @@
 }
 
 struct EventWriter {
-    Proto::Record &record;
+    Proto::Event &message;
 
-    void operator()(const Claimed &event) const
+    void operator()(const Claimed &kind) const
     {
-        auto *claimed = record.mutable_claimed();
-        claimed->set_owner(event.owner);
-        claimed->set_key_high(event.key.high);
-        claimed->set_key_low(event.key.low);
-        claimed->set_fingerprint(event.fingerprint);
+        auto *claimed = message.mutable_claimed();
+        claimed->set_key_high(kind.key.high);
+        claimed->set_key_low(kind.key.low);
+        claimed->set_fingerprint(kind.fingerprint);
     }
 
     void operator()(const Released &) const
     {
-        record.mutable_released();
+        message.mutable_released();
     }
 
-    void operator()(const Completed &event) const
+    void operator()(const Completed &kind) const
     {
-        auto *completed = record.mutable_completed();
-        completed->set_status(event.status);
-        completed->set_has_answer(event.answer.has_value());
-        completed->set_answer(event.answer.value_or(""));
+        auto *completed = message.mutable_completed();
+        completed->set_status(kind.status);
+        completed->set_has_answer(kind.answer.has_value());
+        completed->set_answer(kind.answer.value_or(""));
     }
 
     void operator()(const Uncertain &) const
     {
-        record.mutable_uncertain();
+        message.mutable_uncertain();
     }
 };
 
-std::optional<ClaimRecord> toRecord(Proto::Record &&record)
+std::optional<ClaimEvent> toEvent(const ClaimId &id, Proto::Event &message)
 {
-    const ClaimId id{record.claim().owner(), record.claim().sequence()};
-    switch (record.event_case()) {
-    case Proto::Record::kClaimed: {
-        auto &claimed = *record.mutable_claimed();
-        return ClaimRecord{id,
-                           Claimed{std::move(*claimed.mutable_owner()),
-                                   {claimed.key_high(), claimed.key_low()},
-                                   claimed.fingerprint()}};
+    switch (message.kind_case()) {
+    case Proto::Event::kClaimed: {
+        const auto &claimed = message.claimed();
+        return ClaimEvent{id, Claimed{{claimed.key_high(), claimed.key_low()}, claimed.fingerprint()}};
     }
-    case Proto::Record::kReleased:
-        return ClaimRecord{id, Released{}};
-    case Proto::Record::kCompleted: {
-        auto &completed = *record.mutable_completed();
+    case Proto::Event::kReleased:
+        return ClaimEvent{id, Released{}};
+    case Proto::Event::kCompleted: {
+        auto &completed = *message.mutable_completed();
         if (completed.status() > HighestStatus) {
             return std::nullopt;
         }
-        Completed event{static_cast<std::uint16_t>(completed.status()), std::nullopt};
+        Completed kind{static_cast<std::uint16_t>(completed.status()), std::nullopt};
         if (completed.has_answer()) {
-            event.answer = std::move(*completed.mutable_answer());
+            kind.answer = std::move(*completed.mutable_answer());
         }
-        return ClaimRecord{id, std::move(event)};
+        return ClaimEvent{id, std::move(kind)};
     }
-    case Proto::Record::kUncertain:
-        return ClaimRecord{id, Uncertain{}};
-    case Proto::Record::EVENT_NOT_SET:
+    case Proto::Event::kUncertain:
+        return ClaimEvent{id, Uncertain{}};
+    case Proto::Event::KIND_NOT_SET:
         break;
     }
     return std::nullopt;
@@ -96,31 +91,45 @@
     return XXH3_64bits(member.data(), member.size());
 }
 
-// A claim has one record that begins it and at most one that ends it: two ids are enough.
-EncodedRecord encode(const ClaimRecord &record)
+bool isBeginning(const ClaimEvent &event)
 {
-    Proto::Record message;
-    message.mutable_claim()->set_owner(record.claim.owner);
-    message.mutable_claim()->set_sequence(record.claim.sequence);
-    std::visit(EventWriter{message}, record.event);
-    const std::string payload = message.SerializeAsString();
-    std::string id = std::holds_alternative<Claimed>(record.event) ? "claim-" : "end-";
-    id.append(std::to_string(record.claim.owner)).append("-").append(std::to_string(record.claim.sequence));
-    return {std::move(id), checksumOf(payload).append(payload)};
+    return std::holds_alternative<Claimed>(event.kind);
 }
 
-std::optional<ClaimRecord> decode(std::string_view data)
+std::string encode(std::string_view member, std::span<const ClaimEvent> events)
+{
+    Proto::Batch batch;
+    batch.set_member(std::string(member));
+    for (const ClaimEvent &it : events) {
+        Proto::Event *message = batch.add_events();
+        message->set_sequence(it.claim.sequence);
+        std::visit(EventWriter{*message}, it.kind);
+    }
+    const std::string payload = batch.SerializeAsString();
+    return checksumOf(payload).append(payload);
+}
+
+std::optional<std::vector<ClaimEvent>> decode(std::string_view data)
 {
     if (data.size() < ChecksumBytes) {
         return std::nullopt;
     }
     const std::string_view payload = data.substr(ChecksumBytes);
-    Proto::Record message;
+    Proto::Batch batch;
     if (checksumOf(payload) != data.substr(0, ChecksumBytes)
-        || !message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        || !batch.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
         return std::nullopt;
     }
-    return toRecord(std::move(message));
+    const std::uint64_t owner = ownerOf(batch.member());
+    std::vector<ClaimEvent> events;
+    for (Proto::Event &it : *batch.mutable_events()) {
+        auto event = toEvent({owner, it.sequence()}, it);
+        if (!event) {
+            return std::nullopt;
+        }
+        events.push_back(std::move(*event));
+    }
+    return events;
 }
 
 } // namespace Claims
--- a/src/libs/claims/claimrecord.h
+++ b/src/libs/claims/claimrecord.h
@@ -5,9 +5,11 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace Claims
 {
@@ -25,9 +27,8 @@
 
 std::uint64_t ownerOf(std::string_view member);
 
-/// `owner` asks to execute the request with this key. Takes effect if the key is free at its offset.
+/// The owner asks to execute the request with this key. Takes effect if the key is free by then.
 struct Claimed {
-    std::string owner;
     KeyDigest key;
     std::uint64_t fingerprint = 0;
 
@@ -52,22 +53,20 @@
     bool operator==(const Uncertain &) const = default;
 };
 
-struct ClaimRecord {
+/// A claim has one event that begins it and at most one that ends it. Either may be in the log several times.
+struct ClaimEvent {
     ClaimId claim;
-    std::variant<Claimed, Released, Completed, Uncertain> event;
+    std::variant<Claimed, Released, Completed, Uncertain> kind;
 
-    bool operator==(const ClaimRecord &) const = default;
+    bool operator==(const ClaimEvent &) const = default;
 };
 
-/// A record as it is appended to the log.
-struct EncodedRecord {
-    std::string id; ///< the same for each try to append it
-    std::string data;
-};
+bool isBeginning(const ClaimEvent &event);
 
-EncodedRecord encode(const ClaimRecord &record);
+/// One record of the log: events of one member, in their order.
+std::string encode(std::string_view member, std::span<const ClaimEvent> events);
 
-/// Nothing when `data` is damaged or of an unknown kind; every reader skips the same ones.
-std::optional<ClaimRecord> decode(std::string_view data);
+/// Nothing when `data` is damaged or of an unknown kind; every reader skips the same records.
+std::optional<std::vector<ClaimEvent>> decode(std::string_view data);
 
 } // namespace Claims
--- a/src/libs/claims/claimtable.cpp
+++ b/src/libs/claims/claimtable.cpp
@@ -1,7 +1,6 @@
 #include "claimtable.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace Claims
@@ -10,8 +9,6 @@
 namespace
 {
 
-constexpr std::uint32_t NoSlot = std::numeric_limits<std::uint32_t>::max();
-
 std::size_t hashOf(const ClaimId &id)
 {
     constexpr std::uint64_t Spread = 0x9e3779b97f4a7c15; // 2^64 over the golden ratio (Knuth, TAOCP 6.4)
@@ -20,15 +17,15 @@
 
 } // namespace
 
-// One for each claim that a record of the window is about. Two rules keep tables of different beginnings
-// together: a claim's id is remembered until the window has passed since the last record about it, of any
+// One for each claim that an event of the window is about. Two rules keep tables of different beginnings
+// together: a claim's id is remembered until the window has passed since the last event about it, of any
 // kind and also when it changed nothing; a key is held until the window has passed since its claim.
 struct ClaimTable::Slot {
     ClaimId id;
     KeyDigest key;
     std::uint64_t fingerprint = 0;
-    Offset lastMention = 0;
-    Offset heldFrom = 0;
+    Serial lastMention = 0;
+    Serial heldFrom = 0;
     std::unique_ptr<std::string> answer;
     std::uint16_t status = 0;
     KeyPhase phase = KeyPhase::InProgress;
@@ -98,20 +95,28 @@
 
 ClaimTable::~ClaimTable() = default;
 
-std::optional<Applied> ClaimTable::apply(std::string_view data)
+std::vector<Applied> ClaimTable::apply(std::string_view data)
 {
-    const Offset at = m_next++;
-    expire(at);
-    auto record = decode(data);
-    if (!record) {
-        m_window.push_back(NoSlot);
-        return std::nullopt;
+    ++m_next;
+    auto events = decode(data);
+    std::vector<Applied> applied;
+    if (events) {
+        applied.reserve(events->size());
+        for (ClaimEvent &it : *events) {
+            applied.push_back(applyEvent(it));
+        }
     }
-    const Index it = mention(record->claim, at);
+    return applied;
+}
+
+Applied ClaimTable::applyEvent(ClaimEvent &event)
+{
+    const Serial at = ++m_lastSerial;
+    expire(at);
+    const Index it = mention(event.claim, at);
     m_window.push_back(it);
-    const bool takesEffect =
-        std::visit([&](auto &event) { return applyEvent(it, event, at); }, record->event);
-    return Applied{record->claim, std::holds_alternative<Claimed>(record->event), takesEffect};
+    const bool takesEffect = std::visit([&](auto &kind) { return applyKind(it, kind, at); }, event.kind);
+    return Applied{event.claim, isBeginning(event), takesEffect};
 }
 
 std::optional<KeyStatus> ClaimTable::find(const KeyDigest &key) const
@@ -130,7 +135,7 @@
 
 bool ClaimTable::hasWindow() const
 {
-    return m_from == 1 || m_next >= m_from + m_settings.window;
+    return m_from == 1 || m_lastSerial >= m_settings.window;
 }
 
 std::size_t ClaimTable::memoryBytes() const
@@ -140,7 +145,7 @@
         + indexBytes + m_answersBytes;
 }
 
-ClaimTable::Index ClaimTable::mention(const ClaimId &id, Offset at)
+ClaimTable::Index ClaimTable::mention(const ClaimId &id, Serial at)
 {
     if (const auto known = m_claims.find(id); known != m_claims.end()) {
         m_slots[*known].lastMention = at;
@@ -160,15 +165,15 @@
 }
 
 // A claim that ended before it arrived was late on its way: its owner has given it up.
-bool ClaimTable::applyEvent(Index it, const Claimed &event, Offset at)
+bool ClaimTable::applyKind(Index it, const Claimed &kind, Serial at)
 {
     Slot &slot = m_slots[it];
     const bool isRepeat = std::exchange(slot.isClaimed, true);
     if (!isRepeat) {
-        slot.key = event.key;
-        slot.fingerprint = event.fingerprint;
+        slot.key = kind.key;
+        slot.fingerprint = kind.fingerprint;
     }
-    if (const auto holder = m_holders.find(event.key); holder != m_holders.end()) {
+    if (const auto holder = m_holders.find(kind.key); holder != m_holders.end()) {
         prolongInexact(m_slots[*holder], at);
         return false;
     }
@@ -179,25 +184,25 @@
 }
 
 // Before the window is full, an earlier claim that this table has not seen may hold the key.
-bool ClaimTable::hold(Index it, Offset at)
+bool ClaimTable::hold(Index it, Serial at)
 {
     Slot &slot = m_slots[it];
     slot.heldFrom = at;
-    slot.isExact = m_from == 1 || at >= m_from + m_settings.window;
+    slot.isExact = m_from == 1 || at > m_settings.window;
     m_holders.insert(it);
     return slot.isExact;
 }
 
 // Each claim of such a key, be it a repeat, may be the one that holds it. So the key is taken for free only
 // when nobody has claimed it for a whole window.
-void ClaimTable::prolongInexact(Slot &holder, Offset at)
+void ClaimTable::prolongInexact(Slot &holder, Serial at)
 {
     if (!holder.isExact) {
         holder.heldFrom = at;
     }
 }
 
-bool ClaimTable::applyEvent(Index it, const Released &, Offset)
+bool ClaimTable::applyKind(Index it, const Released &, Serial)
 {
     Slot &slot = m_slots[it];
     const bool isRepeat = std::exchange(slot.isEnded, true);
@@ -208,19 +213,19 @@
     return true;
 }
 
-bool ClaimTable::applyEvent(Index it, Completed &event, Offset)
+bool ClaimTable::applyKind(Index it, Completed &kind, Serial)
 {
     if (!settle(it, KeyPhase::Completed)) {
         return false;
     }
-    m_slots[it].status = event.status;
-    if (event.answer) {
-        keepAnswer(m_slots[it], *event.answer);
+    m_slots[it].status = kind.status;
+    if (kind.answer) {
+        keepAnswer(m_slots[it], *kind.answer);
     }
     return true;
 }
 
-bool ClaimTable::applyEvent(Index it, const Uncertain &, Offset)
+bool ClaimTable::applyKind(Index it, const Uncertain &, Serial)
 {
     return settle(it, KeyPhase::Uncertain);
 }
@@ -244,7 +249,7 @@
         const Index former = *holder;
         letGo(former);
         m_holders.insert(it);
-        forgetIfPast(former, m_next - 1 - m_window.size());
+        forgetIfPast(former, m_lastSerial - m_window.size());
     }
     slot.phase = phase;
     return true;
@@ -259,18 +264,15 @@
     slot.answer = std::make_unique<std::string>(std::move(answer));
 }
 
-// The record that leaves the window may be the last one about its claim, and the one that held a key.
-void ClaimTable::expire(Offset at)
+// The event that leaves the window may be the last one about its claim, and the one that held a key.
+void ClaimTable::expire(Serial at)
 {
     if (m_window.size() < m_settings.window) {
         return;
     }
-    const Offset leaving = at - m_window.size();
+    const Serial leaving = at - m_window.size();
     const Index it = m_window.front();
     m_window.pop_front();
-    if (it == NoSlot) {
-        return;
-    }
     if (const auto holder = m_holders.find(m_slots[it].key); holder != m_holders.end()) {
         const Index held = *holder;
         if (m_slots[held].heldFrom == leaving) {
@@ -291,8 +293,8 @@
     }
 }
 
-// A holder outlives the last record about it only where later claims prolonged it.
-void ClaimTable::forgetIfPast(Index it, Offset lastPast)
+// A holder outlives the last event about it only where later claims prolonged it.
+void ClaimTable::forgetIfPast(Index it, Serial lastPast)
 {
     if (m_slots[it].lastMention > lastPast || isHolder(it)) {
         return;
--- a/src/libs/claims/claimtable.h
+++ b/src/libs/claims/claimtable.h
@@ -17,7 +17,7 @@
 {
 
 struct TableSettings {
-    Offset window = 100'000; ///< records that a key is remembered for, from its claim on; below 2^31
+    std::uint64_t window = 100'000; ///< events that a key is remembered for, from its claim on; below 2^31
     std::size_t maxAnswersBytes = 4ULL * 1024 * 1024; ///< all kept answers; later ones are not kept
 };
 
@@ -36,7 +36,7 @@
     std::optional<std::string_view> answer; ///< valid until the next apply()
 };
 
-/// What one record did.
+/// What one event did.
 struct Applied {
     ClaimId claim;
     bool isClaim = false; ///< begins a claim; otherwise it ends one
@@ -55,8 +55,8 @@
     ClaimTable &operator=(const ClaimTable &) = delete;
     ~ClaimTable();
 
-    /// Applies the record at next(). Nothing for one that is damaged.
-    std::optional<Applied> apply(std::string_view data);
+    /// Applies the record at next(). Returns what its events did; none for one that is damaged.
+    std::vector<Applied> apply(std::string_view data);
 
     /// Nothing when the key is free.
     std::optional<KeyStatus> find(const KeyDigest &key) const;
@@ -80,6 +80,7 @@
 
 private:
     using Index = std::uint32_t;
+    using Serial = std::uint64_t; ///< counts the events that were applied, from 1 on
     struct Slot;
 
     struct ById {
@@ -101,26 +102,28 @@
         bool operator()(const KeyDigest &key, Index it) const;
     };
 
-    Index mention(const ClaimId &id, Offset at);
-    bool applyEvent(Index it, const Claimed &event, Offset at);
-    bool applyEvent(Index it, const Released &event, Offset at);
-    bool applyEvent(Index it, Completed &event, Offset at);
-    bool applyEvent(Index it, const Uncertain &event, Offset at);
-    bool hold(Index it, Offset at);
-    static void prolongInexact(Slot &holder, Offset at);
+    Applied applyEvent(ClaimEvent &event);
+    Index mention(const ClaimId &id, Serial at);
+    bool applyKind(Index it, const Claimed &kind, Serial at);
+    bool applyKind(Index it, const Released &kind, Serial at);
+    bool applyKind(Index it, Completed &kind, Serial at);
+    bool applyKind(Index it, const Uncertain &kind, Serial at);
+    bool hold(Index it, Serial at);
+    static void prolongInexact(Slot &holder, Serial at);
     bool settle(Index it, KeyPhase phase);
     void keepAnswer(Slot &slot, std::string &answer);
-    void expire(Offset at);
+    void expire(Serial at);
     void letGo(Index holder);
-    void forgetIfPast(Index it, Offset lastPast);
+    void forgetIfPast(Index it, Serial lastPast);
     bool isHolder(Index it) const;
 
     TableSettings m_settings;
     Offset m_from;
     Offset m_next;
+    Serial m_lastSerial = 0;
     std::vector<Slot> m_slots;
     std::vector<Index> m_free;
-    std::deque<Index> m_window; ///< the claim that each of the last records was about
+    std::deque<Index> m_window; ///< the claim that each of the last events was about
     boost::unordered_flat_set<Index, ById, ById> m_claims;
     boost::unordered_flat_set<Index, ByKey, ByKey> m_holders;
     std::size_t m_answersBytes = 0;
--- /dev/null
+++ b/src/libs/claims/eventoutbox.cpp
@@ -0,0 +1,100 @@
+#include "eventoutbox.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace Claims
+{
+
+namespace
+{
+
+// One lost answer is no outage; two in a row are taken for one.
+constexpr unsigned FailuresOfAnOutage = 2;
+
+} // namespace
+
+EventOutbox::EventOutbox(const OutboxSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void EventOutbox::add(ClaimEvent event, Base::Instant due)
+{
+    m_queue.push_back(std::move(event));
+    m_queueDue = std::min(m_queueDue.value_or(due), due);
+}
+
+void EventOutbox::onAppended()
+{
+    m_inFlight.clear();
+    m_failuresInARow = 0;
+}
+
+void EventOutbox::onUnknown(Base::Instant now)
+{
+    m_unknown.push_back({now + m_settings.retryDelay, std::exchange(m_inFlight, {})});
+    noteFailure(now);
+}
+
+std::vector<ClaimEvent> EventOutbox::onUnavailable(Base::Instant now)
+{
+    std::vector<ClaimEvent> events = std::exchange(m_inFlight, {});
+    requeue(events, now);
+    m_notBefore = std::max(m_notBefore, now + m_settings.retryDelay);
+    noteFailure(now);
+    return events;
+}
+
+// After a while the log gets another chance: with nothing to append, nobody would learn that it is back.
+bool EventOutbox::isLogOut(Base::Instant now) const
+{
+    return m_failuresInARow >= FailuresOfAnOutage && now < m_lastFailure + 2 * m_settings.retryDelay;
+}
+
+std::optional<Base::Instant> EventOutbox::nextDue() const
+{
+    if (!m_inFlight.empty()) {
+        return std::nullopt;
+    }
+    std::optional<Base::Instant> due = m_queueDue;
+    if (!m_unknown.empty()) {
+        const Base::Instant retryAt = m_unknown.front().retryAt;
+        due = std::min(due.value_or(retryAt), retryAt);
+    }
+    return due ? std::optional(std::max(*due, m_notBefore)) : std::nullopt;
+}
+
+bool EventOutbox::isDue(Base::Instant now) const
+{
+    return m_inFlight.empty() && now >= m_notBefore && m_queueDue && *m_queueDue <= now;
+}
+
+void EventOutbox::requeue(std::vector<ClaimEvent> events, Base::Instant now)
+{
+    m_queue.insert(
+        m_queue.begin(), std::make_move_iterator(events.begin()), std::make_move_iterator(events.end()));
+    m_queueDue = now;
+}
+
+void EventOutbox::requeueUnknown(Base::Instant now)
+{
+    while (!m_unknown.empty() && m_unknown.front().retryAt <= now) {
+        requeue(std::move(m_unknown.front().events), now);
+        m_unknown.pop_front();
+    }
+}
+
+void EventOutbox::start(const std::vector<ClaimEvent> &batch, Base::Instant now)
+{
+    m_inFlight = batch;
+    m_notBefore = now + m_settings.minAppendInterval;
+}
+
+void EventOutbox::noteFailure(Base::Instant now)
+{
+    ++m_failuresInARow;
+    m_lastFailure = now;
+}
+
+} // namespace Claims
--- a/src/libs/claims/recordoutbox.h
+++ b/src/libs/claims/eventoutbox.h
@@ -14,35 +14,38 @@
 {
 
 struct OutboxSettings {
-    Base::Duration minAppendInterval = std::chrono::milliseconds(20);
+    Base::Duration minAppendInterval = std::chrono::milliseconds(40);
     Base::Duration retryDelay = std::chrono::milliseconds(250); ///< after an append that did not succeed
-    std::size_t maxBatchRecords = 1000;
+    std::size_t maxBatchEvents = 1000;
 };
 
 /// Group commit: at most one append is outstanding, carries all that waits, and starts no sooner than the
-/// minimum interval after the last one. Records of an append whose outcome is unknown are sent again.
-class RecordOutbox
+/// minimum interval after the last one. Events of an append whose outcome is unknown are sent again.
+class EventOutbox
 {
 public:
-    explicit RecordOutbox(const OutboxSettings &settings);
+    explicit EventOutbox(const OutboxSettings &settings);
 
-    void add(ClaimRecord record);
+    /// `due` is when it has to be on its way at the latest, the minimum interval allowing. An append that is
+    /// due sooner takes it along.
+    void add(ClaimEvent event, Base::Instant due);
 
-    /// The records of the next append, of those that `isWanted`; empty when none is due.
+    /// The events of the next append, of those that `isWanted`; empty when none is due.
     template<typename IsWanted>
-    std::vector<ClaimRecord> takeBatch(Base::Instant now, IsWanted isWanted)
+    std::vector<ClaimEvent> takeBatch(Base::Instant now, IsWanted isWanted)
     {
+        requeueUnknown(now);
         if (!isDue(now)) {
             return {};
         }
-        requeueUnknown(now);
-        std::vector<ClaimRecord> batch;
-        while (!m_queue.empty() && batch.size() < m_settings.maxBatchRecords) {
+        std::vector<ClaimEvent> batch;
+        while (!m_queue.empty() && batch.size() < m_settings.maxBatchEvents) {
             if (isWanted(m_queue.front())) {
                 batch.push_back(std::move(m_queue.front()));
             }
             m_queue.pop_front();
         }
+        m_queueDue = m_queue.empty() ? std::nullopt : std::optional(now);
         if (!batch.empty()) {
             start(batch, now);
         }
@@ -53,8 +56,8 @@
     void onAppended();
     void onUnknown(Base::Instant now);
 
-    /// Proven not taken. Returns the records of the append.
-    std::vector<ClaimRecord> onUnavailable(Base::Instant now);
+    /// Proven not taken. Returns the events of the append.
+    std::vector<ClaimEvent> onUnavailable(Base::Instant now);
 
     /// Whether appends have failed of late.
     bool isLogOut(Base::Instant now) const;
@@ -64,17 +67,19 @@
 private:
     struct UnknownBatch {
         Base::Instant retryAt;
-        std::vector<ClaimRecord> records;
+        std::vector<ClaimEvent> events;
     };
 
     bool isDue(Base::Instant now) const;
+    void requeue(std::vector<ClaimEvent> events, Base::Instant now);
     void requeueUnknown(Base::Instant now);
-    void start(const std::vector<ClaimRecord> &batch, Base::Instant now);
+    void start(const std::vector<ClaimEvent> &batch, Base::Instant now);
     void noteFailure(Base::Instant now);
 
     OutboxSettings m_settings;
-    std::deque<ClaimRecord> m_queue;
-    std::vector<ClaimRecord> m_inFlight;
+    std::deque<ClaimEvent> m_queue;
+    std::optional<Base::Instant> m_queueDue; ///< the earliest of the queue
+    std::vector<ClaimEvent> m_inFlight;
     std::deque<UnknownBatch> m_unknown;
     Base::Instant m_notBefore;
     Base::Instant m_lastFailure;
--- a/src/libs/claimservice/claimrunner.h
+++ b/src/libs/claimservice/claimrunner.h
@@ -110,7 +110,8 @@
         }
     }
 
-    // Two windows: keys claimed in the first one may have been held before it, see ClaimTable.
+    // Two windows: keys claimed in the first one may have been held before it, see ClaimTable. A record has
+    // one event at least.
     void begin(const Platform::ReadEntries &tail)
     {
         const Platform::Offset span = 2 * m_settings.desk.table.window;
@@ -157,8 +158,8 @@
     void takeOutputs()
     {
         for (auto &it : m_desk->takeOutputs()) {
-            if (const auto *batch = std::get_if<Claims::AppendBatch>(&it)) {
-                append(*batch);
+            if (auto *record = std::get_if<Claims::AppendRecord>(&it)) {
+                append(std::move(*record));
             } else if (const auto *grant = std::get_if<Claims::Grant>(&it)) {
                 m_events.onReply(*grant);
             } else {
@@ -187,13 +188,9 @@
         }
     }
 
-    void append(const Claims::AppendBatch &batch)
+    void append(Claims::AppendRecord record)
     {
-        std::vector<Platform::LogRecord> records;
-        records.reserve(batch.records.size());
-        for (const Claims::EncodedRecord &it : batch.records) {
-            records.push_back({it.id, it.data});
-        }
+        const Platform::LogRecord records[] = {{std::move(record.id), std::move(record.data)}};
         m_log.append(m_settings.stream,
                      records,
                      [alive = std::weak_ptr(m_alive)](const Platform::AppendOutcome &outcome) {
--- a/tests/auto/claims/claimhistory.h
+++ b/tests/auto/claims/claimhistory.h
@@ -138,8 +138,8 @@
     void takeOutputs(std::size_t index)
     {
         for (auto &it : m_members[index].desk->takeOutputs()) {
-            if (const auto *append = std::get_if<Claims::AppendBatch>(&it)) {
-                this->append(index, append->records);
+            if (const auto *append = std::get_if<Claims::AppendRecord>(&it)) {
+                this->append(index, append->data);
             } else if (const auto *grant = std::get_if<Claims::Grant>(&it)) {
                 execute(index, grant->requestId);
             } else {
@@ -187,7 +187,7 @@
         });
     }
 
-    void append(std::size_t index, const std::vector<Claims::EncodedRecord> &records)
+    void append(std::size_t index, const std::string &record)
     {
         using Claims::AppendResult;
         const auto soon = m_world.delay(30);
@@ -201,23 +201,24 @@
             break;
         case 2:
             finishAppend(index, AppendResult::Unknown, soon);
-            takeEffect(records, late);
+            takeEffect(record, late);
             break;
         case 3:
-            takeEffect(records, soon);
+            takeEffect(record, soon);
             finishAppend(index, AppendResult::Unknown, late);
             break;
         case 4:
-            takeEffect({records.begin(), records.begin() + static_cast<long>(records.size() / 2)}, soon);
+            takeEffect(record, late);
+            takeEffect(record, late + soon);
             finishAppend(index, AppendResult::Unknown, soon);
             break;
         case 5:
-            takeEffect(records, soon);
-            takeEffect(records, late);
+            takeEffect(record, soon);
+            takeEffect(record, late);
             finishAppend(index, AppendResult::Appended, soon);
             break;
         default:
-            takeEffect(records, soon);
+            takeEffect(record, soon);
             finishAppend(index, AppendResult::Appended, soon + m_world.delay(30));
         }
     }
@@ -229,12 +230,10 @@
         });
     }
 
-    void takeEffect(const std::vector<Claims::EncodedRecord> &records, Base::Duration after)
+    void takeEffect(const std::string &record, Base::Duration after)
     {
-        m_world.timers.subscribeAfter(after, [this, records] {
-            for (const auto &it : records) {
-                m_world.log.push_back(it.data);
-            }
+        m_world.timers.subscribeAfter(after, [this, record] {
+            m_world.log.push_back(record);
             for (std::size_t n = 0; n < m_members.size(); ++n) {
                 readSoon(n);
             }
--- a/tests/auto/claims/naivedesks.cpp
+++ b/tests/auto/claims/naivedesks.cpp
@@ -2,7 +2,7 @@
 
 using Claims::AnswerKind;
 using Claims::ClaimAnswer;
-using Claims::ClaimRecord;
+using Claims::ClaimEvent;
 using Claims::Offset;
 using namespace std::chrono_literals;
 
@@ -90,15 +90,15 @@
     }
     const std::uint64_t sequence = ++m_lastSequence;
     m_waiting.emplace(sequence, request);
-    send({{Claims::ownerOf(m_member.value), sequence},
-          Claims::Claimed{m_member.value, request.key, request.fingerprint}});
+    send({{Claims::ownerOf(m_member.value), sequence}, Claims::Claimed{request.key, request.fingerprint}});
 }
 
 void TakeoverDesk::fold(std::string_view data, Base::Instant now)
 {
     ++m_next;
-    const auto record = Claims::decode(data);
-    const auto *claimed = std::get_if<Claims::Claimed>(&record->event);
+    const auto events = Claims::decode(data);
+    const auto *record = &events->front();
+    const auto *claimed = std::get_if<Claims::Claimed>(&record->kind);
     if (!claimed) {
         end(*record);
         return;
@@ -186,21 +186,21 @@
     return it != m_holders.end() && (it->second.isEnded || now < it->second.seenAt + TakeoverTimeout);
 }
 
-void TakeoverDesk::end(const ClaimRecord &record)
+void TakeoverDesk::end(const ClaimEvent &record)
 {
     const auto key = m_keys.find(record.claim);
     const auto holder = key == m_keys.end() ? m_holders.end() : m_holders.find(key->second);
     if (holder == m_holders.end() || holder->second.claim != record.claim) {
         return;
     }
-    if (std::holds_alternative<Claims::Released>(record.event)) {
+    if (std::holds_alternative<Claims::Released>(record.kind)) {
         m_holders.erase(holder);
     } else {
         holder->second.isEnded = true;
     }
 }
 
-void TakeoverDesk::send(const ClaimRecord &record)
+void TakeoverDesk::send(const ClaimEvent &record)
 {
     m_queue.push_back(record);
     sendNext();
@@ -212,5 +212,6 @@
         return;
     }
     m_isAppending = true;
-    m_outputs.emplace_back(Claims::AppendBatch{{encode(m_queue.front())}});
+    const ClaimEvent events[] = {m_queue.front()};
+    m_outputs.emplace_back(Claims::AppendRecord{"naive", Claims::encode(m_member.value, events)});
 }
--- a/tests/auto/claims/naivedesks.h
+++ b/tests/auto/claims/naivedesks.h
@@ -53,8 +53,8 @@
     };
 
     bool isHeld(const Claims::KeyDigest &key, Base::Instant now) const;
-    void end(const Claims::ClaimRecord &record);
-    void send(const Claims::ClaimRecord &record);
+    void end(const Claims::ClaimEvent &record);
+    void send(const Claims::ClaimEvent &record);
     void sendNext();
 
     Base::MemberName m_member;
@@ -64,7 +64,7 @@
     std::map<Claims::ClaimId, Claims::KeyDigest> m_keys; ///< of every claim seen
     std::map<std::uint64_t, Claims::ClaimRequest> m_waiting; ///< by sequence
     std::map<std::uint64_t, std::uint64_t> m_granted; ///< sequence of each request
-    std::deque<Claims::ClaimRecord> m_queue;
+    std::deque<Claims::ClaimEvent> m_queue;
     bool m_isAppending = false;
     std::vector<Claims::DeskOutput> m_outputs;
 };
--- a/tests/auto/claims/tst_claimdesk.cpp
+++ b/tests/auto/claims/tst_claimdesk.cpp
@@ -15,7 +15,7 @@
     ClaimDesk desk{settings, Base::MemberName{"a"}, 1};
     std::vector<std::uint64_t> granted;
     std::vector<ClaimAnswer> answers;
-    std::vector<Claims::EncodedRecord> batch;
+    std::optional<Claims::AppendRecord> record; ///< the last one not folded
 
     static Base::Instant at(std::chrono::milliseconds offset)
     {
@@ -30,8 +30,8 @@
     void takeOutputs()
     {
         for (auto &it : desk.takeOutputs()) {
-            if (auto *append = std::get_if<Claims::AppendBatch>(&it)) {
-                batch = append->records;
+            if (auto *append = std::get_if<Claims::AppendRecord>(&it)) {
+                record = std::move(*append);
             } else if (const auto *grant = std::get_if<Claims::Grant>(&it)) {
                 granted.push_back(grant->requestId);
             } else {
@@ -46,11 +46,22 @@
         takeOutputs();
     }
 
-    void foldBatch(std::chrono::milliseconds now)
+    Claims::AppendRecord takeRecord()
     {
-        for (const auto &it : std::exchange(batch, {})) {
-            desk.fold(it.data, at(now));
-        }
+        CHECK(record.has_value());
+        return *std::exchange(record, std::nullopt);
+    }
+
+    void foldRecord(std::chrono::milliseconds now)
+    {
+        desk.fold(takeRecord().data, at(now));
+        takeOutputs();
+    }
+
+    void tickWhenDue()
+    {
+        CHECK(desk.nextDue().has_value());
+        desk.tick(*desk.nextDue());
         takeOutputs();
     }
 
@@ -65,33 +76,45 @@
 TEST(ClaimDesk, AGrantComesWithTheFoldAndClaimsWaitTogetherForTheNextAppend)
 {
     claim(1, 1, 0ms);
-    CHECK_EQUAL(1, batch.size());
-    const auto first = std::exchange(batch, {});
+    const auto first = takeRecord();
     claim(2, 2, 1ms);
     claim(3, 3, 2ms);
-    CHECK(batch.empty());
+    CHECK(!record);
     CHECK(granted.empty());
     desk.onAppend(AppendResult::Appended, at(5ms));
     takeOutputs();
-    CHECK(batch.empty());
-    CHECK(desk.nextDue() == at(20ms));
-    desk.fold(first[0].data, at(6ms));
-    desk.tick(at(20ms));
-    takeOutputs();
-    CHECK_EQUAL(2, batch.size());
+    CHECK(!record);
+    CHECK(desk.nextDue() == at(40ms));
+    desk.fold(first.data, at(6ms));
+    tickWhenDue();
+    CHECK_EQUAL(2, Claims::decode(takeRecord().data)->size());
     CHECK_EQUAL(1, granted.size());
 }
 
+TEST(ClaimDesk, AnEndWaitsForAClaimToGoWithButNotForLong)
+{
+    claim(1, 1, 0ms);
+    foldRecord(5ms);
+    desk.onAppend(AppendResult::Appended, at(6ms));
+    desk.onOutcome(1, Claims::RequestNotRun{}, at(50ms));
+    takeOutputs();
+    CHECK(!record);
+    CHECK(desk.nextDue() == at(50ms) + settings.endDelay);
+    claim(2, 2, 60ms);
+    CHECK_EQUAL(2, Claims::decode(takeRecord().data)->size());
+}
+
 TEST(ClaimDesk, ADeadlineThatPassesBeforeTheGrantIsNotRunAndReleasesTheKey)
 {
     claim(1, 1, 0ms);
-    const auto late = batch[0];
-    desk.onAppend(AppendResult::Unknown, at(10ms));
+    const auto late = takeRecord();
+    desk.onAppend(AppendResult::Unknown, at(990ms));
     desk.tick(at(1000ms));
     takeOutputs();
     checkAnswer(AnswerKind::RefusedNotRun, 1);
-    foldBatch(1010ms);
-    desk.fold(late.data, at(1020ms));
+    tickWhenDue();
+    foldRecord(1300ms);
+    desk.fold(late.data, at(1310ms));
     takeOutputs();
     CHECK(granted.empty());
     CHECK(!desk.table().find({1, 1}));
@@ -101,22 +124,22 @@
 TEST(ClaimDesk, AProcessThatWasFrozenDoesNotGrantAfterTheDeadline)
 {
     claim(1, 1, 0ms);
-    foldBatch(5000ms);
+    foldRecord(5000ms);
     CHECK(granted.empty());
     checkAnswer(AnswerKind::RefusedNotRun, 1);
 }
 
-TEST(ClaimDesk, AnUnknownAppendIsSentAgainUnderTheSameIds)
+TEST(ClaimDesk, TheClaimsOfAnUnknownAppendAreSentAgainAndCountOnce)
 {
     claim(1, 1, 0ms);
-    const auto first = std::exchange(batch, {});
+    const auto first = takeRecord();
     desk.onAppend(AppendResult::Unknown, at(10ms));
-    desk.tick(*desk.nextDue());
-    takeOutputs();
-    CHECK_EQUAL(1, batch.size());
-    CHECK(first[0].id == batch[0].id);
-    foldBatch(300ms);
-    desk.fold(first[0].data, at(310ms));
+    tickWhenDue();
+    const auto second = takeRecord();
+    CHECK(Claims::decode(first.data) == Claims::decode(second.data));
+    CHECK(first.id != second.id);
+    desk.fold(second.data, at(300ms));
+    desk.fold(first.data, at(310ms));
     takeOutputs();
     CHECK_EQUAL(1, granted.size());
 }
@@ -124,18 +147,18 @@
 TEST(ClaimDesk, RepeatsGetTheStoredAnswerOrWhatIsKnown)
 {
     claim(1, 1, 0ms);
-    foldBatch(10ms);
+    foldRecord(10ms);
     claim(2, 1, 11ms);
     checkAnswer(AnswerKind::InProgressElsewhere, 2);
     desk.onAppend(AppendResult::Appended, at(12ms));
     desk.onOutcome(1, Claims::RequestCompleted{201, "made"}, at(30ms));
-    takeOutputs();
-    foldBatch(40ms);
-    claim(3, 1, 41ms);
+    tickWhenDue();
+    foldRecord(240ms);
+    claim(3, 1, 241ms);
     checkAnswer(AnswerKind::StoredAnswer, 3);
     CHECK_EQUAL(201, answers.back().status);
     STRCMP_EQUAL("made", answers.back().storedAnswer.c_str());
-    desk.claim({4, KeyDigest{1, 1}, 10, at(1000ms)}, at(42ms));
+    desk.claim({4, KeyDigest{1, 1}, 10, at(1000ms)}, at(242ms));
     takeOutputs();
     checkAnswer(AnswerKind::KeyReused, 4);
 }
@@ -171,9 +194,10 @@
     other.setTail(52);
     const auto outputs = other.takeOutputs();
     CHECK(std::get<ClaimAnswer>(outputs.at(0)).kind == AnswerKind::RefusedNotRun);
-    for (int n = 0; n < 3; ++n) {
+    for (std::uint64_t n = 1; n <= 3; ++n) {
         CHECK(!other.isReady());
-        other.fold("damaged", at(20ms));
+        const Claims::ClaimEvent events[] = {{{5, n}, Claims::Released{}}};
+        other.fold(Claims::encode("c", events), at(20ms));
     }
     CHECK(other.isReady());
 }
--- a/tests/auto/claims/tst_claimtable.cpp
+++ b/tests/auto/claims/tst_claimtable.cpp
@@ -7,8 +7,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+using Claims::ClaimEvent;
 using Claims::ClaimId;
-using Claims::ClaimRecord;
 using Claims::ClaimTable;
 using Claims::Completed;
 using Claims::KeyDigest;
@@ -20,14 +20,19 @@
 namespace
 {
 
-ClaimRecord claimed(std::uint64_t sequence, std::uint64_t key)
+ClaimEvent claimed(std::uint64_t sequence, std::uint64_t key)
 {
-    return {{1, sequence}, Claims::Claimed{"m", KeyDigest{0, key}, 7}};
+    return {{Claims::ownerOf("m"), sequence}, Claims::Claimed{KeyDigest{0, key}, 7}};
 }
 
-ClaimRecord ended(std::uint64_t sequence, decltype(ClaimRecord::event) event)
+ClaimEvent ended(std::uint64_t sequence, decltype(ClaimEvent::kind) kind)
 {
-    return {{1, sequence}, std::move(event)};
+    return {{Claims::ownerOf("m"), sequence}, std::move(kind)};
+}
+
+std::string encodeOne(const ClaimEvent &event)
+{
+    return Claims::encode("m", {&event, 1});
 }
 
 // Each claim has one end at most, whatever the number of its copies; a claim that had not taken effect by
@@ -35,7 +40,7 @@
 class Ends
 {
 public:
-    decltype(ClaimRecord::event) endOf(std::uint64_t sequence, bool hadEffect)
+    decltype(ClaimEvent::kind) endOf(std::uint64_t sequence, bool hadEffect)
     {
         const bool isUncertain = hadEffect && sequence % 2 == 1;
         const auto [it, isFirst] = m_isUncertain.emplace(sequence, isUncertain);
@@ -55,10 +60,9 @@
 {
     ClaimTable table{{10, 100}, 1};
 
-    bool apply(const ClaimRecord &record)
+    bool apply(const ClaimEvent &event)
     {
-        const auto applied = table.apply(encode(record).data);
-        return applied && applied->takesEffect;
+        return table.apply(encodeOne(event)).at(0).takesEffect;
     }
 
     bool isFree(std::uint64_t key)
@@ -102,11 +106,12 @@
 {
     apply(claimed(1, 5));
     apply(ended(1, Uncertain{}));
-    for (int n = 0; n < 8; ++n) {
+    for (std::uint64_t n = 0; n < 8; ++n) {
         table.apply("damaged");
+        apply(ended(100 + n, Released{}));
         CHECK(!isFree(5));
     }
-    table.apply("damaged");
+    apply(ended(200, Released{}));
     CHECK(isFree(5));
     CHECK_EQUAL(0, table.heldKeys());
 }
@@ -123,15 +128,25 @@
 
 TEST(ClaimTable, DamagedRecordsAreSkipped)
 {
-    const auto good = encode(claimed(1, 5));
-    for (std::size_t n = 0; n < good.data.size(); ++n) {
-        std::string bad = good.data;
+    const std::string good = encodeOne(claimed(1, 5));
+    for (std::size_t n = 0; n < good.size(); ++n) {
+        std::string bad = good;
         bad[n] = static_cast<char>(bad[n] ^ 0x10);
         CHECK(!Claims::decode(bad));
-        CHECK(!Claims::decode(good.data.substr(0, n)));
+        CHECK(!Claims::decode(good.substr(0, n)));
     }
-    CHECK(Claims::decode(good.data) == claimed(1, 5));
-    CHECK(!table.apply("damaged"));
+    CHECK(Claims::decode(good)->at(0) == claimed(1, 5));
+    CHECK(table.apply("damaged").empty());
+    CHECK_EQUAL(2, table.next());
+}
+
+TEST(ClaimTable, TheEventsOfOneRecordAreAppliedInTheirOrder)
+{
+    const ClaimEvent events[] = {claimed(1, 5), claimed(2, 5), ended(1, Released{}), claimed(3, 5)};
+    const auto applied = table.apply(Claims::encode("m", events));
+    CHECK_EQUAL(4, applied.size());
+    CHECK(applied[0].takesEffect && !applied[1].takesEffect && applied[2].takesEffect
+          && applied[3].takesEffect);
     CHECK_EQUAL(2, table.next());
 }
 
@@ -152,20 +167,20 @@
             const bool isNew = random() % 3 == 0;
             const std::uint64_t sequence =
                 isNew ? ++lastSequence : lastSequence - std::min<std::uint64_t>(lastSequence, random() % 90);
-            ClaimRecord record = claimed(sequence, sequence % 7);
+            ClaimEvent event = claimed(sequence, sequence % 7);
             const bool hadEffect =
-                std::find(effective.begin(), effective.end(), record.claim) != effective.end();
+                std::find(effective.begin(), effective.end(), event.claim) != effective.end();
             if (!isNew && random() % 2 == 0) {
-                record.event = ends.endOf(sequence, hadEffect);
+                event.kind = ends.endOf(sequence, hadEffect);
             }
-            const auto data = encode(record).data;
-            const auto applied = whole.apply(data);
-            if (applied->isClaim && applied->takesEffect) {
-                effective.push_back(record.claim);
+            const auto data = encodeOne(event);
+            const auto applied = whole.apply(data).at(0);
+            if (applied.isClaim && applied.takesEffect) {
+                effective.push_back(event.claim);
             }
             if (at >= from) {
-                const auto seen = late.apply(data);
-                CHECK_TEXT(!late.hasWindow() || !seen->isClaim || !seen->takesEffect || applied->takesEffect,
+                const auto seen = late.apply(data).at(0);
+                CHECK_TEXT(!late.hasWindow() || !seen.isClaim || !seen.takesEffect || applied.takesEffect,
                            StringFromFormat("seed %u offset %d", seed, int(at)).asCharString());
             }
             for (std::uint64_t key = 0; late.hasWindow() && key < 7; ++key) {
