Record how far the planner had folded

Cause: the record of what the planner saw gained the zone's offset; the daemon did not give it. Change: it does.

--- a/src/libs/control/plannerrunner.cpp
+++ b/src/libs/control/plannerrunner.cpp
@@ -77,7 +77,7 @@
     if (pass.decisions.empty()) {
         return;
     }
-    m_append(Fleet::PlannerObserved{observations}, term);
+    m_append(Fleet::PlannerObserved{observations, state.appliedTo}, term);
     for (auto &it : pass.decisions) {
         Base::LogLine(Base::LogLevel::Info, "planner-decision")
             .with("term", term.value)
