--- a/src/libs/control/controlduty.cpp
+++ b/src/libs/control/controlduty.cpp
@@ -5,12 +5,12 @@
 #include "plannerrunner.h"
 #include "recordappender.h"
 #include "routingbuilder.h"
-#include "streamnames.h"
 
 #include <base/logline.h>
 #include <boost/leaf/handle_errors.hpp>
 #include <fleet/charts.h>
 #include <fleet/fold.h>
+#include <fleet/streamnames.h>
 #include <peering/peerserver.h>
 #include <platform/httpplatform.h>
 #include <platform/streamfollower.h>
@@ -79,13 +79,14 @@
         , m_charts(loadCharts(m_settings.chartsFolder))
         , m_fold(m_charts, m_settings.zone)
         , m_platform(duty.context(), duty.timers(), m_settings.platform)
-        , m_common(m_platform, duty.timers(), commonStream(m_settings.environment), {}, m_settings.seed)
+        , m_common(
+              m_platform, duty.timers(), Fleet::commonStream(m_settings.environment), {}, m_settings.seed)
         , m_zone(m_platform,
                  duty.timers(),
-                 zoneStream(m_settings.environment, m_settings.zone),
+                 Fleet::zoneStream(m_settings.environment, m_settings.zone),
                  {},
                  m_settings.seed + 1)
-        , m_appender(m_platform, duty.timers(), zoneStream(m_settings.environment, m_settings.zone))
+        , m_appender(m_platform, duty.timers(), Fleet::zoneStream(m_settings.environment, m_settings.zone))
         , m_peers(identity(),
                   m_settings.instance,
                   duty.timers(),
--- a/src/libs/control/streamnames.h
+++ b/src/libs/fleet/streamnames.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-namespace Control
+namespace Fleet
 {
 
 /// The stream of an environment's document edits, common to all zones.
@@ -20,4 +20,4 @@
     return environment.value + '.' + zone.value;
 }
 
-} // namespace Control
+} // namespace Fleet
--- a/src/tools/rhubarbcrank/commandlist.cpp
+++ b/src/tools/rhubarbcrank/commandlist.cpp
@@ -5,6 +5,8 @@
 #include "keyscommand.h"
 #include "promotecommand.h"
 #include "publishcommand.h"
+#include "replaycommand.h"
+#include "reportcommand.h"
 #include "statuscommand.h"
 
 namespace Commands
@@ -12,8 +14,14 @@
 
 std::vector<Command> allCommands()
 {
-    return {
-        checkCommand(), diffCommand(), keysCommand(), publishCommand(), promoteCommand(), statusCommand()};
+    return {checkCommand(),
+            diffCommand(),
+            keysCommand(),
+            publishCommand(),
+            promoteCommand(),
+            statusCommand(),
+            replayCommand(),
+            reportCommand()};
 }
 
 } // namespace Commands
--- /dev/null
+++ b/src/tools/rhubarbcrank/reportcommand.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "command.h"
+
+namespace Commands
+{
+
+Command reportCommand();
+
+} // namespace Commands
