Record what the planner remembers with what it saw

Cause: passes that decide nothing leave no record, yet what they saw (an instance down during its reboot, the demand's course) led later passes to decisions, so a replay could not come to them. Ruled out: the fold, the merge of the streams (offsets agreed) and the observations (identical). The test of this recorded every pass, which the daemon does not. Change: the planner's memory before the pass is part of the record; replay decides from state, observations and memory. The test records a pass only when it decides something, as the daemon does. Conclusion: every decision follows from the record alone.

--- a/src/libs/control/plannerrunner.cpp
+++ b/src/libs/control/plannerrunner.cpp
@@ -72,12 +72,12 @@
                          Fleet::Offset term)
 {
     Policy::Pass pass = Policy::plan(state, observations, m_memory, {m_member, m_zone, term});
-    m_memory = std::move(pass.memory);
+    const Policy::PlannerMemory before = std::exchange(m_memory, std::move(pass.memory));
     logWaits(pass.waits);
     if (pass.decisions.empty()) {
         return;
     }
-    m_append(Fleet::PlannerObserved{observations, state.appliedTo}, term);
+    m_append(Fleet::PlannerObserved{observations, state.appliedTo, before}, term);
     for (auto &it : pass.decisions) {
         Base::LogLine(Base::LogLevel::Info, "planner-decision")
             .with("term", term.value)
--- a/src/libs/fleet/record.h
+++ b/src/libs/fleet/record.h
@@ -2,6 +2,7 @@
 
 #include "fleetstate.h"
 #include "observations.h"
+#include "plannermemory.h"
 
 #include <document/delta.h>
 
@@ -54,6 +55,7 @@
 struct PlannerObserved {
     Observations observations;
     Offset zoneOffset; ///< of the zone's stream, up to which the planner had folded it for this pass
+    PlannerMemory memory; ///< as it was before this pass
 
     bool operator==(const PlannerObserved &) const = default;
 };
--- a/src/libs/policy/demandestimate.h
+++ b/src/libs/policy/demandestimate.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plannermemory.h"
+
 #include <base/instant.h>
 #include <base/names.h>
 #include <fleet/observations.h>
@@ -11,27 +13,6 @@
 namespace Policy
 {
 
-/// The demand of one pool in slots, interactive and urgent, learned on two time scales: `fast` follows surges
-/// of seconds, `slow` what lasts. The third, of `peak`, forgets how far surges lift `slow`.
-struct DemandEstimate {
-    Base::PoolName pool;
-    double fast = 0;
-    double slow = 0;
-    double peak = 0; ///< the highest that `slow` was of late
-    Base::Duration seenFor{}; ///< how long the pool has been observed
-    double shortage = 0; ///< instance-seconds missing since the pool last had enough
-    double excess = 0; ///< instance-seconds held beyond need since the pool last needed them
-
-    bool operator==(const DemandEstimate &) const = default;
-};
-
-struct DemandMemory {
-    std::optional<Base::Instant> at; ///< of the last update
-    std::vector<DemandEstimate> pools; ///< sorted by pool
-
-    bool operator==(const DemandMemory &) const = default;
-};
-
 inline constexpr Base::Duration FastTimeScale = std::chrono::seconds(5);
 inline constexpr Base::Duration SlowTimeScale = std::chrono::seconds(240);
 inline constexpr Base::Duration PeakTimeScale = std::chrono::seconds(1800);
--- a/src/libs/policy/moveplanner.cpp
+++ b/src/libs/policy/moveplanner.cpp
@@ -1,5 +1,6 @@
 #include "moveplanner.h"
 
+#include "demandestimate.h"
 #include "drain.h"
 
 #include <fmt/format.h>
--- a/src/libs/record/decoder_p.h
+++ b/src/libs/record/decoder_p.h
@@ -30,6 +30,7 @@
     Fleet::Event readEvent(const Wire::Record &message);
     Fleet::EditProposed read(const Wire::EditProposed &message);
     Fleet::Observations read(const Wire::Observations &message);
+    Fleet::PlannerMemory read(const Wire::PlannerMemory &message);
     Fleet::InstanceReport read(const Wire::InstanceReport &message);
     Fleet::ActionReport read(const Wire::ActionReport &message);
 
--- a/src/libs/record/encoder_p.h
+++ b/src/libs/record/encoder_p.h
@@ -27,6 +27,7 @@
 void write(const Document::Delta &delta, Wire::Delta &message);
 void write(const Document::Document &document, Wire::Document &message);
 void write(const Fleet::Observations &observations, Wire::Observations &message);
+void write(const Fleet::PlannerMemory &memory, Wire::PlannerMemory &message);
 void write(const Fleet::FleetState &state, Wire::FleetState &message);
 
 } // namespace Record::Internal
--- a/src/libs/record/eventdecoder.cpp
+++ b/src/libs/record/eventdecoder.cpp
@@ -50,7 +50,7 @@
     }
     case Wire::Record::kPlannerObserved: {
         const Wire::PlannerObserved &it = message.planner_observed();
-        return Fleet::PlannerObserved{read(it.observations()), {it.zone_offset()}};
+        return Fleet::PlannerObserved{read(it.observations()), {it.zone_offset()}, read(it.memory())};
     }
     case Wire::Record::kMoveStarted: {
         const Wire::MoveStarted &it = message.move_started();
--- a/src/libs/record/eventencoder.cpp
+++ b/src/libs/record/eventencoder.cpp
@@ -60,6 +60,7 @@
         Wire::PlannerObserved &it = *m_message.mutable_planner_observed();
         write(event.observations, *it.mutable_observations());
         it.set_zone_offset(event.zoneOffset.value);
+        write(event.memory, *it.mutable_memory());
     }
 
     void operator()(const Fleet::MoveStarted &event)
--- a/src/libs/replay/policyplanner.cpp
+++ b/src/libs/replay/policyplanner.cpp
@@ -5,17 +5,12 @@
 namespace Replay
 {
 
-// What a planner remembers is lost with its lease.
 std::vector<Fleet::Event> PolicyPlanner::decide(const Fleet::FleetState &state,
-                                                const Fleet::Observations &observations,
-                                                const Fleet::PlannerLease &lease)
+                                                const Fleet::PlannerObserved &observed,
+                                                const Fleet::PlannerLease &lease) const
 {
-    if (lease.term != m_term) {
-        m_term = lease.term;
-        m_memory = {};
-    }
-    Policy::Pass pass = Policy::plan(state, observations, m_memory, {lease.holder, lease.zone, lease.term});
-    m_memory = std::move(pass.memory);
+    Policy::Pass pass =
+        Policy::plan(state, observed.observations, observed.memory, {lease.holder, lease.zone, lease.term});
     std::vector<Fleet::Event> events;
     events.reserve(pass.decisions.size());
     for (Policy::Decision &it : pass.decisions) {
--- a/src/libs/replay/policyplanner.h
+++ b/src/libs/replay/policyplanner.h
@@ -13,12 +13,8 @@
 {
 public:
     std::vector<Fleet::Event> decide(const Fleet::FleetState &state,
-                                     const Fleet::Observations &observations,
-                                     const Fleet::PlannerLease &lease);
-
-private:
-    Fleet::Offset m_term;
-    Policy::PlannerMemory m_memory;
+                                     const Fleet::PlannerObserved &observed,
+                                     const Fleet::PlannerLease &lease) const;
 };
 
 } // namespace Replay
--- a/src/libs/replay/rederivation.h
+++ b/src/libs/replay/rederivation.h
@@ -19,11 +19,11 @@
 template<typename T>
 concept Planner = requires(T &planner,
                            const Fleet::FleetState &state,
-                           const Fleet::Observations &observations,
+                           const Fleet::PlannerObserved &observed,
                            const Fleet::PlannerLease &lease)
 {
     {
-        planner.decide(state, observations, lease)
+        planner.decide(state, observed, lease)
         } -> std::same_as<std::vector<Fleet::Event>>;
 };
 
@@ -71,7 +71,7 @@
             return;
         }
         const Fleet::FleetState &state = m_cursor.stateAt(record.documentOffset, observed.zoneOffset);
-        m_expected = m_planner.decide(state, observed.observations, lease->second);
+        m_expected = m_planner.decide(state, observed, lease->second);
         m_next = 0;
     }
 
--- a/tests/auto/record/tst_codec.cpp
+++ b/tests/auto/record/tst_codec.cpp
@@ -74,6 +74,20 @@
     return observations;
 }
 
+Fleet::PlannerMemory fullMemory()
+{
+    Fleet::PlannerMemory memory;
+    memory.term = {7};
+    memory.decidedAt = Fleet::Offset{8};
+    memory.reports = fullObservations().instances;
+    memory.actions[Action] = {Base::instantAt(Base::Duration(1)), Base::instantAt(Base::Duration(2)), true};
+    memory.goneSince[Member1] = Base::instantAt(Base::Duration(3));
+    memory.health[Worker] = {false, Base::instantAt(Base::Duration(4))};
+    memory.demand.at = Base::instantAt(Base::Duration(5));
+    memory.demand.pools = {{{"pool-000"}, 1.5, 2.5, 3.5, Base::Duration(6), 4.5, 5.5}};
+    return memory;
+}
+
 /// One event of each alternative, with every field set.
 std::vector<Event> everyEvent()
 {
@@ -82,7 +96,7 @@
             MemberJoined{Member1, zone},
             MemberLeft{Member1, "stopped"},
             PlannerClaimed{zone, Member1, {12}},
-            PlannerObserved{fullObservations(), {99}},
+            PlannerObserved{fullObservations(), {99}, fullMemory()},
             MoveStarted{Action, Worker, {"pool-000"}, {"pool-001"}, "shift"},
             DrainAcknowledged{Action, Member1},
             MoveCommitted{Action},
--- a/tests/auto/replay/tst_policyplanner.cpp
+++ b/tests/auto/replay/tst_policyplanner.cpp
@@ -4,6 +4,8 @@
 #include <replay/policyplanner.h>
 #include <replay/replay.h>
 
+#include <utility>
+
 #include <CppUTest/TestHarness.h>
 
 #include <string>
@@ -61,8 +63,8 @@
     }
 }
 
-/// Members and a planner at work; the decision number `forged`, if there is one, is another than the
-/// planner's.
+/// Members and a planner at work, whose passes leave a record only when they decide something; the decision
+/// number `forged`, if there is one, is another than the planner's.
 Scenario plannedScenario(std::size_t forged)
 {
     Scenario scenario(busyDocument());
@@ -73,8 +75,10 @@
         const Fleet::Observations observations = observedAt(pass, state);
         const Policy::PlannerIdentity identity{Scenarios::Alpha, Scenarios::Zone, currentTerm(state)};
         Policy::Pass planned = Policy::plan(state, observations, memory, identity);
-        memory = planned.memory;
-        scenario.decide(Fleet::PlannerObserved{observations, state.appliedTo});
+        const Policy::PlannerMemory before = std::exchange(memory, planned.memory);
+        if (!planned.decisions.empty()) {
+            scenario.decide(Fleet::PlannerObserved{observations, state.appliedTo, before});
+        }
         for (const Policy::Decision &it : planned.decisions) {
             const bool isForged = ++decisions == forged;
             scenario.decide(isForged ? Fleet::Event(Fleet::WaveFinished{{"forged"}}) : it.event);
--- a/tests/auto/replay/tst_replay.cpp
+++ b/tests/auto/replay/tst_replay.cpp
@@ -46,7 +46,7 @@
     Fleet::Event decision;
 
     std::vector<Fleet::Event>
-    decide(const Fleet::FleetState &, const Fleet::Observations &, const Fleet::PlannerLease &)
+    decide(const Fleet::FleetState &, const Fleet::PlannerObserved &, const Fleet::PlannerLease &)
     {
         return {decision};
     }
@@ -55,7 +55,7 @@
 /// Comes to the decision that the number of members and the pass itself call for.
 struct MemberCountPlanner {
     std::vector<Fleet::Event>
-    decide(const Fleet::FleetState &state, const Fleet::Observations &, const Fleet::PlannerLease &)
+    decide(const Fleet::FleetState &state, const Fleet::PlannerObserved &, const Fleet::PlannerLease &)
     {
         return {Fleet::WaveStarted{{"wave"}, state.members.size(), state.zone, ""}};
     }
