--- a/tests/bench/foldrate/main.cpp
+++ b/tests/bench/foldrate/main.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <string>
@@ -42,6 +43,30 @@
     return info.uordblks + info.hblkhd;
 }
 
+/// A line of /proc/self/status, in kB.
+std::size_t statusOf(const std::string &key)
+{
+    std::ifstream status("/proc/self/status");
+    std::string name;
+    std::size_t value = 0;
+    while (status >> name) {
+        if (name == key) {
+            status >> value;
+        }
+    }
+    return value;
+}
+
+/// By how many kB the resident memory grows at most during `work`.
+std::size_t peakOf(const std::function<void()> &work)
+{
+    malloc_trim(0);
+    std::ofstream("/proc/self/clear_refs") << 5; // resets VmHWM
+    const std::size_t before = statusOf("VmRSS:");
+    work();
+    return statusOf("VmHWM:") - before;
+}
+
 double secondsOf(const std::function<void()> &work)
 {
     const auto begin = std::chrono::steady_clock::now();
@@ -178,56 +203,92 @@
     return times;
 }
 
-void measure(const Subject &subject)
+/// One column of the result for each member.
+struct Figures {
+    double decodesPerSecond = 0;
+    double zonePerSecond = 0;
+    double editsPerSecond = 0;
+    std::size_t snapshotBytes = 0;
+    double writeMilliseconds = 0;
+    double readMilliseconds = 0;
+    std::size_t writePeak = 0; ///< kB
+    std::size_t readPeak = 0; ///< kB
+    std::size_t stateBytes = 0;
+};
+
+Fleet::FleetState measureFold(const Log &log, Figures &figures)
 {
-    const Log log = LogWriter(subject).write();
     const Histories::History history{decodeAll(log.common), decodeAll(log.zone)};
-
     std::vector<double> decodeSeconds;
     std::vector<double> editSeconds;
     std::vector<double> zoneSeconds;
-    Fleet::Fold last(Histories::shippedCharts(), Zone);
+    Fleet::FleetState snapshot;
     for (int round = 0; round < Rounds; ++round) {
         decodeSeconds.push_back(secondsOf([&] { decodeAll(log.zone); }));
         Fleet::Fold fold(Histories::shippedCharts(), Zone);
         const FoldTimes times = foldAll(fold, history);
         editSeconds.push_back(times.common);
         zoneSeconds.push_back(times.zone);
-        last = std::move(fold);
+        snapshot = fold.snapshot();
     }
+    figures.decodesPerSecond = static_cast<double>(log.zone.size()) / median(decodeSeconds);
+    figures.zonePerSecond = static_cast<double>(log.zone.size()) / median(zoneSeconds);
+    figures.editsPerSecond = static_cast<double>(log.common.size()) / median(editSeconds);
+    return snapshot;
+}
 
-    const Fleet::FleetState snapshot = last.snapshot();
+void measureSnapshot(const Fleet::FleetState &snapshot, Figures &figures)
+{
+    const Fleet::Record record = Histories::makeRecord("snapshot", Fleet::SnapshotTaken{snapshot});
     std::string bytes;
-    std::vector<double> encodeSeconds;
-    std::vector<double> loadSeconds;
+    std::vector<double> writeSeconds;
+    std::vector<double> readSeconds;
     for (int round = 0; round < Rounds; ++round) {
-        encodeSeconds.push_back(secondsOf([&] {
-            bytes = Record::encode(Histories::makeRecord("snapshot", Fleet::SnapshotTaken{snapshot}));
-        }));
-        loadSeconds.push_back(secondsOf([&] { Record::decode(bytes); }));
+        writeSeconds.push_back(secondsOf([&] { bytes = Record::encode(record); }));
+        readSeconds.push_back(secondsOf([&] { Record::decode(bytes); }));
+    }
+    figures.snapshotBytes = bytes.size();
+    figures.writeMilliseconds = median(writeSeconds) * 1e3;
+    figures.readMilliseconds = median(readSeconds) * 1e3;
+    figures.writePeak = peakOf([&] { Record::encode(record); });
+    figures.readPeak = peakOf([&] { Record::decode(bytes); });
+}
+
+void measure(const Subject &subject)
+{
+    Figures figures;
+    Fleet::FleetState snapshot;
+    std::size_t zoneBytes = 0;
+    std::size_t editBytes = 0;
+    {
+        const Log log = LogWriter(subject).write();
+        snapshot = measureFold(log, figures);
+        zoneBytes = bytesOf(log.zone) / log.zone.size();
+        editBytes = (bytesOf(log.common) - log.common.front().size()) / (log.common.size() - 1);
     }
+    measureSnapshot(snapshot, figures);
     const std::size_t before = usedBytes();
     const Fleet::FleetState copy = snapshot;
-    const std::size_t stateBytes = usedBytes() - before;
+    figures.stateBytes = usedBytes() - before;
 
-    const auto perSecond = [](std::size_t n, double seconds) {
-        return static_cast<double>(n) / seconds;
-    };
-    fmt::print(
-        "{:>9} {:>5} {:>6} {:>8} {:>10.0f} {:>10.0f} {:>10.0f} {:>11} {:>8.2f} {:>8.2f} {:>11} {:>6} {:>6}\n",
-        subject.instances,
-        subject.zones,
-        copy.instances.size(),
-        copy.recentZone.marks().size(),
-        perSecond(log.zone.size(), median(decodeSeconds)),
-        perSecond(log.zone.size(), median(zoneSeconds)),
-        perSecond(log.common.size(), median(editSeconds)),
-        bytes.size(),
-        median(encodeSeconds) * 1e3,
-        median(loadSeconds) * 1e3,
-        stateBytes,
-        bytesOf(log.zone) / log.zone.size(),
-        (bytesOf(log.common) - log.common.front().size()) / (log.common.size() - 1));
+    fmt::print("{:>9} {:>5} {:>5} {:>6} ",
+               subject.instances,
+               subject.zones,
+               copy.instances.size(),
+               copy.recentZone.marks().size());
+    fmt::print("{:>9.0f} {:>9.0f} {:>9.0f} {:>10} {:>8.2f} {:>8.2f} ",
+               figures.decodesPerSecond,
+               figures.zonePerSecond,
+               figures.editsPerSecond,
+               figures.snapshotBytes,
+               figures.writeMilliseconds,
+               figures.readMilliseconds);
+    fmt::print("{:>8} {:>8} {:>9} {:>6} {:>6}\n",
+               figures.writePeak,
+               figures.readPeak,
+               figures.stateBytes,
+               zoneBytes,
+               editBytes);
 }
 
 } // namespace
@@ -235,20 +296,15 @@
 int main()
 {
     fmt::print("One zone's fold, {} pools, {} members; median of {} rounds\n", Pools, Members, Rounds);
-    fmt::print("{:>9} {:>5} {:>6} {:>8} {:>10} {:>10} {:>10} {:>11} {:>8} {:>8} {:>11} {:>6} {:>6}\n",
-               "instances",
-               "zones",
-               "own",
-               "window",
+    fmt::print("{:>9} {:>5} {:>5} {:>6} ", "instances", "zones", "own", "window");
+    fmt::print("{:>9} {:>9} {:>9} {:>10} {:>8} {:>8} ",
                "decode/s",
                "zone/s",
                "edits/s",
                "snapshot B",
                "write ms",
-               "read ms",
-               "state B",
-               "rec B",
-               "edit B");
+               "read ms");
+    fmt::print("{:>8} {:>8} {:>9} {:>6} {:>6}\n", "write kB", "read kB", "state B", "rec B", "edit B");
     const Subject subjects[] = {{50, 1}, {1000, 1}, {11'000, 1}, {11'000, 19}};
     for (const Subject &it : subjects) {
         measure(it);
