Count declared slots by edit when a record is replayed

Cause: each step of a replay added up the whole document anew.

Change: DeclaredFleet follows the edits; only the zone's own instances are added up at each step.

--- a/src/libs/replay/availability.cpp
+++ b/src/libs/replay/availability.cpp
@@ -1,6 +1,7 @@
 #include "availability.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Replay
 {
@@ -20,70 +21,99 @@
     return most;
 }
 
-struct RackOfPool {
-    Base::PoolName pool;
-    Base::AvailabilityZoneName zone;
-    Base::RackName rack;
-
-    auto operator<=>(const RackOfPool &) const = default;
-};
-
-void addOwn(PoolSlots &pool, const Fleet::InstanceState &instance, bool isHealthy)
+void addTo(OwnSlots &pool, const Fleet::InstanceState &instance, bool isHealthy)
 {
     const Slots slots = instance.declared.slots;
     if (instance.phase == Fleet::InstancePhase::Serving && isHealthy) {
         pool.available += slots;
-        pool.availableInZone += slots;
-        pool.racksInZone[instance.declared.rack] += slots;
-        pool.zones[instance.declared.zone] += slots;
+        pool.racks[instance.declared.rack] += slots;
     } else if (instance.phase == Fleet::InstancePhase::Failed || !isHealthy) {
-        pool.failedInZone += slots;
+        pool.failed += slots;
     } else {
-        pool.stoppedInZone += slots;
+        pool.stopped += slots;
     }
 }
 
 } // namespace
 
-Slots PoolSlots::largestRack() const
+DeclaredFleet::DeclaredFleet(const Document::Document &document, Base::AvailabilityZoneName zone)
+    : m_zone(std::move(zone))
+{
+    for (const Document::Instance &it : document.instances) {
+        add(it);
+    }
+}
+
+void DeclaredFleet::apply(const Document::Delta &delta)
 {
-    return std::max(largestRackInZone(), largestRackElsewhere);
+    for (const Base::InstanceName &it : delta.removedInstances) {
+        remove(it);
+    }
+    for (const Document::Instance &it : delta.setInstances) {
+        remove(it.name);
+        add(it);
+    }
+}
+
+const DeclaredSlots &DeclaredFleet::of(const Base::PoolName &pool) const
+{
+    static const DeclaredSlots None;
+    const auto it = m_pools.find(pool);
+    return it == m_pools.end() ? None : it->second;
 }
 
-Slots PoolSlots::largestRackInZone() const
+void DeclaredFleet::add(const Document::Instance &instance)
 {
-    return largestOf(racksInZone);
+    count(instance, instance.slots);
+    m_instances.emplace(instance.name, instance);
 }
 
-Slots PoolSlots::largestZone() const
+void DeclaredFleet::remove(const Base::InstanceName &name)
 {
-    return largestOf(zones);
+    const auto it = m_instances.find(name);
+    if (it != m_instances.end()) {
+        count(it->second, -Slots{it->second.slots});
+        m_instances.erase(it);
+    }
 }
 
-std::map<Base::PoolName, PoolSlots> slotsOf(const Fleet::FleetState &state,
-                                            const std::set<Base::InstanceName> &unhealthy)
+void DeclaredFleet::count(const Document::Instance &instance, Slots slots)
 {
-    std::map<Base::PoolName, PoolSlots> pools;
-    std::map<RackOfPool, Slots> elsewhere;
-    for (const Document::Instance &it : state.document.instances) {
-        PoolSlots &pool = pools[it.pool];
-        pool.declared += it.slots;
-        if (it.zone == state.zone) {
-            pool.declaredInZone += it.slots;
-            continue;
-        }
-        pool.available += it.slots;
-        pool.zones[it.zone] += it.slots;
-        Slots &rack = elsewhere[{it.pool, it.zone, it.rack}];
-        rack += it.slots;
-        pool.largestRackElsewhere = std::max(pool.largestRackElsewhere, rack);
+    DeclaredSlots &pool = m_pools[instance.pool];
+    pool.total += slots;
+    if (instance.zone == m_zone) {
+        pool.own += slots;
+        return;
     }
+    pool.otherZones[instance.zone] += slots;
+    pool.racksOfOtherZones[{instance.zone, instance.rack}] += slots;
+}
+
+std::map<Base::PoolName, OwnSlots> ownSlotsOf(const Fleet::FleetState &state,
+                                              const std::set<Base::InstanceName> &unhealthy)
+{
+    std::map<Base::PoolName, OwnSlots> pools;
     for (const auto &it : state.instances) {
-        addOwn(pools[it.second.pool], it.second, !unhealthy.contains(it.first));
+        addTo(pools[it.second.pool], it.second, !unhealthy.contains(it.first));
     }
     return pools;
 }
 
+Slots largestRack(const OwnSlots &own, const DeclaredSlots &declared)
+{
+    return std::max(largestRack(own), largestOf(declared.racksOfOtherZones));
+}
+
+Slots largestRack(const OwnSlots &own)
+{
+    return largestOf(own.racks);
+}
+
+Slots largestZone(const OwnSlots &own, const DeclaredSlots &declared)
+{
+    return std::max(own.available, largestOf(declared.otherZones));
+}
+
 Slots requiredOf(Slots slots, Document::PerMille availability)
 {
     return (slots * availability + WholePerMille - 1) / WholePerMille;
--- a/src/libs/replay/budgetcheck.cpp
+++ b/src/libs/replay/budgetcheck.cpp
@@ -19,17 +19,25 @@
     }
 };
 
-Margin zoneMargin(const Document::Service &service, const PoolSlots &pool, Slots lost)
+/// The slots of one pool.
+struct PoolView {
+    const OwnSlots &own;
+    const DeclaredSlots &declared;
+};
+
+Margin zoneMargin(const Document::Service &service, const PoolView &pool, Slots lost)
 {
-    return {pool.availableInZone - lost, requiredOf(pool.declaredInZone, service.zoneAvailability)};
+    return {pool.own.available - lost, requiredOf(pool.declared.own, service.zoneAvailability)};
 }
 
-Margin overallMargin(const Document::Service &service, const PoolSlots &pool, Slots lost)
+// Instances of other zones count as declared: only the records of their own zones tell of them.
+Margin overallMargin(const Document::Service &service, const PoolView &pool, Slots lost)
 {
-    return {pool.available - lost, requiredOf(pool.declared, service.availability)};
+    const Slots elsewhere = pool.declared.total - pool.declared.own;
+    return {pool.own.available + elsewhere - lost, requiredOf(pool.declared.total, service.availability)};
 }
 
-std::string describe(const Document::Service &service, const PoolSlots &pool, const Margin &margin)
+std::string describe(const Document::Service &service, const PoolView &pool, const Margin &margin)
 {
     return fmt::format(
         "service {} needs {} slots of pool {} and has {}; {} are in planned stops, {} have failed",
@@ -37,15 +45,23 @@
         margin.required,
         service.pool.value,
         margin.available,
-        pool.stoppedInZone,
-        pool.failedInZone);
+        pool.own.stopped,
+        pool.own.failed);
 }
 
 } // namespace
 
+BudgetCheck::BudgetCheck(const Fleet::FleetState &start, Violations &violations)
+    : m_violations(violations)
+    , m_declared(start.document, start.zone)
+{
+}
+
 void BudgetCheck::check(const Step &step)
 {
-    if (const auto *observed = step.applied<Fleet::PlannerObserved>()) {
+    if (const auto *edit = step.applied<Fleet::EditProposed>()) {
+        m_declared.apply(edit->delta);
+    } else if (const auto *observed = step.applied<Fleet::PlannerObserved>()) {
         noteReports(observed->observations);
     } else if (step.applied<Fleet::PlannerClaimed>() != nullptr) {
         // Another planner knows only what is reported to itself.
@@ -74,13 +90,15 @@
 void BudgetCheck::checkPlannedStop(const Step &step, const Base::InstanceName &instance)
 {
     const Base::PoolName &name = step.state.instances.at(instance).pool;
-    const PoolSlots pool = slotsOf(step.state, m_unhealthy)[name];
+    const OwnSlots own = ownSlotsOf(step.state, m_unhealthy)[name];
+    const PoolView pool{own, m_declared.of(name)};
     for (const Document::Service &it : step.state.document.services) {
         if (it.pool != name) {
             continue;
         }
-        const Slots domain = it.survivesZoneLoss ? pool.largestZone() : pool.largestRack();
-        const Margin zone = zoneMargin(it, pool, pool.largestRackInZone());
+        const Slots domain =
+            it.survivesZoneLoss ? largestZone(own, pool.declared) : largestRack(own, pool.declared);
+        const Margin zone = zoneMargin(it, pool, largestRack(own));
         const Margin overall = overallMargin(it, pool, domain);
         if (it.zoneAvailability != 0 && !zone.isKept()) {
             m_violations.add(step,
@@ -97,9 +115,9 @@
 
 void BudgetCheck::checkInForce(const Step &step)
 {
-    std::map<Base::PoolName, PoolSlots> pools = slotsOf(step.state, m_unhealthy);
+    std::map<Base::PoolName, OwnSlots> pools = ownSlotsOf(step.state, m_unhealthy);
     for (const Document::Service &it : step.state.document.services) {
-        const PoolSlots &pool = pools[it.pool];
+        const PoolView pool{pools[it.pool], m_declared.of(it.pool)};
         const Margin zone = zoneMargin(it, pool, 0);
         const Margin overall = overallMargin(it, pool, 0);
         if (zone.isKept() && overall.isKept()) {
--- a/src/libs/replay/budgetcheck.h
+++ b/src/libs/replay/budgetcheck.h
@@ -3,6 +3,8 @@
 #include "availability.h"
 #include "violation.h"
 
+#include <fleet/observations.h>
+
 #include <set>
 
 namespace Replay
@@ -14,10 +16,8 @@
 class BudgetCheck
 {
 public:
-    explicit BudgetCheck(Violations &violations)
-        : m_violations(violations)
-    {
-    }
+    /// `start` is the state before the first step.
+    BudgetCheck(const Fleet::FleetState &start, Violations &violations);
 
     void check(const Step &step);
 
@@ -27,6 +27,7 @@
     void checkInForce(const Step &step);
 
     Violations &m_violations;
+    DeclaredFleet m_declared;
     std::set<Base::InstanceName> m_unhealthy; ///< by the planner's last observations
     std::set<Base::ServiceName> m_broken;
 };
--- a/src/libs/replay/replay.cpp
+++ b/src/libs/replay/replay.cpp
@@ -36,7 +36,7 @@
                const Streams &streams,
                Violations &violations)
     : m_pool(start.state(), violations)
-    , m_budget(violations)
+    , m_budget(start.state(), violations)
     , m_decision(start.state(), violations)
     , m_edit(start.state(), violations)
     , m_drain(start.state(), violations)
--- a/src/libs/replay/reportbuilder.cpp
+++ b/src/libs/replay/reportbuilder.cpp
@@ -70,8 +70,8 @@
     m_observedAt = seen.at;
 
     m_sample.clear();
-    for (const auto &it : slotsOf(step.state, {})) {
-        m_sample[it.first].availableSlots = static_cast<double>(it.second.availableInZone);
+    for (const auto &it : ownSlotsOf(step.state, {})) {
+        m_sample[it.first].availableSlots = static_cast<double>(it.second.available);
     }
     for (const Fleet::PoolDemand &it : seen.demands) {
         m_sample[it.pool].busySlots = it.busySlots + it.busyBatchSlots;
