Let a state cursor wait for the common stream

Cause: asked for a zone offset whose record waits for the common stream, the cursor left that record out for good.

Change: it goes on with the record that waits.

Before / after: build/bin/tst_replay: 33 tests pass; the new one asks for such a pair of offsets, for the end, and for an earlier pair again.

Conclusion: a cursor gives the state at any pair of offsets.

--- a/src/libs/replay/statecursor.cpp
+++ b/src/libs/replay/statecursor.cpp
@@ -1,5 +1,7 @@
 #include "statecursor.h"
 
+#include <vector>
+
 namespace Replay
 {
 
@@ -33,8 +35,9 @@
     while (count < m_zone.size() && m_zone[count].offset <= zone) {
         ++count;
     }
-    m_fold.applyZone(m_zone.first(count));
-    m_zone = m_zone.subspan(count);
+    const std::vector<Fleet::Outcome> outcomes = m_fold.applyZone(m_zone.first(count));
+    const bool isWaiting = !outcomes.empty() && outcomes.back().kind == Fleet::OutcomeKind::NotYet;
+    m_zone = m_zone.subspan(outcomes.size() - (isWaiting ? 1 : 0));
 }
 
 } // namespace Replay
--- a/tests/auto/replay/tst_replay.cpp
+++ b/tests/auto/replay/tst_replay.cpp
@@ -161,6 +161,19 @@
     CHECK(findings.isSound());
 }
 
+TEST(Replay, ACursorWaitsForTheCommonStreamAndGoesBack)
+{
+    const Scenario scenario = Scenarios::soundScenario();
+    const Fleet::Fold start = Scenarios::emptyFold();
+    Replay::StateCursor cursor(start, scenario.streams());
+    const Fleet::FleetState &end = scenario.fold().state();
+    const Fleet::Offset waiting = cursor.stateAt({1}, end.appliedTo).appliedTo;
+    CHECK(waiting < end.appliedTo);
+    CHECK(cursor.stateAt(end.commonAppliedTo, end.appliedTo) == end);
+    LONGS_EQUAL(waiting.value, cursor.stateAt({1}, waiting).appliedTo.value);
+    LONGS_EQUAL(1, cursor.stateAt({1}, waiting).commonAppliedTo.value);
+}
+
 TEST(Replay, RandomHistoriesBreakNothingButBudgets)
 {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
