--- a/tests/auto/base/tst_timerservice.cpp
+++ b/tests/auto/base/tst_timerservice.cpp
@@ -1,5 +1,7 @@
+#include <base/oneshottimer.h>
 #include <base/timerservice.h>
 
+#include <memory>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -80,3 +82,108 @@
     service.advanceTo(Base::instantAt(400ms));
     STRCMP_EQUAL("x", fired.c_str());
 }
+
+TEST_GROUP(OneShotTimer)
+{
+    Base::TimerService timers;
+    std::string fired;
+    Base::OneShotTimer timer{timers};
+
+    void arm(Base::Duration delay, char name)
+    {
+        timer.arm(delay, [this, name] { fired += name; });
+    }
+
+    std::string firedBy(Base::Duration time)
+    {
+        timers.advanceTo(Base::instantAt(time));
+        return fired;
+    }
+};
+
+TEST(OneShotTimer, FiresOnce)
+{
+    arm(2ms, 'a');
+    STRCMP_EQUAL("", firedBy(1ms).c_str());
+    STRCMP_EQUAL("a", firedBy(2ms).c_str());
+    STRCMP_EQUAL("a", firedBy(9ms).c_str());
+    CHECK(!timers.nextDue());
+}
+
+TEST(OneShotTimer, ArmedAgainForLaterItFiresThenOnly)
+{
+    arm(2ms, 'a');
+    arm(5ms, 'b');
+    STRCMP_EQUAL("", firedBy(4ms).c_str());
+    STRCMP_EQUAL("b", firedBy(5ms).c_str());
+    STRCMP_EQUAL("b", firedBy(9ms).c_str());
+}
+
+TEST(OneShotTimer, ArmedAgainForEarlierItFiresThenOnly)
+{
+    arm(5ms, 'a');
+    arm(2ms, 'b');
+    STRCMP_EQUAL("b", firedBy(2ms).c_str());
+    STRCMP_EQUAL("b", firedBy(9ms).c_str());
+}
+
+TEST(OneShotTimer, DisarmedItDoesNotFireUntilItIsArmedAgain)
+{
+    arm(2ms, 'a');
+    timer.disarm();
+    STRCMP_EQUAL("", firedBy(3ms).c_str());
+    arm(2ms, 'b');
+    STRCMP_EQUAL("", firedBy(4ms).c_str());
+    STRCMP_EQUAL("b", firedBy(5ms).c_str());
+}
+
+TEST(OneShotTimer, DisarmedAndArmedForLaterItKeepsTheLaterTime)
+{
+    arm(2ms, 'a');
+    timer.disarm();
+    arm(4ms, 'b');
+    STRCMP_EQUAL("", firedBy(3ms).c_str());
+    STRCMP_EQUAL("b", firedBy(4ms).c_str());
+}
+
+TEST(OneShotTimer, OneLongAdvanceKeepsTheOrderOfTimes)
+{
+    arm(1ms, 'x');
+    arm(5ms, 'c');
+    timers.subscribeAfter(3ms, [this] { fired += 'b'; });
+    timers.subscribeAfter(2ms, [this] { fired += 'a'; });
+    STRCMP_EQUAL("abc", firedBy(9ms).c_str());
+}
+
+TEST(OneShotTimer, ItsCallbackMayArmItAgain)
+{
+    timer.arm(1ms, [this] {
+        fired += 'a';
+        arm(1ms, 'b');
+    });
+    STRCMP_EQUAL("a", firedBy(1ms).c_str());
+    STRCMP_EQUAL("ab", firedBy(2ms).c_str());
+}
+
+TEST(OneShotTimer, DisarmingDropsWhatTheCallbackHolds)
+{
+    const auto held = std::make_shared<int>(0);
+    timer.arm(1ms, [held] {});
+    LONGS_EQUAL(2, held.use_count());
+    timer.disarm();
+    LONGS_EQUAL(1, held.use_count());
+}
+
+TEST(OneShotTimer, EndsWithItsOwnerAlsoFromItsCallback)
+{
+    auto owned = std::make_unique<Base::OneShotTimer>(timers);
+    owned->arm(1ms, [&] {
+        owned.reset();
+        fired += 'a';
+    });
+    auto dropped = std::make_unique<Base::OneShotTimer>(timers);
+    dropped->arm(1ms, [this] { fired += 'x'; });
+    dropped.reset();
+    STRCMP_EQUAL("a", firedBy(2ms).c_str());
+    CHECK(!timers.nextDue());
+}
