Let a peer call go before it counts as ended

Cause: tst_peering ended with SIGABRT in 12 of 20 runs, in grpc_cq_internal_unref on gRPC's own thread (gdb). The call's context keeps the channel; a PeerClient that was destroyed as soon as its last call had ended left the channel to the callback, which then ended on the very thread that serves the queue. Ruled out: the server (each test of it alone never failed in 15 runs) and the resource quota. Change: the callback lets its call go before ended(). Conclusion: a real fault of the client, met by a daemon that stops while a peer is slow; mended.

--- a/src/libs/peering/peerclient.cpp
+++ b/src/libs/peering/peerclient.cpp
@@ -100,16 +100,19 @@
 
 PeerClient::~PeerClient() = default;
 
+// A call keeps its channel, and a channel that ends on a thread of gRPC takes the queue away under it: so the
+// call is let go before it counts as ended, and the channel ends with this object.
 void PeerClient::askReport(const std::string &address,
                            std::function<void(std::optional<PeerReport>)> callback)
 {
     auto call = d->newCall<Proto::ReportRequest, Proto::Report>();
-    auto done = [this, call, callback = std::move(callback)](const grpc::Status &status) {
+    auto done = [this, call, callback = std::move(callback)](const grpc::Status &status) mutable {
         std::optional<PeerReport> report;
         if (status.ok()) {
             report = Internal::decode(call->response);
         }
         callback(report && d->isOurs(report->from) ? std::move(report) : std::nullopt);
+        call.reset();
         d->ended();
     };
     auto &stub = d->stubFor(address);
@@ -119,12 +122,13 @@
 void PeerClient::askState(const std::string &address, std::function<void(std::optional<PeerState>)> callback)
 {
     auto call = d->newCall<Proto::StateRequest, Proto::State>();
-    auto done = [this, call, callback = std::move(callback)](const grpc::Status &status) {
+    auto done = [this, call, callback = std::move(callback)](const grpc::Status &status) mutable {
         std::optional<PeerState> state;
         if (status.ok()) {
             state = Internal::decode(call->response);
         }
         callback(state && d->isOurs(state->from) ? std::move(state) : std::nullopt);
+        call.reset();
         d->ended();
     };
     auto &stub = d->stubFor(address);
--- a/tests/auto/peering/tst_peering.cpp
+++ b/tests/auto/peering/tst_peering.cpp
@@ -38,9 +38,12 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof address;
-        ::bind(m_socket, reinterpret_cast<const sockaddr *>(&address), length);
-        ::listen(m_socket, 1);
-        ::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &length);
+        const bool isListening = ::bind(m_socket, reinterpret_cast<const sockaddr *>(&address), length) == 0
+            && ::listen(m_socket, 1) == 0
+            && ::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &length) == 0;
+        if (!isListening) {
+            throw std::runtime_error("no loopback port");
+        }
         m_port = ntohs(address.sin_port);
     }
     SilentListener(const SilentListener &) = delete;
@@ -100,11 +103,11 @@
         server = std::make_unique<Peering::PeerServer>(
             address,
             There,
-            Peering::PeerServer::Providers{[this](std::function<void(Peering::PeerReport)> answer) {
+            Peering::PeerServer::Providers{[this](const std::function<void(Peering::PeerReport)> &answer) {
                                                ++asked;
                                                answer(answeredReport);
                                            },
-                                           [this](std::function<void(Peering::PeerState)> answer) {
+                                           [this](const std::function<void(Peering::PeerState)> &answer) {
                                                ++asked;
                                                answer(state());
                                            }});
@@ -177,7 +180,7 @@
     Peering::PeerServer late(
         address,
         There,
-        {[&](std::function<void(Peering::PeerReport)> answer) { kept.set_value(answer); },
+        {[&](const std::function<void(Peering::PeerReport)> &answer) { kept.set_value(answer); },
          [](const std::function<void(Peering::PeerState)> &answer) {
              answer(state());
          }});
