Give the gateway's sockets an executor of known type

Cause: perf record of bench_gateway: copying, querying and destroying the type-erased executor of Asio's default socket was among the first of the target and caller threads' own functions, for every operation of every request. Change: Internal::TcpSocket names the io_context's executor; sessions and target connections use it.

--- a/src/libs/gateway/callerduty.cpp
+++ b/src/libs/gateway/callerduty.cpp
@@ -2,6 +2,7 @@
 
 #include "callersession.h"
 #include "outbox.h"
+#include "tcpsocket.h"
 
 #include <base/logline.h>
 #include <runtime/duty.h>
@@ -100,9 +101,10 @@
 
     void accept()
     {
-        m_acceptor.async_accept([this](const boost::system::error_code &ec, tcp::socket socket) {
-            onAccepted(ec, std::move(socket));
-        });
+        m_acceptor.async_accept(m_duty.context(),
+                                [this](const boost::system::error_code &ec, Internal::TcpSocket socket) {
+                                    onAccepted(ec, std::move(socket));
+                                });
     }
 
     void drain(std::function<void()> done)
@@ -120,7 +122,7 @@
 
 private:
     // Out of file descriptors, accepting again at once would spin; the backlog keeps the callers meanwhile.
-    void onAccepted(const boost::system::error_code &ec, tcp::socket socket)
+    void onAccepted(const boost::system::error_code &ec, Internal::TcpSocket socket)
     {
         if (!m_acceptor.is_open()) {
             return;
--- a/src/libs/gateway/callersession.cpp
+++ b/src/libs/gateway/callersession.cpp
@@ -46,7 +46,7 @@
 
 } // namespace
 
-CallerSession::CallerSession(asio::ip::tcp::socket socket, SessionOwner &owner)
+CallerSession::CallerSession(TcpSocket socket, SessionOwner &owner)
     : m_socket(std::move(socket))
     , m_owner(owner)
     , m_readTimer(owner.timers())
@@ -467,7 +467,7 @@
 void CallerSession::linger()
 {
     ErrorCode ec;
-    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    m_socket.shutdown(asio::socket_base::shutdown_send, ec);
     m_phase = Phase::Lingering;
     m_discarded.resize(WatchBytes);
     m_readTimer.arm(LingerTime, [this] { close(); });
@@ -497,7 +497,7 @@
     m_writeTimer.disarm();
     const auto self = shared_from_this();
     ErrorCode ec;
-    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    m_socket.shutdown(asio::socket_base::shutdown_send, ec);
     m_socket.close(ec);
     m_owner.closed(*this);
 }
--- a/src/libs/gateway/callersession.h
+++ b/src/libs/gateway/callersession.h
@@ -4,10 +4,10 @@
 #include "gatewayconstants.h"
 #include "message.h"
 #include "requestcheck.h"
+#include "tcpsocket.h"
 
 #include <base/oneshottimer.h>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
@@ -50,7 +50,7 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession>
 {
 public:
-    CallerSession(boost::asio::ip::tcp::socket socket, SessionOwner &owner);
+    CallerSession(TcpSocket socket, SessionOwner &owner);
 
     void start();
     void receive(ToCallers &&message);
@@ -94,7 +94,7 @@
     void armWriteTimer();
     void onReadTimeout();
 
-    boost::asio::ip::tcp::socket m_socket;
+    TcpSocket m_socket;
     SessionOwner &m_owner;
     boost::beast::flat_buffer m_buffer;
     Phase m_phase = Phase::Idle;
--- a/src/libs/gateway/targetconnection.h
+++ b/src/libs/gateway/targetconnection.h
@@ -3,11 +3,11 @@
 #include "gatewayconstants.h"
 #include "message.h"
 #include "targetlimits.h"
+#include "tcpsocket.h"
 
 #include <base/oneshottimer.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
@@ -111,7 +111,7 @@
     void armProgress();
     void breakOff(Break reason);
 
-    boost::asio::ip::tcp::socket m_socket;
+    TcpSocket m_socket;
     TargetLimits m_limits;
     ConnectionObserver &m_observer;
     std::uint64_t m_owner;
