Take the claim port by rvalue

Cause: clang-tidy of targetduty.cpp and of everything that instantiates TargetDuty failed on setClaims (performance-unnecessary-value-param in the template). Ruled out: leaving it to the instantiation. Change: the only caller moves its port in, and the parameter says so.

--- a/src/libs/gateway/targetduty.h
+++ b/src/libs/gateway/targetduty.h
@@ -86,7 +86,7 @@
 
     /// How idempotency keys are claimed; without it keyed requests are refused. To be set before the first
     /// message is received.
-    void setClaims(ClaimPort port);
+    void setClaims(ClaimPort &&port);
 
     /// Handles one message of the caller side; on the duty's thread.
     void receive(ToTargets &&message);
--- a/src/libs/gateway/targetduty_p.h
+++ b/src/libs/gateway/targetduty_p.h
@@ -731,7 +731,7 @@
 }
 
 template<SchedulerConcept Scheduler>
-void TargetDuty<Scheduler>::setClaims(ClaimPort port)
+void TargetDuty<Scheduler>::setClaims(ClaimPort &&port)
 {
     d->m_claims = std::move(port);
 }
