--- a/src/libs/control/controlduty.cpp
+++ b/src/libs/control/controlduty.cpp
@@ -1,5 +1,6 @@
 #include "controlduty.h"
 
+#include "fleetfollower.h"
 #include "observer.h"
 #include "peerwatch.h"
 #include "plannerrunner.h"
@@ -9,18 +10,14 @@
 #include <base/logline.h>
 #include <boost/leaf/handle_errors.hpp>
 #include <fleet/charts.h>
-#include <fleet/fold.h>
 #include <fleet/streamnames.h>
 #include <peering/peerserver.h>
 #include <platform/httpplatform.h>
-#include <platform/streamfollower.h>
-#include <record/codec.h>
 #include <runtime/duty.h>
 
 #include <fmt/format.h>
 
 #include <atomic>
-#include <deque>
 #include <random>
 #include <set>
 #include <stdexcept>
@@ -32,10 +29,11 @@
 namespace
 {
 
-using Follower = Platform::StreamFollower<Platform::HttpPlatform>;
-
 constexpr Base::Duration AcknowledgePeriod = std::chrono::milliseconds{200};
 constexpr Base::Duration LeavePatience = std::chrono::seconds{2};
+constexpr Base::Duration PeerStartPatience = std::chrono::seconds{1};
+constexpr std::uint64_t RecordsPerSnapshot = 2000;
+constexpr std::uint64_t EditsPerNote = 256;
 
 Fleet::Charts loadCharts(const std::string &folder)
 {
@@ -77,16 +75,16 @@
         , m_requestPlane(std::move(requestPlane))
         , m_member(newMember(m_settings.instance))
         , m_charts(loadCharts(m_settings.chartsFolder))
-        , m_fold(m_charts, m_settings.zone)
         , m_platform(duty.context(), duty.timers(), m_settings.platform)
-        , m_common(
-              m_platform, duty.timers(), Fleet::commonStream(m_settings.environment), {}, m_settings.seed)
-        , m_zone(m_platform,
-                 duty.timers(),
-                 Fleet::zoneStream(m_settings.environment, m_settings.zone),
-                 {},
-                 m_settings.seed + 1)
+        , m_follower(m_platform,
+                     duty.timers(),
+                     m_charts,
+                     m_settings.environment,
+                     m_settings.zone,
+                     m_settings.seed,
+                     [this] { onFolded(); })
         , m_appender(m_platform, duty.timers(), Fleet::zoneStream(m_settings.environment, m_settings.zone))
+        , m_commonAppender(m_platform, duty.timers(), Fleet::commonStream(m_settings.environment))
         , m_peers(identity(),
                   m_settings.instance,
                   duty.timers(),
@@ -107,18 +105,8 @@
 
     void start()
     {
-        m_common.start(Platform::FirstOffset,
-                       {[this](auto entries) { onCommonEntries(entries); },
-                        [this](auto first) { onTrimmedPast("common", first); },
-                        [this](bool isReachable) {
-                            onReachable(isReachable);
-                        }});
-        m_zone.start(Platform::FirstOffset,
-                     {[this](auto entries) { onZoneEntries(entries); },
-                      [this](auto first) { onTrimmedPast("zone", first); },
-                      [this](bool isReachable) {
-                          onReachable(isReachable);
-                      }});
+        m_startedAt = now();
+        m_follower.start();
         m_duty.timers().subscribeEvery(AcknowledgePeriod, [this] { onTick(); });
         m_duty.timers().subscribeEvery(m_settings.listPeriod, [this] { listInstances(); });
         m_duty.timers().subscribeEvery(m_settings.plannerPeriod, [this] { observeAndPlan(); });
@@ -174,9 +162,7 @@
 
     Peering::PeerState ownState() const
     {
-        Fleet::Record record;
-        record.event = Fleet::SnapshotTaken{m_fold.snapshot()};
-        return {identity(), Record::encode(record), {}};
+        return m_follower.offer(identity());
     }
 
     void observeAndPlan()
@@ -197,13 +183,37 @@
             return;
         }
         const ObservationSources sources{now(),
-                                         m_isListFresh && m_common.isReachable() && m_zone.isReachable(),
+                                         m_isListFresh && m_follower.isReachable(),
                                          m_peers,
                                          m_ownLoad,
                                          m_platformStates,
                                          m_planner.actionReports()};
         const auto observations = observe(state(), sources);
         m_planner.pass(state(), observations, m_peers.silentMembers(state(), m_settings.plannerLease));
+        keepRecordShort(observations);
+    }
+
+    // What a member that starts would have to read and hold: the planner notes how far the zone has seen the
+    // common stream, and writes snapshots before the log drops what they replace. One zone does the latter
+    // for the common stream.
+    void keepRecordShort(const Fleet::Observations &observations)
+    {
+        const auto lease = state().planners.find(m_settings.zone);
+        if (lease == state().planners.end() || lease->second.holder != m_member || m_appender.pending() > 0) {
+            return;
+        }
+        const Fleet::Offset term = lease->second.term;
+        if (state().commonAppliedTo.value - state().causalOffset.value >= EditsPerNote) {
+            append(Fleet::PlannerObserved{observations, state().appliedTo, {}}, term);
+        } else if (state().appliedTo.value - m_follower.lastZoneSnapshot().value >= RecordsPerSnapshot) {
+            append(Fleet::SnapshotTaken{m_follower.fold().snapshot()}, term);
+        }
+        const bool isFirstZone =
+            !state().document.zones.empty() && state().document.zones.front() == m_settings.zone;
+        const auto sinceCommon = state().commonAppliedTo.value - m_follower.lastCommonSnapshot().value;
+        if (isFirstZone && sinceCommon >= RecordsPerSnapshot && m_commonAppender.pending() == 0) {
+            appendTo(m_commonAppender, Fleet::SnapshotTaken{m_follower.fold().snapshot()}, {});
+        }
     }
 
     Base::Instant now() const
@@ -213,76 +223,47 @@
 
     const Fleet::FleetState &state() const
     {
-        return m_fold.state();
+        return m_follower.state();
     }
 
-    void onReachable(bool isReachable)
+    void onFolded()
     {
-        Base::LogLine(isReachable ? Base::LogLevel::Info : Base::LogLevel::Warning, "platform-log")
-            .with("is_reachable", isReachable);
+        putInForce();
+        if (!m_hasJoined && m_follower.isCaughtUp()) {
+            m_hasJoined = true;
+            append(Fleet::MemberJoined{m_member, m_settings.zone});
+        }
+        if (!m_isReady && m_hasJoined && state().members.contains(m_member)) {
+            becomeReady();
+        }
         publishStatus();
     }
 
-    void onTrimmedPast(std::string_view stream, Platform::Offset first)
-    {
-        Base::LogLine(Base::LogLevel::Error, "log-trimmed-past").with("stream", stream).with("first", first);
-    }
-
-    void onCommonEntries(std::span<const Platform::LogEntry> entries)
+    // Ready as a member only: a drain is complete when every member has acknowledged it, so requests must not
+    // go out from an entry instance that isn't one yet.
+    void becomeReady()
     {
-        for (const auto &it : entries) {
-            const Fleet::Entry entry = Record::decodeEntry(Fleet::Offset{it.offset}, it.data);
-            report("common", entry, m_fold.applyCommon(entry));
-        }
-        applyWaitingZoneEntries();
-        onFolded();
+        m_isReady = true;
+        Base::LogLine(Base::LogLevel::Info, "ready")
+            .with("member", m_member.value)
+            .with("document_offset", state().documentOffset.value);
     }
 
-    void onZoneEntries(std::span<const Platform::LogEntry> entries)
+    // With the log out nobody can join, and nothing can be decided either: serving from what a peer has
+    // folded is safe then, and the only way to serve.
+    void startFromPeers()
     {
-        for (const auto &it : entries) {
-            m_waitingZoneEntries.push_back(Record::decodeEntry(Fleet::Offset{it.offset}, it.data));
+        if (m_isReady || !m_follower.isStuck() || now() - m_startedAt < PeerStartPatience) {
+            return;
         }
-        applyWaitingZoneEntries();
-        onFolded();
-    }
-
-    void applyWaitingZoneEntries()
-    {
-        while (!m_waitingZoneEntries.empty()) {
-            const Fleet::Entry &entry = m_waitingZoneEntries.front();
-            const Fleet::Outcome outcome = m_fold.applyZone(entry);
-            if (outcome.kind == Fleet::OutcomeKind::NotYet) {
+        m_peers.askStates([this](const Peering::PeerState &offered) {
+            if (m_isReady || !m_follower.adopt(offered)) {
                 return;
             }
-            report("zone", entry, outcome);
-            m_waitingZoneEntries.pop_front();
-        }
-    }
-
-    static void report(std::string_view stream, const Fleet::Entry &entry, const Fleet::Outcome &outcome)
-    {
-        const bool isExpected = outcome.isApplied() || outcome.kind == Fleet::OutcomeKind::Duplicate;
-        Base::LogLine line(isExpected ? Base::LogLevel::Debug : Base::LogLevel::Warning, "record");
-        line.with("stream", stream)
-            .with("offset", entry.offset.value)
-            .with("outcome", toString(outcome.kind));
-        if (outcome.kind == Fleet::OutcomeKind::Refused) {
-            line.with("refusal", toString(outcome.refusal));
-        }
-    }
-
-    void onFolded()
-    {
-        putInForce();
-        if (!m_isReady && m_common.isCaughtUp() && m_zone.isCaughtUp() && m_waitingZoneEntries.empty()) {
-            m_isReady = true;
-            Base::LogLine(Base::LogLevel::Info, "ready")
-                .with("member", m_member.value)
-                .with("document_offset", state().documentOffset.value);
-            append(Fleet::MemberJoined{m_member, m_settings.zone});
-        }
-        publishStatus();
+            putInForce();
+            becomeReady();
+            publishStatus();
+        });
     }
 
     void putInForce()
@@ -305,6 +286,7 @@
     {
         if (!m_isReady) {
             onFolded();
+            startFromPeers();
         }
         acknowledgeDrains();
         publishStatus();
@@ -381,6 +363,11 @@
     }
 
     void append(Fleet::Event event, Fleet::Offset term = {})
+    {
+        appendTo(m_appender, std::move(event), term);
+    }
+
+    void appendTo(RecordAppender &appender, Fleet::Event event, Fleet::Offset term)
     {
         Fleet::Record record;
         record.id = fmt::format("{}-{}", m_member.value, ++m_lastRecord);
@@ -388,7 +375,7 @@
         record.term = term;
         record.documentOffset = state().commonAppliedTo;
         record.event = std::move(event);
-        m_appender.append(record);
+        appender.append(record);
     }
 
     void publishStatus()
@@ -396,7 +383,7 @@
         auto status = std::make_shared<ControlStatus>();
         status->member = m_member;
         status->isReady = m_isReady;
-        status->isPlatformReachable = m_common.isReachable() && m_zone.isReachable();
+        status->isPlatformReachable = m_follower.isReachable();
         status->commonAppliedTo = state().commonAppliedTo.value;
         status->zoneAppliedTo = state().appliedTo.value;
         status->documentOffset = state().documentOffset.value;
@@ -416,12 +403,10 @@
     RequestPlanePort m_requestPlane;
     Base::MemberName m_member;
     Fleet::Charts m_charts;
-    Fleet::Fold m_fold;
     Platform::HttpPlatform m_platform;
-    Follower m_common;
-    Follower m_zone;
+    FleetFollower m_follower;
     RecordAppender m_appender;
-    std::deque<Fleet::Entry> m_waitingZoneEntries;
+    RecordAppender m_commonAppender;
     std::shared_ptr<const Gateway::RoutingTable> m_table;
     std::set<Base::InstanceName> m_leaving;
     std::set<Fleet::ActionId> m_acknowledged;
@@ -433,6 +418,8 @@
     std::map<Base::InstanceName, Fleet::PlatformState> m_platformStates;
     bool m_isListFresh = false;
     bool m_isLeaving = false;
+    Base::Instant m_startedAt;
+    bool m_hasJoined = false;
     bool m_isReady = false;
     bool m_isAskingInFlight = false;
     bool m_isListing = false;
