--- /dev/null
+++ b/src/libs/policy/jobplacement.cpp
@@ -0,0 +1,381 @@
+#include "jobplacement.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace Policy
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Between two tries of a worker that fails what it starts.
+constexpr Base::Duration ProbePeriod = 5min;
+/// A job that waited longer gets a worker to itself as soon as one is empty enough.
+constexpr Base::Duration MostPatience = 10min;
+/// Batch keeps at least this share of its cores while throttled.
+constexpr std::uint32_t LeastThrottle = 100;
+constexpr std::uint32_t Unthrottled = 1000;
+/// Throttles are lifted only into space beyond this share of what a worker has for jobs.
+constexpr double LiftShare = 0.9;
+
+class JobPlacement
+{
+public:
+    explicit JobPlacement(JobContext &context)
+        : m_context(context)
+    {
+    }
+
+    void run()
+    {
+        relieveWorkers();
+        countTeams();
+        startUrgent();
+        startBatch();
+    }
+
+private:
+    /// Batch gives way where interactive work, or the jobs themselves, take more than was left for them.
+    void relieveWorkers()
+    {
+        for (auto &[name, worker] : m_context.spaces.workers()) {
+            const std::vector<JobId> jobs = worker.jobs;
+            for (const JobId &id : jobs) {
+                const auto it = m_context.table.open.find(id);
+                if (it == m_context.table.open.end() || it->second.phase != JobPhase::Running
+                    || isUrgent(it->second)) {
+                    continue;
+                }
+                if (worker.isOvercommitted()) {
+                    giveWay(it->second, worker);
+                } else if (it->second.throttle < Unthrottled) {
+                    liftThrottle(it->second, worker);
+                }
+            }
+        }
+    }
+
+    void giveWay(const JobState &job, const WorkerSpace &worker)
+    {
+        const std::string reason = fmt::format("jobs on {} take {}, {} are left for them",
+                                               job.worker.value,
+                                               text(worker.used),
+                                               text(worker.report->forJobs));
+        const bool hasMemory = worker.used.memory - worker.leaving.memory <= worker.report->forJobs.memory;
+        if (hasMemory && job.throttle > LeastThrottle) {
+            m_context.throttle(job, LeastThrottle, reason);
+        } else if (canStop(job)) {
+            m_context.stop(job, modeFor(job), reason);
+        }
+    }
+
+    void liftThrottle(const JobState &job, const WorkerSpace &worker)
+    {
+        const double more = job.reserved.cores * (Unthrottled - job.throttle) / Unthrottled;
+        if (worker.used.cores + more <= worker.report->forJobs.cores * LiftShare) {
+            m_context.throttle(job, Unthrottled, fmt::format("{:.1f} cores are free", worker.free().cores));
+        }
+    }
+
+    static StopMode modeFor(const JobState &job)
+    {
+        return job.spec.canCheckpoint ? StopMode::Checkpoint : StopMode::Kill;
+    }
+
+    void countTeams()
+    {
+        for (const auto &[id, job] : m_context.table.open) {
+            if (job.phase == JobPhase::Waiting) {
+                continue;
+            }
+            m_teamCores[job.spec.team] += job.reserved.cores;
+            m_urgentCores[job.spec.team] += isUrgent(job) ? job.reserved.cores : 0;
+        }
+    }
+
+    void start(const JobState &job, const Base::InstanceName &worker, const JobSize &size)
+    {
+        m_teamCores[job.spec.team] += size.cores;
+        m_urgentCores[job.spec.team] += isUrgent(job) ? size.cores : 0;
+        m_context.spaces.take(worker, job.spec.id, size);
+        const JobSize free = m_context.spaces.find(worker)->free();
+        m_context.decide(JobStarted{
+            job.spec.id,
+            job.attempt + 1,
+            worker,
+            size,
+            fmt::format(
+                "{} declared, {} expected, {} stay free", text(job.spec.declared), text(size), text(free))});
+    }
+
+    bool mayUse(const JobState &job, const WorkerSpace &worker, const JobSize &size)
+    {
+        if (worker.isHeld || job.failedOn.contains(worker.report->worker) || !fitsInto(size, worker.free())) {
+            return false;
+        }
+        if (worker.isStoppable && !isUrgent(job) && !canStop(job)) {
+            return false;
+        }
+        return !worker.isOutlier || isProbeDue(job, worker);
+    }
+
+    /// Only work that may be repeated is risked on a worker that fails what it starts.
+    bool isProbeDue(const JobState &job, const WorkerSpace &worker) const
+    {
+        const auto last = m_context.memory.lastProbe.find(worker.report->worker);
+        return job.spec.isIdempotent && !isUrgent(job) && worker.jobs.empty()
+            && (last == m_context.memory.lastProbe.end()
+                || m_context.observations.at - last->second >= ProbePeriod);
+    }
+
+    /// The fullest worker that still holds it: large spaces stay for large jobs.
+    WorkerSpace *tightestFit(const JobState &job, const JobSize &size)
+    {
+        WorkerSpace *best = nullptr;
+        for (auto &[name, it] : m_context.spaces.workers()) {
+            if (mayUse(job, it, size) && (!best || it.free().cores < best->free().cores)) {
+                best = &it;
+            }
+        }
+        return best;
+    }
+
+    bool startWhereItFits(const JobState &job, const JobSize &size)
+    {
+        const WorkerSpace *worker = tightestFit(job, size);
+        if (!worker) {
+            return false;
+        }
+        const Base::InstanceName name = worker->report->worker;
+        if (worker->isOutlier) {
+            m_context.memory.lastProbe[name] = m_context.observations.at;
+        }
+        start(job, name, size);
+        return true;
+    }
+
+    void startUrgent()
+    {
+        for (const JobState *it : m_context.waiting(true)) {
+            const JobSize size = m_context.sizeOf(*it);
+            const double used = m_urgentCores[it->spec.team];
+            const double quota = m_context.quotaOf(it->spec.team);
+            if (used + size.cores > quota) {
+                m_context.waits.push_back(
+                    {it->spec.id.value,
+                     fmt::format("{} uses {:.1f} of {:.1f} cores for urgent jobs, {:.1f} more wanted",
+                                 it->spec.team.value,
+                                 used,
+                                 quota,
+                                 size.cores)});
+                continue;
+            }
+            if (!startWhereItFits(*it, size) && !throttleFor(*it, size) && !holdFor(*it, size)) {
+                m_context.waits.push_back(
+                    {it->spec.id.value,
+                     fmt::format("no worker can be made to hold {} by throttling or stopping batch",
+                                 text(size))});
+            }
+        }
+    }
+
+    std::vector<const JobState *> batchOn(const WorkerSpace &worker) const
+    {
+        std::vector<const JobState *> jobs;
+        for (const JobId &id : worker.jobs) {
+            const auto it = m_context.table.open.find(id);
+            if (it != m_context.table.open.end() && it->second.phase == JobPhase::Running
+                && !isUrgent(it->second)) {
+                jobs.push_back(&it->second);
+            }
+        }
+        // The youngest has the least to lose.
+        std::sort(jobs.begin(), jobs.end(), [](const JobState *a, const JobState *b) {
+            return a->sequence > b->sequence;
+        });
+        return jobs;
+    }
+
+    bool isOpenTo(const JobState &job, const WorkerSpace &worker) const
+    {
+        return !worker.isOutlier && !worker.isHeld && !job.failedOn.contains(worker.report->worker);
+    }
+
+    /// Throttling frees cores at once, and nothing else.
+    bool throttleFor(const JobState &job, const JobSize &size)
+    {
+        for (auto &[name, worker] : m_context.spaces.workers()) {
+            JobSize space = worker.free();
+            const std::vector<const JobState *> batch = batchOn(worker);
+            for (const JobState *it : batch) {
+                space.cores +=
+                    it->reserved.cores * (it->throttle - std::min(it->throttle, LeastThrottle)) / Unthrottled;
+            }
+            if (!isOpenTo(job, worker) || !fitsInto(size, space)) {
+                continue;
+            }
+            for (const JobState *it : batch) {
+                if (!fitsInto(size, worker.free())) {
+                    m_context.throttle(
+                        *it, LeastThrottle, fmt::format("urgent job {} needs the cores", job.spec.id.value));
+                }
+            }
+            if (fitsInto(size, worker.free())) {
+                start(job, name, size);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /// Stops batch on the worker where the fewest jobs have to go, and keeps the room for this job.
+    bool holdFor(const JobState &job, const JobSize &size)
+    {
+        WorkerSpace *best = nullptr;
+        std::vector<const JobState *> fewest;
+        for (auto &[name, worker] : m_context.spaces.workers()) {
+            if (!isOpenTo(job, worker)) {
+                continue;
+            }
+            const std::optional<std::vector<const JobState *>> victims = victimsOn(worker, size);
+            if (victims && (!best || victims->size() < fewest.size())) {
+                best = &worker;
+                fewest = *victims;
+            }
+        }
+        if (!best) {
+            return false;
+        }
+        best->isHeld = true;
+        for (const JobState *it : fewest) {
+            m_context.stop(
+                *it, modeFor(*it), fmt::format("urgent job {} needs {}", job.spec.id.value, text(size)));
+        }
+        return true;
+    }
+
+    /// The batch jobs to stop so that the size fits; none at all when what is stopping already is enough.
+    std::optional<std::vector<const JobState *>> victimsOn(const WorkerSpace &worker,
+                                                           const JobSize &size) const
+    {
+        JobSize space = worker.freeSoon();
+        std::vector<const JobState *> victims;
+        for (const JobState *it : batchOn(worker)) {
+            if (fitsInto(size, space)) {
+                return victims;
+            }
+            if (canStop(*it)) {
+                JobSize freed = it->reserved;
+                freed.cores *= static_cast<double>(it->throttle) / Unthrottled;
+                space = space + freed;
+                victims.push_back(it);
+            }
+        }
+        if (!fitsInto(size, space)) {
+            return std::nullopt;
+        }
+        return victims;
+    }
+
+    double shareOf(const TeamName &team)
+    {
+        const double quota = m_context.quotaOf(team);
+        return quota > 0 ? m_teamCores[team] / quota : m_teamCores[team] + 1;
+    }
+
+    /// Teams take turns, the one with the least of its quota in use first; within a team by age.
+    void startBatch()
+    {
+        holdForTheOldest();
+        std::map<TeamName, std::vector<const JobState *>> teams;
+        for (const JobState *it : m_context.waiting(false)) {
+            teams[it->spec.team].push_back(it);
+        }
+        std::set<std::pair<double, TeamName>> turns;
+        for (auto &[team, jobs] : teams) {
+            std::reverse(jobs.begin(), jobs.end());
+            turns.emplace(shareOf(team), team);
+        }
+        while (!turns.empty()) {
+            const TeamName team = turns.extract(turns.begin()).value().second;
+            std::vector<const JobState *> &jobs = teams.at(team);
+            bool hasStarted = false;
+            while (!hasStarted && !jobs.empty()) {
+                hasStarted = tryBatch(*jobs.back());
+                jobs.pop_back();
+            }
+            if (!jobs.empty()) {
+                turns.emplace(shareOf(team), team);
+            }
+        }
+    }
+
+    bool tryBatch(const JobState &job)
+    {
+        const JobSize size = m_context.sizeOf(job);
+        // Most jobs of a long queue are alike: one that is no smaller than one that didn't fit isn't tried.
+        std::vector<JobSize> &misfits = m_misfits[canStop(job)];
+        const bool isHopeless = std::any_of(
+            misfits.begin(), misfits.end(), [&size](const JobSize &it) { return fitsInto(it, size); });
+        if (isHopeless) {
+            return false;
+        }
+        if (startWhereItFits(job, size)) {
+            return true;
+        }
+        if (job.failedOn.empty()) {
+            std::erase_if(misfits, [&size](const JobSize &it) { return fitsInto(size, it); });
+            misfits.push_back(size);
+        }
+        return false;
+    }
+
+    /// Small jobs would fill every gap for ever: the job that has waited longest gets a worker held for it.
+    void holdForTheOldest()
+    {
+        const std::vector<const JobState *> jobs = m_context.waiting(false);
+        if (jobs.empty()) {
+            return;
+        }
+        const JobState &oldest = *jobs.front();
+        const auto since = m_context.memory.waitingSince.find(oldest.spec.id);
+        const bool isOverdue = since != m_context.memory.waitingSince.end()
+            && m_context.observations.at - since->second >= MostPatience;
+        const JobSize size = m_context.sizeOf(oldest);
+        if (!isOverdue || startWhereItFits(oldest, size)) {
+            return;
+        }
+        WorkerSpace *best = nullptr;
+        for (auto &[name, it] : m_context.spaces.workers()) {
+            const bool canHold = isOpenTo(oldest, it) && fitsInto(size, it.report->forJobs);
+            if (canHold && (!best || it.free().cores > best->free().cores)) {
+                best = &it;
+            }
+        }
+        if (best) {
+            best->isHeld = true;
+        }
+    }
+
+    JobContext &m_context;
+    std::map<TeamName, double> m_teamCores;
+    std::map<TeamName, double> m_urgentCores;
+    std::map<bool, std::vector<JobSize>> m_misfits; ///< that no worker had room for, by whether they can stop
+};
+
+} // namespace
+
+void placeJobs(JobContext &context)
+{
+    JobPlacement(context).run();
+}
+
+} // namespace Policy
--- a/src/libs/policy/moveplanner.cpp
+++ b/src/libs/policy/moveplanner.cpp
@@ -80,6 +80,14 @@
     return std::max(0.0, std::floor((capacity.slots - needed) / slotsPerInstance(context, capacity)));
 }
 
+/// Whole instances that the pool could do without at the peaks of its lasting demand, if others lack them.
+double
+giveableInstances(const PassContext &context, const DemandEstimate &demand, const PoolCapacity &capacity)
+{
+    const double needed = demand.peak / PeakUtilization;
+    return std::max(0.0, std::floor((capacity.slots - needed) / slotsPerInstance(context, capacity)));
+}
+
 /// A pool that uses what it has gives nothing, however low its lasting demand.
 bool isSurging(const DemandEstimate &demand, const PoolCapacity &capacity)
 {
@@ -94,7 +102,7 @@
     });
 }
 
-void endMove(PassContext &context, const Fleet::Move &move, const std::string &reason)
+void abortMove(PassContext &context, const Fleet::Move &move, const std::string &reason)
 {
     context.markDecided(move.id);
     context.decide(Fleet::MoveAborted{move.id, reason}, reason);
@@ -104,7 +112,7 @@
 {
     const BudgetAnswer budget = context.budget.holds(move.from);
     if (!budget.isAllowed) {
-        endMove(context, move, fmt::format("failures have spent the budget: {}", budget.reason));
+        abortMove(context, move, fmt::format("failures have spent the budget: {}", budget.reason));
         return;
     }
     const DrainProgress progress = drainProgress(context, move.instance, move.acknowledgedBy);
@@ -147,34 +155,46 @@
     return best;
 }
 
-/// Where instances that are missing elsewhere can be taken from, as this pass goes on.
+/// Where instances that are missing elsewhere can be taken from, as this pass goes on; in whole instances.
 struct Donor {
     Base::PoolName pool;
+    double giveable = 0;
     double unneeded = 0;
     bool isSpare = false;
+
+    /// What a pool doesn't need goes first: what the spare pool holds can be lent to any. Pools that could
+    /// use theirs give last.
+    int rank() const
+    {
+        if (isSpare) {
+            return 1;
+        }
+        return unneeded >= 1 ? 0 : 2;
+    }
 };
 
-std::vector<Donor> donorsIn(PassContext &context)
+std::vector<Donor> donorsIn(const PassContext &context)
 {
     std::vector<Donor> donors;
     for (const DemandEstimate &it : context.memory.demand.pools) {
         const PoolCapacity capacity = capacityOf(context, it.pool);
-        const double unneeded = unneededInstances(context, it, capacity);
-        if (unneeded > 0 && !isSurging(it, capacity)) {
-            donors.push_back({it.pool, unneeded, isSpare(context, it.pool)});
+        const double giveable = giveableInstances(context, it, capacity);
+        if (giveable >= 1 && !isSurging(it, capacity)) {
+            const double unneeded = unneededInstances(context, it, capacity);
+            donors.push_back({it.pool, giveable, unneeded, isSpare(context, it.pool)});
         }
     }
     return donors;
 }
 
-/// The pool that holds most beyond its need gives first: what the spare pool holds can be lent to any.
 Donor *bestDonor(std::vector<Donor> &donors, const Base::PoolName &to)
 {
     Donor *best = nullptr;
     for (Donor &it : donors) {
-        const bool isBetter =
-            best && (it.isSpare != best->isSpare ? best->isSpare : it.unneeded > best->unneeded);
-        if (it.pool != to && it.unneeded >= 1 && (!best || isBetter)) {
+        const auto key = [](const Donor &donor) {
+            return std::pair(donor.rank(), -donor.giveable);
+        };
+        if (it.pool != to && it.giveable >= 1 && (!best || key(it) < key(*best))) {
             best = &it;
         }
     }
@@ -213,10 +233,12 @@
         if (!instance) {
             context.wait(fmt::format("move from {} to {}", donor->pool.value, pool.value),
                          context.budget.holds(donor->pool).reason);
+            donor->giveable = 0;
             donor->unneeded = 0;
             continue;
         }
         startMove(context, *instance, pool, cause);
+        --donor->giveable;
         --donor->unneeded;
         --count;
     }
--- a/src/libs/policy/waveplanner.cpp
+++ b/src/libs/policy/waveplanner.cpp
@@ -23,6 +23,8 @@
 constexpr double HarmSignificance = 0.01;
 /// For an instance to come back after a reboot.
 constexpr Base::Duration RebootTimeout = 10min;
+/// A wave waits so long for instances that are down before it ends without them.
+constexpr Base::Duration ReturnPatience = 30min;
 /// A wave may have this many open stops for each one that went well.
 constexpr std::size_t RampFactor = 2;
 
@@ -211,7 +213,7 @@
     }
     const Harm harm = harmOf(context, wave);
     const double chance = chanceOfFailures(harm.stops, harm.failures, OrdinaryFailureRate);
-    if (harm.failures > 0 && chance < HarmSignificance) {
+    if (isHarmful(harm.stops, harm.failures)) {
         return fmt::format("{} of {} stops failed; at the ordinary rate of {:.3f} the chance of it is {:.5f}",
                            harm.failures,
                            harm.stops,
@@ -221,16 +223,19 @@
     return {};
 }
 
-/// Instances of the first pool of the wave that isn't through; empty when all are.
+bool isDown(const InstanceView &instance)
+{
+    return instance.state->phase == Fleet::InstancePhase::Failed
+        || instance.platform != Fleet::PlatformState::Live;
+}
+
+/// Instances that are up, of the first pool of the wave that isn't through; empty when all are.
 std::vector<const InstanceView *> nextInstances(const PassContext &context, const Fleet::Wave &wave)
 {
     std::vector<const InstanceView *> next;
     for (const Base::PoolName &pool : context.state.document.maintenance.wave) {
         for (const InstanceView *it : context.view.instancesOf(pool)) {
-            // One that is down was not rebooted by us and comes back as new.
-            const bool isDown = it->state->phase == Fleet::InstancePhase::Failed
-                || it->platform != Fleet::PlatformState::Live;
-            if (!isTouched(wave, it->name()) && !isDown) {
+            if (!isTouched(wave, it->name()) && !isDown(*it)) {
                 next.push_back(it);
             }
         }
@@ -241,6 +246,45 @@
     return next;
 }
 
+struct DownInstances {
+    std::size_t recent = 0; ///< down for less than the wave's patience
+    std::size_t all = 0;
+};
+
+DownInstances downInstances(const PassContext &context, const Fleet::Wave &wave)
+{
+    DownInstances down;
+    for (const Base::PoolName &pool : context.state.document.maintenance.wave) {
+        for (const InstanceView *it : context.view.instancesOf(pool)) {
+            if (isTouched(wave, it->name()) || !isDown(*it)) {
+                continue;
+            }
+            const auto since = context.memory.health.find(it->name());
+            const bool isRecent =
+                since != context.memory.health.end() && context.now() - since->second.since < ReturnPatience;
+            ++down.all;
+            down.recent += isRecent ? 1 : 0;
+        }
+    }
+    return down;
+}
+
+void finishWave(PassContext &context, const Fleet::Wave &wave)
+{
+    const DownInstances down = downInstances(context, wave);
+    if (down.recent > 0) {
+        context.wait(fmt::format("wave {}", wave.number),
+                     fmt::format("{} of its instances are down and may come back", down.recent));
+        return;
+    }
+    context.decide(Fleet::WaveFinished{wave.id},
+                   fmt::format("wave {}: {} rebooted, {} failed, {} are down for longer",
+                               wave.number,
+                               wave.done.size(),
+                               wave.failed.size(),
+                               down.all));
+}
+
 std::size_t mostOpen(const PassContext &context, const Fleet::Wave &wave)
 {
     // The first stop goes alone: failures within a wave come together.
@@ -281,10 +325,7 @@
     const std::size_t most = mostOpen(context, wave);
     std::vector<const InstanceView *> next = nextInstances(context, wave);
     if (next.empty() && open == 0) {
-        context.decide(
-            Fleet::WaveFinished{wave.id},
-            fmt::format(
-                "wave {}: {} rebooted, {} failed", wave.number, wave.done.size(), wave.failed.size()));
+        finishWave(context, wave);
         return;
     }
     std::erase_if(next, [&context](const InstanceView *it) { return context.isTaken(*it); });
@@ -315,6 +356,11 @@
     return std::max(0.0, 1 - fewer);
 }
 
+bool isHarmful(std::size_t stops, std::size_t failures)
+{
+    return failures > 0 && chanceOfFailures(stops, failures, OrdinaryFailureRate) < HarmSignificance;
+}
+
 void planWave(PassContext &context)
 {
     followMaintenances(context);
--- a/tests/auto/policy/tst_moveplanner.cpp
+++ b/tests/auto/policy/tst_moveplanner.cpp
@@ -85,6 +85,16 @@
     CHECK_EQUAL(0, passes(2400, 4000));
 }
 
+TEST(MovePlanner, PoolsThatAreBetterOffGiveToOneThatIsOverloaded)
+{
+    // The spare pool is as busy as the first; the second has more than the others, and not too much.
+    demand(40, 28, 40);
+    passes(0, 2400);
+    CHECK_EQUAL(7, instancesIn(0));
+    CHECK_EQUAL(5, instancesIn(1));
+    CHECK_EQUAL(6, instancesIn(2));
+}
+
 TEST(MovePlanner, UnneededBufferGoesBackToTheSparePool)
 {
     model.state.document.weights = PlaquewrightWeights;
--- a/tests/auto/policy/tst_waveplanner.cpp
+++ b/tests/auto/policy/tst_waveplanner.cpp
@@ -155,6 +155,20 @@
     CHECK(model.state.waves.begin()->second.phase == Fleet::WavePhase::Running);
 }
 
+TEST(WavePlanner, WaitsForInstancesThatAreDownAndEndsWithoutThemInTheEnd)
+{
+    FleetModel model = modelWithWave();
+    model.report({"z00-i00003"}).state = Fleet::PlatformState::Gone;
+    for (int n = 0; n < 12; ++n) {
+        model.pass(++seconds);
+        rebootAll(model, seconds, true);
+    }
+    CHECK_EQUAL(11, model.state.waves.begin()->second.done.size());
+    CHECK(model.state.waves.begin()->second.phase == Fleet::WavePhase::Running);
+    model.pass(seconds + 1800);
+    CHECK(model.state.waves.begin()->second.phase == Fleet::WavePhase::Finished);
+}
+
 TEST(WavePlanner, FailuresThatSpendTheBudgetEndDrainsThatHaveNotComeToAReboot)
 {
     FleetModel model = modelWithWave();
