--- a/tests/auto/platform/tst_httpplatform.cpp
+++ b/tests/auto/platform/tst_httpplatform.cpp
@@ -15,6 +15,7 @@
 using Platform::AppendUnavailable;
 using Platform::AppendUnknown;
 using Platform::FirstOffset;
+using Platform::ListOutcome;
 using Platform::LogRecord;
 using Platform::Offset;
 using Platform::ReadBack;
@@ -163,6 +164,29 @@
     CHECK_EQUAL(1, std::get<ReadEntries>(*outcome).entries.size());
 }
 
+TEST(HttpPlatform, ListsInstancesAndAStaleListStaysAsItWas)
+{
+    fixture.standin.setInstances(R"([{"name":"w1","kind":"target","zone":"a","rack":"r7","state":"leaving",
+        "callers":"10.0.0.1:80"},{"name":"e1","kind":"entry","zone":"b","state":"live","peers":"10.0.0.2:7"}])");
+    PlatformStandin::Faults faults;
+    faults.hasStaleList = true;
+    fixture.standin.setFaults(faults);
+    fixture.standin.setInstances("[]");
+    const auto outcome = fixture.await<ListOutcome>(
+        [&](Platform::ListCallback callback) { fixture.platform().listInstances(std::move(callback)); });
+    const std::vector<Platform::ListedInstance> expected = {
+        {"w1",
+         Platform::InstanceKind::Target,
+         "a",
+         "r7",
+         Platform::InstanceState::Leaving,
+         "10.0.0.1:80",
+         "",
+         ""},
+        {"e1", Platform::InstanceKind::Entry, "b", "", Platform::InstanceState::Live, "", "", "10.0.0.2:7"}};
+    CHECK(std::get<std::vector<Platform::ListedInstance>>(*outcome) == expected);
+}
+
 TEST(HttpPlatform, AnActionThatIsRepeatedIsAccepted)
 {
     for (int n = 0; n < 2; ++n) {
--- a/tests/standins/platform/standin.cpp
+++ b/tests/standins/platform/standin.cpp
@@ -112,6 +112,15 @@
     return m_counters;
 }
 
+void Standin::setInstances(std::string json, std::chrono::milliseconds lag)
+{
+    after(lag, [this, json = std::move(json)] {
+        if (!m_faults.hasStaleList) {
+            m_instances = json;
+        }
+    });
+}
+
 void Standin::handle(Request request, ReplyCallback reply)
 {
     if (request.target.starts_with("/control/")) {
@@ -141,7 +150,7 @@
     } else if (request.target == "/control/actions") {
         reply({200, fmt::format(R"({{"actions":[{}]}})", fmt::join(m_actions, ","))});
     } else if (request.target == "/control/instances" && request.isPost) {
-        setInstances(request, reply);
+        controlInstances(request, reply);
     } else if (request.target == "/control/faults" && request.isPost) {
         const auto faults = parseFaults(request.body);
         setFaults(faults.value_or(m_faults));
@@ -301,7 +310,7 @@
     answerEffect({200, "{}"}, reply);
 }
 
-void Standin::setInstances(const Request &request, const ReplyCallback &reply)
+void Standin::controlInstances(const Request &request, const ReplyCallback &reply)
 {
     const auto object = parseObject(request.body);
     const auto *instances = object ? object->if_contains("instances") : nullptr;
@@ -309,11 +318,7 @@
         reply(refusal(400, "no instances"));
         return;
     }
-    after(std::chrono::milliseconds(numberAt(*object, "lag_ms")), [this, text = Json::serialize(*instances)] {
-        if (!m_faults.hasStaleList) {
-            m_instances = text;
-        }
-    });
+    setInstances(Json::serialize(*instances), std::chrono::milliseconds(numberAt(*object, "lag_ms")));
     reply({200, "{}"});
 }
 
--- a/tests/standins/platform/standin.h
+++ b/tests/standins/platform/standin.h
@@ -31,6 +31,9 @@
     void setFaults(const Faults &faults);
     const Counters &counters() const;
 
+    /// The JSON array of the instance list, shown when `lag` has passed unless the list is stale by then.
+    void setInstances(std::string json, std::chrono::milliseconds lag);
+
 private:
     using Clock = std::chrono::steady_clock;
 
@@ -51,7 +54,7 @@
     void trim(const std::string &stream, const Request &request, const ReplyCallback &reply);
     void list(const ReplyCallback &reply);
     void act(const std::string &instance, const Request &request, const ReplyCallback &reply);
-    void setInstances(const Request &request, const ReplyCallback &reply);
+    void controlInstances(const Request &request, const ReplyCallback &reply);
     void answer(Reply answer, const ReplyCallback &reply);
     void answerEffect(Reply effect, const ReplyCallback &reply);
     bool losesNextAnswer();
--- a/tests/standins/platform/standinthread.cpp
+++ b/tests/standins/platform/standinthread.cpp
@@ -61,4 +61,9 @@
     return counters;
 }
 
+void StandinThread::setInstances(const std::string &json)
+{
+    m_runner->runOnThread([&] { m_runner->standin.setInstances(json, {}); });
+}
+
 } // namespace PlatformStandin
--- a/tests/standins/platform/standinthread.h
+++ b/tests/standins/platform/standinthread.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string>
 
 namespace PlatformStandin
 {
@@ -26,6 +27,9 @@
 
     Counters counters() const;
 
+    /// A JSON array, in the protocol's form.
+    void setInstances(const std::string &json);
+
 private:
     struct Runner;
     std::unique_ptr<Runner> m_runner;
