--- a/tests/standins/platform/standin.h
+++ b/tests/standins/platform/standin.h
@@ -33,6 +33,9 @@
     void setFaults(const Faults &faults);
     const Counters &counters() const;
 
+    /// The JSON array of the instance list, shown when `lag` has passed unless the list is stale by then.
+    void setInstances(std::string json, std::chrono::milliseconds lag);
+
 private:
     using Clock = std::chrono::steady_clock;
 
@@ -55,7 +58,7 @@
     void act(const std::string &instance, const Request &request, const ReplyCallback &reply);
     void reboot(const std::string &instance);
     std::string listedInstances() const;
-    void setInstances(const Request &request, const ReplyCallback &reply);
+    void controlInstances(const Request &request, const ReplyCallback &reply);
     void answer(Reply answer, const ReplyCallback &reply);
     void answerEffect(Reply effect, const ReplyCallback &reply);
     bool losesNextAnswer();
