Prove at most once and target failures over real processes

Cause: the request plane, the claims and the daemon's shutdown were tested within one process only; nothing showed what callers are told when processes are killed, frozen or cut from the log. Ruled out: the target stand-in, whose counters go with its process; a small recording target writes each execution to a file before it acts on it.

Change: tests/auto/processes with a harness for processes and a cluster of platform stand-in, targets and daemons; what callers were told is compared with the targets' records.

A caller that repeats a proof by itself runs it twice in ARepeatWithoutClaimsRunsAProofTwice, and the check finds that.

An idempotent request can fail when more attempts are lost at once than the retry budget holds (burst of 10): it is told so.

--- /dev/null
+++ b/tests/auto/processes/cluster.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "process.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// What a cluster consists of.
+struct ClusterShape {
+    std::size_t daemons = 2;
+    std::vector<std::string> targetFaults{"none", "none"}; ///< one for each target, see recordingtarget.cpp
+    std::string settings; ///< further lines of the daemons' settings
+};
+
+/// One request that a target executed.
+struct Execution {
+    std::string target;
+    std::string key;
+    std::string marker;
+};
+
+/// A platform stand-in, targets and daemons of one availability zone as processes of their own. The
+/// document's services are "preview" (idempotent, /preview) and "proofs" (not idempotent, /proofs).
+class Cluster
+{
+public:
+    Cluster();
+    Cluster(const Cluster &) = delete;
+    Cluster &operator=(const Cluster &) = delete;
+    ~Cluster();
+
+    /// Returns when every daemon has the document in force; false when that takes too long.
+    bool start(const ClusterShape &shape = {});
+
+    /// Starts daemon n, in place of the one before.
+    void startDaemon(std::size_t n);
+
+    /// Tells the platform's list, with one target leaving.
+    void listInstances(std::string_view leaving = {});
+
+    /// Sets the platform's faults, a JSON object, in place of the ones before.
+    bool setFaults(const std::string &faults);
+    std::uint64_t platformCount(const std::string &counter);
+
+    /// The command line's publish, of a document with this weight of moves.
+    std::unique_ptr<Process> publish(int moves, const std::vector<std::string> &options = {});
+
+    Process &platform();
+    Process &daemon(std::size_t n);
+    Process &target(std::size_t n);
+    std::uint16_t callersPort(std::size_t n);
+    std::uint16_t targetPort(std::size_t n);
+
+    bool isReady(std::size_t n);
+
+    /// Number or flag on the daemon's status page, 0 when it doesn't answer.
+    std::uint64_t statusOf(std::size_t n, const std::string &key);
+
+    std::vector<Execution> executions() const;
+    std::size_t executionsOf(std::string_view target) const;
+
+private:
+    std::filesystem::path file(const std::string &name);
+    std::string document(int moves);
+    std::string settingsOf(std::size_t n) const;
+    std::uint16_t operatorsPort(std::size_t n);
+
+    std::filesystem::path m_folder;
+    ClusterShape m_shape;
+    std::unique_ptr<Process> m_platform;
+    std::vector<std::unique_ptr<Process>> m_targets;
+    std::vector<std::unique_ptr<Process>> m_daemons;
+    std::size_t m_files = 0;
+};
