Share targets' slots between the zone's entry instances

Cause: each daemon used every slot of a target as if it were alone, so two in one zone could put 16 requests on 8 slots. Change: the target side runs the slot ledger; epochs come from the record's members, loans and heartbeats go between members over gRPC; a daemon is ready once it has slots; one that was taken for gone joins again.

--- a/src/app/rhubarbcrankd/daemon.cpp
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -137,6 +137,7 @@
                            [this](std::uint64_t id, Claims::RequestOutcome outcome) {
                                m_claims.finish(id, std::move(outcome));
                            }});
+        shareSlots();
         m_plane.setTelemetry(m_events);
         m_telemetry.addSink(m_events);
         addPages();
@@ -174,8 +175,14 @@
                 [this](std::vector<Base::InstanceName> instances, Control::InFlightAnswer answer) {
                     askInFlight(std::move(instances), std::move(answer));
                 },
-                [this](std::function<void(Control::PlaneLoad)> answer) {
-                    askLoad(std::move(answer));
+                [this](std::function<void(Control::PlaneLoad)> answer) { askLoad(std::move(answer)); },
+                [this](Scheduling::MembershipEpoch epoch) {
+                    m_plane.withTargets(
+                        [epoch = std::move(epoch)](auto &targets) { targets.setEpoch(epoch); });
+                },
+                [this](Scheduling::SlotMessage message) {
+                    m_plane.withTargets(
+                        [message = std::move(message)](auto &targets) { targets.receive(message); });
                 }};
     }
 
@@ -196,6 +203,7 @@
         m_plane.withTargets([this, answer = std::move(answer)](auto &targets) {
             Control::PlaneLoad load;
             for (const auto &it : targets.scheduler().statistics().pools) {
+                load.slots += it.slots;
                 load.demands.push_back({it.pool,
                                         static_cast<double>(it.busyForeground),
                                         static_cast<double>(it.busyBatch),
@@ -222,6 +230,16 @@
         return m_control.status()->isReady && !m_isShuttingDown.load();
     }
 
+    void shareSlots()
+    {
+        Gateway::SlotPort port;
+        port.self = m_control.status()->member;
+        port.send = [this](std::vector<Scheduling::OutgoingSlotMessage> messages) {
+            m_control.sendSlots(std::move(messages));
+        };
+        m_plane.withTargets([port = std::move(port)](auto &targets) { targets.shareSlots(port); });
+    }
+
     void addPages()
     {
         m_telemetry.addMetrics(
--- a/src/libs/control/controlduty.cpp
+++ b/src/libs/control/controlduty.cpp
@@ -76,13 +76,15 @@
         , m_member(newMember(m_settings.instance))
         , m_charts(loadCharts(m_settings.chartsFolder))
         , m_platform(duty.context(), duty.timers(), m_settings.platform)
-        , m_follower(m_platform,
-                     duty.timers(),
-                     m_charts,
-                     m_settings.environment,
-                     m_settings.zone,
-                     m_settings.seed,
-                     [this] { onFolded(); })
+        , m_follower(
+              m_platform,
+              duty.timers(),
+              m_charts,
+              m_settings.environment,
+              m_settings.zone,
+              m_settings.seed,
+              [this] { onFolded(); },
+              [this] { onMembership(); })
         , m_appender(m_platform, duty.timers(), Fleet::zoneStream(m_settings.environment, m_settings.zone))
         , m_commonAppender(m_platform, duty.timers(), Fleet::commonStream(m_settings.environment))
         , m_peers(identity(),
@@ -125,6 +127,13 @@
                                        });
     }
 
+    void sendSlots(const std::vector<Scheduling::OutgoingSlotMessage> &messages)
+    {
+        for (const auto &it : messages) {
+            m_peers.passSlotMessage(it);
+        }
+    }
+
     void stopPeers()
     {
         m_server.reset();
@@ -147,6 +156,9 @@
                 },
                 [this](std::function<void(Peering::PeerState)> answer) {
                     m_duty.post([this, answer = std::move(answer)] { answer(ownState()); });
+                },
+                [this](Scheduling::SlotMessage message) {
+                    m_requestPlane.receiveSlots(std::move(message));
                 }};
     }
 
@@ -226,6 +238,16 @@
         return m_follower.state();
     }
 
+    void onMembership()
+    {
+        Scheduling::MembershipEpoch epoch;
+        epoch.number = {state().membershipChangedAt.value};
+        for (const auto &[name, it] : state().members) {
+            epoch.members.push_back({name, it.zone});
+        }
+        m_requestPlane.setEpoch(std::move(epoch));
+    }
+
     void onFolded()
     {
         putInForce();
@@ -233,12 +255,33 @@
             m_hasJoined = true;
             append(Fleet::MemberJoined{m_member, m_settings.zone});
         }
-        if (!m_isReady && m_hasJoined && state().members.contains(m_member)) {
+        joinAgain();
+        if (!m_isReady && m_hasJoined && state().members.contains(m_member) && hasSlots()) {
             becomeReady();
         }
         publishStatus();
     }
 
+    // A share of the slots comes some time after joining: the others have to let go first.
+    bool hasSlots() const
+    {
+        return state().instances.empty() || m_ownLoad.slots > 0;
+    }
+
+    // One that was taken for gone (frozen, or cut off from the platform) is no member until it joins again;
+    // until then drains don't wait for it, so it sends nothing to targets.
+    void joinAgain()
+    {
+        const bool isMember = state().members.contains(m_member);
+        if (isMember) {
+            m_wasMember = true;
+        } else if (m_wasMember && !m_isLeaving && m_follower.isCaughtUp()) {
+            m_wasMember = false;
+            Base::LogLine(Base::LogLevel::Warning, "no-longer-a-member").with("member", m_member.value);
+            append(Fleet::MemberJoined{m_member, m_settings.zone});
+        }
+    }
+
     // Ready as a member only: a drain is complete when every member has acknowledged it, so requests must not
     // go out from an entry instance that isn't one yet.
     void becomeReady()
@@ -261,7 +304,9 @@
                 return;
             }
             putInForce();
-            becomeReady();
+            if (hasSlots()) {
+                becomeReady();
+            }
             publishStatus();
         });
     }
@@ -420,6 +465,7 @@
     bool m_isLeaving = false;
     Base::Instant m_startedAt;
     bool m_hasJoined = false;
+    bool m_wasMember = false;
     bool m_isReady = false;
     bool m_isAskingInFlight = false;
     bool m_isListing = false;
@@ -433,6 +479,11 @@
 // Calls from peers wait for the duty's thread: their server ends first, while that thread still runs.
 ControlDuty::~ControlDuty() = default;
 
+void ControlDuty::sendSlots(std::vector<Scheduling::OutgoingSlotMessage> messages)
+{
+    d->m_duty.post([this, messages = std::move(messages)] { d->sendSlots(messages); });
+}
+
 void ControlDuty::stopPeers()
 {
     d->stopPeers();
--- a/src/libs/control/controlduty.h
+++ b/src/libs/control/controlduty.h
@@ -5,6 +5,8 @@
 #include "planeload.h"
 
 #include <gateway/routingtable.h>
+#include <scheduling/membership.h>
+#include <scheduling/slotmessages.h>
 
 #include <functional>
 #include <memory>
@@ -31,6 +33,10 @@
 
     /// Calls back on the control duty's thread.
     std::function<void(std::function<void(PlaneLoad)>)> askLoad;
+
+    /// The members that share the zone's slots, and what they tell each other of them.
+    std::function<void(Scheduling::MembershipEpoch)> setEpoch;
+    std::function<void(Scheduling::SlotMessage)> receiveSlots;
 };
 
 /// Follows the log, folds it into the fleet's state, and puts what it says in force on this entry instance.
@@ -46,6 +52,9 @@
     /// Leaves the zone's members: the record says so before `done` is called, or the platform is out.
     void leave(std::function<void()> done);
 
+    /// Passes a message on to another member; from any thread.
+    void sendSlots(std::vector<Scheduling::OutgoingSlotMessage> messages);
+
     /// Ends the server for peers; to be called while the duty's thread runs, from another thread.
     void stopPeers();
 
--- a/src/libs/control/fleetfollower.cpp
+++ b/src/libs/control/fleetfollower.cpp
@@ -27,12 +27,14 @@
                              Base::EnvironmentName environment,
                              Base::AvailabilityZoneName zone,
                              std::uint64_t seed,
-                             std::function<void()> onFolded)
+                             std::function<void()> onFolded,
+                             std::function<void()> onMembership)
     : m_charts(charts)
     , m_fold(charts, zone)
     , m_common(platform, timers, Fleet::commonStream(environment), {}, seed)
     , m_zone(platform, timers, Fleet::zoneStream(environment, zone), {}, seed + 1)
     , m_onFolded(std::move(onFolded))
+    , m_onMembership(std::move(onMembership))
 {
 }
 
@@ -171,6 +173,7 @@
 {
     while (!m_waitingZoneEntries.empty()) {
         const Fleet::Entry &entry = m_waitingZoneEntries.front();
+        const Fleet::Offset membership = state().membershipChangedAt;
         const Fleet::Outcome outcome = m_fold.applyZone(entry);
         if (outcome.kind == Fleet::OutcomeKind::NotYet) {
             return;
@@ -181,6 +184,9 @@
         }
         m_waitingZoneEntries.pop_front();
         pruneCommonTail();
+        if (state().membershipChangedAt != membership) {
+            m_onMembership();
+        }
     }
 }
 
@@ -235,6 +241,7 @@
     m_waitingZoneEntries.clear();
     m_commonTail.clear();
     m_fold = Fleet::Fold(m_charts, std::move(snapshot));
+    m_onMembership();
 }
 
 void FleetFollower::onReachable(bool isReachable)
--- a/src/libs/control/fleetfollower.h
+++ b/src/libs/control/fleetfollower.h
@@ -23,14 +23,16 @@
 class FleetFollower
 {
 public:
-    /// `onFolded` is called after each batch of entries, and when the log becomes reachable or not.
+    /// `onFolded` is called after each batch of entries, and when the log becomes reachable or not;
+    /// `onMembership` after each record that changes the members.
     FleetFollower(Platform::HttpPlatform &platform,
                   Base::TimerService &timers,
                   const Fleet::Charts &charts,
                   Base::EnvironmentName environment,
                   Base::AvailabilityZoneName zone,
                   std::uint64_t seed,
-                  std::function<void()> onFolded);
+                  std::function<void()> onFolded,
+                  std::function<void()> onMembership);
 
     void start();
 
@@ -77,6 +79,7 @@
     Follower m_common;
     Follower m_zone;
     std::function<void()> m_onFolded;
+    std::function<void()> m_onMembership;
     std::deque<Fleet::Entry> m_waitingZoneEntries;
     std::deque<Peering::PeerEntry> m_commonTail; ///< entries that a snapshot of the fold doesn't cover
     Platform::Offset m_firstCommon = Platform::FirstOffset; ///< the oldest kept
--- a/src/libs/control/peerwatch.cpp
+++ b/src/libs/control/peerwatch.cpp
@@ -79,6 +79,15 @@
     }
 }
 
+void PeerWatch::passSlotMessage(const Scheduling::OutgoingSlotMessage &message)
+{
+    for (const auto &[instance, peer] : m_peers) {
+        if (peer.report && peer.report->from.member == message.to) {
+            m_client.passSlotMessage(peer.address, message.message);
+        }
+    }
+}
+
 bool PeerWatch::areAllReachable() const
 {
     return std::all_of(m_peers.begin(), m_peers.end(), [this](const auto &it) { return isFresh(it.second); });
--- a/src/libs/control/peerwatch.h
+++ b/src/libs/control/peerwatch.h
@@ -38,6 +38,9 @@
     /// Asks the others for their folded state; `callback` gets each that comes.
     void askStates(std::function<void(Peering::PeerState)> callback);
 
+    /// Passes a message on to a member that has reported; to others it is lost.
+    void passSlotMessage(const Scheduling::OutgoingSlotMessage &message);
+
     /// Every listed live entry instance of the zone has answered within the last two periods.
     bool areAllReachable() const;
 
--- a/src/libs/fleet/fleetstate.h
+++ b/src/libs/fleet/fleetstate.h
@@ -117,6 +117,7 @@
     std::map<ActionId, Wave> waves; ///< the latest of each zone
     std::map<Base::AvailabilityZoneName, PlannerLease> planners;
     std::map<Base::MemberName, Member> members;
+    Offset membershipChangedAt; ///< of the record that last added or removed a member
     RecordWindow recentCommon; ///< ids of the latest records of the common stream
     RecordWindow recentZone; ///< ids of the latest records of the zone's stream
     UnknownFields unknownFields; ///< of the document and of the snapshot it began with
--- a/src/libs/fleet/zonerules.cpp
+++ b/src/libs/fleet/zonerules.cpp
@@ -33,12 +33,20 @@
     }
     const bool isNew =
         m_state.members.try_emplace(event.member, Member{event.member, event.zone, m_offset, {}}).second;
-    return isNew ? applied() : refused(Refusal::AlreadyMember);
+    if (!isNew) {
+        return refused(Refusal::AlreadyMember);
+    }
+    m_state.membershipChangedAt = m_offset;
+    return applied();
 }
 
 Outcome ZoneRules::operator()(const MemberLeft &event)
 {
-    return m_state.members.erase(event.member) == 1 ? applied() : refused(Refusal::UnknownMember);
+    if (m_state.members.erase(event.member) == 0) {
+        return refused(Refusal::UnknownMember);
+    }
+    m_state.membershipChangedAt = m_offset;
+    return applied();
 }
 
 Outcome ZoneRules::operator()(const PlannerClaimed &event)
--- a/src/libs/gateway/targetduty.h
+++ b/src/libs/gateway/targetduty.h
@@ -3,6 +3,7 @@
 #include "claimport.h"
 #include "message.h"
 #include "routingtable.h"
+#include "slotport.h"
 #include "targetlimits.h"
 
 #include <base/ring.h>
@@ -88,6 +89,11 @@
     /// message is received.
     void setClaims(ClaimPort port);
 
+    /// Uses no more slots than this member's share from here on; on the duty's thread.
+    void shareSlots(SlotPort port) requires SharesSlots<Scheduler>;
+    void setEpoch(const Scheduling::MembershipEpoch &epoch) requires SharesSlots<Scheduler>;
+    void receive(const Scheduling::SlotMessage &message) requires SharesSlots<Scheduler>;
+
     /// Handles one message of the caller side; on the duty's thread.
     void receive(ToTargets &&message);
 
--- a/src/libs/gateway/targetduty_p.h
+++ b/src/libs/gateway/targetduty_p.h
@@ -62,6 +62,7 @@
 
     void receive(ToTargets &&message)
     {
+        holdSlotsAfterPause();
         if (auto *open = std::get_if<OpenExchange>(&message)) {
             openExchange(std::move(*open));
         } else if (auto *body = std::get_if<RequestBody>(&message)) {
@@ -97,10 +98,49 @@
             targets.push_back({id, it.instance, it.pool, it.zone, it.slots, it.connections, it.isDraining});
         }
         m_scheduler.setFleet(services, targets);
+        if (m_ledger) {
+            changeSlots([&](auto &ledger, auto &out) { ledger.setTargets(targets, now(), out); });
+        }
         m_scheduler.advance(now(), m_decisions);
         execute();
     }
 
+    void shareSlots(SlotPort port) requires SharesSlots<Scheduler>
+    {
+        m_slotPort = std::move(port);
+        m_ledger.emplace(m_slotPort.limits, m_slotPort.self, [this](Scheduling::TargetId id) {
+            return m_scheduler.useOf(id);
+        });
+        m_duty.timers().subscribeEvery(m_slotPort.limits.borrowPeriod, [this] { observeSlots(); });
+        setRouting(m_table);
+    }
+
+    void observeSlots() requires SharesSlots<Scheduler>
+    {
+        const auto pools = m_scheduler.statistics().pools;
+        changeSlots([&](auto &ledger, auto &out) {
+            ledger.advance(now(), out);
+            ledger.observe(pools, now(), out);
+        });
+        execute();
+    }
+
+    void setEpoch(const Scheduling::MembershipEpoch &epoch)
+    {
+        if (m_ledger) {
+            changeSlots([&](auto &ledger, auto &out) { ledger.setEpoch(epoch, now(), out); });
+            execute();
+        }
+    }
+
+    void receive(const Scheduling::SlotMessage &message)
+    {
+        if (m_ledger) {
+            changeSlots([&](auto &ledger, auto &out) { ledger.receive(message, now(), out); });
+            execute();
+        }
+    }
+
     std::uint32_t inFlightOn(const Base::InstanceName &instance) const
     {
         const auto it = m_targetIds.find(instance);
@@ -226,6 +266,35 @@
         return m_duty.timers().now();
     }
 
+    /// Changes the ledger and carries out what it decides, before any request is placed.
+    template<typename Change>
+    void changeSlots(Change change)
+    {
+        if constexpr (SharesSlots<Scheduler>) {
+            Scheduling::SlotDecisions decisions;
+            change(*m_ledger, decisions);
+            m_slotsCheckedAt = now();
+            for (const auto &it : decisions.allowances) {
+                m_scheduler.setAllowance(it.target, it.allowance);
+            }
+            if (!decisions.allowances.empty()) {
+                m_scheduler.advance(now(), m_decisions);
+            }
+            if (!decisions.messages.empty()) {
+                m_slotPort.send(std::move(decisions.messages));
+            }
+        }
+    }
+
+    // A thread that was paused may wake with a request before its timers: what it knew of its slots may be
+    // void by then.
+    void holdSlotsAfterPause()
+    {
+        if (m_ledger && now() - m_slotsCheckedAt > m_slotPort.limits.staleAfter) {
+            changeSlots([&](auto &ledger, auto &out) { ledger.advance(now(), out); });
+        }
+    }
+
     Scheduling::ServiceId serviceId(const Base::ServiceName &name)
     {
         const auto next = static_cast<std::uint32_t>(m_serviceIds.size());
@@ -693,6 +762,9 @@
         m_counters.inFlight.store(m_exchanges.size(), std::memory_order_relaxed);
     }
 
+    SlotPort m_slotPort;
+    std::optional<Scheduling::SlotLedger> m_ledger;
+    Base::Instant m_slotsCheckedAt;
     Base::OneShotTimer m_wakeUp;
     std::optional<Base::Instant> m_wakeUpAt;
     std::shared_ptr<const RoutingTable> m_table;
@@ -742,6 +814,24 @@
     d->receive(std::move(reply));
 }
 
+template<SchedulerConcept Scheduler>
+void TargetDuty<Scheduler>::shareSlots(SlotPort port) requires SharesSlots<Scheduler>
+{
+    d->shareSlots(std::move(port));
+}
+
+template<SchedulerConcept Scheduler>
+void TargetDuty<Scheduler>::setEpoch(const Scheduling::MembershipEpoch &epoch) requires SharesSlots<Scheduler>
+{
+    d->setEpoch(epoch);
+}
+
+template<SchedulerConcept Scheduler>
+void TargetDuty<Scheduler>::receive(const Scheduling::SlotMessage &message) requires SharesSlots<Scheduler>
+{
+    d->receive(message);
+}
+
 template<SchedulerConcept Scheduler>
 void TargetDuty<Scheduler>::receive(ToTargets &&message)
 {
--- a/src/libs/peering/peerclient.cpp
+++ b/src/libs/peering/peerclient.cpp
@@ -116,6 +116,17 @@
     stub.async()->GetReport(&call->context, &call->request, &call->response, std::move(done));
 }
 
+void PeerClient::passSlotMessage(const std::string &address, const Scheduling::SlotMessage &message)
+{
+    auto call = d->newCall<Proto::SlotMessage, Proto::SlotReceipt>();
+    Internal::encode(message, call->request);
+    auto done = [this, call](const grpc::Status &) {
+        d->ended();
+    };
+    auto &stub = d->stubFor(address);
+    stub.async()->PassSlotMessage(&call->context, &call->request, &call->response, std::move(done));
+}
+
 void PeerClient::askState(const std::string &address, std::function<void(std::optional<PeerState>)> callback)
 {
     auto call = d->newCall<Proto::StateRequest, Proto::State>();
--- a/src/libs/peering/peercodec.cpp
+++ b/src/libs/peering/peercodec.cpp
@@ -2,6 +2,9 @@
 
 #include "generated/peering.pb.h"
 
+#include <utility>
+#include <variant>
+
 namespace Peering::Internal
 {
 
@@ -47,6 +50,96 @@
     }
 }
 
+namespace
+{
+
+class SlotWriter
+{
+public:
+    explicit SlotWriter(Proto::SlotMessage &message)
+        : m_message(message)
+    {
+    }
+
+    void operator()(const Scheduling::SlotHeartbeat &heartbeat)
+    {
+        Proto::SlotHeartbeat &it = *m_message.mutable_heartbeat();
+        it.set_sequence(heartbeat.sequence);
+        it.set_echo(heartbeat.echo);
+        it.set_acknowledged(heartbeat.acknowledged.value);
+        for (const auto &spare : heartbeat.spares) {
+            Proto::SpareSlots &slots = *it.add_spares();
+            slots.set_pool(spare.pool.value);
+            slots.set_slots(spare.slots);
+        }
+    }
+
+    void operator()(const Scheduling::BorrowRequest &request)
+    {
+        Proto::BorrowRequest &it = *m_message.mutable_borrow();
+        it.set_sequence(request.sequence);
+        it.set_pool(request.pool.value);
+        it.set_slots(request.slots);
+    }
+
+    void operator()(const Scheduling::LoanGrant &grant)
+    {
+        Proto::LoanGrant &it = *m_message.mutable_grant();
+        it.set_sequence(grant.sequence);
+        it.set_pool(grant.pool.value);
+        for (const auto &loan : grant.loans) {
+            Proto::Loan &slots = *it.add_loans();
+            slots.set_instance(loan.instance.value);
+            slots.set_slots(loan.slots);
+        }
+    }
+
+private:
+    Proto::SlotMessage &m_message;
+};
+
+Scheduling::SlotHeartbeat read(const Proto::SlotHeartbeat &message, Base::MemberName from)
+{
+    Scheduling::SlotHeartbeat heartbeat{
+        std::move(from), message.sequence(), message.echo(), {message.acknowledged()}, {}};
+    for (const auto &it : message.spares()) {
+        heartbeat.spares.push_back({{it.pool()}, it.slots()});
+    }
+    return heartbeat;
+}
+
+Scheduling::LoanGrant read(const Proto::LoanGrant &message, Base::MemberName from)
+{
+    Scheduling::LoanGrant grant{std::move(from), message.sequence(), {message.pool()}, {}};
+    for (const auto &it : message.loans()) {
+        grant.loans.push_back({{it.instance()}, it.slots()});
+    }
+    return grant;
+}
+
+} // namespace
+
+void encode(const Scheduling::SlotMessage &message, Proto::SlotMessage &encoded)
+{
+    std::visit(SlotWriter(encoded), message);
+}
+
+std::optional<Scheduling::SlotMessage> decode(const Proto::SlotMessage &message)
+{
+    const Base::MemberName from{message.from().member()};
+    switch (message.message_case()) {
+    case Proto::SlotMessage::kHeartbeat:
+        return read(message.heartbeat(), from);
+    case Proto::SlotMessage::kBorrow:
+        return Scheduling::BorrowRequest{
+            from, message.borrow().sequence(), {message.borrow().pool()}, message.borrow().slots()};
+    case Proto::SlotMessage::kGrant:
+        return read(message.grant(), from);
+    default:
+        return std::nullopt;
+    }
+}
+
 PeerIdentity decode(const Proto::Identity &message)
 {
     return {{message.environment()}, {message.zone()}, {message.member()}};
--- a/src/libs/peering/peerserver.cpp
+++ b/src/libs/peering/peerserver.cpp
@@ -87,6 +87,21 @@
         return reactor;
     }
 
+    grpc::ServerUnaryReactor *PassSlotMessage(grpc::CallbackServerContext *context,
+                                              const Proto::SlotMessage *request,
+                                              Proto::SlotReceipt *) override
+    {
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        auto message = Internal::decode(*request);
+        if (!isOurs(request->from()) || !message) {
+            reactor->Finish(refusal());
+            return reactor;
+        }
+        m_providers.slots(std::move(*message));
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
 private:
     bool isOurs(const Proto::Identity &from) const
     {
--- a/src/libs/peering/peerserver.h
+++ b/src/libs/peering/peerserver.h
@@ -2,6 +2,8 @@
 
 #include "peerreport.h"
 
+#include <scheduling/slotmessages.h>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -18,6 +20,7 @@
     struct Providers {
         std::function<void(std::function<void(PeerReport)>)> report;
         std::function<void(std::function<void(PeerState)>)> state;
+        std::function<void(Scheduling::SlotMessage)> slots;
     };
 
     /// Throws std::runtime_error when the address ("IP:port") can't be listened on.
--- a/src/libs/record/statedecoder.cpp
+++ b/src/libs/record/statedecoder.cpp
@@ -31,6 +31,7 @@
     state.appliedTo = {message.applied_to()};
     state.commonAppliedTo = {message.common_applied_to()};
     state.causalOffset = {message.causal_offset()};
+    state.membershipChangedAt = {message.membership_changed_at()};
     state.documentOffset = {message.document_offset()};
     state.document = read(message.document(), state.unknownFields);
     readInstances(message, state);
--- a/src/libs/record/stateencoder.cpp
+++ b/src/libs/record/stateencoder.cpp
@@ -94,6 +94,7 @@
     message.set_applied_to(state.appliedTo.value);
     message.set_common_applied_to(state.commonAppliedTo.value);
     message.set_causal_offset(state.causalOffset.value);
+    message.set_membership_changed_at(state.membershipChangedAt.value);
     message.set_document_offset(state.documentOffset.value);
     Wire::Document &document = *message.mutable_document();
     write(state.document, document);
