Let a member that stops hand over its slots

Cause: the slots of a member that went rest for the longest request, 60 s by default. For a planned stop that is not needed, as the member itself knows when it uses none. Ruled out: a shorter rest, since a member that is only cut off may still have requests in flight. Change: leave() gives up all slots and tells the peers when the last request and loan ended. The scheduler's fleet update, attribution of failures and pool statistics are modules of their own now. Conclusion: only a silent death costs slots for a while.

--- /dev/null
+++ b/src/libs/scheduling/fleetupdate.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "fleetspecs.h"
+#include "outlierdetector.h"
+#include "pooltable.h"
+#include "targettable.h"
+
+#include <span>
+
+namespace Scheduling
+{
+
+/// Brings the tables to a new fleet. What stays keeps its state; what is in flight elsewhere finishes.
+class FleetUpdate
+{
+public:
+    /// All three outlive the object.
+    FleetUpdate(PoolTable &pools, TargetTable &targets, OutlierDetector &detector);
+
+    void apply(std::span<const ServiceSpec> services, std::span<const TargetSpec> targets);
+
+private:
+    void setTargets(std::span<const TargetSpec> targets);
+    void setRequiredShares();
+    void recyclePools();
+
+    PoolTable &m_table;
+    TargetTable &m_targets;
+    OutlierDetector &m_detector;
+};
+
+} // namespace Scheduling
--- a/src/libs/scheduling/membershipshares.cpp
+++ b/src/libs/scheduling/membershipshares.cpp
@@ -26,7 +26,7 @@
         return;
     }
     for (const Member &it : m_epochs.back().members) {
-        if (!epoch.hasMember(it.name) && it.name != m_self) {
+        if (!epoch.hasMember(it.name) && it.name != m_self && m_left.erase(it.name) == 0) {
             m_goneSince.emplace(it.name, now);
         }
     }
@@ -47,6 +47,16 @@
     return true;
 }
 
+bool MembershipShares::release(const Base::MemberName &peer)
+{
+    const bool isGone = m_goneSince.erase(peer) > 0;
+    const bool isNew = epoch().hasMember(peer) && m_left.insert(peer).second;
+    if (isGone || isNew) {
+        update();
+    }
+    return isGone || isNew;
+}
+
 bool MembershipShares::advance(Base::Instant now)
 {
     const auto n =
@@ -120,6 +130,9 @@
     if (!epoch().hasMember(peer)) {
         return !m_goneSince.contains(peer);
     }
+    if (m_left.contains(peer)) {
+        return true;
+    }
     const auto it = m_acknowledged.find(peer);
     return it != m_acknowledged.end() && it->second >= epoch().number;
 }
--- a/src/libs/scheduling/membershipshares.h
+++ b/src/libs/scheduling/membershipshares.h
@@ -5,6 +5,7 @@
 #include <base/instant.h>
 
 #include <boost/unordered/unordered_flat_map.hpp>
+#include <boost/unordered/unordered_flat_set.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -31,6 +32,9 @@
     /// A peer uses no more than its share in the epoch. True when slots may have changed.
     bool acknowledge(const Base::MemberName &peer, EpochNumber epoch, Base::Instant now);
 
+    /// A peer uses no slot and won't again: nobody has to wait for it. True when slots may have changed.
+    bool release(const Base::MemberName &peer);
+
     /// True when slots may have changed.
     bool advance(Base::Instant now);
     std::optional<Base::Instant> nextDue() const;
@@ -60,6 +64,7 @@
     bool m_isNewcomer = true; ///< what the others held before the first epoch is not known
     boost::unordered_flat_map<Base::MemberName, EpochNumber, std::hash<Base::MemberName>> m_acknowledged;
     boost::unordered_flat_map<Base::MemberName, Base::Instant, std::hash<Base::MemberName>> m_goneSince;
+    boost::unordered_flat_set<Base::MemberName, std::hash<Base::MemberName>> m_left;
 };
 
 } // namespace Scheduling
--- a/src/libs/scheduling/requestscheduler.cpp
+++ b/src/libs/scheduling/requestscheduler.cpp
@@ -1,6 +1,8 @@
 #include "requestscheduler.h"
 
 #include "admission.h"
+#include "fleetupdate.h"
+#include "poolreport.h"
 
 #include <algorithm>
 
@@ -12,7 +14,6 @@
 
 using Document::Priority;
 
-constexpr std::uint32_t FaultTargets = 2; // a request that fails on so many healthy targets is at fault
 constexpr double RetryAfterJitter = 0.25; // so that refused callers don't come back together
 
 } // namespace
@@ -29,6 +30,7 @@
     , m_random(seed)
     , m_targets(limits.zone)
     , m_detector(limits.outliers, m_targets)
+    , m_attribution(m_targets, m_detector)
     , m_table(limits)
     , m_pools(m_table.pools())
     , m_services(m_table.services())
@@ -38,10 +40,7 @@
 
 void RequestScheduler::setFleet(std::span<const ServiceSpec> services, std::span<const TargetSpec> targets)
 {
-    m_table.setServices(services);
-    setTargets(targets);
-    setRequiredShares();
-    recyclePools();
+    FleetUpdate(m_table, m_targets, m_detector).apply(services, targets);
     for (PoolState &pool : m_pools) {
         pool.isChanged = true;
     }
@@ -117,7 +116,7 @@
         forget(*request);
     } else if (isSuccess) {
         learn(*request, result);
-        settleFailures(*request, true, now);
+        m_attribution.settle(*request, true, now);
         m_detector.addSuccess(request->target, now);
         m_pools[pool].retryBudget.addSuccess();
         ++m_counters.delivered;
@@ -195,82 +194,13 @@
     result.counters.ejections = m_detector.ejections();
     result.requests = static_cast<std::uint32_t>(m_requests.size());
     for (PoolIndex index = 0; index < m_pools.size(); ++index) {
-        const PoolState &state = m_pools[index];
-        if (state.name.isEmpty()) {
-            continue;
-        }
-        const PoolCapacity capacity = m_targets.capacity(index);
-        PoolStatistics pool;
-        pool.pool = state.name;
-        pool.slots = capacity.slots;
-        pool.targets = capacity.targets;
-        pool.ejectedTargets = m_detector.ejectedTargets(index);
-        pool.suspectTargets = m_detector.suspectTargets(index);
-        pool.busyForeground =
-            state.busy[indexOf(Priority::Interactive)] + state.busy[indexOf(Priority::Urgent)];
-        pool.busyBatch = state.busy[indexOf(Priority::Batch)];
-        for (const Request &it : state.retries) {
-            auto &queued = it.arrival.priority == Priority::Batch ? pool.queuedBatch : pool.queuedForeground;
-            ++queued;
+        if (!m_pools[index].name.isEmpty()) {
+            addPool(index, m_table, m_targets, m_detector, result);
         }
-        for (const ServiceIndex service : state.services) {
-            for (std::size_t n = 0; n < PriorityCount; ++n) {
-                const Lane &lane = m_services[service].lanes[n];
-                const auto queued = static_cast<std::uint32_t>(lane.queue.size());
-                const auto priority = static_cast<Priority>(n);
-                result.queues.push_back({m_services[service].spec.id, priority, queued, lane.inFlight});
-                (priority == Priority::Batch ? pool.queuedBatch : pool.queuedForeground) += queued;
-            }
-        }
-        result.pools.push_back(std::move(pool));
     }
     return result;
 }
 
-void RequestScheduler::setTargets(std::span<const TargetSpec> targets)
-{
-    for (const TargetSpec &spec : targets) {
-        const PoolIndex pool = m_table.poolNamed(spec.pool);
-        const auto known = m_targets.find(spec.id);
-        const bool isReplaced = known && !m_targets.at(*known).isRetired
-            && (m_targets.at(*known).pool != pool || m_targets.at(*known).spec.instance != spec.instance);
-        if (isReplaced) {
-            m_detector.remove(*known);
-        }
-        const auto placement = m_targets.put(spec, pool);
-        if (placement.isNew) {
-            m_detector.add(placement.index);
-        }
-    }
-    for (const TargetIndex index : m_targets.retireUnlisted()) {
-        m_detector.remove(index);
-    }
-}
-
-void RequestScheduler::setRequiredShares()
-{
-    for (PoolIndex index = 0; index < m_pools.size(); ++index) {
-        Document::PerMille required = 0;
-        for (const ServiceIndex service : m_pools[index].services) {
-            required = std::max(required, m_services[service].spec.availability);
-        }
-        m_detector.setRequired(index, required);
-    }
-}
-
-void RequestScheduler::recyclePools()
-{
-    for (PoolIndex index = 0; index < m_pools.size(); ++index) {
-        const PoolState &pool = m_pools[index];
-        const bool isBusy =
-            std::any_of(pool.busy.begin(), pool.busy.end(), [](std::uint32_t it) { return it > 0; });
-        const bool isUsed = !pool.services.empty() || m_targets.capacity(index).targets > 0;
-        if (!pool.name.isEmpty() && !isUsed && !isBusy && pool.retries.isEmpty()) {
-            m_table.recycle(index);
-        }
-    }
-}
-
 std::optional<Refuse> RequestScheduler::refusalOnArrival(const Arrival &arrival, Base::Instant now)
 {
     const auto refusal = [&](RefusalReason reason, Base::Duration wait) {
@@ -443,11 +373,11 @@
                                  Base::Instant now,
                                  std::vector<Decision> &out)
 {
-    recordFailure(request, result, now);
+    m_attribution.record(request, result, now);
     if (tryAgain(request, result, now, out)) {
         return;
     }
-    const bool isAtFault = settleFailures(request, false, now);
+    const bool isAtFault = m_attribution.settle(request, false, now);
     if (result.outcome == AttemptOutcome::Answered) {
         ++m_counters.delivered;
         out.emplace_back(Deliver{request.arrival.id});
@@ -518,37 +448,6 @@
     }
 }
 
-// A target that can't be reached or refuses is at fault by itself. Any other failure may be the request's
-// own, which the next attempt shows; until then it is held and counts against nobody.
-void RequestScheduler::recordFailure(Request &request, const AttemptResult &result, Base::Instant now)
-{
-    const bool isTargets =
-        result.outcome == AttemptOutcome::ConnectFailed || result.outcome == AttemptOutcome::RefusedByTarget;
-    request.failures.push_back({m_targets.at(request.target).spec.id, !isTargets});
-    if (isTargets) {
-        m_detector.addFailure(request.target, now);
-    }
-}
-
-// Decides the failures that are held; true when the request itself is at fault.
-bool RequestScheduler::settleFailures(Request &request, bool isRequestSound, Base::Instant now)
-{
-    const auto isOnHealthy = [this](const FailedAttempt &it) {
-        const auto index = m_targets.find(it.target);
-        return it.isHeld && index && m_detector.isHealthy(*index);
-    };
-    const auto n = std::count_if(request.failures.begin(), request.failures.end(), isOnHealthy);
-    const bool isAtFault = !isRequestSound && n >= FaultTargets;
-    for (const FailedAttempt &it : request.failures) {
-        const auto index = m_targets.find(it.target);
-        const bool isCharged = it.isHeld && index && !(isAtFault && m_detector.isHealthy(*index));
-        if (isCharged && !m_targets.at(*index).isRetired) {
-            m_detector.addFailure(*index, now);
-        }
-    }
-    return isAtFault;
-}
-
 void RequestScheduler::refuse(Request &request, RefusalReason reason, std::vector<Decision> &out)
 {
     ++m_counters.refused;
@@ -560,7 +459,7 @@
 void RequestScheduler::refuseWaiting(Request &request, RefusalReason reason, std::vector<Decision> &out)
 {
     queueOf(request).erase(request);
-    settleFailures(request, false, m_now);
+    m_attribution.settle(request, false, m_now);
     refuse(request, reason, out);
     forget(request);
 }
--- a/src/libs/scheduling/requestscheduler.h
+++ b/src/libs/scheduling/requestscheduler.h
@@ -3,6 +3,7 @@
 #include "allowance.h"
 #include "attempt.h"
 #include "decision.h"
+#include "failureattribution.h"
 #include "fleetspecs.h"
 #include "outlierdetector.h"
 #include "pooltable.h"
@@ -70,10 +71,6 @@
     struct Turn; // whose turn it is in a pool
     using PrioritySet = std::bitset<PriorityCount>;
 
-    void setTargets(std::span<const TargetSpec> targets);
-    void setRequiredShares();
-    void recyclePools();
-
     std::optional<Refuse> refusalOnArrival(const Arrival &arrival, Base::Instant now);
     Base::Instant latestStart(const Arrival &arrival) const;
     Base::Duration retryAfter(Base::Duration wait);
@@ -92,8 +89,6 @@
     bool canRetry(const Request &request, const AttemptResult &result, Base::Instant now) const;
     bool hasOtherTarget(const Request &request) const;
     void learn(const Request &request, const AttemptResult &result);
-    void recordFailure(Request &request, const AttemptResult &result, Base::Instant now);
-    bool settleFailures(Request &request, bool isRequestSound, Base::Instant now);
 
     void refuse(Request &request, RefusalReason reason, std::vector<Decision> &out);
     void refuseWaiting(Request &request, RefusalReason reason, std::vector<Decision> &out);
@@ -108,6 +103,7 @@
     RandomEngine m_random;
     TargetTable m_targets;
     OutlierDetector m_detector;
+    FailureAttribution m_attribution;
     RequestTable m_requests;
     PoolTable m_table;
     std::deque<PoolState> &m_pools;
--- a/src/libs/scheduling/slotledger.cpp
+++ b/src/libs/scheduling/slotledger.cpp
@@ -69,7 +69,9 @@
         use.meanForeground += BusyWeight * (it.busyForeground - use.meanForeground);
         use.demand = busy + it.queuedForeground;
         use.isBatchWaiting = it.queuedBatch > 0 && it.busyBatch == 0;
-        borrow(it.pool, use, now, out);
+        if (!m_isLeaving) {
+            borrow(it.pool, use, now, out);
+        }
     }
 }
 
@@ -83,12 +85,26 @@
 {
     noteTime(now);
     publish(out);
-    if (now >= m_heartbeatDue) {
+    const bool isLeftNow = m_isLeaving && !m_hasLeft && isIdle();
+    m_hasLeft = m_hasLeft || isLeftNow;
+    if (now >= m_heartbeatDue || isLeftNow) {
         m_heartbeatDue = now + m_limits.heartbeatPeriod;
         sendHeartbeats(out);
     }
 }
 
+void SlotLedger::leave(Base::Instant now, SlotDecisions &out)
+{
+    m_isLeaving = true;
+    m_isChanged = true;
+    advance(now, out);
+}
+
+bool SlotLedger::hasLeft() const
+{
+    return m_hasLeft;
+}
+
 std::optional<Base::Instant> SlotLedger::nextDue() const
 {
     Base::Instant earliest = m_heartbeatDue;
@@ -145,8 +161,13 @@
 {
     m_peerEpoch = std::max(m_peerEpoch, heartbeat.acknowledged);
     if (!m_shares.epoch().hasMember(heartbeat.from)) {
-        // It may not know that it was removed: what is acknowledged here tells it.
-        sendHeartbeat(heartbeat.from, out);
+        if (heartbeat.hasLeft) {
+            m_isChanged = m_shares.release(heartbeat.from) || m_isChanged;
+            publish(out);
+        } else {
+            // It may not know that it was removed: what is acknowledged here tells it.
+            sendHeartbeat(heartbeat.from, out);
+        }
         return;
     }
     Peer &peer = m_peers[heartbeat.from];
@@ -161,14 +182,16 @@
         release();
     }
     const bool isShareChanged = m_shares.acknowledge(heartbeat.from, heartbeat.acknowledged, now);
-    m_isChanged = m_isChanged || isShareChanged;
+    const bool isLeft = heartbeat.hasLeft && m_shares.release(heartbeat.from);
+    m_isChanged = m_isChanged || isShareChanged || isLeft;
     publish(out);
 }
 
 void SlotLedger::receiveFrom(const BorrowRequest &request, Base::Instant now, SlotDecisions &out)
 {
     Peer &peer = m_peers[request.from];
-    if (!m_shares.epoch().hasMember(request.from) || m_heldSince || request.sequence <= peer.lastSequence) {
+    const bool isRefusing = m_heldSince || m_isLeaving;
+    if (!m_shares.epoch().hasMember(request.from) || isRefusing || request.sequence <= peer.lastSequence) {
         return;
     }
     peer.lastSequence = request.sequence;
@@ -260,7 +283,7 @@
 
 void SlotLedger::sendHeartbeat(const Base::MemberName &to, SlotDecisions &out)
 {
-    SlotHeartbeat heartbeat{m_self, ++m_sequence, 0, m_acknowledged, {}};
+    SlotHeartbeat heartbeat{m_self, ++m_sequence, 0, m_acknowledged, m_hasLeft, {}};
     const auto peer = m_peers.find(to);
     heartbeat.echo = peer == m_peers.end() ? 0 : peer->second.lastSequence;
     for (const auto &[name, pool] : m_pools) {
@@ -334,6 +357,9 @@
 // Batch requests yield to foreground requests of the peers, but one slot stays while they would get none.
 std::int64_t SlotLedger::spareSlots(const PoolUse &pool) const
 {
+    if (m_isLeaving) {
+        return 0;
+    }
     std::int64_t own = 0;
     for (const std::size_t n : pool.targets) {
         own += ownSlots(n);
@@ -354,6 +380,13 @@
     });
 }
 
+bool SlotLedger::isIdle() const
+{
+    return std::all_of(m_targets.begin(), m_targets.end(), [this](const TargetSpec &it) {
+        return m_use(it.id).inFlight == 0 && m_lent.lentOf(it.instance) == 0;
+    });
+}
+
 void SlotLedger::publish(SlotDecisions &out)
 {
     if (!std::exchange(m_isChanged, false)) {
@@ -364,7 +397,7 @@
     for (std::size_t n = 0; n < m_targets.size(); ++n) {
         Allowance allowance = m_borrowed.borrowedOf(m_targets[n].instance);
         allowance.slots = ownSlots(n);
-        allowance = m_heldSince ? Allowance{} : allowance;
+        allowance = m_heldSince || m_isLeaving ? Allowance{} : allowance;
         if (isWhole || allowance != m_published[n]) {
             m_published[n] = allowance;
             out.allowances.push_back({m_targets[n].id, allowance});
--- a/src/libs/scheduling/slotledger.h
+++ b/src/libs/scheduling/slotledger.h
@@ -53,6 +53,13 @@
 
     void receive(const SlotMessage &message, Base::Instant now, SlotDecisions &out);
     void advance(Base::Instant now, SlotDecisions &out);
+
+    /// Gives up all slots, for a planned stop. The peers get them without waiting for `fence`.
+    void leave(Base::Instant now, SlotDecisions &out);
+
+    /// After leave(): no slot is used or lent any more, and the peers were told.
+    bool hasLeft() const;
+
     std::optional<Base::Instant> nextDue() const;
 
 private:
@@ -89,6 +96,7 @@
     std::uint32_t ownSlots(std::size_t target) const;
     std::int64_t spareSlots(const PoolUse &pool) const;
     bool fitsEpoch() const;
+    bool isIdle() const;
     void publish(SlotDecisions &out);
 
     SlotSharingLimits m_limits;
@@ -107,6 +115,8 @@
     Base::Instant m_now;
     Base::Instant m_heartbeatDue;
     bool m_isStarted = false;
+    bool m_isLeaving = false;
+    bool m_hasLeft = false;
     bool m_isChanged = false; ///< since the allowances were last published
     std::optional<Base::Instant> m_heldSince; ///< no slot is used until a peer confirmed the state
     std::uint64_t m_sequenceWhenHeld = 0;
--- a/src/libs/scheduling/slotmessages.h
+++ b/src/libs/scheduling/slotmessages.h
@@ -26,6 +26,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t echo = 0; ///< the last sequence that came from the receiver
     EpochNumber acknowledged; ///< the sender uses no more than its share in this epoch
+    bool hasLeft = false; ///< the sender uses no slot and won't again
     std::vector<SpareSlots> spares;
 
     bool operator==(const SlotHeartbeat &) const = default;
--- a/tests/auto/scheduling/tst_slotledger.cpp
+++ b/tests/auto/scheduling/tst_slotledger.cpp
@@ -107,6 +107,10 @@
         }
     }
 
+    void leave(Base::Instant /*now*/, SlotDecisions & /*out*/)
+    {
+    }
+
     void advance(Base::Instant /*now*/, SlotDecisions & /*out*/)
     {
     }
@@ -197,10 +201,11 @@
         return m_random() % bound;
     }
 
-    // Node 4 joins, node 3 dies and is removed, node 2 is paused, is removed meanwhile in half of the
-    // histories, and the zones are parted for a while.
+    // Node 4 joins, node 3 dies and is removed, in half of the histories after it tried to leave, node 2 is
+    // paused, is removed meanwhile in half of the histories, and the zones are parted for a while.
     void plan()
     {
+        m_isLeaving = draw(2) == 0;
         m_pauseFrom = Base::instantAt(20s + 1ms * draw(2000));
         m_pauseUntil = m_pauseFrom + 500ms + 1ms * draw(9000);
         m_partitionFrom = Base::instantAt(30s);
@@ -257,6 +262,9 @@
             node.ledger->setTargets(m_targets, clockOf(n), out);
         }
         node.ledger->advance(clockOf(n), out);
+        if (m_isLeaving && n == 3 && m_now >= Base::instantAt(8s)) {
+            node.ledger->leave(clockOf(n), out);
+        }
         // Epochs are known late, and by each at another time.
         while (node.knownEpoch < m_epochs.size() && m_epochs[node.knownEpoch].at <= m_now && draw(60) == 0) {
             node.ledger->setEpoch(m_epochs[node.knownEpoch++].epoch, clockOf(n), out);
@@ -375,6 +383,7 @@
     std::multimap<Base::Instant, Letter> m_letters;
     std::vector<Attempt> m_attempts;
     Base::Instant m_now;
+    bool m_isLeaving = false;
     Base::Instant m_joinAt;
     Base::Instant m_pauseFrom;
     Base::Instant m_pauseUntil;
@@ -423,3 +432,44 @@
     const auto share = baseShare(makeTargets().front(), epoch, others.front().name);
     LONGS_EQUAL(Slots / 2, share);
 }
+
+TEST(SlotLedger, SlotsOfAMemberThatLeftAreTakenWithoutWaiting)
+{
+    TargetUse leaverUse{1, 1};
+    SlotLedger leaver({}, makeMember(1).name, [&](TargetId) { return leaverUse; });
+    SlotLedger heir({}, makeMember(3).name, [](TargetId) { return TargetUse{}; });
+    const std::vector<TargetSpec> targets{makeTargets()[1]};
+    const MembershipEpoch both{{1}, {makeMember(1), makeMember(3)}};
+    const MembershipEpoch one{{2}, {makeMember(3)}};
+    SlotDecisions fromLeaver;
+    SlotDecisions fromHeir;
+    leaver.setTargets(targets, Base::instantAt(0s), fromLeaver);
+    heir.setTargets(targets, Base::instantAt(0s), fromHeir);
+    leaver.setEpoch(both, Base::instantAt(0s), fromLeaver);
+    heir.setEpoch(both, Base::instantAt(0s), fromHeir);
+    const auto exchange = [&](Base::Duration at) {
+        leaver.advance(Base::instantAt(at), fromLeaver);
+        heir.advance(Base::instantAt(at), fromHeir);
+        for (const auto &it : std::exchange(fromLeaver.messages, {})) {
+            heir.receive(it.message, Base::instantAt(at), fromHeir);
+        }
+        for (const auto &it : std::exchange(fromHeir.messages, {})) {
+            leaver.receive(it.message, Base::instantAt(at), fromLeaver);
+        }
+    };
+    leaverUse = {};
+    exchange(0s);
+    exchange(300ms);
+    LONGS_EQUAL(Slots / 2, fromHeir.allowances.back().allowance.slots);
+    leaverUse = {1, 1};
+    leaver.leave(Base::instantAt(400ms), fromLeaver);
+    LONGS_EQUAL(0, fromLeaver.allowances.back().allowance.slots);
+    exchange(700ms);
+    heir.setEpoch(one, Base::instantAt(700ms), fromHeir);
+    LONGS_EQUAL(Slots / 2, fromHeir.allowances.back().allowance.slots);
+    CHECK(!leaver.hasLeft());
+    leaverUse = {};
+    exchange(1s);
+    CHECK(leaver.hasLeft());
+    LONGS_EQUAL(Slots, fromHeir.allowances.back().allowance.slots);
+}
