Queue requests while a pool has no allowance

Cause: an entry instance without slots of its own in a pool refused every request at once, so that no demand was seen and nothing was borrowed. Change: a request waits, bounded by its deadline, as long as a target of the pool is in service. Conclusion: pools without own slots can be served by loans.

--- a/src/libs/scheduling/requestscheduler.cpp
+++ b/src/libs/scheduling/requestscheduler.cpp
@@ -216,7 +216,8 @@
     const ServiceState &state = m_services[*service];
     const PoolState &pool = m_pools[state.pool];
     const PoolCapacity capacity = m_targets.capacity(state.pool);
-    if (capacity.usableTargets == 0) {
+    // Without an allowance the request waits: what is queued is what allowances are asked for.
+    if (capacity.inServiceSlots == 0) {
         return refusal(RefusalReason::NoTarget, m_limits.noTargetRetryAfter);
     }
     const std::size_t priority = indexOf(arrival.priority);
--- a/tests/auto/scheduling/tst_requestscheduler.cpp
+++ b/tests/auto/scheduling/tst_requestscheduler.cpp
@@ -8,6 +8,7 @@
 
 using namespace std::chrono_literals;
 using Document::Priority;
+using Scheduling::Allowance;
 using Scheduling::Arrival;
 using Scheduling::AttemptOutcome;
 using Scheduling::AttemptResult;
@@ -138,6 +139,17 @@
     checkRefused(arrive(0ms, 1s), RefusalReason::NoTarget, Base::Verdict::NotRun);
 }
 
+TEST(RequestScheduler, APoolWithoutAnAllowanceQueues)
+{
+    setFleet({target(1, 8)});
+    scheduler->setAllowance(TargetId{1}, 0);
+    advance(0ms);
+    LONGS_EQUAL(0, arrive(0ms, 1s).size());
+    LONGS_EQUAL(1, scheduler->statistics().pools.front().queuedForeground);
+    scheduler->setAllowance(TargetId{1}, Allowance{0, 1, Base::instantAt(2s)});
+    LONGS_EQUAL(1, targetOf(advance(20ms)));
+}
+
 TEST(RequestScheduler, WhatCantBeMetIsRefusedAtOnceWithAdvice)
 {
     setFleet({target(1, 1)});
