Don't let a member that isn't listed yet cut a drain short

Cause: the platform's list lags. A member that had just joined looked gone since its first pass; once that had lasted for the longest deadline it was taken off the record, and a drain that had begun a moment before was complete with its requests in flight. A fixed allowance for the list's lag was ruled out: nobody knows it.

Change: a missing member counts as having acknowledged, and as having left, only if the drain, too, has been open for the longest deadline.

Conclusion: a drain waits at least one deadline for a member that isn't listed.

--- a/src/libs/policy/drain.cpp
+++ b/src/libs/policy/drain.cpp
@@ -40,14 +40,25 @@
         && context.now() - it->second > longestDeadline(context.state.document);
 }
 
+// The platform's list lags: a member that it doesn't have (yet) may be alive. It stops sending when it reads
+// of the drain, as any other, but what it sent before may still be in flight.
+bool isOpenForLong(const PassContext &context, const Fleet::ActionId &id)
+{
+    const auto it = context.memory.actions.find(id);
+    return it != context.memory.actions.end()
+        && context.now() - it->second.firstSeen > longestDeadline(context.state.document);
+}
+
 DrainProgress drainProgress(const PassContext &context,
+                            const Fleet::ActionId &id,
                             const Base::InstanceName &instance,
                             const std::set<Base::MemberName> &acknowledgedBy)
 {
     std::size_t missing = 0;
     std::string first;
     for (const Base::MemberName &it : membersThatRoute(context)) {
-        if (!acknowledgedBy.contains(it) && !isGoneForLong(context, it)) {
+        const bool isOver = isGoneForLong(context, it) && isOpenForLong(context, id);
+        if (!acknowledgedBy.contains(it) && !isOver) {
             first = missing == 0 ? it.value : first;
             ++missing;
         }
--- a/src/libs/policy/healthplanner.cpp
+++ b/src/libs/policy/healthplanner.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace Policy
@@ -64,11 +65,22 @@
     }
 }
 
+/// Of the open actions, one that still waits for the member and may have its requests in flight.
+bool isAwaited(const PassContext &context, const Base::MemberName &member)
+{
+    const auto waits = [&](const auto &it) {
+        return !it.second.acknowledgedBy.contains(member) && !isOpenForLong(context, it.first);
+    };
+    return std::any_of(context.state.moves.begin(), context.state.moves.end(), waits)
+        || std::any_of(context.state.maintenances.begin(), context.state.maintenances.end(), waits);
+}
+
 void planMembers(PassContext &context)
 {
     const auto deadline = longestDeadline(context.state.document);
     for (const auto &[name, member] : context.state.members) {
-        if (member.zone == context.identity.zone && isGoneForLong(context, name)) {
+        const bool isOfZone = member.zone == context.identity.zone;
+        if (isOfZone && isGoneForLong(context, name) && !isAwaited(context, name)) {
             const std::string reason =
                 fmt::format("the platform has not listed it for longer than {} ms", deadline.count());
             context.decide(Fleet::MemberLeft{name, reason}, reason);
--- a/src/libs/policy/moveplanner.cpp
+++ b/src/libs/policy/moveplanner.cpp
@@ -116,7 +116,7 @@
         abortMove(context, move, fmt::format("failures have spent the budget: {}", budget.reason));
         return;
     }
-    const DrainProgress progress = drainProgress(context, move.instance, move.acknowledgedBy);
+    const DrainProgress progress = drainProgress(context, move.id, move.instance, move.acknowledgedBy);
     if (!progress.isComplete) {
         waitForDrain(context, move.id, move.instance, progress);
         return;
--- a/src/libs/policy/waveplanner.cpp
+++ b/src/libs/policy/waveplanner.cpp
@@ -105,7 +105,7 @@
                        fmt::format("serves again, failures have spent the budget: {}", budget.reason));
         return;
     }
-    const DrainProgress progress = drainProgress(context, it.instance, it.acknowledgedBy);
+    const DrainProgress progress = drainProgress(context, it.id, it.instance, it.acknowledgedBy);
     if (!progress.isComplete) {
         waitForDrain(context, it.id, it.instance, progress);
         return;
--- a/tests/auto/policy/tst_waveplanner.cpp
+++ b/tests/auto/policy/tst_waveplanner.cpp
@@ -118,6 +118,24 @@
     CHECK_EQUAL(1, countOf<Fleet::RebootRequested>(pass.decisions));
 }
 
+TEST(WavePlanner, AMemberNotListedYetMayHaveSentRequestsBeforeTheDrain)
+{
+    FleetModel model = modelWithWave();
+    model.observations.liveMembers = {{"m0"}};
+    model.pass(1);
+    model.state.maintenances.begin()->second.acknowledgedBy = {{"m0"}};
+    // Missing since 1 s, at 3.1 s for longer than the deadline of 2 s; the drain is known to be open
+    // since 2.5 s.
+    for (const double it : {2.5, 3.1, 4.5}) {
+        const Policy::Pass early = model.pass(it);
+        CHECK_EQUAL(0, countOf<Fleet::MemberLeft>(early.decisions));
+        CHECK_EQUAL(0, countOf<Fleet::RebootRequested>(early.decisions));
+    }
+    const Policy::Pass pass = model.pass(4.6);
+    CHECK_EQUAL(1, countOf<Fleet::MemberLeft>(pass.decisions));
+    CHECK_EQUAL(1, countOf<Fleet::RebootRequested>(pass.decisions));
+}
+
 TEST(WavePlanner, StopsAWaveThatDoesHarmAndGoesOnOnlyUnderAHigherNumber)
 {
     FleetModel model = modelWithWave();
