Get over connections that fell silent within an edit's time

Cause: a follower waited up to 12 s on a connection that had gone silent; an edit has 5 s. Each idle connection of the pool took a request time-out of its own to be found out (the new test failed on that: the second append went to the other silent connection).

Change: a follower polls for 1.5 s; a time-out closes the idle connections with it. The stand-in can silence the connections open now, new ones work.

--- a/src/libs/platform/httpclient.cpp
+++ b/src/libs/platform/httpclient.cpp
@@ -44,18 +44,21 @@
 class Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    /// Gets back the calls of a connection that broke before they were written.
-    using ReturnUnsent = std::function<void(HttpCall, HttpCallback)>;
+    struct Events {
+        std::function<void(HttpCall, HttpCallback)>
+            onUnsent; ///< a call not written before the connection broke
+        std::function<void()> onSilence; ///< an answer is overdue
+    };
 
     Connection(Asio::io_context &context,
                Base::TimerService &timers,
                const HttpSettings &settings,
                HttpLane lane,
-               ReturnUnsent returnUnsent)
+               Events events)
         : m_timers(timers)
         , m_settings(settings)
         , m_lane(lane)
-        , m_returnUnsent(std::move(returnUnsent))
+        , m_events(std::move(events))
         , m_socket(context)
     {
     }
@@ -121,7 +124,7 @@
         }
         m_unsent.clear();
         m_inFlight.clear();
-        m_returnUnsent = nullptr;
+        m_events = {};
         close();
     }
 
@@ -243,6 +246,9 @@
     {
         const auto it = std::find(m_unsent.begin(), m_unsent.end(), late);
         if (it == m_unsent.end()) {
+            if (m_events.onSilence) {
+                m_events.onSilence();
+            }
             close();
             return;
         }
@@ -272,10 +278,10 @@
 
     void giveBack(Exchange &exchange, bool wasOpen)
     {
-        if (wasOpen && m_returnUnsent) {
+        if (wasOpen && m_events.onUnsent) {
             m_timers.cancel(exchange.timer);
             exchange.call.timeout = exchange.deadline - m_timers.now();
-            m_returnUnsent(std::move(exchange.call), std::move(exchange.callback));
+            m_events.onUnsent(std::move(exchange.call), std::move(exchange.callback));
         } else {
             finish(exchange, {HttpDelivery::NotSent, 0, {}});
         }
@@ -292,7 +298,7 @@
     Base::TimerService &m_timers;
     const HttpSettings &m_settings;
     HttpLane m_lane;
-    ReturnUnsent m_returnUnsent;
+    Events m_events;
     tcp::socket m_socket;
     State m_state = State::Connecting;
     Base::TimerId m_connectTimer;
@@ -360,18 +366,33 @@
         return best && (best->load() == 0 || !mayOpen) ? best : openConnection(lane);
     }
 
+    Connection::Events events()
+    {
+        return {[self = weak_from_this()](HttpCall call, HttpCallback callback) {
+                    if (const auto it = self.lock()) {
+                        it->send(std::move(call), std::move(callback));
+                    }
+                },
+                [self = weak_from_this()] {
+                    if (const auto it = self.lock()) {
+                        it->dropIdle();
+                    }
+                }};
+    }
+
+    // What has made one connection silent has often done so to all that were open then.
+    void dropIdle()
+    {
+        for (const ConnectionPtr &it : m_connections) {
+            if (it->load() == 0) {
+                it->abandon();
+            }
+        }
+    }
+
     ConnectionPtr openConnection(HttpLane lane)
     {
-        auto connection =
-            std::make_shared<Connection>(m_context,
-                                         m_timers,
-                                         m_settings,
-                                         lane,
-                                         [self = weak_from_this()](HttpCall call, HttpCallback callback) {
-                                             if (const auto it = self.lock()) {
-                                                 it->send(std::move(call), std::move(callback));
-                                             }
-                                         });
+        auto connection = std::make_shared<Connection>(m_context, m_timers, m_settings, lane, events());
         m_connections.push_back(connection);
         connection->open();
         return connection;
--- a/src/libs/platform/streamfollower.h
+++ b/src/libs/platform/streamfollower.h
@@ -17,7 +17,7 @@
 
 struct FollowerSettings {
     std::uint32_t maxRecords = 1000; ///< per read
-    std::uint32_t pollMilliseconds = 10000; ///< how long a read may wait for records at the tail
+    std::uint32_t pollMilliseconds = 1500; ///< how long a read may wait for records at the tail
     Base::Duration firstRetryDelay = std::chrono::milliseconds(50);
     Base::Duration longestRetryDelay = std::chrono::seconds(2);
 };
--- a/tests/auto/platform/tst_streamfollower.cpp
+++ b/tests/auto/platform/tst_streamfollower.cpp
@@ -2,6 +2,8 @@
 
 #include <platform/streamfollower.h>
 
+#include <chrono>
+
 #include <CppUTest/TestHarness.h>
 
 using Platform::FirstOffset;
@@ -71,6 +73,22 @@
     CHECK_EQUAL(51, follower.tail());
 }
 
+// An edit is to be in force everywhere within 5 s.
+TEST(StreamFollower, GoesOnOverANewConnectionWhenItsOwnFellSilent)
+{
+    StreamFollower<HttpPlatform> follower(fixture.platform(), fixture.timers(), "s", {}, 1);
+    follower.start(FirstOffset, events());
+    fixture.append(makeRecords("a", 1));
+    CHECK(hasOffsetsUpTo(1));
+    fixture.standin.silenceOpenConnections();
+    const auto start = std::chrono::steady_clock::now();
+    CHECK(std::holds_alternative<Platform::AppendUnknown>(*fixture.append(makeRecords("b", 1))));
+    fixture.append(makeRecords("c", 1));
+    CHECK(hasOffsetsUpTo(2));
+    CHECK(std::chrono::steady_clock::now() - start < 5s);
+    checkInOrder(2);
+}
+
 TEST(StreamFollower, IsNotCaughtUpBeforeTheTailSeenAtItsStart)
 {
     fixture.append(makeRecords("a", 30));
--- a/tests/standins/platform/httpserver.cpp
+++ b/tests/standins/platform/httpserver.cpp
@@ -3,7 +3,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <memory>
 #include <utility>
 
 namespace PlatformStandin
@@ -21,7 +20,9 @@
 constexpr unsigned Http11 = 11;
 constexpr const char *RequestIdHeader = "X-Request-Id";
 
-class Session : public std::enable_shared_from_this<Session>
+} // namespace
+
+class HttpServer::Session : public std::enable_shared_from_this<HttpServer::Session>
 {
 public:
     Session(tcp::socket socket, const HttpServer::Handler &handler)
@@ -34,12 +35,17 @@
     {
         m_request = {};
         Http::async_read(m_socket, m_buffer, m_request, [self = shared_from_this()](Error ec, std::size_t) {
-            if (!ec) {
+            if (!ec && !self->m_isSilent) {
                 self->handle();
             }
         });
     }
 
+    void silence()
+    {
+        m_isSilent = true;
+    }
+
 private:
     void handle()
     {
@@ -52,6 +58,9 @@
 
     void answer(Reply reply)
     {
+        if (m_isSilent) {
+            return;
+        }
         if (reply.delivery == Delivery::Dropped) {
             Error ignored;
             m_socket.close(ignored);
@@ -83,6 +92,7 @@
         });
     }
 
+    bool m_isSilent = false;
     tcp::socket m_socket;
     const HttpServer::Handler &m_handler;
     Beast::flat_buffer m_buffer;
@@ -90,8 +100,6 @@
     Http::response<Http::string_body> m_response;
 };
 
-} // namespace
-
 HttpServer::HttpServer(Asio::io_context &context, std::uint16_t port, Handler handler)
     : m_acceptor(context, tcp::endpoint(Asio::ip::address_v4::loopback(), port))
     , m_handler(std::move(handler))
@@ -104,6 +112,16 @@
     return m_acceptor.local_endpoint().port();
 }
 
+void HttpServer::silenceOpenConnections()
+{
+    for (const auto &it : std::exchange(m_sessions, {})) {
+        if (const auto session = it.lock()) {
+            session->silence();
+            m_silenced.push_back(session);
+        }
+    }
+}
+
 void HttpServer::acceptNext()
 {
     m_acceptor.async_accept([this](Error ec, tcp::socket socket) {
@@ -113,7 +131,10 @@
         if (!ec) {
             Error ignored;
             socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<Session>(std::move(socket), m_handler)->readNext();
+            const auto session = std::make_shared<Session>(std::move(socket), m_handler);
+            std::erase_if(m_sessions, [](const auto &it) { return it.expired(); });
+            m_sessions.push_back(session);
+            session->readNext();
         }
         acceptNext();
     });
--- a/tests/standins/platform/httpserver.h
+++ b/tests/standins/platform/httpserver.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace PlatformStandin
 {
@@ -40,11 +42,18 @@
 
     std::uint16_t port() const;
 
+    /// The connections open now stay open, and nothing is read or answered on them any more.
+    void silenceOpenConnections();
+
 private:
+    class Session;
+
     void acceptNext();
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     Handler m_handler;
+    std::vector<std::weak_ptr<Session>> m_sessions;
+    std::vector<std::shared_ptr<Session>> m_silenced; ///< kept, so that they stay open
 };
 
 } // namespace PlatformStandin
--- a/tests/standins/platform/standin.cpp
+++ b/tests/standins/platform/standin.cpp
@@ -121,6 +121,11 @@
     });
 }
 
+void Standin::silenceOpenConnections()
+{
+    m_server.silenceOpenConnections();
+}
+
 void Standin::handle(Request request, ReplyCallback reply)
 {
     if (request.target.starts_with("/control/")) {
@@ -151,6 +156,9 @@
         reply({200, fmt::format(R"({{"actions":[{}]}})", fmt::join(m_actions, ","))});
     } else if (request.target == "/control/instances" && request.isPost) {
         controlInstances(request, reply);
+    } else if (request.target == "/control/silence" && request.isPost) {
+        reply({200, "{}"});
+        silenceOpenConnections();
     } else if (request.target == "/control/faults" && request.isPost) {
         const auto faults = parseFaults(request.body);
         setFaults(faults.value_or(m_faults));
--- a/tests/standins/platform/standin.h
+++ b/tests/standins/platform/standin.h
@@ -31,6 +31,9 @@
     void setFaults(const Faults &faults);
     const Counters &counters() const;
 
+    /// See HttpServer::silenceOpenConnections(); also POST /control/silence.
+    void silenceOpenConnections();
+
     /// The JSON array of the instance list, shown when `lag` has passed unless the list is stale by then.
     void setInstances(std::string json, std::chrono::milliseconds lag);
 
--- a/tests/standins/platform/standinthread.cpp
+++ b/tests/standins/platform/standinthread.cpp
@@ -61,6 +61,11 @@
     return counters;
 }
 
+void StandinThread::silenceOpenConnections()
+{
+    m_runner->runOnThread([&] { m_runner->standin.silenceOpenConnections(); });
+}
+
 void StandinThread::setInstances(const std::string &json)
 {
     m_runner->runOnThread([&] { m_runner->standin.setInstances(json, {}); });
--- a/tests/standins/platform/standinthread.h
+++ b/tests/standins/platform/standinthread.h
@@ -27,6 +27,9 @@
 
     Counters counters() const;
 
+    /// Connections open now fall silent for good; new ones work.
+    void silenceOpenConnections();
+
     /// A JSON array, in the protocol's form.
     void setInstances(const std::string &json);
 
