--- a/tests/auto/processes/cluster.cpp
+++ b/tests/auto/processes/cluster.cpp
@@ -90,7 +90,9 @@
     }
     m_daemons.resize(shape.daemons);
     for (std::size_t n = 0; n < shape.daemons; ++n) {
-        startDaemon(n);
+        if (!startDaemon(n)) {
+            return false;
+        }
     }
     listInstances();
     if (publish(1, {"--wait"})->wait() != 0) {
@@ -105,7 +107,7 @@
     });
 }
 
-void Cluster::startDaemon(std::size_t n)
+bool Cluster::startDaemon(std::size_t n)
 {
     const auto settings = file("settings");
     std::ofstream(settings) << settingsOf(n);
@@ -114,7 +116,7 @@
                                                                       "--settings=" + settings.string(),
                                                                       fmt::format("--share={}", Share)},
                                              file("daemon"));
-    callersPort(n);
+    return callersPort(n) != 0;
 }
 
 void Cluster::listInstances(std::string_view leaving)
--- a/tests/auto/processes/cluster.h
+++ b/tests/auto/processes/cluster.h
@@ -13,7 +13,7 @@
 struct ClusterShape {
     std::size_t daemons = 2;
     std::vector<std::string> targetFaults{"none", "none"}; ///< one for each target, see recordingtarget.cpp
-    std::string settings; ///< further lines of the daemons' settings
+    std::string settings; ///< further lines of the daemons' settings, after their section [platform]
 };
 
 /// One request that a target executed.
@@ -36,8 +36,8 @@
     /// Returns when every daemon has the document in force; false when that takes too long.
     bool start(const ClusterShape &shape = {});
 
-    /// Starts daemon n, in place of the one before.
-    void startDaemon(std::size_t n);
+    /// Starts daemon n, in place of the one before; false when it doesn't come up.
+    bool startDaemon(std::size_t n);
 
     /// Tells the platform's list, with one target leaving.
     void listInstances(std::string_view leaving = {});
--- a/tests/auto/processes/proofcaller.cpp
+++ b/tests/auto/processes/proofcaller.cpp
@@ -56,7 +56,14 @@
     return told;
 }
 
-std::vector<Told> repeatProof(const std::vector<std::uint16_t> &ports,
+Ports inTurn(const std::vector<std::uint16_t> &ports)
+{
+    return [ports](int attempt) {
+        return ports[static_cast<std::size_t>(attempt) % ports.size()];
+    };
+}
+
+std::vector<Told> repeatProof(const Ports &ports,
                               const std::string &url,
                               const std::string &key,
                               int attempts,
@@ -64,8 +71,7 @@
 {
     std::vector<Told> told;
     for (int n = 0; n < attempts; ++n) {
-        const auto port = ports[static_cast<std::size_t>(n) % ports.size()];
-        told.push_back(tell(port, "POST", url, key, fmt::format("{}#{}", key, n), moreFields));
+        told.push_back(tell(ports(n), "POST", url, key, fmt::format("{}#{}", key, n), moreFields));
         if (told.back().isAnswered()) {
             break;
         }
@@ -74,7 +80,7 @@
     return told;
 }
 
-std::vector<Told> runProofs(const std::vector<std::uint16_t> &ports, const CallerLoad &load)
+std::vector<Told> runProofs(const Ports &ports, const CallerLoad &load)
 {
     std::vector<std::vector<Told>> parts(static_cast<std::size_t>(load.callers));
     std::vector<std::thread> threads;
--- a/tests/auto/processes/proofcaller.h
+++ b/tests/auto/processes/proofcaller.h
@@ -4,6 +4,7 @@
 #include "cluster.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -30,8 +31,12 @@
           const std::string &marker,
           const std::string &moreFields = {});
 
-/// Sends a proof under a key again and again, to one port after another, until it is answered whole.
-std::vector<Told> repeatProof(const std::vector<std::uint16_t> &ports,
+/// The port that a key's attempt n goes to.
+using Ports = std::function<std::uint16_t(int attempt)>;
+Ports inTurn(const std::vector<std::uint16_t> &ports);
+
+/// Sends a proof under a key again and again until it is answered whole.
+std::vector<Told> repeatProof(const Ports &ports,
                               const std::string &url,
                               const std::string &key,
                               int attempts,
@@ -45,7 +50,7 @@
     std::string url = "/proofs";
     std::string moreFields;
 };
-std::vector<Told> runProofs(const std::vector<std::uint16_t> &ports, const CallerLoad &load);
+std::vector<Told> runProofs(const Ports &ports, const CallerLoad &load);
 
 /// What is wrong with what callers were told, in words; empty when it all agrees with the targets' records:
 /// no key ran twice, what was told not run didn't, and what was answered ran.
--- a/tests/auto/processes/tst_atmostonce.cpp
+++ b/tests/auto/processes/tst_atmostonce.cpp
@@ -6,19 +6,35 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <csignal>
 #include <future>
+#include <random>
 #include <thread>
 
 using namespace std::chrono_literals;
 
+namespace
+{
+
+constexpr unsigned Seed = 20261204;
+constexpr std::array<const char *, 6> PlatformFaults{"{}",
+                                                     R"({"slow_ms":300})",
+                                                     R"({"out":true})",
+                                                     R"({"silent":true})",
+                                                     R"({"lose_every":2,"late_ms":200})",
+                                                     R"({"repeat_answers":true,"duplicate_appends":true})"};
+
+} // namespace
+
 TEST_GROUP(AtMostOnce)
 {
     Cluster cluster;
 
-    std::vector<std::uint16_t> bothPorts()
+    Ports bothPorts()
     {
-        return {cluster.callersPort(0), cluster.callersPort(1)};
+        return inTurn({cluster.callersPort(0), cluster.callersPort(1)});
     }
 
     void expectTruth(const std::vector<Told> &told)
@@ -163,18 +179,53 @@
     expectTruth(told);
     for (int n = 0; n < 20; ++n) {
         const std::string key = fmt::format("k{}", n);
-        const auto repeated = repeatProof({cluster.callersPort(1)}, "/proofs?delay=300", key, 3);
+        const auto repeated = repeatProof(inTurn({cluster.callersPort(1)}), "/proofs?delay=300", key, 3);
         told.insert(told.end(), repeated.begin(), repeated.end());
     }
     expectTruth(told);
 }
 
+// Platform faults, killed and frozen daemons and a target that dies come together and in any order.
+TEST(AtMostOnce, FaultsThatComeTogether)
+{
+    CHECK(cluster.start({2, {"none", "half", "none"}, "request_timeout_ms = 500\n"}));
+    std::array<std::atomic<std::uint16_t>, 2> ports{cluster.callersPort(0), cluster.callersPort(1)};
+    const CallerLoad shape{12, 40, 8, "/proofs?delay=20", "Rhubarbcrank-Deadline-Ms: 1500\r\n"};
+    auto load = std::async(std::launch::async, [&] {
+        return runProofs([&](int attempt) { return ports[static_cast<std::size_t>(attempt) % 2].load(); },
+                         shape);
+    });
+    std::minstd_rand random(Seed);
+    for (int n = 0; n < 16; ++n) {
+        cluster.setFaults(PlatformFaults[random() % PlatformFaults.size()]);
+        const std::size_t victim = random() % 2;
+        const bool isKilled = random() % 2 == 0;
+        if (isKilled) {
+            cluster.daemon(victim).kill();
+            cluster.startDaemon(victim);
+            ports[victim] = cluster.callersPort(victim);
+        } else {
+            cluster.daemon(victim).signal(SIGSTOP);
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(100 + random() % 600));
+        cluster.daemon(victim).signal(SIGCONT);
+    }
+    cluster.setFaults("{}");
+    const auto told = load.get();
+    expectTruth(told);
+    CHECK(answeredKeys(told) > 0);
+    CHECK(std::any_of(told.begin(), told.end(), [](const Told &it) { return it.isCut(); }));
+    CHECK(eventually([&] { return cluster.isReady(0) && cluster.isReady(1); }));
+    const auto afterwards = repeatProof(bothPorts(), "/proofs", "afterwards", 200);
+    CHECK(afterwards.back().isAnswered());
+}
+
 // The naive way: the caller goes to the targets itself, and repeats a proof whose answer it didn't get. The
 // check that the other tests rest on has to find what that does.
 TEST(AtMostOnce, ARepeatWithoutClaimsRunsAProofTwice)
 {
     CHECK(cluster.start({1, {"die", "none"}, {}}));
-    const auto told = repeatProof({cluster.targetPort(0), cluster.targetPort(1)}, "/proofs", "k0", 2);
+    const auto told = repeatProof(inTurn({cluster.targetPort(0), cluster.targetPort(1)}), "/proofs", "k0", 2);
     CHECK(told.back().isAnswered());
     STRCMP_CONTAINS("key k0 ran 2 times", contradiction(told, cluster.executions()).c_str());
 }
--- a/tests/auto/processes/tst_targetfailures.cpp
+++ b/tests/auto/processes/tst_targetfailures.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <csignal>
 #include <future>
 
 TEST_GROUP(TargetFailures)
@@ -133,10 +134,30 @@
     CHECK(answered() < 30);
 }
 
+// Its connections are silent, then what it was sent takes effect late: nobody was told that it was not run.
+TEST(TargetFailures, FrozenAndLaterResumed)
+{
+    CHECK(cluster.start({1, {"none", "none"}, "[targets]\nprogress_timeout_ms = 500\n"}));
+    cluster.target(0).signal(SIGSTOP);
+    auto previews = sendAtOnce(10, "GET", "/preview?delay=20");
+    collect(sendAtOnce(20, "POST", "/proofs?delay=20"));
+    collect(std::move(previews));
+    const auto before = cluster.executionsOf("worker-0");
+    cluster.target(0).signal(SIGCONT);
+    CHECK(eventually([&] { return cluster.executionsOf("worker-0") > before; }));
+    expectTruth();
+    CHECK_EQUAL(0, before);
+    CHECK(answered() < 30);
+    for (const auto &it : told) {
+        CHECK(it.isAnswered() || (it.marker.starts_with("POST") && it.answer.verdict() == "may-have-run"));
+    }
+}
+
 TEST(TargetFailures, KilledWithKeyedProofsInFlight)
 {
     CHECK(cluster.start({2, {"half", "die", "none", "none"}, {}}));
-    told = runProofs({cluster.callersPort(0), cluster.callersPort(1)}, {8, 5, 4, "/proofs?delay=5", {}});
+    told =
+        runProofs(inTurn({cluster.callersPort(0), cluster.callersPort(1)}), {8, 5, 4, "/proofs?delay=5", {}});
     STRCMP_EQUAL("", contradiction(told, cluster.executions()).c_str());
     CHECK(cluster.executionsOf("worker-0") + cluster.executionsOf("worker-1") >= 2);
 }
