--- a/src/libs/control/controlduty.cpp
+++ b/src/libs/control/controlduty.cpp
@@ -1,22 +1,23 @@
 #include "controlduty.h"
 
+#include "fleetfollower.h"
+#include "observer.h"
+#include "peerwatch.h"
+#include "plannerrunner.h"
 #include "recordappender.h"
 #include "routingbuilder.h"
-#include "streamnames.h"
 
 #include <base/logline.h>
 #include <boost/leaf/handle_errors.hpp>
 #include <fleet/charts.h>
-#include <fleet/fold.h>
+#include <fleet/streamnames.h>
+#include <peering/peerserver.h>
 #include <platform/httpplatform.h>
-#include <platform/streamfollower.h>
-#include <record/codec.h>
 #include <runtime/duty.h>
 
 #include <fmt/format.h>
 
 #include <atomic>
-#include <deque>
 #include <random>
 #include <set>
 #include <stdexcept>
@@ -28,10 +29,11 @@
 namespace
 {
 
-using Follower = Platform::StreamFollower<Platform::HttpPlatform>;
-
 constexpr Base::Duration AcknowledgePeriod = std::chrono::milliseconds{200};
 constexpr Base::Duration LeavePatience = std::chrono::seconds{2};
+constexpr Base::Duration PeerStartPatience = std::chrono::seconds{1};
+constexpr std::uint64_t RecordsPerSnapshot = 2000;
+constexpr std::uint64_t EditsPerNote = 256;
 
 Fleet::Charts loadCharts(const std::string &folder)
 {
@@ -42,6 +44,19 @@
         });
 }
 
+Fleet::PlatformState platformState(Platform::InstanceState state)
+{
+    switch (state) {
+    case Platform::InstanceState::Live:
+        return Fleet::PlatformState::Live;
+    case Platform::InstanceState::Leaving:
+        return Fleet::PlatformState::Leaving;
+    case Platform::InstanceState::Gone:
+        return Fleet::PlatformState::Gone;
+    }
+    return Fleet::PlatformState::Gone;
+}
+
 // A restarted daemon must not be taken for the one before, which may have left work half done.
 Base::MemberName newMember(const std::string &instance)
 {
@@ -60,40 +75,47 @@
         , m_requestPlane(std::move(requestPlane))
         , m_member(newMember(m_settings.instance))
         , m_charts(loadCharts(m_settings.chartsFolder))
-        , m_fold(m_charts, m_settings.zone)
         , m_platform(duty.context(), duty.timers(), m_settings.platform)
-        , m_common(m_platform, duty.timers(), commonStream(m_settings.environment), {}, m_settings.seed)
-        , m_zone(m_platform,
-                 duty.timers(),
-                 zoneStream(m_settings.environment, m_settings.zone),
-                 {},
-                 m_settings.seed + 1)
-        , m_appender(m_platform, duty.timers(), zoneStream(m_settings.environment, m_settings.zone))
+        , m_follower(m_platform,
+                     duty.timers(),
+                     m_charts,
+                     m_settings.environment,
+                     m_settings.zone,
+                     m_settings.seed,
+                     [this] { onFolded(); })
+        , m_appender(m_platform, duty.timers(), Fleet::zoneStream(m_settings.environment, m_settings.zone))
+        , m_commonAppender(m_platform, duty.timers(), Fleet::commonStream(m_settings.environment))
+        , m_peers(identity(),
+                  m_settings.instance,
+                  duty.timers(),
+                  m_settings.plannerPeriod,
+                  [&duty](std::function<void()> task) { duty.post(std::move(task)); })
+        , m_planner(m_platform,
+                    duty.timers(),
+                    m_member,
+                    m_settings.zone,
+                    [this](Fleet::Event event, Fleet::Offset term) { append(std::move(event), term); })
     {
         publishStatus();
+        if (!m_settings.peersAddress.empty()) {
+            m_server =
+                std::make_unique<Peering::PeerServer>(m_settings.peersAddress, identity(), providers());
+        }
     }
 
     void start()
     {
-        m_common.start(Platform::FirstOffset,
-                       {[this](auto entries) { onCommonEntries(entries); },
-                        [this](auto first) { onTrimmedPast("common", first); },
-                        [this](bool isReachable) {
-                            onReachable(isReachable);
-                        }});
-        m_zone.start(Platform::FirstOffset,
-                     {[this](auto entries) { onZoneEntries(entries); },
-                      [this](auto first) { onTrimmedPast("zone", first); },
-                      [this](bool isReachable) {
-                          onReachable(isReachable);
-                      }});
+        m_startedAt = now();
+        m_follower.start();
         m_duty.timers().subscribeEvery(AcknowledgePeriod, [this] { onTick(); });
         m_duty.timers().subscribeEvery(m_settings.listPeriod, [this] { listInstances(); });
+        m_duty.timers().subscribeEvery(m_settings.plannerPeriod, [this] { observeAndPlan(); });
         listInstances();
     }
 
     void leave(std::function<void()> done)
     {
+        m_isLeaving = true;
         append(Fleet::MemberLeft{m_member, "shutdown"});
         m_duty.timers().subscribeEvery(AcknowledgePeriod,
                                        [this, done, until = now() + LeavePatience]() mutable {
@@ -103,89 +125,147 @@
                                        });
     }
 
+    void stopPeers()
+    {
+        m_server.reset();
+    }
+
     Runtime::Duty &m_duty;
     std::atomic<std::shared_ptr<const ControlStatus>> m_status;
 
 private:
-    Base::Instant now() const
+    Peering::PeerIdentity identity() const
     {
-        return m_duty.timers().now();
+        return {m_settings.environment, m_settings.zone, m_member};
     }
 
-    const Fleet::FleetState &state() const
+    // Called on threads of gRPC: the answers are made on the duty's thread.
+    Peering::PeerServer::Providers providers()
     {
-        return m_fold.state();
+        return {[this](std::function<void(Peering::PeerReport)> answer) {
+                    m_duty.post([this, answer = std::move(answer)] { answer(ownReport()); });
+                },
+                [this](std::function<void(Peering::PeerState)> answer) {
+                    m_duty.post([this, answer = std::move(answer)] { answer(ownState()); });
+                }};
     }
 
-    void onReachable(bool isReachable)
+    Peering::PeerReport ownReport() const
     {
-        Base::LogLine(isReachable ? Base::LogLevel::Info : Base::LogLevel::Warning, "platform-log")
-            .with("is_reachable", isReachable);
-        publishStatus();
+        return {identity(),
+                state().commonAppliedTo.value,
+                state().appliedTo.value,
+                state().documentOffset.value,
+                m_ownLoad.demands,
+                m_ownLoad.instances};
     }
 
-    void onTrimmedPast(std::string_view stream, Platform::Offset first)
+    Peering::PeerState ownState() const
     {
-        Base::LogLine(Base::LogLevel::Error, "log-trimmed-past").with("stream", stream).with("first", first);
+        return m_follower.offer(identity());
     }
 
-    void onCommonEntries(std::span<const Platform::LogEntry> entries)
+    void observeAndPlan()
     {
-        for (const auto &it : entries) {
-            const Fleet::Entry entry = Record::decodeEntry(Fleet::Offset{it.offset}, it.data);
-            report("common", entry, m_fold.applyCommon(entry));
-        }
-        applyWaitingZoneEntries();
-        onFolded();
+        m_peers.ask();
+        m_requestPlane.askLoad([this](PlaneLoad load) {
+            m_ownLoad = std::move(load);
+            plan();
+        });
     }
 
-    void onZoneEntries(std::span<const Platform::LogEntry> entries)
+    // Decisions wait while earlier ones are not known to be in the log: what is decided is decided on the
+    // state that they lead to.
+    void plan()
     {
-        for (const auto &it : entries) {
-            m_waitingZoneEntries.push_back(Record::decodeEntry(Fleet::Offset{it.offset}, it.data));
+        const bool isMember = state().members.contains(m_member);
+        if (!m_isReady || m_isLeaving || !isMember || m_appender.pending() > 0) {
+            return;
         }
-        applyWaitingZoneEntries();
-        onFolded();
+        const ObservationSources sources{now(),
+                                         m_isListFresh && m_follower.isReachable(),
+                                         m_peers,
+                                         m_ownLoad,
+                                         m_platformStates,
+                                         m_planner.actionReports()};
+        const auto observations = observe(state(), sources);
+        m_planner.pass(state(), observations, m_peers.silentMembers(state(), m_settings.plannerLease));
+        keepRecordShort(observations);
     }
 
-    void applyWaitingZoneEntries()
+    // What a member that starts would have to read and hold: the planner notes how far the zone has seen the
+    // common stream, and writes snapshots before the log drops what they replace. One zone does the latter
+    // for the common stream.
+    void keepRecordShort(const Fleet::Observations &observations)
     {
-        while (!m_waitingZoneEntries.empty()) {
-            const Fleet::Entry &entry = m_waitingZoneEntries.front();
-            const Fleet::Outcome outcome = m_fold.applyZone(entry);
-            if (outcome.kind == Fleet::OutcomeKind::NotYet) {
-                return;
-            }
-            report("zone", entry, outcome);
-            m_waitingZoneEntries.pop_front();
+        const auto lease = state().planners.find(m_settings.zone);
+        if (lease == state().planners.end() || lease->second.holder != m_member || m_appender.pending() > 0) {
+            return;
+        }
+        const Fleet::Offset term = lease->second.term;
+        if (state().commonAppliedTo.value - state().causalOffset.value >= EditsPerNote) {
+            append(Fleet::PlannerObserved{observations, state().appliedTo, {}}, term);
+        } else if (state().appliedTo.value - m_follower.lastZoneSnapshot().value >= RecordsPerSnapshot) {
+            append(Fleet::SnapshotTaken{m_follower.fold().snapshot()}, term);
+        }
+        const bool isFirstZone =
+            !state().document.zones.empty() && state().document.zones.front() == m_settings.zone;
+        const auto sinceCommon = state().commonAppliedTo.value - m_follower.lastCommonSnapshot().value;
+        if (isFirstZone && sinceCommon >= RecordsPerSnapshot && m_commonAppender.pending() == 0) {
+            appendTo(m_commonAppender, Fleet::SnapshotTaken{m_follower.fold().snapshot()}, {});
         }
     }
 
-    static void report(std::string_view stream, const Fleet::Entry &entry, const Fleet::Outcome &outcome)
+    Base::Instant now() const
     {
-        const bool isExpected = outcome.isApplied() || outcome.kind == Fleet::OutcomeKind::Duplicate;
-        Base::LogLine line(isExpected ? Base::LogLevel::Debug : Base::LogLevel::Warning, "record");
-        line.with("stream", stream)
-            .with("offset", entry.offset.value)
-            .with("outcome", toString(outcome.kind));
-        if (outcome.kind == Fleet::OutcomeKind::Refused) {
-            line.with("refusal", toString(outcome.refusal));
-        }
+        return m_duty.timers().now();
+    }
+
+    const Fleet::FleetState &state() const
+    {
+        return m_follower.state();
     }
 
     void onFolded()
     {
         putInForce();
-        if (!m_isReady && m_common.isCaughtUp() && m_zone.isCaughtUp() && m_waitingZoneEntries.empty()) {
-            m_isReady = true;
-            Base::LogLine(Base::LogLevel::Info, "ready")
-                .with("member", m_member.value)
-                .with("document_offset", state().documentOffset.value);
+        if (!m_hasJoined && m_follower.isCaughtUp()) {
+            m_hasJoined = true;
             append(Fleet::MemberJoined{m_member, m_settings.zone});
         }
+        if (!m_isReady && m_hasJoined && state().members.contains(m_member)) {
+            becomeReady();
+        }
         publishStatus();
     }
 
+    // Ready as a member only: a drain is complete when every member has acknowledged it, so requests must not
+    // go out from an entry instance that isn't one yet.
+    void becomeReady()
+    {
+        m_isReady = true;
+        Base::LogLine(Base::LogLevel::Info, "ready")
+            .with("member", m_member.value)
+            .with("document_offset", state().documentOffset.value);
+    }
+
+    // With the log out nobody can join, and nothing can be decided either: serving from what a peer has
+    // folded is safe then, and the only way to serve.
+    void startFromPeers()
+    {
+        if (m_isReady || !m_follower.isStuck() || now() - m_startedAt < PeerStartPatience) {
+            return;
+        }
+        m_peers.askStates([this](const Peering::PeerState &offered) {
+            if (m_isReady || !m_follower.adopt(offered)) {
+                return;
+            }
+            putInForce();
+            becomeReady();
+            publishStatus();
+        });
+    }
+
     void putInForce()
     {
         auto table = buildRouting(state(), m_leaving);
@@ -206,6 +286,7 @@
     {
         if (!m_isReady) {
             onFolded();
+            startFromPeers();
         }
         acknowledgeDrains();
         publishStatus();
@@ -253,6 +334,7 @@
         m_isListing = true;
         m_platform.listInstances([this](const Platform::ListOutcome &outcome) {
             m_isListing = false;
+            m_isListFresh = std::holds_alternative<std::vector<Platform::ListedInstance>>(outcome);
             if (const auto *list = std::get_if<std::vector<Platform::ListedInstance>>(&outcome)) {
                 onList(*list);
             }
@@ -262,9 +344,15 @@
     // The last list known is kept while the platform is out.
     void onList(const std::vector<Platform::ListedInstance> &list)
     {
+        m_peers.setList(list);
+        m_platformStates.clear();
         std::set<Base::InstanceName> leaving;
         for (const auto &it : list) {
-            if (it.kind == Platform::InstanceKind::Target && it.state != Platform::InstanceState::Live) {
+            if (it.kind != Platform::InstanceKind::Target) {
+                continue;
+            }
+            m_platformStates[{it.name}] = platformState(it.state);
+            if (it.state != Platform::InstanceState::Live) {
                 leaving.insert({it.name});
             }
         }
@@ -274,14 +362,20 @@
         }
     }
 
-    void append(Fleet::Event event)
+    void append(Fleet::Event event, Fleet::Offset term = {})
+    {
+        appendTo(m_appender, std::move(event), term);
+    }
+
+    void appendTo(RecordAppender &appender, Fleet::Event event, Fleet::Offset term)
     {
         Fleet::Record record;
         record.id = fmt::format("{}-{}", m_member.value, ++m_lastRecord);
         record.author = m_member;
+        record.term = term;
         record.documentOffset = state().commonAppliedTo;
         record.event = std::move(event);
-        m_appender.append(record);
+        appender.append(record);
     }
 
     void publishStatus()
@@ -289,7 +383,7 @@
         auto status = std::make_shared<ControlStatus>();
         status->member = m_member;
         status->isReady = m_isReady;
-        status->isPlatformReachable = m_common.isReachable() && m_zone.isReachable();
+        status->isPlatformReachable = m_follower.isReachable();
         status->commonAppliedTo = state().commonAppliedTo.value;
         status->zoneAppliedTo = state().appliedTo.value;
         status->documentOffset = state().documentOffset.value;
@@ -309,16 +403,23 @@
     RequestPlanePort m_requestPlane;
     Base::MemberName m_member;
     Fleet::Charts m_charts;
-    Fleet::Fold m_fold;
     Platform::HttpPlatform m_platform;
-    Follower m_common;
-    Follower m_zone;
+    FleetFollower m_follower;
     RecordAppender m_appender;
-    std::deque<Fleet::Entry> m_waitingZoneEntries;
+    RecordAppender m_commonAppender;
     std::shared_ptr<const Gateway::RoutingTable> m_table;
     std::set<Base::InstanceName> m_leaving;
     std::set<Fleet::ActionId> m_acknowledged;
     std::uint64_t m_lastRecord = 0;
+    PeerWatch m_peers;
+    PlannerRunner m_planner;
+    std::unique_ptr<Peering::PeerServer> m_server;
+    PlaneLoad m_ownLoad;
+    std::map<Base::InstanceName, Fleet::PlatformState> m_platformStates;
+    bool m_isListFresh = false;
+    bool m_isLeaving = false;
+    Base::Instant m_startedAt;
+    bool m_hasJoined = false;
     bool m_isReady = false;
     bool m_isAskingInFlight = false;
     bool m_isListing = false;
@@ -329,8 +430,14 @@
 {
 }
 
+// Calls from peers wait for the duty's thread: their server ends first, while that thread still runs.
 ControlDuty::~ControlDuty() = default;
 
+void ControlDuty::stopPeers()
+{
+    d->stopPeers();
+}
+
 void ControlDuty::start()
 {
     d->m_duty.post([this] { d->start(); });
--- a/src/libs/fleet/record.h
+++ b/src/libs/fleet/record.h
@@ -2,6 +2,7 @@
 
 #include "fleetstate.h"
 #include "observations.h"
+#include "plannermemory.h"
 
 #include <document/delta.h>
 
@@ -53,6 +54,8 @@
 /// What the planner saw when it took the decisions that follow it with the same term.
 struct PlannerObserved {
     Observations observations;
+    Offset zoneOffset; ///< of the zone's stream, up to which the planner had folded it for this pass
+    PlannerMemory memory; ///< as it was before this pass
 
     bool operator==(const PlannerObserved &) const = default;
 };
--- /dev/null
+++ b/src/libs/policy/jobplanner.cpp
@@ -0,0 +1,45 @@
+#include "jobplanner.h"
+
+#include "jobfollowing.h"
+#include "jobplacement.h"
+
+#include <utility>
+
+namespace Policy
+{
+
+namespace
+{
+
+void rememberJobs(JobContext &context)
+{
+    std::erase_if(context.memory.stopSince, [&context](const auto &it) {
+        const auto job = context.table.open.find(it.first);
+        return job == context.table.open.end() || job->second.phase != JobPhase::Stopping;
+    });
+    std::erase_if(context.memory.waitingSince, [&context](const auto &it) {
+        const auto job = context.table.open.find(it.first);
+        return job == context.table.open.end() || job->second.phase != JobPhase::Waiting;
+    });
+    for (const auto &[id, job] : context.table.open) {
+        if (job.phase == JobPhase::Waiting) {
+            context.memory.waitingSince.try_emplace(id, context.observations.at);
+        }
+    }
+}
+
+} // namespace
+
+JobPass planJobs(const JobTable &table, const JobObservations &observations, const JobMemory &memory)
+{
+    if (!observations.isPlatformReachable) {
+        return {{}, {{"jobs", "the platform is not reachable"}}, memory};
+    }
+    JobContext context(table, observations, memory);
+    followJobs(context);
+    placeJobs(context);
+    rememberJobs(context);
+    return {std::move(context.events), std::move(context.waits), std::move(context.memory)};
+}
+
+} // namespace Policy
