Borrow for the longest request where no slot is owned

Cause: a member whose zone has no target of a pool owns none of its slots, and a loan of one second fits no request with a longer deadline: such requests waited until they were refused. Ruled out: splits that depend on where the pool's targets are, as a change of the fleet would then have to be handed over like one of the membership. Change: there, loans last as long as the longest request, and LoanReturn gives them back as soon as the pool is not asked for. Conclusion: every zone can use every pool; slots are still never used twice.

--- a/src/libs/scheduling/loanbook.cpp
+++ b/src/libs/scheduling/loanbook.cpp
@@ -6,14 +6,24 @@
 {
 
 void LentSlots::lend(const Base::MemberName &borrower,
-                     const Base::InstanceName &instance,
-                     std::uint32_t slots,
+                     const Loan &loan,
+                     std::uint64_t sequence,
                      Base::Instant until)
 {
-    auto &grants = m_grants[{instance, borrower}];
+    auto &grants = m_grants[{loan.instance, borrower}];
     // A grant that is neither larger nor longer than the new one adds nothing.
-    std::erase_if(grants, [&](const Grant &it) { return it.slots <= slots && it.until <= until; });
-    grants.push_back({slots, until});
+    std::erase_if(grants, [&](const Grant &it) { return it.slots <= loan.slots && it.until <= until; });
+    grants.push_back({loan.slots, sequence, until});
+}
+
+void LentSlots::takeBack(const Base::MemberName &borrower,
+                         const Base::InstanceName &instance,
+                         std::uint64_t sequence)
+{
+    const auto it = m_grants.find({instance, borrower});
+    if (it != m_grants.end()) {
+        std::erase_if(it->second, [sequence](const Grant &grant) { return grant.sequence <= sequence; });
+    }
 }
 
 bool LentSlots::expire(Base::Instant now)
--- a/src/libs/scheduling/loanbook.h
+++ b/src/libs/scheduling/loanbook.h
@@ -18,10 +18,13 @@
 class LentSlots
 {
 public:
-    void lend(const Base::MemberName &borrower,
-              const Base::InstanceName &instance,
-              std::uint32_t slots,
-              Base::Instant until);
+    /// `sequence` is that of the request.
+    void
+    lend(const Base::MemberName &borrower, const Loan &loan, std::uint64_t sequence, Base::Instant until);
+
+    /// The borrower gave back what it was granted up to this request.
+    void
+    takeBack(const Base::MemberName &borrower, const Base::InstanceName &instance, std::uint64_t sequence);
 
     /// True when something ended.
     bool expire(Base::Instant now);
@@ -33,6 +36,7 @@
 private:
     struct Grant {
         std::uint32_t slots = 0;
+        std::uint64_t sequence = 0;
         Base::Instant until;
     };
     using Key = std::pair<Base::InstanceName, Base::MemberName>;
--- a/src/libs/scheduling/slotledger.cpp
+++ b/src/libs/scheduling/slotledger.cpp
@@ -196,9 +196,10 @@
     }
     peer.lastSequence = request.sequence;
     const std::vector<Loan> loans = chooseLoans(request);
-    const Base::Instant until = now + scaled(m_limits.loanTerm, 1 + m_limits.clockDrift);
+    const Base::Duration term = std::min(request.term, m_limits.longLoanTerm);
+    const Base::Instant until = now + scaled(term, 1 + m_limits.clockDrift);
     for (const Loan &it : loans) {
-        m_lent.lend(request.from, it.instance, it.slots, until);
+        m_lent.lend(request.from, it, request.sequence, until);
     }
     m_isChanged = true;
     publish(out);
@@ -214,7 +215,7 @@
     if (it == m_sent.end()) {
         return;
     }
-    const Base::Instant until = it->at + scaled(m_limits.loanTerm, 1 - m_limits.clockDrift);
+    const Base::Instant until = it->at + scaled(it->term, 1 - m_limits.clockDrift);
     // Answers to earlier requests to this lender come too late to count.
     std::erase_if(m_sent, [&grant](const SentRequest &request) {
         return request.lender == grant.from && request.pool == grant.pool
@@ -227,6 +228,22 @@
     }
 }
 
+void SlotLedger::receiveFrom(const LoanReturn &message, Base::Instant /*now*/, SlotDecisions &out)
+{
+    // Requests that were overtaken by this message are of no use.
+    const auto peer = m_peers.find(message.from);
+    if (peer != m_peers.end()) {
+        peer->second.lastSequence = std::max(peer->second.lastSequence, message.sequence);
+    }
+    for (const TargetSpec &it : m_targets) {
+        if (it.pool == message.pool) {
+            m_lent.takeBack(message.from, it.instance, message.sequence);
+        }
+    }
+    m_isChanged = true;
+    publish(out);
+}
+
 // Slots that the borrower has already come first, so that a renewal doesn't move them; then the idlest.
 std::vector<Loan> SlotLedger::chooseLoans(const BorrowRequest &request) const
 {
@@ -293,10 +310,7 @@
     out.messages.push_back({to, std::move(heartbeat)});
 }
 
-void SlotLedger::borrow(const Base::PoolName &name,
-                        const PoolUse &pool,
-                        Base::Instant now,
-                        SlotDecisions &out)
+void SlotLedger::borrow(const Base::PoolName &name, PoolUse &pool, Base::Instant now, SlotDecisions &out)
 {
     std::uint32_t own = 0;
     std::uint32_t declared = 0;
@@ -304,6 +318,14 @@
         own += ownSlots(n);
         declared += m_targets[n].slots;
     }
+    // Where there are no own slots, a request of any length has to fit the loans.
+    const bool isLong = !hasShare(pool);
+    const Base::Duration term = isLong ? m_limits.longLoanTerm : m_limits.loanTerm;
+    if (pool.isBorrowing && pool.demand == 0) {
+        giveBack(name, pool, out);
+        return;
+    }
+    pool.isBorrowing = pool.isBorrowing || (isLong && pool.demand > 0);
     const auto headroom = static_cast<std::uint32_t>(std::ceil(own * m_limits.headroom));
     const std::uint32_t wanted = std::min(declared, pool.demand + headroom);
     std::uint32_t needed = wanted > own ? wanted - own : 0;
@@ -314,14 +336,42 @@
             continue;
         }
         needed -= asked;
-        m_sent.push_back({++m_sequence, lender, name, now});
-        out.messages.push_back({lender, BorrowRequest{m_self, m_sequence, name, asked}});
+        m_sent.push_back({++m_sequence, lender, name, now, term});
+        out.messages.push_back({lender, BorrowRequest{m_self, m_sequence, name, asked, term}});
     }
     while (m_sent.size() > RememberedRequests) {
         m_sent.pop_front();
     }
 }
 
+bool SlotLedger::hasShare(const PoolUse &pool) const
+{
+    return std::any_of(pool.targets.begin(), pool.targets.end(), [this](std::size_t n) {
+        return m_shares.slotsOf(n) > 0 || baseShare(m_targets[n], m_shares.epoch(), m_self) > 0;
+    });
+}
+
+// Long loans are given back when they are idle. Grants that are still under way are of no use from here on.
+void SlotLedger::giveBack(const Base::PoolName &name, PoolUse &pool, SlotDecisions &out)
+{
+    const bool isIdle = std::all_of(pool.targets.begin(), pool.targets.end(), [this](std::size_t n) {
+        return m_use(m_targets[n].id).inFlight == 0;
+    });
+    if (!isIdle) {
+        return;
+    }
+    pool.isBorrowing = false;
+    std::erase_if(m_sent, [&name](const SentRequest &it) { return it.pool == name; });
+    for (const auto &[lender, peer] : m_peers) {
+        if (m_borrowed.borrowedFrom(lender, name) > 0) {
+            m_borrowed.replace(lender, name, {}, m_now);
+        }
+        out.messages.push_back({lender, LoanReturn{m_self, ++m_sequence, name}});
+    }
+    m_isChanged = true;
+    publish(out);
+}
+
 // Those that lend already come first, then those with most to spare.
 std::vector<Base::MemberName> SlotLedger::lendersOf(const Base::PoolName &pool, Base::Instant now) const
 {
--- a/src/libs/scheduling/slotledger.h
+++ b/src/libs/scheduling/slotledger.h
@@ -24,7 +24,9 @@
     Base::Duration heartbeatPeriod = std::chrono::milliseconds{250};
     Base::Duration borrowPeriod = std::chrono::milliseconds{50};
     Base::Duration loanTerm = std::chrono::seconds{1};
-    Base::Duration fence = std::chrono::seconds{60}; ///< the longest request and `staleAfter`
+    Base::Duration longLoanTerm =
+        std::chrono::seconds{60}; ///< for pools without own slots; the longest request
+    Base::Duration fence = std::chrono::seconds{62}; ///< the longest request or loan and `staleAfter`
     Base::Duration staleAfter = std::chrono::seconds{1}; ///< without advance(): what was known may be void
     Base::Duration loneAfter = std::chrono::seconds{2}; ///< no peer answers for this long: there is none
     double clockDrift = 0.001; ///< by which two monotonic clocks may differ, as a share
@@ -72,6 +74,7 @@
         std::vector<std::size_t> targets;
         double meanForeground = 0; ///< slots taken by foreground requests, smoothed
         std::uint32_t demand = 0; ///< slots taken and foreground requests queued
+        bool isBorrowing = false; ///< on long terms, of one request at least
         bool isBatchWaiting = false; ///< batch requests are queued and none runs
     };
     struct SentRequest {
@@ -79,6 +82,7 @@
         Base::MemberName lender;
         Base::PoolName pool;
         Base::Instant at;
+        Base::Duration term{};
     };
 
     void noteTime(Base::Instant now);
@@ -87,14 +91,17 @@
     void receiveFrom(const SlotHeartbeat &heartbeat, Base::Instant now, SlotDecisions &out);
     void receiveFrom(const BorrowRequest &request, Base::Instant now, SlotDecisions &out);
     void receiveFrom(const LoanGrant &grant, Base::Instant now, SlotDecisions &out);
+    void receiveFrom(const LoanReturn &message, Base::Instant now, SlotDecisions &out);
     std::vector<Loan> chooseLoans(const BorrowRequest &request) const;
     void sendHeartbeats(SlotDecisions &out);
     void sendHeartbeat(const Base::MemberName &to, SlotDecisions &out);
-    void borrow(const Base::PoolName &name, const PoolUse &pool, Base::Instant now, SlotDecisions &out);
+    void borrow(const Base::PoolName &name, PoolUse &pool, Base::Instant now, SlotDecisions &out);
+    void giveBack(const Base::PoolName &name, PoolUse &pool, SlotDecisions &out);
     std::vector<Base::MemberName> lendersOf(const Base::PoolName &pool, Base::Instant now) const;
     std::uint32_t spareOf(const Base::MemberName &peer, const Base::PoolName &pool) const;
     std::uint32_t ownSlots(std::size_t target) const;
     std::int64_t spareSlots(const PoolUse &pool) const;
+    bool hasShare(const PoolUse &pool) const;
     bool fitsEpoch() const;
     bool isIdle() const;
     void publish(SlotDecisions &out);
--- a/src/libs/scheduling/slotmessages.h
+++ b/src/libs/scheduling/slotmessages.h
@@ -38,6 +38,7 @@
     std::uint64_t sequence = 0;
     Base::PoolName pool;
     std::uint32_t slots = 0;
+    Base::Duration term{}; ///< of the loans
 
     bool operator==(const BorrowRequest &) const = default;
 };
@@ -49,7 +50,7 @@
     bool operator==(const Loan &) const = default;
 };
 
-/// All that the sender lends of the pool from now on, for one term counted from the request.
+/// All that the sender lends of the pool from now on, for the term of the request, counted from then.
 struct LoanGrant {
     Base::MemberName from;
     std::uint64_t sequence = 0; ///< of the request
@@ -59,7 +60,16 @@
     bool operator==(const LoanGrant &) const = default;
 };
 
-using SlotMessage = std::variant<SlotHeartbeat, BorrowRequest, LoanGrant>;
+/// Gives back what was granted of the pool on requests up to this one. The sender uses none of it any more.
+struct LoanReturn {
+    Base::MemberName from;
+    std::uint64_t sequence = 0;
+    Base::PoolName pool;
+
+    bool operator==(const LoanReturn &) const = default;
+};
+
+using SlotMessage = std::variant<SlotHeartbeat, BorrowRequest, LoanGrant, LoanReturn>;
 
 struct OutgoingSlotMessage {
     Base::MemberName to;
--- a/tests/auto/scheduling/tst_slotledger.cpp
+++ b/tests/auto/scheduling/tst_slotledger.cpp
@@ -27,14 +27,14 @@
 {
 
 constexpr std::uint64_t Histories = 30;
-constexpr std::uint32_t Nodes = 5;
+constexpr std::uint32_t Nodes = 6;
 constexpr std::uint32_t Targets = 6;
 constexpr std::uint32_t Slots = 8;
 constexpr auto Step = 5ms;
 constexpr auto Length = 40s;
 constexpr auto LongestRequest = 3s;
 const Base::PoolName Pool{"proofs"};
-const std::array<const char *, 2> Zones{"a", "b"};
+const std::array<const char *, 3> Zones{"a", "b", "c"};
 
 std::vector<TargetSpec> makeTargets()
 {
@@ -46,10 +46,11 @@
     return targets;
 }
 
-// Nodes 0 and 2 are in one zone, 1, 3 and 4 in the other.
+// Nodes 0 and 2 are in one zone, 1, 3 and 4 in the other, node 5 in one that has no targets.
 std::size_t zoneOf(std::uint32_t n)
 {
-    return n == 4 ? 1 : n % 2;
+    constexpr std::array<std::size_t, Nodes> NodeZones{0, 1, 0, 1, 1, 2};
+    return NodeZones[n];
 }
 
 Member makeMember(std::uint32_t n)
@@ -134,7 +135,8 @@
         , m_nodes(Nodes)
     {
         SlotSharingLimits limits;
-        limits.fence = LongestRequest + limits.staleAfter;
+        limits.longLoanTerm = LongestRequest + 500ms;
+        limits.fence = limits.longLoanTerm + limits.staleAfter;
         for (std::uint32_t n = 0; n < Nodes; ++n) {
             Node &node = m_nodes[n];
             node.offset = Base::Duration{draw(1'000'000'000)};
@@ -164,15 +166,14 @@
         return m_mostOverCommitted;
     }
 
-    /// Slots in use of those that there are, from the first second on.
-    double use() const
+    std::uint64_t loansUsed() const
     {
-        return m_used / m_offered;
+        return m_loansUsed;
     }
 
-    std::uint64_t loansUsed() const
+    std::uint64_t longRequestsOnLoans() const
     {
-        return m_loansUsed;
+        return m_longRequestsOnLoans;
     }
 
 private:
@@ -214,17 +215,17 @@
         // In half of the histories node 4 joins while requests of node 3 may still run.
         const bool isJoinLate = draw(2) == 0;
         m_joinAt = Base::instantAt(isJoinLate ? Base::Duration{10'400ms} : Base::Duration{5s});
-        const auto join = isJoinLate ? epochOf({0, 1, 2, 4}) : epochOf({0, 1, 2, 3, 4});
-        m_epochs.push_back({Base::instantAt(0s), epochOf({0, 1, 2, 3})});
+        const auto join = isJoinLate ? epochOf({0, 1, 2, 4, 5}) : epochOf({0, 1, 2, 3, 4, 5});
+        m_epochs.push_back({Base::instantAt(0s), epochOf({0, 1, 2, 3, 5})});
         if (isJoinLate) {
-            m_epochs.push_back({Base::instantAt(10'200ms), epochOf({0, 1, 2})});
+            m_epochs.push_back({Base::instantAt(10'200ms), epochOf({0, 1, 2, 5})});
         }
         // What was before, a newcomer doesn't know.
         m_nodes[4].knownEpoch = m_epochs.size();
         m_epochs.push_back({m_joinAt, join});
-        m_epochs.push_back({Base::instantAt(12s), epochOf({0, 1, 2, 4})});
+        m_epochs.push_back({Base::instantAt(12s), epochOf({0, 1, 2, 4, 5})});
         if (isRemoved) {
-            m_epochs.push_back({m_pauseFrom + 1s, epochOf({0, 1, 4})});
+            m_epochs.push_back({m_pauseFrom + 1s, epochOf({0, 1, 4, 5})});
         }
         for (std::size_t n = 0; n < m_epochs.size(); ++n) {
             m_epochs[n].epoch.number.value = n + 1;
@@ -273,15 +274,19 @@
             Scheduling::PoolStatistics pool;
             pool.pool = Pool;
             // Demand moves from node to node.
-            const bool isSurging = (m_now.time_since_epoch() / 3s) % Nodes == n;
-            pool.busyForeground = isSurging ? busy(n) : 0;
-            pool.queuedForeground = isSurging ? 40 : 0;
+            pool.busyForeground = isSurging(n) ? busy(n) : 0;
+            pool.queuedForeground = isSurging(n) ? 40 : 0;
             node.ledger->observe({&pool, 1}, clockOf(n), out);
         }
         apply(n, out);
         start(n);
     }
 
+    bool isSurging(std::uint32_t n) const
+    {
+        return (m_now.time_since_epoch() / 3s) % Nodes == n;
+    }
+
     std::uint32_t busy(std::uint32_t n) const
     {
         std::uint32_t sum = 0;
@@ -327,6 +332,10 @@
     // By the rule of the scheduler: requests that may outlast the loans never outnumber the own slots.
     void start(std::uint32_t n)
     {
+        // Node 5 stops between its surges, and gives its loans back.
+        if (n == 5 && !isSurging(n)) {
+            return;
+        }
         Node &node = m_nodes[n];
         const Base::Instant now = clockOf(n);
         for (std::uint32_t target = 0; target < Targets; ++target) {
@@ -341,6 +350,7 @@
                 ++use.inFlight;
                 use.unbounded += isBounded ? 0 : 1;
                 m_loansUsed += isBounded ? 1 : 0;
+                m_longRequestsOnLoans += isBounded && runTime > 1s ? 1 : 0;
                 m_attempts.push_back({n, target, isBounded, m_now + runTime});
             }
         }
@@ -367,8 +377,6 @@
                 sum += it.use[target].inFlight;
             }
             m_mostOverCommitted = std::max(m_mostOverCommitted, sum > Slots ? sum - Slots : 0);
-            m_used += sum;
-            m_offered += Slots;
         }
     }
 
@@ -391,8 +399,7 @@
     Base::Instant m_partitionUntil;
     std::uint32_t m_mostOverCommitted = 0;
     std::uint64_t m_loansUsed = 0;
-    double m_used = 0;
-    double m_offered = 0;
+    std::uint64_t m_longRequestsOnLoans = 0;
 };
 
 } // namespace
@@ -407,6 +414,7 @@
         const std::string text = "seed " + std::to_string(seed);
         LONGS_EQUAL_TEXT(0, ours.mostOverCommitted(), text.c_str());
         CHECK_TEXT(ours.loansUsed() > 0, text.c_str());
+        CHECK_TEXT(ours.longRequestsOnLoans() > 0, text.c_str());
     }
 }
 
@@ -473,3 +481,29 @@
     CHECK(leaver.hasLeft());
     LONGS_EQUAL(Slots, fromHeir.allowances.back().allowance.slots);
 }
+
+TEST(SlotLedger, AGrantThatComesAfterTheReturnIsNotUsed)
+{
+    SlotLedger ledger({}, makeMember(5).name, [](TargetId) { return TargetUse{}; });
+    const Base::MemberName lender = makeMember(1).name;
+    const std::vector<TargetSpec> targets{makeTargets()[1]};
+    SlotDecisions out;
+    ledger.setTargets(targets, Base::instantAt(0s), out);
+    ledger.setEpoch({{1}, {makeMember(1), makeMember(5)}}, Base::instantAt(0s), out);
+    ledger.receive(
+        Scheduling::SlotHeartbeat{lender, 1, 0, {1}, false, {{Pool, 4}}}, Base::instantAt(0s), out);
+    Scheduling::PoolStatistics demand;
+    demand.pool = Pool;
+    demand.queuedForeground = 1;
+    out = {};
+    ledger.observe({&demand, 1}, Base::instantAt(10ms), out);
+    const auto request = std::get<Scheduling::BorrowRequest>(out.messages.back().message);
+    CHECK(request.term == SlotSharingLimits{}.longLoanTerm);
+    demand.queuedForeground = 0;
+    ledger.observe({&demand, 1}, Base::instantAt(60ms), out);
+    CHECK(std::get<Scheduling::LoanReturn>(out.messages.back().message).sequence > request.sequence);
+    out = {};
+    const std::vector<Scheduling::Loan> loans{{targets.front().instance, 1}};
+    ledger.receive(Scheduling::LoanGrant{lender, request.sequence, Pool, loans}, Base::instantAt(70ms), out);
+    LONGS_EQUAL(0, out.allowances.size());
+}
--- a/tests/bench/slotsharing/schemes.h
+++ b/tests/bench/slotsharing/schemes.h
@@ -315,6 +315,7 @@
     {
         Scheduling::SlotSharingLimits result;
         result.fence = Scenario::BatchDeadline + result.staleAfter;
+        result.longLoanTerm = Scenario::BatchDeadline;
         return result;
     }
 
