Wait for the fold, cap deadlines, hand slots over on leaving

Cause: the planner passed again once its records were appended, though not folded, so two passes could decide on one state; drains and memberships rely on no request outliving the document's longest deadline, which a caller's header could exceed; a stopped daemon's slots rested for a minute. Change: a pass waits until the planner's own last record is folded; deadlines are capped; a daemon that stops gives its slots up.

--- a/src/app/rhubarbcrankd/daemon.cpp
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -274,7 +274,10 @@
                 onShutdownTimeout();
             }
         });
-        m_plane.callers().drain([this] { m_control.leave([this] { m_context.stop(); }); });
+        m_plane.callers().drain([this] {
+            m_plane.withTargets([](auto &targets) { targets.leaveSlots(); });
+            m_control.leave([this] { m_context.stop(); });
+        });
     }
 
     void onShutdownTimeout()
--- a/src/libs/control/controlduty.cpp
+++ b/src/libs/control/controlduty.cpp
@@ -82,6 +82,7 @@
               m_charts,
               m_settings.environment,
               m_settings.zone,
+              m_member,
               m_settings.seed,
               [this] { onFolded(); },
               [this] { onMembership(); })
@@ -186,12 +187,13 @@
         });
     }
 
-    // Decisions wait while earlier ones are not known to be in the log: what is decided is decided on the
+    // Decisions wait until the earlier ones are folded, not only appended: what is decided is decided on the
     // state that they lead to.
     void plan()
     {
         const bool isMember = state().members.contains(m_member);
-        if (!m_isReady || m_isLeaving || !isMember || m_appender.pending() > 0) {
+        const bool isFolded = m_appender.pending() == 0 && m_follower.lastOwnRecord() == m_lastZoneRecord;
+        if (!m_isReady || m_isLeaving || !isMember || !isFolded) {
             return;
         }
         const ObservationSources sources{now(),
@@ -409,10 +411,11 @@
 
     void append(Fleet::Event event, Fleet::Offset term = {})
     {
-        appendTo(m_appender, std::move(event), term);
+        m_lastZoneRecord = appendTo(m_appender, std::move(event), term);
     }
 
-    void appendTo(RecordAppender &appender, Fleet::Event event, Fleet::Offset term)
+    /// Returns the record's id.
+    std::string appendTo(RecordAppender &appender, Fleet::Event event, Fleet::Offset term)
     {
         Fleet::Record record;
         record.id = fmt::format("{}-{}", m_member.value, ++m_lastRecord);
@@ -421,6 +424,7 @@
         record.documentOffset = state().commonAppliedTo;
         record.event = std::move(event);
         appender.append(record);
+        return record.id;
     }
 
     void publishStatus()
@@ -456,6 +460,7 @@
     std::set<Base::InstanceName> m_leaving;
     std::set<Fleet::ActionId> m_acknowledged;
     std::uint64_t m_lastRecord = 0;
+    std::string m_lastZoneRecord; ///< the id of the last record for the zone's stream
     PeerWatch m_peers;
     PlannerRunner m_planner;
     std::unique_ptr<Peering::PeerServer> m_server;
--- a/src/libs/control/fleetfollower.cpp
+++ b/src/libs/control/fleetfollower.cpp
@@ -26,6 +26,7 @@
                              const Fleet::Charts &charts,
                              Base::EnvironmentName environment,
                              Base::AvailabilityZoneName zone,
+                             Base::MemberName self,
                              std::uint64_t seed,
                              std::function<void()> onFolded,
                              std::function<void()> onMembership)
@@ -33,6 +34,7 @@
     , m_fold(charts, zone)
     , m_common(platform, timers, Fleet::commonStream(environment), {}, seed)
     , m_zone(platform, timers, Fleet::zoneStream(environment, zone), {}, seed + 1)
+    , m_self(std::move(self))
     , m_onFolded(std::move(onFolded))
     , m_onMembership(std::move(onMembership))
 {
@@ -70,6 +72,11 @@
     return m_isSearchingSnapshot || !isReachable();
 }
 
+const std::string &FleetFollower::lastOwnRecord() const
+{
+    return m_lastOwnRecord;
+}
+
 Fleet::Offset FleetFollower::lastCommonSnapshot() const
 {
     return m_lastCommonSnapshot;
@@ -182,6 +189,9 @@
         if (outcome.isApplied() && snapshotIn(entry)) {
             m_lastZoneSnapshot = entry.offset;
         }
+        if (const Fleet::Record *record = entry.record(); record && record->author == m_self) {
+            m_lastOwnRecord = record->id;
+        }
         m_waitingZoneEntries.pop_front();
         pruneCommonTail();
         if (state().membershipChangedAt != membership) {
--- a/src/libs/control/fleetfollower.h
+++ b/src/libs/control/fleetfollower.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace Control
@@ -30,6 +31,7 @@
                   const Fleet::Charts &charts,
                   Base::EnvironmentName environment,
                   Base::AvailabilityZoneName zone,
+                  Base::MemberName self,
                   std::uint64_t seed,
                   std::function<void()> onFolded,
                   std::function<void()> onMembership);
@@ -46,6 +48,9 @@
     /// Nothing can be folded for now: the log is out, or has dropped what would be next.
     bool isStuck() const;
 
+    /// The id of the last folded record of the zone's stream whose author is this member.
+    const std::string &lastOwnRecord() const;
+
     /// Offsets of the last snapshots seen in each stream; 0 for none.
     Fleet::Offset lastCommonSnapshot() const;
     Fleet::Offset lastZoneSnapshot() const;
@@ -78,6 +83,8 @@
     Fleet::Fold m_fold;
     Follower m_common;
     Follower m_zone;
+    Base::MemberName m_self;
+    std::string m_lastOwnRecord;
     std::function<void()> m_onFolded;
     std::function<void()> m_onMembership;
     std::deque<Fleet::Entry> m_waitingZoneEntries;
--- a/src/libs/gateway/routingtable.cpp
+++ b/src/libs/gateway/routingtable.cpp
@@ -39,6 +39,7 @@
         for (const auto &it : m_services[n].routes) {
             m_entries.push_back({it.pathPrefix, {n, it.isIdempotent}});
         }
+        m_longestDeadline = std::max<Base::Duration>(m_longestDeadline, m_services[n].deadline);
     }
     std::stable_sort(m_entries.begin(), m_entries.end(), [](const Entry &a, const Entry &b) {
         return a.pathPrefix.size() > b.pathPrefix.size();
@@ -55,6 +56,11 @@
     return m_targets;
 }
 
+Base::Duration RoutingTable::longestDeadline() const
+{
+    return m_longestDeadline;
+}
+
 std::optional<RoutingTable::Match> RoutingTable::find(std::string_view method, std::string_view target) const
 {
     const auto it = std::find_if(m_entries.begin(), m_entries.end(), [&](const Entry &entry) {
--- a/src/libs/gateway/routingtable.h
+++ b/src/libs/gateway/routingtable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/instant.h>
 #include <base/names.h>
 #include <document/document.h>
 
@@ -51,6 +52,10 @@
     const std::vector<RoutedService> &services() const;
     const std::vector<RoutedTarget> &targets() const;
 
+    /// Of all services. No request outlives it, whatever its caller asks for: drains and memberships rely on
+    /// that.
+    Base::Duration longestDeadline() const;
+
     /// The service of a request by the longest prefix of its path; nothing when no route matches.
     /// Methods that RFC 9110 defines as idempotent are so on every route.
     std::optional<Match> find(std::string_view method, std::string_view target) const;
@@ -63,6 +68,7 @@
 
     std::vector<RoutedService> m_services;
     std::vector<RoutedTarget> m_targets;
+    Base::Duration m_longestDeadline{};
     std::vector<Entry> m_entries; ///< longest prefix first
 };
 
--- a/src/libs/gateway/targetduty.h
+++ b/src/libs/gateway/targetduty.h
@@ -92,6 +92,7 @@
     /// Uses no more slots than this member's share from here on; on the duty's thread.
     void shareSlots(SlotPort port) requires SharesSlots<Scheduler>;
     void setEpoch(const Scheduling::MembershipEpoch &epoch) requires SharesSlots<Scheduler>;
+    void leaveSlots() requires SharesSlots<Scheduler>;
     void receive(const Scheduling::SlotMessage &message) requires SharesSlots<Scheduler>;
 
     /// Handles one message of the caller side; on the duty's thread.
--- a/src/libs/gateway/targetduty_p.h
+++ b/src/libs/gateway/targetduty_p.h
@@ -133,6 +133,13 @@
         }
     }
 
+    void leaveSlots()
+    {
+        if (m_ledger) {
+            changeSlots([&](auto &ledger, auto &out) { ledger.leave(now(), out); });
+        }
+    }
+
     void receive(const Scheduling::SlotMessage &message)
     {
         if (m_ledger) {
@@ -356,7 +363,8 @@
         exchange->trace = m_tracer.begin(message.head->traceParent, message.head->receivedAt);
         exchange->isIdempotent = match->isIdempotent;
         exchange->priority = Internal::priorityFor(*message.head, service.priority);
-        exchange->deadline = message.head->receivedAt + message.head->deadline.value_or(service.deadline);
+        const Base::Duration asked = message.head->deadline.value_or(service.deadline);
+        exchange->deadline = message.head->receivedAt + std::min(asked, m_table->longestDeadline());
         exchange->head = std::move(message.head);
         keepPiece(*exchange, {std::move(message.chunk), message.isLast});
         Exchange &opened = *exchange;
@@ -826,6 +834,12 @@
     d->setEpoch(epoch);
 }
 
+template<SchedulerConcept Scheduler>
+void TargetDuty<Scheduler>::leaveSlots() requires SharesSlots<Scheduler>
+{
+    d->leaveSlots();
+}
+
 template<SchedulerConcept Scheduler>
 void TargetDuty<Scheduler>::receive(const Scheduling::SlotMessage &message) requires SharesSlots<Scheduler>
 {
--- a/src/libs/peering/peercodec.cpp
+++ b/src/libs/peering/peercodec.cpp
@@ -67,6 +67,7 @@
         it.set_sequence(heartbeat.sequence);
         it.set_echo(heartbeat.echo);
         it.set_acknowledged(heartbeat.acknowledged.value);
+        it.set_has_left(heartbeat.hasLeft);
         for (const auto &spare : heartbeat.spares) {
             Proto::SpareSlots &slots = *it.add_spares();
             slots.set_pool(spare.pool.value);
@@ -94,14 +95,25 @@
         }
     }
 
+    void operator()(const Scheduling::LoanReturn &loan)
+    {
+        Proto::LoanReturn &it = *m_message.mutable_give_back();
+        it.set_sequence(loan.sequence);
+        it.set_pool(loan.pool.value);
+    }
+
 private:
     Proto::SlotMessage &m_message;
 };
 
 Scheduling::SlotHeartbeat read(const Proto::SlotHeartbeat &message, Base::MemberName from)
 {
-    Scheduling::SlotHeartbeat heartbeat{
-        std::move(from), message.sequence(), message.echo(), {message.acknowledged()}, {}};
+    Scheduling::SlotHeartbeat heartbeat{std::move(from),
+                                        message.sequence(),
+                                        message.echo(),
+                                        {message.acknowledged()},
+                                        message.has_left(),
+                                        {}};
     for (const auto &it : message.spares()) {
         heartbeat.spares.push_back({{it.pool()}, it.slots()});
     }
@@ -135,6 +147,8 @@
             from, message.borrow().sequence(), {message.borrow().pool()}, message.borrow().slots()};
     case Proto::SlotMessage::kGrant:
         return read(message.grant(), from);
+    case Proto::SlotMessage::kGiveBack:
+        return Scheduling::LoanReturn{from, message.give_back().sequence(), {message.give_back().pool()}};
     default:
         return std::nullopt;
     }
