--- a/tests/auto/processes/process.h
+++ b/tests/auto/processes/process.h
@@ -26,12 +26,12 @@
     /// Waits for its end, for a generous time. The exit status, 128 and the signal that ended it, or nothing.
     std::optional<int> wait();
 
+    bool hasEnded();
+
     std::string output() const;
     std::string log() const;
 
 private:
-    bool hasEnded();
-
     int m_pid = -1;
     std::filesystem::path m_files;
     std::optional<int> m_status;
