--- a/src/libs/gateway/targetduty.h
+++ b/src/libs/gateway/targetduty.h
@@ -87,7 +87,7 @@
 
     /// How idempotency keys are claimed; without it keyed requests are refused. To be set before the first
     /// message is received.
-    void setClaims(ClaimPort port);
+    void setClaims(ClaimPort &&port);
 
     /// Uses no more slots than this member's share from here on; on the duty's thread.
     void shareSlots(SlotPort port) requires SharesSlots<Scheduler>;
