--- a/tests/auto/peering/tst_peering.cpp
+++ b/tests/auto/peering/tst_peering.cpp
@@ -94,6 +94,7 @@
 std::vector<Scheduling::SlotMessage> slotMessages()
 {
     return {Scheduling::SlotHeartbeat{{"entry-1"}, 1, 2, {}, true, {{{"proofs"}, 4}}},
+            Scheduling::BorrowRequest{{"entry-1"}, 5, {"proofs"}, 6, 7ms},
             Scheduling::LoanGrant{{"entry-1"}, 8, {"preview"}, {{{"worker-a-01"}, 9}}},
             Scheduling::LoanReturn{{"entry-1"}, 10, {"preview"}}};
 }
