Carry the term of a request to borrow

Cause: BorrowRequest::term was not in the protocol, so loans between members had no term. Change: the field is carried; readiness no longer waits for own slots, since a member without any serves on loans.

--- a/src/app/rhubarbcrankd/daemon.cpp
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -203,7 +203,6 @@
         m_plane.withTargets([this, answer = std::move(answer)](auto &targets) {
             Control::PlaneLoad load;
             for (const auto &it : targets.scheduler().statistics().pools) {
-                load.slots += it.slots;
                 load.demands.push_back({it.pool,
                                         static_cast<double>(it.busyForeground),
                                         static_cast<double>(it.busyBatch),
--- a/src/libs/control/controlduty.cpp
+++ b/src/libs/control/controlduty.cpp
@@ -258,18 +258,12 @@
             append(Fleet::MemberJoined{m_member, m_settings.zone});
         }
         joinAgain();
-        if (!m_isReady && m_hasJoined && state().members.contains(m_member) && hasSlots()) {
+        if (!m_isReady && m_hasJoined && state().members.contains(m_member)) {
             becomeReady();
         }
         publishStatus();
     }
 
-    // A share of the slots comes some time after joining: the others have to let go first.
-    bool hasSlots() const
-    {
-        return state().instances.empty() || m_ownLoad.slots > 0;
-    }
-
     // One that was taken for gone (frozen, or cut off from the platform) is no member until it joins again;
     // until then drains don't wait for it, so it sends nothing to targets.
     void joinAgain()
@@ -306,9 +300,7 @@
                 return;
             }
             putInForce();
-            if (hasSlots()) {
-                becomeReady();
-            }
+            becomeReady();
             publishStatus();
         });
     }
--- a/src/libs/peering/peercodec.cpp
+++ b/src/libs/peering/peercodec.cpp
@@ -81,6 +81,7 @@
         it.set_sequence(request.sequence);
         it.set_pool(request.pool.value);
         it.set_slots(request.slots);
+        it.set_term_us(request.term.count());
     }
 
     void operator()(const Scheduling::LoanGrant &grant)
@@ -143,8 +144,11 @@
     case Proto::SlotMessage::kHeartbeat:
         return read(message.heartbeat(), from);
     case Proto::SlotMessage::kBorrow:
-        return Scheduling::BorrowRequest{
-            from, message.borrow().sequence(), {message.borrow().pool()}, message.borrow().slots()};
+        return Scheduling::BorrowRequest{from,
+                                         message.borrow().sequence(),
+                                         {message.borrow().pool()},
+                                         message.borrow().slots(),
+                                         Base::Duration(message.borrow().term_us())};
     case Proto::SlotMessage::kGrant:
         return read(message.grant(), from);
     case Proto::SlotMessage::kGiveBack:
