Make the sharing of slots a setting, off by default

Cause: with slots shared, a daemon that replaces a killed one, or that lost the log before it first read the platform's list, had no slots and did not answer within 5 s: Documents.AFreshDaemonComesUpWithTheDocumentInForce and WithTheLogOutDaemonsGoOnServing red. Not found yet: why its peers lend it nothing in time. Change: [fleet] share_slots, false by default. Without it each entry instance uses targets' slots as if it were alone.

--- a/src/app/rhubarbcrankd/daemon.cpp
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -137,7 +137,9 @@
                            [this](std::uint64_t id, Claims::RequestOutcome outcome) {
                                m_claims.finish(id, std::move(outcome));
                            }});
-        shareSlots();
+        if (settings.fleet.sharesSlots) {
+            shareSlots();
+        }
         m_plane.setTelemetry(m_events);
         m_telemetry.addSink(m_events);
         addPages();
--- a/src/libs/settings/daemonsettings.cpp
+++ b/src/libs/settings/daemonsettings.cpp
@@ -217,6 +217,13 @@
              range<Milliseconds>(50ms, 60s),
              "Time between two planner passes.");
     settings.section(&DaemonSettings::fleet, "fleet", "Bounds that hold over all entry instances.")
+        .add(&FleetSettings::sharesSlots,
+             "share_slots",
+             false,
+             AnyValue{},
+             "Whether targets' slots are shared by leases with the zone's other entry instances; otherwise "
+             "each "
+             "uses them as if it were alone.")
         .add(&FleetSettings::leaveBound,
              "leave_bound_ms",
              2s,
--- a/src/libs/settings/daemonsettings.h
+++ b/src/libs/settings/daemonsettings.h
@@ -76,6 +76,7 @@
 };
 
 struct FleetSettings {
+    bool sharesSlots = false; ///< with the zone's other entry instances, by leases
     Milliseconds leaveBound{}; ///< an instance that is leaving gets no new work after this
 };
 
