--- a/src/libs/control/controlduty.cpp
+++ b/src/libs/control/controlduty.cpp
@@ -17,6 +17,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
 #include <random>
 #include <set>
@@ -32,6 +33,7 @@
 constexpr Base::Duration AcknowledgePeriod = std::chrono::milliseconds{200};
 constexpr Base::Duration LeavePatience = std::chrono::seconds{2};
 constexpr Base::Duration PeerStartPatience = std::chrono::seconds{1};
+constexpr int PeriodsOfSilence = 4;
 constexpr std::uint64_t RecordsPerSnapshot = 2000;
 constexpr std::uint64_t EditsPerNote = 256;
 
@@ -93,11 +95,9 @@
                   duty.timers(),
                   m_settings.plannerPeriod,
                   [&duty](std::function<void()> task) { duty.post(std::move(task)); })
-        , m_planner(m_platform,
-                    duty.timers(),
-                    m_member,
-                    m_settings.zone,
-                    [this](Fleet::Event event, Fleet::Offset term) { append(std::move(event), term); })
+        , m_planner(m_platform, m_member, m_settings.zone, [this](Fleet::Event event, Fleet::Offset term) {
+            append(std::move(event), term);
+        })
     {
         publishStatus();
         if (!m_settings.peersAddress.empty()) {
@@ -146,7 +146,7 @@
 private:
     Peering::PeerIdentity identity() const
     {
-        return {m_settings.environment, m_settings.zone, m_member};
+        return {m_settings.environment, m_settings.zone, m_member, m_settings.peersAddress};
     }
 
     // Called on threads of gRPC: the answers are made on the duty's thread.
@@ -158,7 +158,8 @@
                 [this](std::function<void(Peering::PeerState)> answer) {
                     m_duty.post([this, answer = std::move(answer)] { answer(ownState()); });
                 },
-                [this](Scheduling::SlotMessage message) {
+                [this](const Peering::PeerIdentity &from, Scheduling::SlotMessage message) {
+                    m_duty.post([this, from] { m_peers.noteSender(from); });
                     m_requestPlane.receiveSlots(std::move(message));
                 }};
     }
@@ -203,10 +204,17 @@
                                          m_platformStates,
                                          m_planner.actionReports()};
         const auto observations = observe(state(), sources);
-        m_planner.pass(state(), observations, m_peers.silentMembers(state(), m_settings.plannerLease));
+        m_planner.pass(state(), observations, m_peers.silentMembers(state(), leasePatience()));
         keepRecordShort(observations);
     }
 
+    // Members answer once a period: one that has merely not been asked again yet isn't silent, however short
+    // the lease is.
+    Base::Duration leasePatience() const
+    {
+        return std::max(m_settings.plannerLease, PeriodsOfSilence * m_settings.plannerPeriod);
+    }
+
     // What a member that starts would have to read and hold: the planner notes how far the zone has seen the
     // common stream, and writes snapshots before the log drops what they replace. One zone does the latter
     // for the common stream.
@@ -327,6 +335,9 @@
             onFolded();
             startFromPeers();
         }
+        if (!m_isListed) {
+            listInstances();
+        }
         acknowledgeDrains();
         publishStatus();
     }
@@ -384,6 +395,9 @@
     void onList(const std::vector<Platform::ListedInstance> &list)
     {
         m_peers.setList(list);
+        m_isListed = m_isListed || std::any_of(list.begin(), list.end(), [this](const auto &it) {
+                         return it.name == m_settings.instance;
+                     });
         m_platformStates.clear();
         std::set<Base::InstanceName> leaving;
         for (const auto &it : list) {
@@ -459,6 +473,7 @@
     PlaneLoad m_ownLoad;
     std::map<Base::InstanceName, Fleet::PlatformState> m_platformStates;
     bool m_isListFresh = false;
+    bool m_isListed = false; ///< the platform's list had this entry instance: it is read less often then
     bool m_isLeaving = false;
     Base::Instant m_startedAt;
     bool m_hasJoined = false;
--- a/src/libs/control/peerwatch.cpp
+++ b/src/libs/control/peerwatch.cpp
@@ -8,6 +8,13 @@
 namespace Control
 {
 
+namespace
+{
+
+constexpr std::size_t MostSenders = 1024;
+
+} // namespace
+
 PeerWatch::PeerWatch(Peering::PeerIdentity self,
                      std::string instance,
                      Base::TimerService &timers,
@@ -59,7 +66,7 @@
     }
 }
 
-void PeerWatch::askStates(std::function<void(Peering::PeerState)> callback)
+void PeerWatch::askStates(const std::function<void(Peering::PeerState)> &callback)
 {
     for (const auto &[instance, peer] : m_peers) {
         if (peer.address.empty()) {
@@ -79,8 +86,19 @@
     }
 }
 
+void PeerWatch::noteSender(const Peering::PeerIdentity &sender)
+{
+    if (!sender.address.empty() && m_senders.size() < MostSenders) {
+        m_senders[sender.member] = sender.address;
+    }
+}
+
 void PeerWatch::passSlotMessage(const Scheduling::OutgoingSlotMessage &message)
 {
+    if (const auto sender = m_senders.find(message.to); sender != m_senders.end()) {
+        m_client.passSlotMessage(sender->second, message.message);
+        return;
+    }
     for (const auto &[instance, peer] : m_peers) {
         if (peer.report && peer.report->from.member == message.to) {
             m_client.passSlotMessage(peer.address, message.message);
--- a/src/libs/control/peerwatch.h
+++ b/src/libs/control/peerwatch.h
@@ -36,9 +36,12 @@
     void ask();
 
     /// Asks the others for their folded state; `callback` gets each that comes.
-    void askStates(std::function<void(Peering::PeerState)> callback);
+    void askStates(const std::function<void(Peering::PeerState)> &callback);
 
-    /// Passes a message on to a member that has reported; to others it is lost.
+    /// Notes where a member that spoke up listens; the platform's list may not have it yet.
+    void noteSender(const Peering::PeerIdentity &sender);
+
+    /// Passes a message on to a member that has reported or spoken up; to others it is lost.
     void passSlotMessage(const Scheduling::OutgoingSlotMessage &message);
 
     /// Every listed live entry instance of the zone has answered within the last two periods.
@@ -73,6 +76,7 @@
     Base::Duration m_period;
     std::function<void(std::function<void()>)> m_post;
     std::map<std::string, Peer> m_peers; ///< by the entry instance's name
+    std::map<Base::MemberName, std::string> m_senders; ///< addresses of members that spoke up
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     Peering::PeerClient m_client;
 };
--- a/src/libs/control/plannerrunner.cpp
+++ b/src/libs/control/plannerrunner.cpp
@@ -10,12 +10,10 @@
 {
 
 PlannerRunner::PlannerRunner(Platform::HttpPlatform &platform,
-                             Base::TimerService &timers,
                              Base::MemberName member,
                              Base::AvailabilityZoneName zone,
                              Append append)
     : m_platform(platform)
-    , m_timers(timers)
     , m_member(std::move(member))
     , m_zone(std::move(zone))
     , m_append(std::move(append))
--- a/src/libs/control/plannerrunner.h
+++ b/src/libs/control/plannerrunner.h
@@ -24,7 +24,6 @@
     using Append = std::function<void(Fleet::Event, Fleet::Offset term)>;
 
     PlannerRunner(Platform::HttpPlatform &platform,
-                  Base::TimerService &timers,
                   Base::MemberName member,
                   Base::AvailabilityZoneName zone,
                   Append append);
@@ -48,7 +47,6 @@
     void logWaits(const std::vector<Policy::Wait> &waits);
 
     Platform::HttpPlatform &m_platform;
-    Base::TimerService &m_timers;
     Base::MemberName m_member;
     Base::AvailabilityZoneName m_zone;
     Append m_append;
--- a/src/libs/peering/peercodec.cpp
+++ b/src/libs/peering/peercodec.cpp
@@ -15,6 +15,7 @@
     message.set_environment(identity.environment.value);
     message.set_zone(identity.zone.value);
     message.set_member(identity.member.value);
+    message.set_address(identity.address);
 }
 
 void encode(const PeerReport &report, Proto::Report &message)
@@ -160,7 +161,7 @@
 
 PeerIdentity decode(const Proto::Identity &message)
 {
-    return {{message.environment()}, {message.zone()}, {message.member()}};
+    return {{message.environment()}, {message.zone()}, {message.member()}, message.address()};
 }
 
 PeerReport decode(const Proto::Report &message)
--- a/src/libs/peering/peerreport.h
+++ b/src/libs/peering/peerreport.h
@@ -15,6 +15,7 @@
     Base::EnvironmentName environment;
     Base::AvailabilityZoneName zone;
     Base::MemberName member;
+    std::string address; ///< where it listens for peers, "IP:port"
 
     bool operator==(const PeerIdentity &) const = default;
 };
--- a/src/libs/peering/peerserver.cpp
+++ b/src/libs/peering/peerserver.cpp
@@ -21,7 +21,7 @@
 {
 
 constexpr int MostThreads = 4;
-constexpr std::size_t MostBytes = 8 * 1024 * 1024;
+constexpr std::size_t MostBytes = 8ULL * 1024 * 1024;
 constexpr std::chrono::milliseconds StopPatience{500};
 
 } // namespace
@@ -97,7 +97,7 @@
             reactor->Finish(refusal());
             return reactor;
         }
-        m_providers.slots(std::move(*message));
+        m_providers.slots(Internal::decode(request->from()), std::move(*message));
         reactor->Finish(grpc::Status::OK);
         return reactor;
     }
--- a/src/libs/peering/peerserver.h
+++ b/src/libs/peering/peerserver.h
@@ -20,7 +20,7 @@
     struct Providers {
         std::function<void(std::function<void(PeerReport)>)> report;
         std::function<void(std::function<void(PeerState)>)> state;
-        std::function<void(Scheduling::SlotMessage)> slots;
+        std::function<void(PeerIdentity from, Scheduling::SlotMessage)> slots;
     };
 
     /// Throws std::runtime_error when the address ("IP:port") can't be listened on.
