--- a/tests/auto/histories/history.cpp
+++ b/tests/auto/histories/history.cpp
@@ -384,8 +384,8 @@
 
 const Fleet::Charts &shippedCharts()
 {
-    static const Fleet::Charts charts = loadCharts();
-    return charts;
+    static const Fleet::Charts ShippedCharts = loadCharts();
+    return ShippedCharts;
 }
 
 Document::Document makeDocument(std::size_t instances, std::size_t pools, std::size_t zones)
