Leave the naive plane to implicit instantiation

Cause: clang 14 instantiates members whose constraints aren't satisfied in an explicit instantiation, so the linter failed on the naive plane (g++ does not).

--- a/tests/bench/gateway/naiveplane.cpp
+++ b/tests/bench/gateway/naiveplane.cpp
@@ -5,8 +5,6 @@
 #include <gateway/requestplane.h>
 #include <gateway/targetduty_p.h>
 
-template class Gateway::TargetDuty<Bench::NaiveScheduler>;
-
 namespace Bench
 {
 
