Put the interleaving test's seeds back to 150

Cause: the number of seeds had been cut from 150 to 60 for run time before the test first landed; that is a weaker check, and time was no reason. Change: 150 seeds again.

--- a/tests/auto/fleet/tst_interleaving.cpp
+++ b/tests/auto/fleet/tst_interleaving.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::uint64_t Seeds = 60;
+constexpr std::uint64_t Seeds = 150;
 const Base::AvailabilityZoneName Zone{"a"};
 
 Fleet::Fold emptyFold()
