--- /dev/null
+++ b/src/libs/http/client.cpp
@@ -0,0 +1,354 @@
+#include "client.h"
+
+#include <base/oneshottimer.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace Http
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+
+std::string_view valueOf(const std::vector<Field> &fields, std::string_view name)
+{
+    for (const Field &it : fields) {
+        if (beast::iequals(beast::string_view(it.name.data(), it.name.size()),
+                           beast::string_view(name.data(), name.size()))) {
+            return it.value;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+std::string_view Request::field(std::string_view name) const
+{
+    return valueOf(fields, name);
+}
+
+std::string_view Response::field(std::string_view name) const
+{
+    return valueOf(fields, name);
+}
+
+namespace
+{
+
+struct Exchange {
+    Request request;
+    Base::Instant deadline;
+    Client::Callback done;
+};
+
+} // namespace
+
+struct Client::Server {
+    Ini::Endpoint endpoint;
+    std::vector<std::shared_ptr<Connection>> idle;
+    std::size_t open = 0;
+    std::deque<Exchange> waiting;
+};
+
+class Client::Private : public std::enable_shared_from_this<Client::Private>
+{
+public:
+    Private(asio::io_context &ioContext, Base::TimerService &timerService, const ClientLimits &clientLimits)
+        : context(ioContext)
+        , timers(timerService)
+        , limits(clientLimits)
+    {
+    }
+
+    void send(Server &server, Exchange exchange);
+    void release(Server &server, const std::shared_ptr<Connection> &connection);
+    void dropped(Server &server);
+    void expireWaiting(Server &server);
+
+    asio::io_context &context;
+    Base::TimerService &timers;
+    ClientLimits limits;
+    std::map<Ini::Endpoint, Server> servers;
+    std::uint64_t opened = 0;
+    bool isClosing = false;
+};
+
+class Client::Connection : public std::enable_shared_from_this<Client::Connection>
+{
+public:
+    Connection(std::shared_ptr<Private> owner, Server &server)
+        : m_owner(std::move(owner))
+        , m_server(server)
+        , m_socket(m_owner->context)
+        , m_timer(m_owner->timers)
+    {
+    }
+
+    void run(Exchange exchange)
+    {
+        m_exchange = std::move(exchange);
+        m_wasSent = false;
+        if (m_socket.is_open()) {
+            armDeadline();
+            write();
+            return;
+        }
+        connect();
+    }
+
+    bool isIdleSince(Base::Instant when) const
+    {
+        return m_idleSince <= when;
+    }
+
+    void setIdleSince(Base::Instant when)
+    {
+        m_idleSince = when;
+        m_timer.disarm();
+    }
+
+    void close()
+    {
+        boost::system::error_code ec;
+        m_socket.close(ec);
+        m_timer.disarm();
+    }
+
+private:
+    void armDeadline()
+    {
+        m_timer.armAt(m_exchange->deadline, [self = shared_from_this()] { self->fail("timeout"); });
+    }
+
+    void connect()
+    {
+        boost::system::error_code ec;
+        const auto address = asio::ip::make_address(m_server.endpoint.ip, ec);
+        if (ec) {
+            fail("address: " + ec.message());
+            return;
+        }
+        ++m_owner->opened;
+        const auto limit = std::min(m_exchange->deadline, m_owner->timers.now() + m_owner->limits.connectTimeout);
+        m_timer.armAt(limit, [self = shared_from_this()] { self->fail("connect: timeout"); });
+        m_socket.async_connect({address, m_server.endpoint.port},
+                               [self = shared_from_this()](boost::system::error_code error) {
+                                   self->connected(error);
+                               });
+    }
+
+    void connected(boost::system::error_code ec)
+    {
+        if (!m_exchange) {
+            return;
+        }
+        if (ec) {
+            fail("connect: " + ec.message());
+            return;
+        }
+        m_socket.set_option(tcp::no_delay(true), ec);
+        armDeadline();
+        write();
+    }
+
+    void write()
+    {
+        m_request = {};
+        m_request.version(11);
+        m_request.method_string(m_exchange->request.method);
+        m_request.target(m_exchange->request.target);
+        bool hasHost = false;
+        for (const Field &it : m_exchange->request.fields) {
+            m_request.set(it.name, it.value);
+            hasHost = hasHost || beast::iequals(it.name, "host");
+        }
+        if (!hasHost) {
+            m_request.set(beast::http::field::host, Ini::toString(m_server.endpoint));
+        }
+        m_request.body() = std::move(m_exchange->request.body);
+        m_request.prepare_payload();
+        m_wasSent = true;
+        beast::http::async_write(
+            m_socket, m_request, [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
+                self->written(ec);
+            });
+    }
+
+    void written(boost::system::error_code ec)
+    {
+        if (!m_exchange) {
+            return;
+        }
+        if (ec) {
+            fail("send: " + ec.message());
+            return;
+        }
+        m_parser.emplace();
+        m_parser->body_limit(m_owner->limits.responseLimit);
+        beast::http::async_read(m_socket,
+                                m_buffer,
+                                *m_parser,
+                                [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+                                    self->read(error);
+                                });
+    }
+
+    void read(boost::system::error_code ec)
+    {
+        if (!m_exchange) {
+            return;
+        }
+        if (ec) {
+            fail("receive: " + ec.message());
+            return;
+        }
+        auto message = m_parser->release();
+        Outcome outcome;
+        outcome.verdict = Base::Verdict::Ran;
+        outcome.response.emplace();
+        outcome.response->status = message.result_int();
+        for (const auto &it : message) {
+            outcome.response->fields.push_back({std::string(it.name_string()), std::string(it.value())});
+        }
+        outcome.response->body = std::move(message.body());
+        const bool isKept = message.keep_alive() && m_buffer.size() == 0;
+        auto done = std::move(m_exchange->done);
+        m_exchange.reset();
+        m_timer.disarm();
+        if (isKept) {
+            m_owner->release(m_server, shared_from_this());
+        } else {
+            close();
+            m_owner->dropped(m_server);
+        }
+        done(std::move(outcome));
+    }
+
+    void fail(std::string failure)
+    {
+        if (!m_exchange) {
+            return;
+        }
+        auto done = std::move(m_exchange->done);
+        m_exchange.reset();
+        close();
+        m_owner->dropped(m_server);
+        Outcome outcome;
+        outcome.verdict = m_wasSent ? Base::Verdict::MayHaveRun : Base::Verdict::NotRun;
+        outcome.failure = std::move(failure);
+        done(std::move(outcome));
+    }
+
+    std::shared_ptr<Private> m_owner;
+    Server &m_server;
+    tcp::socket m_socket;
+    Base::OneShotTimer m_timer;
+    beast::flat_buffer m_buffer;
+    beast::http::request<beast::http::string_body> m_request;
+    std::optional<beast::http::response_parser<beast::http::string_body>> m_parser;
+    std::optional<Exchange> m_exchange;
+    Base::Instant m_idleSince;
+    bool m_wasSent = false;
+};
+
+void Client::Private::send(Server &server, Exchange exchange)
+{
+    const Base::Instant stale = timers.now() - limits.idleTimeout;
+    while (!server.idle.empty()) {
+        const auto connection = server.idle.back();
+        server.idle.pop_back();
+        if (!connection->isIdleSince(stale)) {
+            connection->run(std::move(exchange));
+            return;
+        }
+        connection->close();
+        --server.open;
+    }
+    if (server.open < limits.connectionsPerServer) {
+        ++server.open;
+        std::make_shared<Connection>(shared_from_this(), server)->run(std::move(exchange));
+        return;
+    }
+    server.waiting.push_back(std::move(exchange));
+}
+
+void Client::Private::release(Server &server, const std::shared_ptr<Connection> &connection)
+{
+    expireWaiting(server);
+    if (!server.waiting.empty()) {
+        Exchange next = std::move(server.waiting.front());
+        server.waiting.pop_front();
+        connection->run(std::move(next));
+        return;
+    }
+    connection->setIdleSince(timers.now());
+    server.idle.push_back(connection);
+}
+
+void Client::Private::dropped(Server &server)
+{
+    --server.open;
+    expireWaiting(server);
+    if (!server.waiting.empty() && !isClosing) {
+        Exchange next = std::move(server.waiting.front());
+        server.waiting.pop_front();
+        send(server, std::move(next));
+    }
+}
+
+// The connections' own timeouts bound how long a request waits here, so no timer of its own is needed.
+void Client::Private::expireWaiting(Server &server)
+{
+    const Base::Instant now = timers.now();
+    while (!server.waiting.empty() && server.waiting.front().deadline <= now) {
+        auto done = std::move(server.waiting.front().done);
+        server.waiting.pop_front();
+        Outcome outcome;
+        outcome.failure = "no free connection in time";
+        done(std::move(outcome));
+    }
+}
+
+Client::Client(asio::io_context &context, Base::TimerService &timers, const ClientLimits &limits)
+    : d(std::make_shared<Private>(context, timers, limits))
+{
+}
+
+Client::~Client()
+{
+    d->isClosing = true;
+    for (auto &[endpoint, server] : d->servers) {
+        for (const auto &it : server.idle) {
+            it->close();
+        }
+        server.idle.clear();
+    }
+}
+
+void Client::send(const Ini::Endpoint &server, Request request, Base::Duration timeout, Callback done)
+{
+    auto [it, isNew] = d->servers.try_emplace(server);
+    if (isNew) {
+        it->second.endpoint = server;
+    }
+    d->send(it->second, {std::move(request), d->timers.now() + timeout, std::move(done)});
+}
+
+std::uint64_t Client::connectionsOpened() const
+{
+    return d->opened;
+}
+
+} // namespace Http
--- /dev/null
+++ b/src/libs/http/client.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "message.h"
+
+#include <base/timerservice.h>
+#include <base/verdict.h>
+#include <ini/values.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Http
+{
+
+struct ClientLimits {
+    std::size_t connectionsPerServer = 16; ///< further requests wait for one of these
+    std::size_t responseLimit = 64U << 20U; ///< bytes of a body
+    Base::Duration connectTimeout = std::chrono::milliseconds{1000};
+    Base::Duration idleTimeout = std::chrono::seconds{20}; ///< a connection unused for so long is closed
+};
+
+/// A response, or why there is none and whether the server may have handled the request.
+struct Outcome {
+    std::optional<Response> response{};
+    Base::Verdict verdict = Base::Verdict::NotRun;
+    std::string failure{};
+};
+
+/// Sends requests over kept connections. A connection on which a request timed out is never used again.
+class Client
+{
+public:
+    using Callback = std::function<void(Outcome)>;
+
+    Client(boost::asio::io_context &context, Base::TimerService &timers, const ClientLimits &limits);
+    ~Client();
+
+    /// Calls `done` once; with a failure when there is no whole response within `timeout`.
+    void send(const Ini::Endpoint &server, Request request, Base::Duration timeout, Callback done);
+
+    /// Connections opened so far.
+    std::uint64_t connectionsOpened() const;
+
+private:
+    class Connection;
+    struct Server;
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace Http
--- /dev/null
+++ b/src/libs/jobs/job.cpp
@@ -0,0 +1,119 @@
+#include "job.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace Jobs
+{
+
+std::string toString(const TaskId &task)
+{
+    return fmt::format("{}.{}.{}.{}", task.job, task.occurrence, task.stage, task.index);
+}
+
+std::optional<TaskId> taskIdFromString(std::string_view text)
+{
+    std::uint32_t numbers[3] = {};
+    for (int n = 2; n >= 0; --n) {
+        const auto dot = text.rfind('.');
+        if (dot == std::string_view::npos) {
+            return std::nullopt;
+        }
+        const auto digits = text.substr(dot + 1);
+        const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), numbers[n]);
+        if (ec != std::errc() || end != digits.data() + digits.size()) {
+            return std::nullopt;
+        }
+        text = text.substr(0, dot);
+    }
+    return TaskId{std::string(text), numbers[0], numbers[1], numbers[2]};
+}
+
+Occurrence &Job::addOccurrence(std::uint32_t number)
+{
+    Occurrence &occurrence = occurrences[number];
+    occurrence.stages.resize(spec.stages.size());
+    for (std::size_t n = 0; n < spec.stages.size(); ++n) {
+        occurrence.stages[n].tasks.resize(spec.stages[n].count);
+    }
+    nextOccurrence = std::max(nextOccurrence, number + 1);
+    return occurrence;
+}
+
+Task *Job::find(const TaskId &id)
+{
+    const auto it = occurrences.find(id.occurrence);
+    if (it == occurrences.end() || id.stage >= it->second.stages.size()) {
+        return nullptr;
+    }
+    auto &tasks = it->second.stages[id.stage].tasks;
+    return id.index < tasks.size() ? &tasks[id.index] : nullptr;
+}
+
+const Stage *Job::stageOf(const TaskId &id) const
+{
+    return id.stage < spec.stages.size() ? &spec.stages[id.stage] : nullptr;
+}
+
+bool Job::isReady(const Occurrence &occurrence, std::uint32_t stage) const
+{
+    const auto &needed = spec.stages[stage].dependsOn;
+    return std::all_of(
+        needed.begin(), needed.end(), [&](std::uint32_t it) { return occurrence.stages[it].isDone(); });
+}
+
+bool Job::hasRuns() const
+{
+    for (const auto &[number, occurrence] : occurrences) {
+        for (const StageProgress &stage : occurrence.stages) {
+            for (const Task &it : stage.tasks) {
+                if (it.run != RunState::None) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+// Stages depend on earlier ones only, so one pass in order finds the longest path.
+Milliseconds Job::remainingChain(const Occurrence &occurrence) const
+{
+    Milliseconds longest{};
+    std::vector<Milliseconds> ends(spec.stages.size());
+    for (std::size_t n = 0; n < spec.stages.size(); ++n) {
+        for (const std::uint32_t it : spec.stages[n].dependsOn) {
+            ends[n] = std::max(ends[n], ends[it]);
+        }
+        if (!occurrence.stages[n].isDone()) {
+            ends[n] += spec.stages[n].estimate;
+        }
+        longest = std::max(longest, ends[n]);
+    }
+    return longest;
+}
+
+Milliseconds Job::chain() const
+{
+    Milliseconds longest{};
+    std::vector<Milliseconds> ends(spec.stages.size());
+    for (std::size_t n = 0; n < spec.stages.size(); ++n) {
+        for (const std::uint32_t it : spec.stages[n].dependsOn) {
+            ends[n] = std::max(ends[n], ends[it]);
+        }
+        ends[n] += spec.stages[n].estimate;
+        longest = std::max(longest, ends[n]);
+    }
+    return longest;
+}
+
+WallTime Job::objective(std::uint32_t occurrence) const
+{
+    const WallTime due = spec.isTimed() ? spec.firstDue + spec.interval * occurrence : acceptedAt;
+    return due + Milliseconds(static_cast<std::int64_t>(spec.queue.slackFactor * double(chain().count())))
+        + spec.queue.targetLatency;
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/src/libs/jobs/jobrecord.cpp
@@ -0,0 +1,281 @@
+#include "jobrecord.h"
+
+#include <boost/json.hpp>
+
+#include <exception>
+
+namespace Jobs
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+json::object encodeStage(const Stage &stage)
+{
+    json::object out{{"count", stage.count},
+                     {"cores", stage.size.milliCores},
+                     {"memory", stage.size.memory},
+                     {"estimate", stage.estimate.count()}};
+    const auto addFlag = [&out](const char *name, bool isSet) {
+        if (isSet) {
+            out[name] = true;
+        }
+    };
+    const auto addText = [&out](const char *name, const std::string &text) {
+        if (!text.empty()) {
+            out[name] = text;
+        }
+    };
+    const auto addNumber = [&out](const char *name, std::int64_t number) {
+        if (number != 0) {
+            out[name] = number;
+        }
+    };
+    addNumber("accelerators", stage.size.accelerators);
+    if (!stage.dependsOn.empty()) {
+        out["depends_on"] = json::array(stage.dependsOn.begin(), stage.dependsOn.end());
+    }
+    addFlag("checkpoints", stage.canCheckpoint);
+    addFlag("gang", stage.isGang);
+    addFlag("rack_sensitive", stage.isRackSensitive);
+    addFlag("speculative", stage.isSpeculative);
+    addFlag("long_running", stage.isLongRunning);
+    addFlag("fills", stage.fillsLeftovers);
+    addText("label", stage.requiredLabel);
+    addText("data_rack", stage.dataRack);
+    addText("image", stage.image);
+    addNumber("per_worker", stage.tasksPerWorker);
+    addNumber("tail_target", stage.tailTarget.count());
+    addNumber("max_unavailable", stage.maxUnavailable);
+    return out;
+}
+
+template<typename Number>
+Number numberOr(const json::object &from, const char *name, Number fallback)
+{
+    const json::value *found = from.if_contains(name);
+    return found ? found->to_number<Number>() : fallback;
+}
+
+bool flag(const json::object &from, const char *name)
+{
+    return from.if_contains(name) != nullptr;
+}
+
+std::string textOr(const json::object &from, const char *name)
+{
+    const json::value *found = from.if_contains(name);
+    return found ? std::string(found->as_string()) : std::string();
+}
+
+Stage decodeStage(const json::object &from)
+{
+    Stage stage;
+    stage.count = from.at("count").to_number<std::uint32_t>();
+    stage.size.milliCores = from.at("cores").to_number<std::int64_t>();
+    stage.size.memory = from.at("memory").to_number<std::int64_t>();
+    stage.size.accelerators = numberOr<std::int64_t>(from, "accelerators", 0);
+    stage.estimate = Milliseconds(from.at("estimate").to_number<std::int64_t>());
+    if (const json::value *found = from.if_contains("depends_on")) {
+        for (const json::value &it : found->as_array()) {
+            stage.dependsOn.push_back(it.to_number<std::uint32_t>());
+        }
+    }
+    stage.canCheckpoint = flag(from, "checkpoints");
+    stage.isGang = flag(from, "gang");
+    stage.isRackSensitive = flag(from, "rack_sensitive");
+    stage.isSpeculative = flag(from, "speculative");
+    stage.isLongRunning = flag(from, "long_running");
+    stage.fillsLeftovers = flag(from, "fills");
+    stage.requiredLabel = textOr(from, "label");
+    stage.dataRack = textOr(from, "data_rack");
+    stage.image = textOr(from, "image");
+    stage.tasksPerWorker = numberOr<std::uint32_t>(from, "per_worker", 0);
+    stage.tailTarget = Milliseconds(numberOr<std::int64_t>(from, "tail_target", 0));
+    stage.maxUnavailable = numberOr<std::uint32_t>(from, "max_unavailable", 0);
+    return stage;
+}
+
+json::object encodeQueue(const QueuePolicy &queue)
+{
+    json::object out{{"name", queue.name},
+                     {"service", queue.service},
+                     {"priority", queue.priority},
+                     {"max_attempts", queue.maxAttempts},
+                     {"slack_factor", queue.slackFactor},
+                     {"target_latency", queue.targetLatency.count()}};
+    if (queue.advice) {
+        out["advice"] = json::array{queue.advice->decide.count(), queue.advice->perWorker.count()};
+    }
+    return out;
+}
+
+QueuePolicy decodeQueue(const json::object &from)
+{
+    QueuePolicy queue;
+    queue.name = textOr(from, "name");
+    queue.service = textOr(from, "service");
+    queue.priority = from.at("priority").to_number<std::uint32_t>();
+    queue.maxAttempts = from.at("max_attempts").to_number<std::uint32_t>();
+    queue.slackFactor = from.at("slack_factor").to_number<double>();
+    queue.targetLatency = Milliseconds(from.at("target_latency").to_number<std::int64_t>());
+    if (const json::value *found = from.if_contains("advice")) {
+        queue.advice = AdvicePolicy{Milliseconds(found->at(0).to_number<std::int64_t>()),
+                                    Milliseconds(found->at(1).to_number<std::int64_t>())};
+    }
+    return queue;
+}
+
+// Done, attempt, failures, worker, checkpoint; trailing parts that are empty are left out.
+json::array encodeTask(const Task &task)
+{
+    json::array out{task.isDone ? 1 : 0, task.attempt, task.failures};
+    const bool isAssigned = task.run != RunState::None;
+    if (isAssigned || (!task.checkpoint.empty() && !task.isDone)) {
+        out.emplace_back(isAssigned ? task.worker : std::string());
+    }
+    if (!task.checkpoint.empty() && !task.isDone) {
+        out.emplace_back(task.checkpoint);
+    }
+    return out;
+}
+
+Task decodeTask(const json::array &from)
+{
+    Task task;
+    task.isDone = from.at(0).to_number<int>() != 0;
+    task.attempt = from.at(1).to_number<std::uint32_t>();
+    task.failures = from.at(2).to_number<std::uint32_t>();
+    if (from.size() > 3) {
+        task.worker = std::string(from.at(3).as_string());
+    }
+    if (from.size() > 4) {
+        task.checkpoint = std::string(from.at(4).as_string());
+    }
+    if (!task.isDone && !task.worker.empty()) {
+        task.run = RunState::Inherited;
+    }
+    return task;
+}
+
+} // namespace
+
+std::string specKey(std::string_view job)
+{
+    return "spec/" + std::string(job);
+}
+
+std::string progressKey(std::string_view job)
+{
+    return "progress/" + std::string(job);
+}
+
+std::string encodeSpec(const JobSpec &spec, WallTime acceptedAt)
+{
+    json::object out{{"id", spec.id},
+                     {"queue", encodeQueue(spec.queue)},
+                     {"payload", spec.payload},
+                     {"accepted", acceptedAt.time_since_epoch().count()}};
+    json::array stages;
+    for (const Stage &it : spec.stages) {
+        stages.push_back(encodeStage(it));
+    }
+    out["stages"] = std::move(stages);
+    if (spec.isTimed()) {
+        out["first_due"] = spec.firstDue.time_since_epoch().count();
+        out["interval"] = spec.interval.count();
+        out["occurrences"] = spec.occurrences;
+    }
+    return json::serialize(out);
+}
+
+std::string encodeProgress(const Job &job)
+{
+    json::object out{{"state", static_cast<int>(job.state)}, {"done", job.occurrencesDone}};
+    if (job.hasStarted) {
+        out["started"] = true;
+    }
+    if (job.state != JobState::Active) {
+        out["ended"] = job.endedAt.time_since_epoch().count();
+    }
+    json::object occurrences;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        if (occurrence.isDone) {
+            continue;
+        }
+        json::array stages;
+        for (const StageProgress &stage : occurrence.stages) {
+            json::array tasks;
+            for (const Task &it : stage.tasks) {
+                tasks.push_back(encodeTask(it));
+            }
+            stages.push_back(std::move(tasks));
+        }
+        occurrences[std::to_string(number)] = std::move(stages);
+    }
+    out["next"] = job.nextOccurrence;
+    out["tasks"] = std::move(occurrences);
+    return json::serialize(out);
+}
+
+std::optional<Job> decodeSpec(std::string_view text)
+{
+    try {
+        const json::value parsed = json::parse(json::string_view(text.data(), text.size()));
+        const json::object &from = parsed.as_object();
+        Job job;
+        job.spec.id = textOr(from, "id");
+        job.spec.queue = decodeQueue(from.at("queue").as_object());
+        job.spec.payload = textOr(from, "payload");
+        job.acceptedAt = WallTime(Milliseconds(from.at("accepted").to_number<std::int64_t>()));
+        for (const json::value &it : from.at("stages").as_array()) {
+            job.spec.stages.push_back(decodeStage(it.as_object()));
+        }
+        job.spec.occurrences = numberOr<std::uint32_t>(from, "occurrences", 0);
+        job.spec.interval = Milliseconds(numberOr<std::int64_t>(from, "interval", 0));
+        job.spec.firstDue = WallTime(Milliseconds(numberOr<std::int64_t>(from, "first_due", 0)));
+        return job;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+bool decodeProgress(std::string_view text, Job &job)
+{
+    try {
+        const json::value parsed = json::parse(json::string_view(text.data(), text.size()));
+        const json::object &from = parsed.as_object();
+        Job read = job;
+        read.occurrences.clear();
+        read.state = static_cast<JobState>(from.at("state").to_number<int>());
+        read.occurrencesDone = from.at("done").to_number<std::uint32_t>();
+        read.hasStarted = flag(from, "started");
+        read.endedAt = WallTime(Milliseconds(numberOr<std::int64_t>(from, "ended", 0)));
+        read.nextOccurrence = from.at("next").to_number<std::uint32_t>();
+        for (const auto &it : from.at("tasks").as_object()) {
+            const auto number = static_cast<std::uint32_t>(std::stoul(std::string(it.key())));
+            Occurrence occurrence;
+            for (const json::value &tasks : it.value().as_array()) {
+                StageProgress stage;
+                for (const json::value &task : tasks.as_array()) {
+                    stage.tasks.push_back(decodeTask(task.as_array()));
+                    stage.done += stage.tasks.back().isDone ? 1 : 0;
+                }
+                occurrence.stages.push_back(std::move(stage));
+            }
+            if (occurrence.stages.size() != read.spec.stages.size()) {
+                return false;
+            }
+            read.occurrences[number] = std::move(occurrence);
+        }
+        read.storedState = read.state;
+        job = std::move(read);
+        return true;
+    } catch (const std::exception &) {
+        return false;
+    }
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/src/libs/jobs/placement.cpp
@@ -0,0 +1,82 @@
+#include "placement.h"
+
+#include <algorithm>
+
+namespace Jobs
+{
+
+namespace
+{
+
+bool hasLabel(const WorkerInfo &worker, const std::string &label)
+{
+    return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
+bool fits(const Stage &stage, const Candidate &candidate, Base::Instant now)
+{
+    const Worker &worker = *candidate.worker;
+    if (!worker.isUsable(now) || !hasLabel(worker.info, stage.requiredLabel)) {
+        return false;
+    }
+    if (stage.tasksPerWorker > 0 && candidate.tasksOfStage >= stage.tasksPerWorker) {
+        return false;
+    }
+    Resources room = worker.info.capacity;
+    room -= worker.used;
+    return room.contains(charge(stage));
+}
+
+// Lower is better. Being away from the data costs more than any gap in the room could save.
+std::int64_t cost(const Stage &stage, const Candidate &candidate)
+{
+    constexpr std::int64_t FarFromData = 1'000'000'000;
+    const Worker &worker = *candidate.worker;
+    const std::int64_t left = worker.info.capacity.milliCores - worker.used.milliCores;
+    std::int64_t sum = 0;
+    if (!stage.dataRack.empty() && worker.info.rack != stage.dataRack) {
+        sum += FarFromData;
+    }
+    if (stage.isLongRunning) {
+        // Long-running tasks are spread: a worker that leaves takes few of them along.
+        return sum - left;
+    }
+    return sum + left;
+}
+
+} // namespace
+
+Resources charge(const Stage &stage)
+{
+    Resources size = stage.size;
+    if (stage.fillsLeftovers) {
+        size.milliCores = 0;
+    }
+    return size;
+}
+
+Worker *choosePlace(const Stage &stage, std::span<const Candidate> candidates, Base::Instant now)
+{
+    Worker *best = nullptr;
+    std::int64_t bestCost = 0;
+    for (const Candidate &it : candidates) {
+        if (!fits(stage, it, now)) {
+            continue;
+        }
+        const std::int64_t itsCost = cost(stage, it);
+        if (!best || itsCost < bestCost) {
+            best = it.worker;
+            bestCost = itsCost;
+        }
+    }
+    return best;
+}
+
+bool couldEverRun(const Stage &stage, std::span<const WorkerInfo *const> workers)
+{
+    return std::any_of(workers.begin(), workers.end(), [&](const WorkerInfo *it) {
+        return hasLabel(*it, stage.requiredLabel) && it->capacity.contains(charge(stage));
+    });
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/src/libs/jobs/shard.cpp
@@ -0,0 +1,319 @@
+#include "shard.h"
+
+#include "jobrecord.h"
+#include "placement.h"
+
+#include <base/logline.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Jobs
+{
+
+namespace
+{
+
+// A caller whose job was refused because the store doesn't answer may come back after this.
+constexpr Milliseconds StoreRetryAfter{1000};
+
+constexpr std::string_view SpecPrefix = "spec/";
+constexpr std::string_view ProgressPrefix = "progress/";
+
+} // namespace
+
+Shard::Shard(const ShardSettings &settings, FencingToken token)
+    : m_settings(settings)
+    , m_token(token)
+{
+    m_settings.lease = std::min(m_settings.lease, m_settings.leaseLimit);
+}
+
+FencingToken Shard::token() const
+{
+    return m_token;
+}
+
+const std::map<std::string, Worker> &Shard::workers() const
+{
+    return m_workers;
+}
+
+const std::map<std::string, Job, std::less<>> &Shard::jobs() const
+{
+    return m_jobs;
+}
+
+// Records come in any order, so the progress may be there before the specification.
+void Shard::load(std::string_view key, std::string_view value)
+{
+    if (key.substr(0, SpecPrefix.size()) == SpecPrefix) {
+        const std::string id(key.substr(SpecPrefix.size()));
+        auto job = decodeSpec(value);
+        if (!job) {
+            Base::LogLine(Base::LogLevel::Error, "record-unreadable").with("key", key);
+            return;
+        }
+        job->isStored = true;
+        job->isDirty = false;
+        m_jobs[id] = std::move(*job);
+        return;
+    }
+    if (key.substr(0, ProgressPrefix.size()) == ProgressPrefix) {
+        const auto it = m_jobs.find(key.substr(ProgressPrefix.size()));
+        if (it == m_jobs.end() || !decodeProgress(value, it->second)) {
+            Base::LogLine(Base::LogLevel::Error, "record-unreadable").with("key", key);
+        }
+    }
+}
+
+// The earlier owner may have renewed leases until its own patience ended, on workers that this owner can't reach.
+void Shard::begin(Base::Instant now, WallTime wall)
+{
+    m_takenOverAt = now;
+    m_lastBatchAt = now - m_settings.batchPeriod;
+    for (auto &[id, job] : m_jobs) {
+        if (job.occurrences.empty() && !job.spec.isTimed() && job.state == JobState::Active) {
+            job.addOccurrence(0);
+        }
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (std::uint32_t stage = 0; stage < occurrence.stages.size(); ++stage) {
+                auto &tasks = occurrence.stages[stage].tasks;
+                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                    Task &task = tasks[index];
+                    task.waitsSince = now;
+                    if (task.run == RunState::None) {
+                        continue;
+                    }
+                    Worker &worker = workerFor(task.worker);
+                    worker.runs.insert({id, number, stage, index});
+                    worker.used += charge(job.spec.stages[stage]);
+                }
+            }
+        }
+        if (job.state == JobState::Active) {
+            addDueOccurrences(job, wall);
+        } else {
+            stopRuns(job, now);
+        }
+    }
+    const auto bound = m_settings.adrift + m_settings.lease * 103 / 100 + Milliseconds(300);
+    for (auto &[id, worker] : m_workers) {
+        worker.leaseBound = now + bound;
+    }
+}
+
+void Shard::setWorkers(std::span<const WorkerInfo> workers, Base::Instant now)
+{
+    for (auto &[id, worker] : m_workers) {
+        worker.isListed = false;
+    }
+    for (const WorkerInfo &it : workers) {
+        Worker &worker = workerFor(it.id);
+        const bool wasKnown = !worker.info.address.empty();
+        if (it.born > worker.born && worker.born != 0) {
+            startNewLife(worker, it.born, now);
+        }
+        if (!wasKnown || worker.info.address != it.address) {
+            worker.nextAsk = now;
+        }
+        worker.info = it;
+        worker.isListed = true;
+    }
+    m_hasChanged = true;
+}
+
+void Shard::setAdrift(bool isAdrift)
+{
+    m_isAdrift = isAdrift;
+    m_hasChanged = true;
+}
+
+void Shard::refuseWaiting()
+{
+    for (auto &[id, job] : m_jobs) {
+        const bool isUnsent = !job.isStored && job.firstBatch == 0;
+        for (const ReplyId it : job.waitForAcceptance) {
+            reply(it, isUnsent ? Answer::Refused : Answer::Unknown, StoreRetryAfter);
+        }
+        for (const ReplyId it : job.waitForCancel) {
+            reply(it, Answer::Unknown);
+        }
+        job.waitForAcceptance.clear();
+        job.waitForCancel.clear();
+    }
+}
+
+void Shard::submit(JobSpec spec, ReplyId replyId, Base::Instant now, WallTime wall)
+{
+    if (const auto it = m_jobs.find(spec.id); it != m_jobs.end()) {
+        if (it->second.isStored) {
+            reply(replyId, Answer::Accepted);
+        } else {
+            it->second.waitForAcceptance.push_back(replyId);
+        }
+        return;
+    }
+    const bool isStalled = m_batch && now - m_batch->sentAt > m_settings.storePatience;
+    if (m_isAdrift || isStalled) {
+        reply(replyId, Answer::Refused, StoreRetryAfter);
+        return;
+    }
+    std::vector<const WorkerInfo *> listed;
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.isListed && worker.info.service == spec.queue.service) {
+            listed.push_back(&worker.info);
+        }
+    }
+    const bool isHopeless = !listed.empty()
+        && std::any_of(spec.stages.begin(), spec.stages.end(), [&](const Stage &it) {
+               return !couldEverRun(it, listed);
+           });
+    if (isHopeless) {
+        reply(replyId, Answer::Hopeless);
+        return;
+    }
+    Job job;
+    job.spec = std::move(spec);
+    job.acceptedAt = wall;
+    job.waitForAcceptance.push_back(replyId);
+    if (!job.spec.isTimed()) {
+        job.addOccurrence(0);
+    }
+    addDueOccurrences(job, wall);
+    const std::string id = job.spec.id;
+    m_jobs[id] = std::move(job);
+    m_nextOccurrenceDue = std::min(m_nextOccurrenceDue, now);
+    m_hasChanged = true;
+}
+
+void Shard::cancel(std::string_view id, ReplyId replyId, Base::Instant now, WallTime wall)
+{
+    const auto it = m_jobs.find(id);
+    if (it == m_jobs.end()) {
+        reply(replyId, Answer::NoSuchJob);
+        return;
+    }
+    Job &job = it->second;
+    if (job.state != JobState::Active && job.storedState == job.state) {
+        reply(replyId, Answer::Cancelled);
+        return;
+    }
+    if (job.state == JobState::Active) {
+        endJob(job, JobState::Cancelled, wall, now);
+    }
+    job.waitForCancel.push_back(replyId);
+}
+
+const Job *Shard::find(std::string_view id) const
+{
+    const auto it = m_jobs.find(id);
+    return it != m_jobs.end() && it->second.isStored ? &it->second : nullptr;
+}
+
+std::size_t Shard::pending(std::string_view queue) const
+{
+    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto &it) {
+        const Job &job = it.second;
+        return job.isStored && job.state == JobState::Active && !job.hasStarted && job.spec.queue.name == queue;
+    }));
+}
+
+void Shard::appended(std::uint64_t number, AppendResult result, Base::Instant now, WallTime)
+{
+    if (!m_batch || m_batch->number != number) {
+        return;
+    }
+    if (result == AppendResult::Fenced) {
+        m_commands.emplace_back(GiveUpShard{"the store has a newer owner"});
+        return;
+    }
+    const Batch batch = std::move(*m_batch);
+    m_batch.reset();
+    m_hasChanged = true;
+    if (result == AppendResult::NotStored) {
+        for (const std::string &it : batch.jobs) {
+            if (const auto found = m_jobs.find(it); found != m_jobs.end()) {
+                found->second.isDirty = true;
+            }
+        }
+        for (const TaskId &it : batch.starts) {
+            const auto found = m_jobs.find(it.job);
+            Task *task = found != m_jobs.end() ? found->second.find(it) : nullptr;
+            if (task && task->run == RunState::Planned) {
+                endRun(found->second, it, *task, now);
+            }
+        }
+        for (const std::string &it : batch.newJobs) {
+            if (const auto found = m_jobs.find(it); found != m_jobs.end()) {
+                found->second.firstBatch = 0;
+            }
+        }
+        refuseUnsent(now);
+        return;
+    }
+    for (const std::string &it : batch.newJobs) {
+        const auto found = m_jobs.find(it);
+        if (found == m_jobs.end()) {
+            continue;
+        }
+        Job &job = found->second;
+        job.isStored = true;
+        for (const ReplyId waiting : job.waitForAcceptance) {
+            reply(waiting, Answer::Accepted);
+        }
+        job.waitForAcceptance.clear();
+    }
+    for (const auto &[id, state] : batch.states) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end()) {
+            continue;
+        }
+        Job &job = found->second;
+        job.storedState = state;
+        if (state == JobState::Active) {
+            continue;
+        }
+        for (const ReplyId waiting : job.waitForCancel) {
+            reply(waiting, Answer::Cancelled);
+        }
+        job.waitForCancel.clear();
+    }
+    for (const auto &[id, cursor] : batch.cursors) {
+        const auto found = m_workers.find(id);
+        // A worker that has restarted since counts from the beginning.
+        if (found != m_workers.end() && cursor <= found->second.processedCursor) {
+            found->second.ackCursor = std::max(found->second.ackCursor, cursor);
+            found->second.nextAsk = std::min(found->second.nextAsk, now);
+        }
+    }
+    for (const TaskId &it : batch.starts) {
+        sendStart(it, now);
+    }
+}
+
+void Shard::endJob(Job &job, JobState state, WallTime wall, Base::Instant now)
+{
+    job.state = state;
+    job.endedAt = wall;
+    job.isDirty = true;
+    m_hasChanged = true;
+    stopRuns(job, now);
+    Base::LogLine(Base::LogLevel::Info, "job-ended")
+        .with("request", job.spec.id)
+        .with("queue", job.spec.queue.name)
+        .with("state", static_cast<int>(state))
+        .with("after_ms", (wall - job.acceptedAt).count());
+}
+
+void Shard::reply(ReplyId id, Answer answer, Milliseconds retryAfter)
+{
+    m_commands.emplace_back(SendReply{id, answer, retryAfter});
+}
+
+std::vector<Command> Shard::takeCommands()
+{
+    return std::exchange(m_commands, {});
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/src/libs/jobs/shard.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "shardcommands.h"
+#include "worker.h"
+
+#include <base/instant.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Jobs
+{
+
+struct ShardSettings {
+    Milliseconds lease{4000}; ///< how long a worker goes on without hearing from its owner
+    Milliseconds leaseLimit{10000}; ///< the longest lease that workers grant
+    Milliseconds adrift{10000}; ///< an owner that lost the store renews leases for so long
+    Milliseconds renewal{800}; ///< a lease is renewed this often
+    Milliseconds batchPeriod{25}; ///< between two appends
+    Milliseconds storePatience{400}; ///< an append that takes longer makes new jobs be refused
+    Milliseconds answerPatience{300}; ///< before a run that isn't listed after an unanswered order is stopped
+    Milliseconds retention{150'000}; ///< how long an ended job's state can be asked for
+    Milliseconds timedLead{50}; ///< an occurrence is started this much before it is due at most
+};
+
+/// One shard's jobs and workers, as their owner keeps them. Knows no sockets and no clock: the caller hands in
+/// what arrives, with the time, and carries out the commands it takes out.
+///
+/// Nothing is shown, ordered or acknowledged before the record that it follows from is stored: appends go out
+/// one at a time, and orders wait for the append that carries their assignment.
+class Shard
+{
+public:
+    Shard(const ShardSettings &settings, FencingToken token);
+
+    // Taking over: every stored record, then begin().
+    void load(std::string_view key, std::string_view value);
+    void begin(Base::Instant now, WallTime wall);
+
+    /// The workers of this shard's services, whole.
+    void setWorkers(std::span<const WorkerInfo> workers, Base::Instant now);
+    /// Without the store nothing is accepted or started; what runs is kept.
+    void setAdrift(bool isAdrift);
+    /// Ends all that waits with an answer, before the shard is handed over.
+    void refuseWaiting();
+
+    void submit(JobSpec spec, ReplyId reply, Base::Instant now, WallTime wall);
+    void cancel(std::string_view job, ReplyId reply, Base::Instant now, WallTime wall);
+    /// The stored state; null when there is no such job.
+    const Job *find(std::string_view job) const;
+    /// Accepted jobs of which no task has started.
+    std::size_t pending(std::string_view queue) const;
+
+    void appended(std::uint64_t batch, AppendResult result, Base::Instant now, WallTime wall);
+    void startAnswered(const StartRun &order, OrderResult result, std::int64_t clock, Base::Instant now);
+    void stopAnswered(const StopRun &order, OrderResult result, std::int64_t clock, Base::Instant now);
+    void renewAnswered(const RenewLease &order, OrderResult result, const RunList &list, Base::Instant now, WallTime wall);
+
+    /// Decides what is due by now; to be called after events and at nextDue().
+    void pass(Base::Instant now, WallTime wall);
+    Base::Instant nextDue(Base::Instant now) const;
+    std::vector<Command> takeCommands();
+
+    FencingToken token() const;
+    const std::map<std::string, Worker> &workers() const;
+    const std::map<std::string, Job, std::less<>> &jobs() const;
+
+private:
+    struct Batch {
+        std::uint64_t number = 0;
+        std::vector<std::string> jobs; ///< whose progress it carries
+        std::map<std::string, JobState> states;
+        std::vector<std::string> newJobs; ///< whose specification it carries
+        std::vector<std::pair<std::string, std::uint64_t>> cursors; ///< worker, ends that it carries
+        std::vector<TaskId> starts; ///< assignments that it carries
+        std::vector<ReplyId> cancelReplies;
+        Base::Instant sentAt;
+    };
+
+    // shardworkers.cpp: runs and workers
+    Worker &workerFor(const std::string &id);
+    void startNewLife(Worker &worker, std::int64_t born, Base::Instant now);
+    void takeRunList(Worker &worker, const RunList &list, Base::Instant now, WallTime wall);
+    void takeEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall);
+    void settleUnlisted(Worker &worker, const RunList &list, const std::vector<TaskId> &listed, Base::Instant now);
+    void endRun(Job &job, const TaskId &id, Task &task, Base::Instant now);
+    void taskDone(Job &job, const TaskId &id, WallTime wall, Base::Instant now);
+    void taskFailed(Job &job, const TaskId &id, Task &task, Base::Instant now, WallTime wall);
+    void orderStop(const TaskId &id, Task &task, Base::Instant now);
+    void stopRuns(Job &job, Base::Instant now);
+    void releaseLapsed(Base::Instant now);
+    void askWorkers(Base::Instant now);
+    std::int64_t leaseEnd(Worker &worker, Base::Instant now) const;
+
+    // shardpass.cpp: placing and storing
+    void addDueOccurrences(Job &job, WallTime wall);
+    void place(Base::Instant now, WallTime wall);
+    bool placeStage(Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now);
+    bool placeGang(Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now);
+    void assign(Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt);
+    void sendBatch(Base::Instant now);
+    void sendStart(const TaskId &id, Base::Instant now);
+    void refuseUnsent(Base::Instant now);
+    void forgetEnded(WallTime wall);
+    void endJob(Job &job, JobState state, WallTime wall, Base::Instant now);
+    void reply(ReplyId id, Answer answer, Milliseconds retryAfter = {});
+
+    ShardSettings m_settings;
+    FencingToken m_token;
+    std::map<std::string, Job, std::less<>> m_jobs;
+    std::map<std::string, Worker> m_workers;
+    std::vector<Command> m_commands;
+    std::optional<Batch> m_batch; ///< under way
+    std::uint64_t m_lastBatch = 0;
+    Base::Instant m_lastBatchAt;
+    std::vector<TaskId> m_plannedStarts;
+    std::vector<ReplyId> m_cancelReplies;
+    std::vector<std::string> m_forgotten;
+    Base::Instant m_takenOverAt;
+    Base::Instant m_nextSweep;
+    Base::Instant m_nextOccurrenceDue;
+    bool m_isAdrift = false;
+    bool m_hasChanged = true; ///< since the last placing
+};
+
+} // namespace Jobs
--- /dev/null
+++ b/src/libs/jobs/shardpass.cpp
@@ -0,0 +1,366 @@
+#include "jobrecord.h"
+#include "placement.h"
+#include "queueorder.h"
+#include "shard.h"
+
+#include <base/logline.h>
+
+#include <algorithm>
+
+namespace Jobs
+{
+
+namespace
+{
+
+constexpr Milliseconds SweepPeriod{1000};
+constexpr Milliseconds StoreRetryAfter{1000};
+
+// One batch stays well below what the store takes in one call.
+constexpr std::size_t MostBytesInBatch = 1U << 20U;
+
+} // namespace
+
+void Shard::addDueOccurrences(Job &job, WallTime wall)
+{
+    while (job.spec.isTimed() && job.nextOccurrence < job.spec.occurrences
+           && job.spec.firstDue + job.spec.interval * job.nextOccurrence - m_settings.timedLead <= wall) {
+        job.addOccurrence(job.nextOccurrence);
+        job.isDirty = true;
+    }
+}
+
+void Shard::pass(Base::Instant now, WallTime wall)
+{
+    releaseLapsed(now);
+    if (m_nextSweep <= now) {
+        m_nextSweep = now + SweepPeriod;
+        forgetEnded(wall);
+        m_hasChanged = true;
+    }
+    if (m_nextOccurrenceDue <= now) {
+        m_nextOccurrenceDue = now + SweepPeriod;
+        for (auto &[id, job] : m_jobs) {
+            if (!job.spec.isTimed() || job.state != JobState::Active) {
+                continue;
+            }
+            addDueOccurrences(job, wall);
+            m_hasChanged = m_hasChanged || job.isDirty;
+            const WallTime next = job.spec.firstDue + job.spec.interval * job.nextOccurrence - m_settings.timedLead;
+            m_nextOccurrenceDue = std::min<Base::Instant>(m_nextOccurrenceDue, now + (next - wall));
+        }
+    }
+    if (m_batch && now - m_batch->sentAt > m_settings.storePatience) {
+        refuseUnsent(now);
+    }
+    if (!m_batch && !m_isAdrift && m_hasChanged && m_lastBatchAt + m_settings.batchPeriod <= now) {
+        m_hasChanged = false;
+        place(now, wall);
+        sendBatch(now);
+    }
+    askWorkers(now);
+}
+
+Base::Instant Shard::nextDue(Base::Instant now) const
+{
+    Base::Instant due = std::min(m_nextSweep, m_nextOccurrenceDue);
+    if (m_hasChanged && !m_batch && !m_isAdrift) {
+        due = std::min<Base::Instant>(due, m_lastBatchAt + m_settings.batchPeriod);
+    }
+    if (m_batch) {
+        due = std::min<Base::Instant>(due, std::max<Base::Instant>(now + Milliseconds(100), m_batch->sentAt + m_settings.storePatience));
+    }
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker.isAsked && !worker.info.address.empty()) {
+            due = std::min(due, worker.nextAsk);
+        }
+        if (worker.failuresInRow > 0 && !worker.runs.empty()) {
+            due = std::min(due, worker.leaseBound);
+        }
+    }
+    return std::max<Base::Instant>(due, now + Milliseconds(1));
+}
+
+void Shard::place(Base::Instant now, WallTime wall)
+{
+    std::vector<ReadyOccurrence> ready;
+    for (auto &[id, job] : m_jobs) {
+        if (job.state != JobState::Active) {
+            continue;
+        }
+        for (auto &[number, occurrence] : job.occurrences) {
+            if (!occurrence.isDone) {
+                ready.push_back({&job, number, &occurrence});
+            }
+        }
+    }
+    sortByUrgency(ready, wall);
+    for (const ReadyOccurrence &it : ready) {
+        for (std::uint32_t stage = 0; stage < it.occurrence->stages.size(); ++stage) {
+            if (it.occurrence->stages[stage].isDone() || !it.job->isReady(*it.occurrence, stage)) {
+                continue;
+            }
+            if (it.job->spec.stages[stage].isGang) {
+                placeGang(*it.job, it.number, *it.occurrence, stage, now);
+            } else {
+                placeStage(*it.job, it.number, *it.occurrence, stage, now);
+            }
+        }
+    }
+}
+
+namespace
+{
+
+// The workers of the stage's service with how many tasks of the stage each has.
+std::vector<Candidate> candidatesFor(std::map<std::string, Worker> &workers, const Job &job, const StageProgress &progress)
+{
+    std::vector<Candidate> candidates;
+    candidates.reserve(workers.size());
+    for (auto &[id, worker] : workers) {
+        if (worker.info.service != job.spec.queue.service) {
+            continue;
+        }
+        const auto there = std::count_if(progress.tasks.begin(), progress.tasks.end(), [&id = id](const Task &it) {
+            return it.run != RunState::None && it.worker == id;
+        });
+        candidates.push_back({&worker, static_cast<std::uint32_t>(there)});
+    }
+    return candidates;
+}
+
+} // namespace
+
+bool Shard::placeStage(Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now)
+{
+    StageProgress &progress = occurrence.stages[stage];
+    std::vector<Candidate> candidates;
+    for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
+        Task &task = progress.tasks[n];
+        if (!task.isWaiting() || task.notBefore > now) {
+            continue;
+        }
+        if (candidates.empty()) {
+            candidates = candidatesFor(m_workers, job, progress);
+        }
+        std::vector<Candidate> others;
+        std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(others), [&](const Candidate &it) {
+            return it.worker->info.id != task.failedOn;
+        });
+        Worker *worker = choosePlace(job.spec.stages[stage], others, now);
+        if (!worker && !task.failedOn.empty()) {
+            worker = choosePlace(job.spec.stages[stage], candidates, now);
+        }
+        if (!worker) {
+            return false;
+        }
+        assign(job, {job.spec.id, number, stage, n}, task, *worker, task.attempt + 1);
+        for (Candidate &it : candidates) {
+            it.tasksOfStage += it.worker == worker ? 1 : 0;
+        }
+    }
+    return true;
+}
+
+// All members or none, and only when nothing of the run before is left. A gang whose tasks lose by distance is
+// tried on one rack first.
+bool Shard::placeGang(Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now)
+{
+    StageProgress &progress = occurrence.stages[stage];
+    std::uint32_t attempt = 0;
+    std::string checkpoint;
+    for (const Task &it : progress.tasks) {
+        if (!it.isWaiting() || it.notBefore > now) {
+            return false;
+        }
+        attempt = std::max(attempt, it.attempt + 1);
+        if (it.checkpoint > checkpoint) {
+            checkpoint = it.checkpoint;
+        }
+    }
+    const Stage &wanted = job.spec.stages[stage];
+    const auto all = candidatesFor(m_workers, job, progress);
+    std::vector<std::string> racks;
+    if (wanted.isRackSensitive) {
+        for (const Candidate &it : all) {
+            if (std::find(racks.begin(), racks.end(), it.worker->info.rack) == racks.end()) {
+                racks.push_back(it.worker->info.rack);
+            }
+        }
+    }
+    racks.emplace_back();
+    for (const std::string &rack : racks) {
+        std::vector<Candidate> candidates;
+        std::copy_if(all.begin(), all.end(), std::back_inserter(candidates), [&](const Candidate &it) {
+            return rack.empty() || it.worker->info.rack == rack;
+        });
+        std::vector<Worker *> places;
+        for (std::size_t n = 0; n < progress.tasks.size(); ++n) {
+            Worker *worker = choosePlace(wanted, candidates, now);
+            if (!worker) {
+                break;
+            }
+            worker->used += charge(wanted);
+            places.push_back(worker);
+            for (Candidate &it : candidates) {
+                it.tasksOfStage += it.worker == worker ? 1 : 0;
+            }
+        }
+        for (Worker *it : places) {
+            it->used -= charge(wanted);
+        }
+        if (places.size() < progress.tasks.size()) {
+            continue;
+        }
+        for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
+            progress.tasks[n].checkpoint = checkpoint;
+            assign(job, {job.spec.id, number, stage, n}, progress.tasks[n], *places[n], attempt);
+        }
+        return true;
+    }
+    return false;
+}
+
+void Shard::assign(Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt)
+{
+    task.run = RunState::Planned;
+    task.attempt = attempt;
+    task.worker = worker.info.id;
+    worker.runs.insert(id);
+    worker.used += charge(job.spec.stages[id.stage]);
+    job.isDirty = true;
+    m_plannedStarts.push_back(id);
+}
+
+void Shard::sendBatch(Base::Instant now)
+{
+    Batch batch;
+    AppendBatch append;
+    std::size_t bytes = 0;
+    const auto add = [&](std::string key, std::string value) {
+        bytes += key.size() + value.size();
+        append.records.push_back({std::move(key), std::move(value)});
+    };
+    bool isComplete = true;
+    for (auto &[id, job] : m_jobs) {
+        if (!job.isDirty) {
+            continue;
+        }
+        if (bytes > MostBytesInBatch) {
+            isComplete = false;
+            break;
+        }
+        if (!job.isStored && job.firstBatch == 0) {
+            add(specKey(id), encodeSpec(job.spec, job.acceptedAt));
+            batch.newJobs.push_back(id);
+        }
+        add(progressKey(id), encodeProgress(job));
+        batch.jobs.push_back(id);
+        batch.states[id] = job.state;
+        job.isDirty = false;
+    }
+    for (const std::string &it : m_forgotten) {
+        add(progressKey(it), {});
+        add(specKey(it), {});
+    }
+    m_forgotten.clear();
+    m_hasChanged = m_hasChanged || !isComplete;
+    const auto isCarried = [&](const TaskId &it) {
+        return batch.states.count(it.job) > 0;
+    };
+    std::vector<TaskId> later;
+    for (TaskId &it : m_plannedStarts) {
+        if (m_jobs.count(it.job) == 0) {
+            continue;
+        }
+        (isCarried(it) ? batch.starts : later).push_back(std::move(it));
+    }
+    m_plannedStarts = std::move(later);
+    for (auto &[id, worker] : m_workers) {
+        if (worker.processedCursor <= worker.ackCursor || !isComplete) {
+            continue;
+        }
+        if (append.records.empty()) {
+            worker.ackCursor = worker.processedCursor;
+            worker.nextAsk = std::min(worker.nextAsk, now);
+        } else {
+            batch.cursors.emplace_back(id, worker.processedCursor);
+        }
+    }
+    if (append.records.empty()) {
+        return;
+    }
+    batch.number = ++m_lastBatch;
+    batch.sentAt = now;
+    for (const std::string &it : batch.newJobs) {
+        m_jobs[it].firstBatch = batch.number;
+    }
+    append.number = batch.number;
+    m_lastBatchAt = now;
+    m_batch = std::move(batch);
+    m_commands.emplace_back(std::move(append));
+}
+
+// The worker may have begun to drain, or gone, while the assignment was being stored.
+void Shard::sendStart(const TaskId &id, Base::Instant now)
+{
+    const auto it = m_jobs.find(id.job);
+    Task *task = it != m_jobs.end() ? it->second.find(id) : nullptr;
+    if (!task || task->run != RunState::Planned) {
+        return;
+    }
+    Job &job = it->second;
+    Worker &worker = workerFor(task->worker);
+    if (!worker.isListed || !worker.hasAnswered || worker.info.isDraining || m_isAdrift) {
+        endRun(job, id, *task, now);
+        return;
+    }
+    task->run = RunState::Starting;
+    task->orderedAt = now;
+    job.hasStarted = true;
+    StartRun order;
+    order.worker = task->worker;
+    order.task = id;
+    order.attempt = task->attempt;
+    order.payload = job.spec.payload;
+    order.checkpoint = task->checkpoint;
+    order.leaseEnd = leaseEnd(worker, now);
+    m_commands.emplace_back(std::move(order));
+}
+
+// Jobs that no append has carried yet can still be refused truthfully.
+void Shard::refuseUnsent(Base::Instant now)
+{
+    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
+        Job &job = it->second;
+        if (job.isStored || job.firstBatch != 0) {
+            ++it;
+            continue;
+        }
+        for (const ReplyId waiting : job.waitForAcceptance) {
+            reply(waiting, Answer::Refused, StoreRetryAfter);
+        }
+        for (const ReplyId waiting : job.waitForCancel) {
+            reply(waiting, Answer::NoSuchJob);
+        }
+        stopRuns(job, now);
+        it = m_jobs.erase(it);
+    }
+}
+
+void Shard::forgetEnded(WallTime wall)
+{
+    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
+        const Job &job = it->second;
+        const bool isOver = job.storedState != JobState::Active && !job.isDirty
+            && job.endedAt + m_settings.retention <= wall;
+        if (!isOver || job.hasRuns()) {
+            ++it;
+            continue;
+        }
+        m_forgotten.push_back(it->first);
+        it = m_jobs.erase(it);
+    }
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/src/libs/jobs/shardworkers.cpp
@@ -0,0 +1,491 @@
+#include "placement.h"
+#include "shard.h"
+
+#include <base/logline.h>
+
+#include <algorithm>
+
+namespace Jobs
+{
+
+namespace
+{
+
+// Workers hand out at most so many ends in one answer; a longer list goes on in the next.
+constexpr std::size_t MostEndsInList = 500;
+
+// A worker's clock may be this much slow; leases last longer by ours then.
+constexpr int ClockDriftPerCent = 3;
+
+// What the arrival of a lease may lag behind its sending.
+constexpr Milliseconds LeaseMargin{300};
+
+// The pause before a worker that didn't answer is asked again.
+constexpr Milliseconds RetryPause{250};
+
+// Ends that aren't stored yet are listed again at once, so a worker with such ends is asked at this pace.
+constexpr Milliseconds UnstoredPause{300};
+
+// The longest that a worker without runs is left alone; workers hold a question up to two seconds.
+constexpr Milliseconds IdleWait{1900};
+
+constexpr Milliseconds StopRetryPause{250};
+constexpr Milliseconds NoRoomPause{150};
+constexpr Milliseconds UnhealthyPause{500};
+
+// A worker on which so many jobs in a row failed gets nothing for a while.
+constexpr int SuspiciousFailures = 3;
+constexpr Milliseconds SuspicionPause{2500};
+
+} // namespace
+
+Worker &Shard::workerFor(const std::string &id)
+{
+    Worker &worker = m_workers[id];
+    worker.info.id = id;
+    return worker;
+}
+
+// A new life runs nothing of the earlier one. Only an order that is still on its way could start there.
+void Shard::startNewLife(Worker &worker, std::int64_t born, Base::Instant now)
+{
+    Base::LogLine(Base::LogLevel::Info, "worker-restarted")
+        .with("worker", worker.info.id)
+        .with("runs", worker.runs.size())
+        .with("born", born);
+    worker.born = born;
+    worker.hasAnswered = false;
+    worker.clock = 0;
+    worker.processedCursor = 0;
+    worker.ackCursor = 0;
+    worker.failedInRow = 0;
+    const auto runs = worker.runs;
+    for (const TaskId &it : runs) {
+        Job &job = m_jobs[it.job];
+        Task &task = *job.find(it);
+        task.confirmedAt = 0;
+        const bool isOnItsWay = task.run == RunState::Starting || task.run == RunState::Unanswered
+            || (task.run == RunState::Stopping && !task.isStopConfirmed);
+        if (!isOnItsWay) {
+            endRun(job, it, task, now);
+        }
+    }
+}
+
+void Shard::endRun(Job &job, const TaskId &id, Task &task, Base::Instant now)
+{
+    const auto it = m_workers.find(task.worker);
+    if (it != m_workers.end() && it->second.runs.erase(id) > 0) {
+        it->second.used -= charge(job.spec.stages[id.stage]);
+    }
+    task.run = RunState::None;
+    task.worker.clear();
+    task.percent = 0;
+    task.isStopConfirmed = false;
+    task.waitsSince = now;
+    job.isDirty = true;
+    m_hasChanged = true;
+}
+
+void Shard::taskDone(Job &job, const TaskId &id, WallTime wall, Base::Instant now)
+{
+    Occurrence &occurrence = job.occurrences[id.occurrence];
+    StageProgress &progress = occurrence.stages[id.stage];
+    const Stage &stage = job.spec.stages[id.stage];
+    // One member's end stands for its whole gang.
+    for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
+        Task &task = progress.tasks[n];
+        if ((n != id.index && !stage.isGang) || task.isDone) {
+            continue;
+        }
+        if (task.run != RunState::None) {
+            endRun(job, {id.job, id.occurrence, id.stage, n}, task, now);
+        }
+        task.isDone = true;
+        task.checkpoint.clear();
+        ++progress.done;
+    }
+    if (!std::all_of(occurrence.stages.begin(), occurrence.stages.end(), [](const auto &it) { return it.isDone(); })) {
+        return;
+    }
+    occurrence.isDone = true;
+    ++job.occurrencesDone;
+    const std::uint32_t all = std::max<std::uint32_t>(1, job.spec.occurrences);
+    if (job.occurrencesDone >= all) {
+        endJob(job, JobState::Completed, wall, now);
+    }
+}
+
+void Shard::taskFailed(Job &job, const TaskId &id, Task &task, Base::Instant now, WallTime wall)
+{
+    const Stage &stage = job.spec.stages[id.stage];
+    task.failedOn = task.worker;
+    endRun(job, id, task, now);
+    // The members of a gang fail together; the first one counts for all.
+    Task &counted = stage.isGang ? job.occurrences[id.occurrence].stages[id.stage].tasks.front() : task;
+    ++counted.failures;
+    if (!stage.isLongRunning && counted.failures >= job.spec.queue.maxAttempts) {
+        Base::LogLine(Base::LogLevel::Info, "task-failed-for-good")
+            .with("request", job.spec.id)
+            .with("task", toString(id))
+            .with("failures", counted.failures);
+        endJob(job, JobState::Failed, wall, now);
+    }
+}
+
+void Shard::takeEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall)
+{
+    const auto it = m_jobs.find(end.task.job);
+    Task *task = it != m_jobs.end() ? it->second.find(end.task) : nullptr;
+    if (!task || task->isDone || task->run == RunState::None || task->worker != worker.info.id
+        || task->attempt != end.attempt) {
+        return;
+    }
+    Job &job = it->second;
+    if (!end.checkpoint.empty()) {
+        task->checkpoint = end.checkpoint;
+    }
+    switch (end.end) {
+    case RunEnd::Done:
+        worker.failedInRow = 0;
+        if (job.spec.stages[end.task.stage].isLongRunning) {
+            endRun(job, end.task, *task, now);
+        } else if (job.state == JobState::Active) {
+            taskDone(job, end.task, wall, now);
+        } else {
+            endRun(job, end.task, *task, now);
+        }
+        return;
+    case RunEnd::Failed:
+        if (worker.lastFailedJob != end.task.job) {
+            worker.lastFailedJob = end.task.job;
+            ++worker.failedInRow;
+        }
+        if (worker.failedInRow >= SuspiciousFailures) {
+            worker.noNewRunsBefore = now + SuspicionPause;
+        }
+        if (job.state == JobState::Active) {
+            taskFailed(job, end.task, *task, now, wall);
+        } else {
+            endRun(job, end.task, *task, now);
+        }
+        return;
+    case RunEnd::Stopped:
+    case RunEnd::Lapsed:
+    case RunEnd::Broken:
+    case RunEnd::Alone:
+        endRun(job, end.task, *task, now);
+        return;
+    }
+}
+
+void Shard::takeRunList(Worker &worker, const RunList &list, Base::Instant now, WallTime wall)
+{
+    if (list.born != worker.born && worker.born != 0 && list.born != 0) {
+        startNewLife(worker, list.born, now);
+    }
+    worker.born = list.born != 0 ? list.born : worker.born;
+    worker.hasAnswered = true;
+    worker.clock = list.clock;
+    worker.clockReadAt = now;
+    worker.lastAnswer = now;
+    std::vector<TaskId> listed;
+    for (const ListedEnd &it : list.ended) {
+        if (it.number > worker.processedCursor) {
+            takeEnd(worker, it, now, wall);
+            worker.processedCursor = it.number;
+        }
+    }
+    for (const ListedRun &it : list.running) {
+        const auto found = m_jobs.find(it.task.job);
+        Task *task = found != m_jobs.end() ? found->second.find(it.task) : nullptr;
+        const bool isOurs = task && !task->isDone && task->worker == worker.info.id && task->attempt == it.attempt;
+        if (!isOurs) {
+            m_commands.emplace_back(StopRun{worker.info.id, it.task, it.attempt});
+            worker.noNewRunsBefore = std::max(worker.noNewRunsBefore, now + NoRoomPause);
+            continue;
+        }
+        listed.push_back(it.task);
+        if (!it.checkpoint.empty()) {
+            task->checkpoint = it.checkpoint;
+        }
+        task->percent = it.percent;
+        if (found->second.state != JobState::Active) {
+            if (task->run != RunState::Stopping) {
+                orderStop(it.task, *task, now);
+            }
+            continue;
+        }
+        if (task->run == RunState::Unanswered || task->run == RunState::Inherited
+            || task->run == RunState::Running) {
+            task->run = RunState::Running;
+            task->confirmedAt = list.clock;
+            found->second.hasStarted = true;
+        }
+    }
+    if (list.ended.size() < MostEndsInList) {
+        settleUnlisted(worker, list, listed, now);
+    }
+    m_hasChanged = true;
+}
+
+// Runs that the worker neither lists as running nor as ended. A list that is older than the worker's last word
+// on a run proves nothing, since answers on two connections overtake each other.
+void Shard::settleUnlisted(Worker &worker,
+                           const RunList &list,
+                           const std::vector<TaskId> &listed,
+                           Base::Instant now)
+{
+    const auto runs = worker.runs;
+    for (const TaskId &it : runs) {
+        if (std::find(listed.begin(), listed.end(), it) != listed.end()) {
+            continue;
+        }
+        Job &job = m_jobs[it.job];
+        Task &task = *job.find(it);
+        switch (task.run) {
+        case RunState::None:
+        case RunState::Planned:
+        case RunState::Starting:
+            break;
+        case RunState::Running:
+            if (list.clock > task.confirmedAt) {
+                Base::LogLine(Base::LogLevel::Warning, "run-vanished")
+                    .with("request", it.job)
+                    .with("task", toString(it))
+                    .with("worker", worker.info.id);
+                endRun(job, it, task, now);
+            }
+            break;
+        case RunState::Inherited:
+            endRun(job, it, task, now);
+            break;
+        case RunState::Unanswered:
+            if (now - task.orderedAt > m_settings.answerPatience) {
+                orderStop(it, task, now);
+            }
+            break;
+        case RunState::Stopping:
+            if (task.isStopConfirmed && list.clock > task.confirmedAt) {
+                endRun(job, it, task, now);
+            }
+            break;
+        }
+    }
+}
+
+void Shard::orderStop(const TaskId &id, Task &task, Base::Instant now)
+{
+    task.run = RunState::Stopping;
+    task.isStopConfirmed = false;
+    task.orderedAt = now;
+    m_commands.emplace_back(StopRun{task.worker, id, task.attempt});
+}
+
+void Shard::stopRuns(Job &job, Base::Instant now)
+{
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (std::uint32_t stage = 0; stage < occurrence.stages.size(); ++stage) {
+            auto &tasks = occurrence.stages[stage].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                Task &task = tasks[index];
+                const TaskId id{job.spec.id, number, stage, index};
+                switch (task.run) {
+                case RunState::None:
+                case RunState::Stopping:
+                case RunState::Starting: // stopped when its order has been answered
+                    break;
+                case RunState::Planned:
+                    endRun(job, id, task, now);
+                    break;
+                case RunState::Running:
+                case RunState::Unanswered:
+                case RunState::Inherited:
+                    orderStop(id, task, now);
+                    break;
+                }
+            }
+        }
+    }
+}
+
+void Shard::startAnswered(const StartRun &order, OrderResult result, std::int64_t clock, Base::Instant now)
+{
+    const auto it = m_jobs.find(order.task.job);
+    Task *task = it != m_jobs.end() ? it->second.find(order.task) : nullptr;
+    if (!task || task->run != RunState::Starting || task->attempt != order.attempt) {
+        return;
+    }
+    Job &job = it->second;
+    Worker &worker = workerFor(order.worker);
+    const auto hold = [&worker, now](Milliseconds pause) {
+        worker.noNewRunsBefore = std::max(worker.noNewRunsBefore, now + pause);
+    };
+    switch (result) {
+    case OrderResult::Done:
+        task->run = RunState::Running;
+        task->confirmedAt = clock;
+        if (job.state != JobState::Active) {
+            orderStop(order.task, *task, now);
+        }
+        return;
+    case OrderResult::NoAnswer:
+        task->run = RunState::Unanswered;
+        task->orderedAt = now;
+        hold(UnhealthyPause);
+        if (job.state != JobState::Active) {
+            orderStop(order.task, *task, now);
+        }
+        break;
+    case OrderResult::Fenced:
+        m_commands.emplace_back(GiveUpShard{"a worker has a newer owner"});
+        return;
+    case OrderResult::NoRoom:
+        hold(NoRoomPause);
+        endRun(job, order.task, *task, now);
+        break;
+    case OrderResult::Superseded:
+    case OrderResult::TooLate:
+    case OrderResult::NoTicket:
+        endRun(job, order.task, *task, now);
+        break;
+    case OrderResult::Unhealthy:
+    case OrderResult::OtherInstance:
+    case OrderResult::NotSent:
+        hold(UnhealthyPause);
+        endRun(job, order.task, *task, now);
+        break;
+    case OrderResult::Rejected:
+        hold(UnhealthyPause);
+        endRun(job, order.task, *task, now);
+        break;
+    }
+    Base::LogLine(Base::LogLevel::Info, "start-refused")
+        .with("request", order.task.job)
+        .with("task", toString(order.task))
+        .with("attempt", order.attempt)
+        .with("worker", order.worker)
+        .with("result", static_cast<int>(result));
+}
+
+void Shard::stopAnswered(const StopRun &order, OrderResult result, std::int64_t clock, Base::Instant now)
+{
+    if (result == OrderResult::Fenced) {
+        m_commands.emplace_back(GiveUpShard{"a worker has a newer owner"});
+        return;
+    }
+    const auto it = m_jobs.find(order.task.job);
+    Task *task = it != m_jobs.end() ? it->second.find(order.task) : nullptr;
+    if (!task || task->run != RunState::Stopping || task->attempt != order.attempt) {
+        return;
+    }
+    if (result == OrderResult::Done) {
+        task->isStopConfirmed = true;
+        task->confirmedAt = clock;
+        Worker &worker = workerFor(order.worker);
+        worker.nextAsk = std::min(worker.nextAsk, now);
+    }
+}
+
+void Shard::renewAnswered(const RenewLease &order,
+                          OrderResult result,
+                          const RunList &list,
+                          Base::Instant now,
+                          WallTime wall)
+{
+    const auto it = m_workers.find(order.worker);
+    if (it == m_workers.end()) {
+        return;
+    }
+    Worker &worker = it->second;
+    worker.isAsked = false;
+    if (result == OrderResult::Fenced) {
+        m_commands.emplace_back(GiveUpShard{"a worker has a newer owner"});
+        return;
+    }
+    if (result != OrderResult::Done) {
+        if (++worker.failuresInRow == 1) {
+            Base::LogLine(Base::LogLevel::Warning, "worker-lost")
+                .with("worker", worker.info.id)
+                .with("runs", worker.runs.size())
+                .with("result", static_cast<int>(result));
+        }
+        worker.nextAsk = now + RetryPause;
+        return;
+    }
+    if (worker.failuresInRow > 0) {
+        Base::LogLine(Base::LogLevel::Info, "worker-regained").with("worker", worker.info.id);
+        worker.failuresInRow = 0;
+    }
+    takeRunList(worker, list, now, wall);
+    worker.nextAsk = worker.processedCursor > worker.ackCursor ? now + UnstoredPause : now;
+}
+
+std::int64_t Shard::leaseEnd(Worker &worker, Base::Instant now) const
+{
+    const auto sinceRead = std::chrono::duration_cast<Milliseconds>(now - worker.clockReadAt);
+    const auto lease = m_settings.lease;
+    const auto bound = now + lease + lease * ClockDriftPerCent / 100 + LeaseMargin;
+    worker.leaseBound = std::max<Base::Instant>(worker.leaseBound, bound);
+    return worker.clock + (sinceRead + lease).count();
+}
+
+// A worker that stopped answering is only asked, not renewed: its runs then end at a time that is known.
+void Shard::askWorkers(Base::Instant now)
+{
+    for (auto it = m_workers.begin(); it != m_workers.end();) {
+        Worker &worker = it->second;
+        if (!worker.isListed && worker.runs.empty() && !worker.isAsked
+            && (!worker.hasAnswered || worker.leaseBound <= now)) {
+            it = m_workers.erase(it);
+            continue;
+        }
+        for (const TaskId &id : worker.runs) {
+            Task &task = *m_jobs[id.job].find(id);
+            if (task.run == RunState::Stopping && !task.isStopConfirmed && worker.failuresInRow == 0
+                && now - task.orderedAt > StopRetryPause) {
+                orderStop(id, task, now);
+            }
+        }
+        if (!worker.isAsked && worker.nextAsk <= now && !worker.info.address.empty()
+            && (worker.isListed || !worker.runs.empty())) {
+            RenewLease ask;
+            ask.worker = worker.info.id;
+            const bool isSound = worker.hasAnswered && worker.failuresInRow == 0;
+            if (isSound) {
+                ask.leaseEnd = leaseEnd(worker, now);
+                ask.ackCursor = worker.ackCursor;
+                ask.wait = worker.runs.empty() ? IdleWait : m_settings.renewal;
+            }
+            worker.isAsked = true;
+            m_commands.emplace_back(std::move(ask));
+        }
+        ++it;
+    }
+}
+
+// The runs of a worker that can't be reached are over once every lease that any owner gave it has run out.
+void Shard::releaseLapsed(Base::Instant now)
+{
+    for (auto &[id, worker] : m_workers) {
+        const bool isSilent = worker.failuresInRow > 0 || worker.info.address.empty() || !worker.hasAnswered;
+        if (!isSilent || worker.runs.empty() || worker.leaseBound > now) {
+            continue;
+        }
+        const auto runs = worker.runs;
+        for (const TaskId &it : runs) {
+            Job &job = m_jobs[it.job];
+            Task &task = *job.find(it);
+            if (task.run == RunState::Planned || task.run == RunState::Starting) {
+                continue;
+            }
+            Base::LogLine(Base::LogLevel::Info, "lease-lapsed")
+                .with("request", it.job)
+                .with("task", toString(it))
+                .with("worker", id);
+            endRun(job, it, task, now);
+        }
+    }
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/src/libs/jobservice/ownership.cpp
@@ -0,0 +1,79 @@
+#include "ownership.h"
+
+#include <algorithm>
+
+namespace JobService
+{
+
+Ownership::Ownership(Base::Duration lifetime)
+    : m_lifetime(lifetime)
+{
+}
+
+Ownership::Change Ownership::granted(const MembershipGrant &grant, Base::Instant askedAt)
+{
+    Change change;
+    const bool hasGap = askedAt > m_validUntil && grant.generation != m_generation;
+    for (auto it = m_tokens.begin(); it != m_tokens.end();) {
+        const bool isListed = std::find(grant.shards.begin(), grant.shards.end(), it->first) != grant.shards.end();
+        if (isListed && !hasGap) {
+            ++it;
+            continue;
+        }
+        change.lost.push_back(it->first);
+        it = m_tokens.erase(it);
+    }
+    for (const ShardNumber it : grant.shards) {
+        if (m_tokens.try_emplace(it, grant.generation).second) {
+            change.gained.push_back(it);
+        }
+    }
+    m_generation = grant.generation;
+    m_validUntil = askedAt + m_lifetime;
+    return change;
+}
+
+std::vector<ShardNumber> Ownership::drop()
+{
+    std::vector<ShardNumber> lost;
+    for (const auto &[shard, token] : m_tokens) {
+        lost.push_back(shard);
+    }
+    m_tokens.clear();
+    m_generation = 0;
+    m_validUntil = {};
+    return lost;
+}
+
+void Ownership::forget(ShardNumber shard)
+{
+    m_tokens.erase(shard);
+}
+
+void Ownership::suspended(Base::Duration time)
+{
+    m_validUntil -= time;
+}
+
+bool Ownership::isValid(Base::Instant now) const
+{
+    return now < m_validUntil;
+}
+
+Base::Instant Ownership::validUntil() const
+{
+    return m_validUntil;
+}
+
+std::uint64_t Ownership::generation() const
+{
+    return m_generation;
+}
+
+Jobs::FencingToken Ownership::token(ShardNumber shard) const
+{
+    const auto it = m_tokens.find(shard);
+    return it != m_tokens.end() ? it->second : 0;
+}
+
+} // namespace JobService
--- /dev/null
+++ b/src/libs/jobservice/ownership.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <base/instant.h>
+#include <jobs/shardcommands.h>
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <vector>
+
+namespace JobService
+{
+
+using ShardNumber = std::uint32_t;
+
+/// What the platform said when this member renewed its membership.
+struct MembershipGrant {
+    std::uint64_t generation = 0;
+    std::vector<ShardNumber> shards;
+};
+
+/// Which shards this member owns, and under which token, by the memberships it was granted.
+class Ownership
+{
+public:
+    struct Change {
+        std::vector<ShardNumber> gained;
+        std::vector<ShardNumber> lost;
+    };
+
+    explicit Ownership(Base::Duration lifetime);
+
+    /// `askedAt` is when the renewal was sent. A renewal that came too late may hide that a shard has been
+    /// elsewhere in between; such shards are lost and gained again.
+    Change granted(const MembershipGrant &grant, Base::Instant askedAt);
+    /// Everything is lost; the next grant counts from the beginning.
+    std::vector<ShardNumber> drop();
+
+    /// The shard has another owner; only a later generation brings it back.
+    void forget(ShardNumber shard);
+    /// The process stood still for a time that its clock has not counted.
+    void suspended(Base::Duration time);
+
+    /// The membership is known to be valid.
+    bool isValid(Base::Instant now) const;
+    Base::Instant validUntil() const;
+    std::uint64_t generation() const;
+    /// 0 for a shard that isn't owned.
+    Jobs::FencingToken token(ShardNumber shard) const;
+
+private:
+    Base::Duration m_lifetime;
+    Base::Instant m_validUntil;
+    std::uint64_t m_generation = 0;
+    std::map<ShardNumber, Jobs::FencingToken> m_tokens;
+};
+
+} // namespace JobService
--- /dev/null
+++ b/src/libs/jobservice/peerprotocol.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "ownership.h"
+
+#include <jobs/job.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace JobService
+{
+
+enum class Operation { Submit, Cancel, State, Pending };
+
+/// What a member asks of the owner of a shard. One hop only: an owner that isn't one says so.
+struct JobRequest {
+    ShardNumber shard = 0;
+    Operation operation = Operation::State;
+    std::optional<Jobs::JobSpec> spec; ///< of Submit
+    std::string subject; ///< the job, or the queue of Pending
+};
+
+enum class ShownState { Queued, Running, Completed, Failed, Cancelled };
+
+struct JobReply {
+    enum class Status {
+        Done,
+        NoSuchJob,
+        Refused, ///< nothing was stored, nothing will run
+        Hopeless, ///< as Refused, and a repeat will be refused too
+        Unknown, ///< the request may have taken effect
+        NotOwner,
+    };
+    Status status = Status::Unknown;
+    ShownState state = ShownState::Queued;
+    std::uint64_t pending = 0;
+    Jobs::Milliseconds retryAfter{};
+};
+
+std::string encode(const JobRequest &request);
+std::optional<JobRequest> decodeRequest(std::string_view text);
+std::string encode(const JobReply &reply);
+std::optional<JobReply> decodeReply(std::string_view text);
+
+} // namespace JobService
--- /dev/null
+++ b/src/libs/jobservice/ports.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "ownership.h"
+
+#include <jobs/shardcommands.h>
+
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace JobService
+{
+
+enum class StoreStatus {
+    Done,
+    NotDone, ///< and it never will be
+    Unknown, ///< may have been done, or may be later
+    Fenced, ///< a newer owner has written
+    OutOfSequence,
+    Full,
+};
+
+struct StoreAnswer {
+    StoreStatus status = StoreStatus::Unknown;
+    std::uint64_t expectedSequence = 0; ///< of OutOfSequence
+};
+
+struct RunAnswer {
+    Jobs::OrderResult result = Jobs::OrderResult::NoAnswer;
+    std::int64_t clock = 0; ///< of the worker, ms
+};
+
+struct ShardOwner {
+    ShardNumber shard = 0;
+    std::string member;
+};
+
+using RecordSink = std::function<void(std::string_view key, std::string_view value)>;
+using StoreCallback = std::function<void(StoreAnswer)>;
+using RunCallback = std::function<void(RunAnswer)>;
+using ListCallback = std::function<void(Jobs::OrderResult, const Jobs::RunList &)>;
+using GrantCallback = std::function<void(std::optional<MembershipGrant>)>;
+
+/// What the platform has to offer to the owner of shards. Each callback is called once, later.
+template<typename T>
+concept ShardPlatform = requires(T &platform,
+                                 ShardNumber shard,
+                                 Jobs::FencingToken token,
+                                 std::uint64_t number,
+                                 std::span<const Jobs::Record> records,
+                                 const Jobs::WorkerInfo &worker,
+                                 const Jobs::StartRun &start,
+                                 const Jobs::StopRun &stop,
+                                 const Jobs::RenewLease &renew,
+                                 const Jobs::PaceRun &pace,
+                                 RecordSink sink,
+                                 StoreCallback stored,
+                                 RunCallback answered,
+                                 ListCallback listed,
+                                 GrantCallback granted,
+                                 std::function<void()> done)
+{
+    // Refuses writes of earlier owners from now on, then hands out the newest record of each key.
+    platform.takeShard(shard, token, sink, stored);
+    platform.append(shard, token, number, records, stored);
+    platform.startRun(worker, token, start, answered);
+    platform.stopRun(worker, token, stop, answered);
+    platform.renewLease(worker, token, renew, listed);
+    platform.paceRun(worker, token, pace, answered);
+    platform.renewMembership(number, granted);
+    platform.leaveMembership(done);
+};
+
+} // namespace JobService
--- /dev/null
+++ b/src/libs/jobservice/recordfollower.h
@@ -0,0 +1,206 @@
+#pragma once
+
+#include <base/logline.h>
+#include <base/oneshottimer.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace JobService
+{
+
+/// One record of a topic that keeps the newest of each key.
+struct KeyedRecord {
+    std::string key;
+    std::optional<std::string> value; ///< nothing: the key is dropped
+    std::uint64_t offset = 0;
+};
+
+/// A page of the newest records of a topic.
+struct NewestPage {
+    std::vector<KeyedRecord> records{};
+    std::optional<std::string> next; ///< where the next page begins
+    std::uint64_t end = 0; ///< of the topic when the page was made
+};
+
+/// What came after an offset.
+struct TailPage {
+    bool isExpired = false; ///< the records at that offset are gone
+    std::vector<KeyedRecord> records{};
+    std::uint64_t next = 0; ///< offset behind the last record
+};
+
+struct FollowerSettings {
+    Base::Duration wait = std::chrono::milliseconds{1000}; ///< the store holds a read without records so long
+    Base::Duration pause{}; ///< between two reads
+    Base::Duration retryPause = std::chrono::milliseconds{300};
+};
+
+/// Keeps the newest value of each key of a topic, and tells of every change.
+template<typename Platform>
+class RecordFollower
+{
+public:
+    using Change = std::function<void(const std::string &key, const std::string *value)>;
+    /// Called after each read that went well, with the changes told.
+    using UpToDate = std::function<void()>;
+
+    RecordFollower(Platform &platform,
+                   Base::TimerService &timers,
+                   std::string topic,
+                   const FollowerSettings &settings,
+                   Change change,
+                   UpToDate upToDate)
+        : m_platform(platform)
+        , m_timers(timers)
+        , m_topic(std::move(topic))
+        , m_settings(settings)
+        , m_change(std::move(change))
+        , m_upToDate(std::move(upToDate))
+        , m_timer(timers)
+    {
+    }
+
+    void start()
+    {
+        readAll();
+    }
+
+    Base::Instant lastRead() const
+    {
+        return m_lastRead;
+    }
+
+private:
+    void readAll()
+    {
+        m_seen.clear();
+        m_end.reset();
+        readPage(std::nullopt);
+    }
+
+    void readPage(std::optional<std::string> from)
+    {
+        m_platform.readNewest(m_topic, from, [this](std::optional<NewestPage> page) {
+            if (!page) {
+                lost();
+                return;
+            }
+            if (!m_end) {
+                m_end = page->end;
+            }
+            for (KeyedRecord &it : page->records) {
+                m_seen.insert(it.key);
+                take(std::move(it));
+            }
+            if (page->next) {
+                readPage(page->next);
+                return;
+            }
+            dropUnseen();
+            readDone();
+        });
+    }
+
+    // Records that came while the pages were read may be in a page and in the tail; the older one is skipped.
+    void take(KeyedRecord record)
+    {
+        auto &known = m_records[record.key];
+        if (known.value && known.offset >= record.offset) {
+            return;
+        }
+        known.offset = record.offset;
+        if (known.value == record.value) {
+            return;
+        }
+        known.value = std::move(record.value);
+        m_change(record.key, known.value ? &*known.value : nullptr);
+        if (!known.value) {
+            m_records.erase(record.key);
+        }
+    }
+
+    void dropUnseen()
+    {
+        for (auto it = m_records.begin(); it != m_records.end();) {
+            if (m_seen.count(it->first) > 0) {
+                ++it;
+                continue;
+            }
+            const std::string key = it->first;
+            it = m_records.erase(it);
+            m_change(key, nullptr);
+        }
+        m_seen.clear();
+    }
+
+    void readTail()
+    {
+        m_platform.readTail(m_topic, *m_end, m_settings.wait, [this](std::optional<TailPage> page) {
+            if (!page) {
+                lost();
+                return;
+            }
+            if (page->isExpired) {
+                readAll();
+                return;
+            }
+            for (KeyedRecord &it : page->records) {
+                take(std::move(it));
+            }
+            m_end = page->next;
+            readDone();
+        });
+    }
+
+    void readDone()
+    {
+        m_lastRead = m_timers.now();
+        if (m_isLost) {
+            m_isLost = false;
+            Base::LogLine(Base::LogLevel::Info, "topic-regained").with("topic", m_topic).with("offset", *m_end);
+        }
+        m_upToDate();
+        m_timer.arm(m_settings.pause, [this] { readTail(); });
+    }
+
+    void lost()
+    {
+        if (!m_isLost) {
+            m_isLost = true;
+            Base::LogLine(Base::LogLevel::Warning, "topic-lost").with("topic", m_topic);
+        }
+        m_timer.arm(m_settings.retryPause, [this] {
+            if (m_end && m_seen.empty()) {
+                readTail();
+            } else {
+                readAll();
+            }
+        });
+    }
+
+    struct Known {
+        std::optional<std::string> value;
+        std::uint64_t offset = 0;
+    };
+
+    Platform &m_platform;
+    Base::TimerService &m_timers;
+    std::string m_topic;
+    FollowerSettings m_settings;
+    Change m_change;
+    UpToDate m_upToDate;
+    Base::OneShotTimer m_timer;
+    std::map<std::string, Known> m_records;
+    std::set<std::string> m_seen; ///< keys of the pages while all is read
+    std::optional<std::uint64_t> m_end;
+    Base::Instant m_lastRead;
+    bool m_isLost = false;
+};
+
+} // namespace JobService
--- /dev/null
+++ b/src/libs/jobservice/requestrouter.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "fleetconfig.h"
+#include "shardhost.h"
+
+#include <http/client.h>
+
+#include <map>
+#include <string>
+
+namespace JobService
+{
+
+struct RouterSettings {
+    Base::Duration ownersPeriod = std::chrono::milliseconds{1000}; ///< between two looks at who owns what
+    Base::Duration ownersPause = std::chrono::milliseconds{200}; ///< least, after a surprise
+    Base::Duration answerReserve = std::chrono::milliseconds{100}; ///< kept for the answer's way to the caller
+    Base::Duration peerTimeout = std::chrono::milliseconds{3000};
+};
+
+/// Brings requests for jobs to the owner of their shard: this member, or another one over one hop.
+template<ShardPlatform Platform>
+class RequestRouter
+{
+public:
+    using Reply = std::function<void(JobReply)>;
+
+    RequestRouter(Platform &platform,
+                  Base::TimerService &timers,
+                  Http::Client &peers,
+                  ShardHost<Platform> &host,
+                  const RouterSettings &settings)
+        : m_platform(platform)
+        , m_timers(timers)
+        , m_peers(peers)
+        , m_host(host)
+        , m_settings(settings)
+        , m_ownersTimer(timers)
+    {
+    }
+
+    void start()
+    {
+        readOwners();
+    }
+
+    /// Answers within `limit`; Unknown when the owner was asked and said nothing.
+    void route(JobRequest request, Base::Duration limit, Reply reply)
+    {
+        if (m_host.owns(request.shard)) {
+            m_host.handle(std::move(request), bounded(limit, std::move(reply)));
+            return;
+        }
+        const auto it = m_owners.find(request.shard);
+        if (it == m_owners.end()) {
+            expectChange();
+            reply(refusal());
+            return;
+        }
+        Http::Request forwarded;
+        forwarded.method = "POST";
+        forwarded.target = "/jobs";
+        forwarded.body = encode(request);
+        const auto timeout = std::min(limit - m_settings.answerReserve, m_settings.peerTimeout);
+        m_peers.send(it->second, std::move(forwarded), timeout, [this, reply](Http::Outcome outcome) {
+            reply(fromPeer(outcome));
+        });
+    }
+
+    /// The last time that a peer answered.
+    Base::Instant lastPeerAnswer() const
+    {
+        return m_lastPeerAnswer;
+    }
+
+    bool knowsOwners() const
+    {
+        return !m_owners.empty();
+    }
+
+private:
+    static JobReply refusal()
+    {
+        return {.status = JobReply::Status::Refused, .retryAfter = std::chrono::milliseconds{500}};
+    }
+
+    JobReply fromPeer(const Http::Outcome &outcome)
+    {
+        if (!outcome.response) {
+            expectChange();
+            return outcome.verdict == Base::Verdict::NotRun ? refusal()
+                                                            : JobReply{.status = JobReply::Status::Unknown};
+        }
+        m_lastPeerAnswer = m_timers.now();
+        const auto reply = decodeReply(outcome.response->body);
+        if (!reply) {
+            return {.status = JobReply::Status::Unknown};
+        }
+        if (reply->status == JobReply::Status::NotOwner) {
+            expectChange();
+            return refusal();
+        }
+        return *reply;
+    }
+
+    Reply bounded(Base::Duration limit, Reply reply)
+    {
+        struct Once {
+            Reply reply;
+            bool isDone = false;
+        };
+        auto once = std::make_shared<Once>(Once{std::move(reply)});
+        const auto timer = m_timers.subscribeAfter(limit - m_settings.answerReserve, [once] {
+            if (!std::exchange(once->isDone, true)) {
+                once->reply({.status = JobReply::Status::Unknown});
+            }
+        });
+        return [this, once, timer](JobReply answer) {
+            if (!std::exchange(once->isDone, true)) {
+                m_timers.cancel(timer);
+                once->reply(answer);
+            }
+        };
+    }
+
+    void expectChange()
+    {
+        const Base::Instant soon = std::max<Base::Instant>(m_timers.now(), m_ownersReadAt + m_settings.ownersPause);
+        if (!m_isReading && (soon < m_nextRead)) {
+            m_nextRead = soon;
+            m_ownersTimer.armAt(soon, [this] { readOwners(); });
+        }
+    }
+
+    void readOwners()
+    {
+        m_isReading = true;
+        m_ownersReadAt = m_timers.now();
+        m_platform.readOwners([this](std::optional<std::vector<ShardOwner>> owners) {
+            m_isReading = false;
+            if (owners) {
+                m_owners.clear();
+                for (const ShardOwner &it : *owners) {
+                    const auto endpoint = Ini::toEndpoint(std::string_view(it.member).substr(0, it.member.find('/')));
+                    if (endpoint) {
+                        m_owners[it.shard] = *endpoint;
+                    }
+                }
+            }
+            m_nextRead = m_ownersReadAt + m_settings.ownersPeriod;
+            m_ownersTimer.armAt(m_nextRead, [this] { readOwners(); });
+        });
+    }
+
+    Platform &m_platform;
+    Base::TimerService &m_timers;
+    Http::Client &m_peers;
+    ShardHost<Platform> &m_host;
+    RouterSettings m_settings;
+    Base::OneShotTimer m_ownersTimer;
+    std::map<ShardNumber, Ini::Endpoint> m_owners;
+    Base::Instant m_ownersReadAt;
+    Base::Instant m_nextRead;
+    Base::Instant m_lastPeerAnswer;
+    bool m_isReading = false;
+};
+
+} // namespace JobService
--- /dev/null
+++ b/src/libs/jobservice/shardhost.h
@@ -0,0 +1,613 @@
+#pragma once
+
+#include "peerprotocol.h"
+#include "ports.h"
+#include "servicelayout.h"
+
+#include <base/logline.h>
+#include <base/oneshottimer.h>
+#include <jobs/shard.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+
+namespace JobService
+{
+
+struct HostSettings {
+    Jobs::ShardSettings shard;
+    Base::Duration membershipLifetime = std::chrono::milliseconds{1500};
+    Base::Duration membershipPeriod = std::chrono::milliseconds{400};
+    Base::Duration retryPause = std::chrono::milliseconds{150}; ///< before a call of the store is repeated
+    int appendAttempts = 3; ///< of one that is known not to have been done
+    Base::Duration acquirePatience = std::chrono::milliseconds{300}; ///< of requests while a shard is taken over
+};
+
+struct HostCounts {
+    std::uint64_t appends = 0;
+    std::uint64_t records = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t renewals = 0;
+    std::uint64_t shardsGained = 0;
+    std::uint64_t shardsLost = 0;
+    std::uint64_t jobsRefused = 0;
+    std::uint64_t jobsAccepted = 0;
+};
+
+/// Runs the shards that this member owns: joins the platform's membership, takes shards over, carries out
+/// their commands and answers requests for them.
+template<ShardPlatform Platform>
+class ShardHost
+{
+public:
+    using WallClock = std::function<Jobs::WallTime()>;
+    /// How long the process has stood still without its clock counting, in all.
+    using UncountedTime = std::function<Base::Duration()>;
+    using Reply = std::function<void(JobReply)>;
+
+    ShardHost(Platform &platform,
+              Base::TimerService &timers,
+              WallClock wallClock,
+              UncountedTime uncountedTime,
+              const HostSettings &settings,
+              const ServiceLayout &layout)
+        : m_platform(platform)
+        , m_timers(timers)
+        , m_wallClock(std::move(wallClock))
+        , m_uncountedTime(std::move(uncountedTime))
+        , m_uncounted(m_uncountedTime())
+        , m_settings(settings)
+        , m_layout(layout)
+        , m_ownership(settings.membershipLifetime)
+        , m_joinTimer(timers)
+    {
+    }
+
+    void start()
+    {
+        join();
+    }
+
+    /// Hands all shards over; `done` is called when the platform knows, or can't be told.
+    void stop(std::function<void()> done)
+    {
+        m_isStopping = true;
+        m_joinTimer.disarm();
+        for (const ShardNumber it : m_ownership.drop()) {
+            lose(it, "stopping");
+        }
+        m_platform.leaveMembership(std::move(done));
+    }
+
+    /// For shards that are gained from now on.
+    void setSettings(const HostSettings &settings)
+    {
+        m_settings = settings;
+    }
+
+    void setWorkers(std::vector<Jobs::WorkerInfo> workers)
+    {
+        m_workers = std::move(workers);
+        for (auto &[number, hosted] : m_hosted) {
+            if (hosted->isServing) {
+                hosted->shard->setWorkers(workersOf(number), m_timers.now());
+                pump(number);
+            }
+        }
+    }
+
+    bool owns(ShardNumber shard) const
+    {
+        return m_hosted.count(shard) > 0;
+    }
+
+    bool isMember() const
+    {
+        return m_ownership.isValid(m_timers.now());
+    }
+
+    Base::Instant lastGrant() const
+    {
+        return m_lastGrant;
+    }
+
+    const HostCounts &counts() const
+    {
+        return m_counts;
+    }
+
+    void handle(JobRequest request, Reply reply)
+    {
+        const auto it = m_hosted.find(request.shard);
+        if (it == m_hosted.end()) {
+            reply({.status = JobReply::Status::NotOwner});
+            return;
+        }
+        Hosted &hosted = *it->second;
+        if (!hosted.isServing) {
+            hosted.early.push_back({std::move(request), std::move(reply)});
+            return;
+        }
+        serve(hosted, std::move(request), std::move(reply));
+        pump(it->first);
+    }
+
+private:
+    // Two clocks read one after the other differ by less than this.
+    static constexpr Base::Duration SuspensionNoticed = std::chrono::milliseconds{50};
+
+    struct Early {
+        JobRequest request;
+        Reply reply;
+    };
+    struct Hosted {
+        Hosted(const Jobs::ShardSettings &settings, Jobs::FencingToken token, Base::TimerService &timers)
+            : shard(std::make_unique<Jobs::Shard>(settings, token))
+            , timer(timers)
+        {
+        }
+        std::unique_ptr<Jobs::Shard> shard;
+        Base::OneShotTimer timer;
+        std::vector<Early> early; ///< requests that came before the shard was read
+        bool isServing = false;
+        bool isPumping = false;
+        bool hasWritten = false;
+        bool mayBeStored = false; ///< an attempt of the append under way had no answer
+        int attempts = 0;
+        std::uint64_t sequence = 1;
+    };
+    using HostedPtr = std::shared_ptr<Hosted>;
+
+    void join()
+    {
+        const Base::Instant askedAt = m_timers.now();
+        m_joinTimer.disarm();
+        m_platform.renewMembership(m_ownership.generation(), [this, askedAt](std::optional<MembershipGrant> grant) {
+            if (m_isStopping) {
+                return;
+            }
+            bool hasLost = false;
+            if (grant) {
+                hasLost = takeGrant(*grant, askedAt);
+            }
+            checkAdrift();
+            if (hasLost) {
+                join(); // what was given up can be dealt at once
+                return;
+            }
+            m_joinTimer.armAt(std::max<Base::Instant>(askedAt + m_settings.membershipPeriod, m_timers.now()),
+                              [this] { join(); });
+        });
+    }
+
+    bool takeGrant(const MembershipGrant &grant, Base::Instant askedAt)
+    {
+        m_lastGrant = m_timers.now();
+        const auto change = m_ownership.granted(grant, askedAt);
+        for (const ShardNumber it : change.lost) {
+            lose(it, "reassigned");
+        }
+        for (const ShardNumber it : change.gained) {
+            gain(it);
+        }
+        return !change.lost.empty();
+    }
+
+    void checkAdrift()
+    {
+        const Base::Instant now = m_timers.now();
+        if (!m_hosted.empty() && now > m_ownership.validUntil() + m_settings.shard.adrift) {
+            for (const ShardNumber it : m_ownership.drop()) {
+                lose(it, "membership lapsed");
+            }
+        }
+        for (auto it = m_hosted.begin(); it != m_hosted.end();) {
+            pump((it++)->first);
+        }
+    }
+
+    void gain(ShardNumber number)
+    {
+        // Shards without a service have nothing to own; they are read when they get one.
+        const auto token = m_ownership.token(number);
+        auto hosted = std::make_shared<Hosted>(m_settings.shard, token, m_timers);
+        m_hosted[number] = hosted;
+        ++m_counts.shardsGained;
+        read(number, hosted);
+    }
+
+    void read(ShardNumber number, const HostedPtr &hosted)
+    {
+        const auto token = hosted->shard->token();
+        m_platform.takeShard(
+            number,
+            token,
+            [hosted](std::string_view key, std::string_view value) { hosted->shard->load(key, value); },
+            [this, number, hosted, token](StoreAnswer answer) {
+                if (!isCurrent(number, hosted)) {
+                    return;
+                }
+                if (answer.status == StoreStatus::Done) {
+                    serveFromNow(number, hosted);
+                    return;
+                }
+                if (answer.status == StoreStatus::Fenced) {
+                    giveUp(number, "the store has a newer owner");
+                    return;
+                }
+                hosted->shard = std::make_unique<Jobs::Shard>(m_settings.shard, token);
+                refuseEarly(*hosted);
+                hosted->timer.arm(m_settings.retryPause, [this, number, hosted] {
+                    if (isCurrent(number, hosted)) {
+                        read(number, hosted);
+                    }
+                });
+            });
+    }
+
+    void serveFromNow(ShardNumber number, const HostedPtr &hosted)
+    {
+        const Base::Instant now = m_timers.now();
+        hosted->isServing = true;
+        hosted->shard->begin(now, m_wallClock());
+        hosted->shard->setWorkers(workersOf(number), now);
+        if (!hosted->shard->jobs().empty() || !workersOf(number).empty()) {
+            Base::LogLine(Base::LogLevel::Info, "shard-gained")
+                .with("shard", number)
+                .with("token", hosted->shard->token())
+                .with("jobs", hosted->shard->jobs().size());
+        }
+        for (Early &it : std::exchange(hosted->early, {})) {
+            serve(*hosted, std::move(it.request), std::move(it.reply));
+        }
+        pump(number);
+    }
+
+    void refuseEarly(Hosted &hosted)
+    {
+        for (Early &it : std::exchange(hosted.early, {})) {
+            it.reply({.status = JobReply::Status::Refused, .retryAfter = std::chrono::milliseconds{1000}});
+        }
+    }
+
+    void lose(ShardNumber number, std::string_view reason)
+    {
+        const auto it = m_hosted.find(number);
+        if (it == m_hosted.end()) {
+            return;
+        }
+        const HostedPtr hosted = it->second;
+        m_hosted.erase(it);
+        hosted->timer.disarm();
+        ++m_counts.shardsLost;
+        if (!hosted->shard->jobs().empty()) {
+            Base::LogLine(Base::LogLevel::Info, "shard-lost")
+                .with("shard", number)
+                .with("token", hosted->shard->token())
+                .with("reason", reason);
+        }
+        refuseEarly(*hosted);
+        if (!hosted->isServing) {
+            return;
+        }
+        hosted->shard->refuseWaiting();
+        for (Jobs::Command &command : hosted->shard->takeCommands()) {
+            if (const auto *answer = std::get_if<Jobs::SendReply>(&command)) {
+                answerReply(*answer);
+            }
+        }
+    }
+
+    void giveUp(ShardNumber number, std::string_view reason)
+    {
+        lose(number, reason);
+        m_ownership.forget(number);
+    }
+
+    bool isCurrent(ShardNumber number, const HostedPtr &hosted) const
+    {
+        const auto it = m_hosted.find(number);
+        return it != m_hosted.end() && it->second == hosted;
+    }
+
+    std::vector<Jobs::WorkerInfo> workersOf(ShardNumber number) const
+    {
+        std::vector<Jobs::WorkerInfo> found;
+        for (const Jobs::WorkerInfo &it : m_workers) {
+            if (m_layout.shardOf(it.service) == number) {
+                found.push_back(it);
+            }
+        }
+        return found;
+    }
+
+    void serve(Hosted &hosted, JobRequest request, Reply reply)
+    {
+        Jobs::Shard &shard = *hosted.shard;
+        switch (request.operation) {
+        case Operation::Submit: {
+            const Jobs::ReplyId id = ++m_lastReply;
+            m_replies[id] = std::move(reply);
+            shard.submit(std::move(*request.spec), id, m_timers.now(), m_wallClock());
+            return;
+        }
+        case Operation::Cancel: {
+            const Jobs::ReplyId id = ++m_lastReply;
+            m_replies[id] = std::move(reply);
+            shard.cancel(request.subject, id, m_timers.now(), m_wallClock());
+            return;
+        }
+        case Operation::State: {
+            const Jobs::Job *job = shard.find(request.subject);
+            if (!job) {
+                reply({.status = JobReply::Status::NoSuchJob});
+                return;
+            }
+            reply({.status = JobReply::Status::Done, .state = shownState(*job)});
+            return;
+        }
+        case Operation::Pending:
+            reply({.status = JobReply::Status::Done, .pending = shard.pending(request.subject)});
+            return;
+        }
+    }
+
+    static ShownState shownState(const Jobs::Job &job)
+    {
+        switch (job.storedState) {
+        case Jobs::JobState::Completed:
+            return ShownState::Completed;
+        case Jobs::JobState::Failed:
+            return ShownState::Failed;
+        case Jobs::JobState::Cancelled:
+            return ShownState::Cancelled;
+        case Jobs::JobState::Active:
+            break;
+        }
+        return job.hasStarted ? ShownState::Running : ShownState::Queued;
+    }
+
+    void pump(ShardNumber number)
+    {
+        const auto it = m_hosted.find(number);
+        if (it == m_hosted.end() || !it->second->isServing || it->second->isPumping) {
+            return;
+        }
+        const HostedPtr hosted = it->second;
+        hosted->isPumping = true;
+        noticeSuspension();
+        const Base::Instant now = m_timers.now();
+        hosted->shard->setAdrift(!m_ownership.isValid(now));
+        hosted->shard->pass(now, m_wallClock());
+        for (Jobs::Command &command : hosted->shard->takeCommands()) {
+            std::visit([&](auto &order) { carryOut(number, hosted, order); }, command);
+            if (!isCurrent(number, hosted)) {
+                return;
+            }
+        }
+        hosted->isPumping = false;
+        hosted->timer.armAt(hosted->shard->nextDue(now), [this, number] { pump(number); });
+    }
+
+    // A membership goes on ageing while the machine is suspended, although its clock stands.
+    void noticeSuspension()
+    {
+        const Base::Duration uncounted = m_uncountedTime();
+        if (uncounted - m_uncounted > SuspensionNoticed) {
+            Base::LogLine(Base::LogLevel::Warning, "suspended")
+                .with("ms", std::chrono::duration_cast<Jobs::Milliseconds>(uncounted - m_uncounted).count());
+            m_ownership.suspended(uncounted - m_uncounted);
+        }
+        m_uncounted = uncounted;
+    }
+
+    void carryOut(ShardNumber number, const HostedPtr &hosted, Jobs::AppendBatch &batch)
+    {
+        hosted->attempts = 0;
+        hosted->mayBeStored = false;
+        ++m_counts.appends;
+        m_counts.records += batch.records.size();
+        append(number, hosted, std::make_shared<const Jobs::AppendBatch>(std::move(batch)));
+    }
+
+    void append(ShardNumber number, const HostedPtr &hosted, std::shared_ptr<const Jobs::AppendBatch> batch)
+    {
+        m_platform.append(number,
+                          hosted->shard->token(),
+                          hosted->sequence,
+                          batch->records,
+                          [this, number, hosted, batch](StoreAnswer answer) {
+                              if (isCurrent(number, hosted)) {
+                                  appended(number, hosted, batch, answer);
+                              }
+                          });
+    }
+
+    // An append without an answer is sent again under its number until the store says what became of it.
+    void appended(ShardNumber number,
+                  const HostedPtr &hosted,
+                  const std::shared_ptr<const Jobs::AppendBatch> &batch,
+                  StoreAnswer answer)
+    {
+        const auto finish = [&](Jobs::AppendResult result) {
+            hosted->shard->appended(batch->number, result, m_timers.now(), m_wallClock());
+            pump(number);
+        };
+        switch (answer.status) {
+        case StoreStatus::Done:
+            ++hosted->sequence;
+            hosted->hasWritten = true;
+            finish(Jobs::AppendResult::Stored);
+            return;
+        case StoreStatus::Fenced:
+            giveUp(number, "the store has a newer owner");
+            return;
+        case StoreStatus::OutOfSequence:
+            if (hosted->hasWritten || hosted->mayBeStored) {
+                Base::LogLine(Base::LogLevel::Error, "append-out-of-sequence")
+                    .with("shard", number)
+                    .with("sent", hosted->sequence)
+                    .with("expected", answer.expectedSequence);
+                giveUp(number, "the store expects another append");
+                return;
+            }
+            hosted->sequence = answer.expectedSequence;
+            append(number, hosted, batch);
+            return;
+        case StoreStatus::Unknown:
+            hosted->mayBeStored = true;
+            break;
+        case StoreStatus::Full:
+        case StoreStatus::NotDone:
+            if (!hosted->mayBeStored && (++hosted->attempts >= m_settings.appendAttempts || answer.status == StoreStatus::Full)) {
+                Base::LogLine(Base::LogLevel::Warning, "append-refused").with("shard", number);
+                finish(Jobs::AppendResult::NotStored);
+                return;
+            }
+            break;
+        }
+        pump(number);
+        m_timers.subscribeAfter(m_settings.retryPause, [this, number, hosted, batch] {
+            if (isCurrent(number, hosted)) {
+                append(number, hosted, batch);
+            }
+        });
+    }
+
+    const Jobs::WorkerInfo *workerInfo(const Hosted &hosted, const std::string &id) const
+    {
+        const auto it = hosted.shard->workers().find(id);
+        return it != hosted.shard->workers().end() && !it->second.info.address.empty() ? &it->second.info : nullptr;
+    }
+
+    void carryOut(ShardNumber number, const HostedPtr &hosted, Jobs::StartRun &order)
+    {
+        ++m_counts.starts;
+        const Jobs::WorkerInfo *worker = workerInfo(*hosted, order.worker);
+        if (!worker) {
+            hosted->shard->startAnswered(order, Jobs::OrderResult::NotSent, 0, m_timers.now());
+            return;
+        }
+        const auto token = hosted->shard->token();
+        m_platform.startRun(*worker, token, order, [this, number, hosted, order](RunAnswer answer) {
+            if (isCurrent(number, hosted)) {
+                hosted->shard->startAnswered(order, answer.result, answer.clock, m_timers.now());
+                pump(number);
+            }
+        });
+    }
+
+    void carryOut(ShardNumber number, const HostedPtr &hosted, Jobs::StopRun &order)
+    {
+        const Jobs::WorkerInfo *worker = workerInfo(*hosted, order.worker);
+        if (!worker) {
+            return;
+        }
+        const auto token = hosted->shard->token();
+        m_platform.stopRun(*worker, token, order, [this, number, hosted, order](RunAnswer answer) {
+            if (isCurrent(number, hosted)) {
+                hosted->shard->stopAnswered(order, answer.result, answer.clock, m_timers.now());
+                pump(number);
+            }
+        });
+    }
+
+    void carryOut(ShardNumber number, const HostedPtr &hosted, Jobs::RenewLease &order)
+    {
+        ++m_counts.renewals;
+        const Jobs::WorkerInfo *worker = workerInfo(*hosted, order.worker);
+        if (!worker) {
+            hosted->shard->renewAnswered(order, Jobs::OrderResult::NotSent, {}, m_timers.now(), m_wallClock());
+            return;
+        }
+        const auto token = hosted->shard->token();
+        m_platform.renewLease(
+            *worker,
+            token,
+            order,
+            [this, number, hosted, order](Jobs::OrderResult result, const Jobs::RunList &list) {
+                if (isCurrent(number, hosted)) {
+                    hosted->shard->renewAnswered(order, result, list, m_timers.now(), m_wallClock());
+                    pump(number);
+                }
+            });
+    }
+
+    void carryOut(ShardNumber, const HostedPtr &hosted, Jobs::PaceRun &order)
+    {
+        if (const Jobs::WorkerInfo *worker = workerInfo(*hosted, order.worker)) {
+            m_platform.paceRun(*worker, hosted->shard->token(), order, [](RunAnswer) {});
+        }
+    }
+
+    void carryOut(ShardNumber, const HostedPtr &, Jobs::SendReply &order)
+    {
+        answerReply(order);
+    }
+
+    void carryOut(ShardNumber number, const HostedPtr &, Jobs::GiveUpShard &order)
+    {
+        giveUp(number, order.reason);
+    }
+
+    void answerReply(const Jobs::SendReply &order)
+    {
+        const auto it = m_replies.find(order.reply);
+        if (it == m_replies.end()) {
+            return;
+        }
+        const Reply reply = std::move(it->second);
+        m_replies.erase(it);
+        JobReply answer;
+        answer.retryAfter = order.retryAfter;
+        switch (order.answer) {
+        case Jobs::Answer::Accepted:
+            ++m_counts.jobsAccepted;
+            answer.status = JobReply::Status::Done;
+            break;
+        case Jobs::Answer::Cancelled:
+            answer.status = JobReply::Status::Done;
+            answer.state = ShownState::Cancelled;
+            break;
+        case Jobs::Answer::Refused:
+            ++m_counts.jobsRefused;
+            answer.status = JobReply::Status::Refused;
+            break;
+        case Jobs::Answer::Hopeless:
+            ++m_counts.jobsRefused;
+            answer.status = JobReply::Status::Hopeless;
+            break;
+        case Jobs::Answer::Unknown:
+            answer.status = JobReply::Status::Unknown;
+            break;
+        case Jobs::Answer::NoSuchJob:
+            answer.status = JobReply::Status::NoSuchJob;
+            break;
+        }
+        reply(answer);
+    }
+
+    Platform &m_platform;
+    Base::TimerService &m_timers;
+    WallClock m_wallClock;
+    UncountedTime m_uncountedTime;
+    Base::Duration m_uncounted;
+    HostSettings m_settings;
+    const ServiceLayout &m_layout;
+    Ownership m_ownership;
+    Base::OneShotTimer m_joinTimer;
+    std::map<ShardNumber, HostedPtr> m_hosted;
+    std::vector<Jobs::WorkerInfo> m_workers;
+    std::unordered_map<Jobs::ReplyId, Reply> m_replies;
+    Jobs::ReplyId m_lastReply = 0;
+    Base::Instant m_lastGrant;
+    HostCounts m_counts;
+    bool m_isStopping = false;
+};
+
+} // namespace JobService
--- a/src/libs/runtime/duty.cpp
+++ b/src/libs/runtime/duty.cpp
@@ -53,6 +53,11 @@
     pthread_setname_np(m_thread.native_handle(), m_name.substr(0, 15).c_str());
 }
 
+void Duty::runHere()
+{
+    run();
+}
+
 void Duty::stop()
 {
     if (!m_thread.joinable()) {
--- a/src/libs/runtime/duty.h
+++ b/src/libs/runtime/duty.h
@@ -28,6 +28,9 @@
     /// Starts the thread.
     void start();
 
+    /// Runs the duty on the calling thread until its context is stopped.
+    void runHere();
+
     /// Ends the thread after the handler that is running; joins it.
     void stop();
 
--- /dev/null
+++ b/src/libs/settings/jobsettings.cpp
@@ -0,0 +1,114 @@
+#include "jobsettings.h"
+
+using namespace std::chrono_literals;
+
+namespace Settings
+{
+
+namespace
+{
+
+using JobDeclarations = Declarations<JobSettings>;
+
+void declareAddresses(JobDeclarations &settings)
+{
+    settings.section(&JobSettings::instance, "instance", "Which instance this is.")
+        .add(&JobInstanceSettings::name, "name", Required, NotEmpty{}, "Name of the instance.")
+        .add(&JobInstanceSettings::zone,
+             "zone",
+             Required,
+             NotEmpty{},
+             "Availability zone that the instance stands in.");
+    settings.section(&JobSettings::callers, "callers", "How callers hand in jobs.")
+        .add(&ListenSettings::address, "address", Required, AnyValue{}, "Where callers' requests are accepted.");
+    settings.section(&JobSettings::readiness, "readiness", "What the balancer asks.")
+        .add(&ListenSettings::address, "address", Required, AnyValue{}, "Where /readyz is answered.");
+    settings.section(&JobSettings::peers, "peers", "Requests between the system's own processes.")
+        .add(&ListenSettings::address, "address", Required, AnyValue{}, "Where peers' requests are accepted.");
+    settings.section(&JobSettings::operators, "operators", "What operators look at.")
+        .add(&ListenSettings::address, "address", Required, AnyValue{}, "Where /metrics is answered.");
+}
+
+void declareStore(JobDeclarations &settings)
+{
+    settings.section(&JobSettings::store, "store", "The platform's store.")
+        .add(&StoreSettings::address, "address", Required, AnyValue{}, "Where the store is.")
+        .add(&StoreSettings::shards,
+             "shards",
+             24,
+             range<std::uint32_t>(1, 100'000),
+             "Parts that jobs are divided into, as many as a topic of the store has partitions.")
+        .add(&StoreSettings::leastMembership,
+             "least_membership_ms",
+             1s,
+             range<Milliseconds>(100ms, 60s),
+             "The shortest lifetime of a membership that the store accepts; ours is half as long again.")
+        .add(&StoreSettings::batchPeriod,
+             "batch_period_ms",
+             25ms,
+             range<Milliseconds>(1ms, 1s),
+             "Between two appends of a shard; what happens meanwhile goes into one.");
+}
+
+void declareWorkers(JobDeclarations &settings)
+{
+    settings.section(&JobSettings::workers, "workers", "How runs on workers are kept.")
+        .add(&WorkersSettings::leaseLimit,
+             "lease_limit_ms",
+             6s,
+             range<Milliseconds>(500ms, 600s),
+             "The longest lease that workers grant.")
+        .add(&WorkersSettings::lease,
+             "lease_ms",
+             4s,
+             range<Milliseconds>(500ms, 600s),
+             "How long a worker goes on without hearing from its owner. Shorter: what ran on a lost worker is "
+             "restarted sooner. Longer: more time for another owner to take over.")
+        .add(&WorkersSettings::renewal,
+             "renewal_ms",
+             800ms,
+             range<Milliseconds>(100ms, 1900ms),
+             "Between two renewals of a worker that runs something.")
+        .add(&WorkersSettings::adrift,
+             "adrift_ms",
+             10s,
+             range<Milliseconds>(0ms, 60s),
+             "How long an owner that lost the store goes on renewing. A later owner waits as long before it "
+             "restarts what ran on workers that it can't reach.");
+}
+
+void declareShutdown(JobDeclarations &settings)
+{
+    settings.section(&JobSettings::shutdown, "shutdown", "How the process ends.")
+        .add(&ShutdownSettings::grace,
+             "grace_s",
+             6,
+             range<std::uint32_t>(1, 600),
+             "Seconds between the request to end and the kill.")
+        .add(&ShutdownSettings::notice,
+             "notice_ms",
+             2500ms,
+             range<Milliseconds>(0ms, 60s),
+             "Requests are still accepted for so long after readiness has ended: the balancer looks once a "
+             "second and wants two misses.");
+}
+
+JobDeclarations declareAll()
+{
+    JobDeclarations settings;
+    declareAddresses(settings);
+    declareStore(settings);
+    declareWorkers(settings);
+    declareShutdown(settings);
+    return settings;
+}
+
+} // namespace
+
+const Declarations<JobSettings> &jobDeclarations()
+{
+    static const JobDeclarations settings = declareAll();
+    return settings;
+}
+
+} // namespace Settings
--- /dev/null
+++ b/src/libs/settings/jobsettings.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "declarations.h"
+
+#include <ini/values.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Settings
+{
+
+struct JobInstanceSettings {
+    std::string name;
+    std::string zone;
+};
+
+struct ListenSettings {
+    Ini::Endpoint address;
+};
+
+struct StoreSettings {
+    Ini::Endpoint address;
+    std::uint32_t shards = 0;
+    Milliseconds leastMembership{};
+    Milliseconds batchPeriod{};
+};
+
+struct WorkersSettings {
+    Milliseconds leaseLimit{};
+    Milliseconds lease{};
+    Milliseconds renewal{};
+    Milliseconds adrift{};
+};
+
+struct ShutdownSettings {
+    std::uint32_t grace = 0; ///< seconds
+    Milliseconds notice{};
+};
+
+struct JobSettings {
+    JobInstanceSettings instance;
+    ListenSettings callers;
+    ListenSettings readiness;
+    ListenSettings peers;
+    ListenSettings operators;
+    StoreSettings store;
+    WorkersSettings workers;
+    ShutdownSettings shutdown;
+};
+
+/// The settings of rhubarbcrank-jobs.
+const Declarations<JobSettings> &jobDeclarations();
+
+} // namespace Settings
