Read progress records after all specifications of a shard

Cause: a page of newest records is sorted by key, so progress/ID came before spec/ID and was thrown away; every later owner began all jobs anew.

Change: progress is kept until all records of the shard are read.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -44,7 +44,7 @@
     return m_jobs;
 }
 
-// Records come in any order, so the progress may be there before the specification.
+// Records come in any order: progress may be there before the specification that it is read against.
 void Shard::load(std::string_view key, std::string_view value)
 {
     if (key.substr(0, SpecPrefix.size()) == SpecPrefix) {
@@ -57,12 +57,17 @@
         job->isStored = true;
         job->isDirty = false;
         m_jobs[id] = std::move(*job);
-        return;
+    } else if (key.substr(0, ProgressPrefix.size()) == ProgressPrefix) {
+        m_loadedProgress[std::string(key.substr(ProgressPrefix.size()))] = std::string(value);
     }
-    if (key.substr(0, ProgressPrefix.size()) == ProgressPrefix) {
-        const auto it = m_jobs.find(key.substr(ProgressPrefix.size()));
-        if (it == m_jobs.end() || !decodeProgress(value, it->second)) {
-            Base::LogLine(Base::LogLevel::Error, "record-unreadable").with("key", key);
+}
+
+void Shard::applyLoadedProgress()
+{
+    for (const auto &[id, text] : std::exchange(m_loadedProgress, {})) {
+        const auto it = m_jobs.find(id);
+        if (it == m_jobs.end() || !decodeProgress(text, it->second)) {
+            Base::LogLine(Base::LogLevel::Error, "record-unreadable").with("key", progressKey(id));
         }
     }
 }
@@ -70,7 +75,7 @@
 // The earlier owner may have renewed leases until its own patience ended, on workers that this owner can't reach.
 void Shard::begin(Base::Instant now, WallTime wall)
 {
-    m_takenOverAt = now;
+    applyLoadedProgress();
     m_lastBatchAt = now - m_settings.batchPeriod;
     for (auto &[id, job] : m_jobs) {
         if (job.occurrences.empty() && !job.spec.isTimed() && job.state == JobState::Active) {
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -83,6 +83,8 @@
         Base::Instant sentAt;
     };
 
+    void applyLoadedProgress();
+
     // shardworkers.cpp: runs and workers
     Worker &workerFor(const std::string &id);
     void startNewLife(Worker &worker, std::int64_t born, Base::Instant now);
@@ -114,6 +116,7 @@
     ShardSettings m_settings;
     FencingToken m_token;
     std::map<std::string, Job, std::less<>> m_jobs;
+    std::map<std::string, std::string> m_loadedProgress; ///< of jobs, until all records are there
     std::map<std::string, Worker> m_workers;
     std::vector<Command> m_commands;
     std::optional<Batch> m_batch; ///< under way
@@ -122,7 +125,6 @@
     std::vector<TaskId> m_plannedStarts;
     std::vector<ReplyId> m_cancelReplies;
     std::vector<std::string> m_forgotten;
-    Base::Instant m_takenOverAt;
     Base::Instant m_nextSweep;
     Base::Instant m_nextOccurrenceDue;
     bool m_isAdrift = false;
