Release shards by a record, and ask peers before renewing without the store

Cause: a new owner waited the whole time that an owner without the store might renew leases (10 s) before it restarted runs on workers that it can't reach, also after an orderly hand-over.

Change: an owner that hands a shard over says so in a record; a later life of the same member proves the end of the earlier one; an owner without the store renews on only while most members say that they have lost it, too, so the bound for others is 2 s.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -19,12 +19,14 @@
 
 constexpr std::string_view SpecPrefix = "spec/";
 constexpr std::string_view ProgressPrefix = "progress/";
+constexpr std::string_view OwnerKey = "owner";
 
 } // namespace
 
-Shard::Shard(const ShardSettings &settings, FencingToken token)
+Shard::Shard(const ShardSettings &settings, FencingToken token, std::string member)
     : m_settings(settings)
     , m_token(token)
+    , m_member(std::move(member))
 {
     m_settings.lease = std::min(m_settings.lease, m_settings.leaseLimit);
 }
@@ -57,6 +59,8 @@
         job->isStored = true;
         job->isDirty = false;
         m_jobs[id] = std::move(*job);
+    } else if (key == OwnerKey) {
+        m_earlierOwner = std::string(value);
     } else if (key.substr(0, ProgressPrefix.size()) == ProgressPrefix) {
         m_loadedProgress[std::string(key.substr(ProgressPrefix.size()))] = std::string(value);
     }
@@ -72,8 +76,16 @@
     }
 }
 
-// The earlier owner may have renewed leases until its own patience ended, on workers that this owner can't reach.
-void Shard::begin(Base::Instant now, WallTime wall)
+Record Shard::releaseRecord() const
+{
+    return {std::string(OwnerKey), {}};
+}
+
+// An earlier owner that has neither released the shard nor ended may still renew leases for a while, on workers
+// that this owner can't reach.
+void Shard::begin(Base::Instant now,
+                  WallTime wall,
+                  const std::function<bool(const std::string &member)> &hasEnded)
 {
     applyLoadedProgress();
     m_lastBatchAt = now - m_settings.batchPeriod;
@@ -102,9 +114,10 @@
             stopRuns(job, now);
         }
     }
-    const auto bound = m_settings.adrift + m_settings.lease * 103 / 100 + Milliseconds(300);
+    const bool mayStillRenew = !m_earlierOwner.empty() && !hasEnded(m_earlierOwner);
+    const Base::Instant lastRenewal = mayStillRenew ? now + m_settings.adrift : now;
     for (auto &[id, worker] : m_workers) {
-        worker.leaseBound = now + bound;
+        worker.leaseBound = lastRenewal + longestLease();
     }
 }
 
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -6,7 +6,7 @@
 #include <base/instant.h>
 
 #include <cstdint>
-#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -20,7 +20,7 @@
 struct ShardSettings {
     Milliseconds lease{4000}; ///< how long a worker goes on without hearing from its owner
     Milliseconds leaseLimit{10000}; ///< the longest lease that workers grant
-    Milliseconds adrift{10000}; ///< an owner that lost the store renews leases for so long
+    Milliseconds adrift{2000}; ///< an owner stops renewing at most so long after another may have been chosen
     Milliseconds renewal{800}; ///< a lease is renewed this often
     Milliseconds batchPeriod{25}; ///< between two appends
     Milliseconds storePatience{400}; ///< an append that takes longer makes new jobs be refused
@@ -37,11 +37,13 @@
 class Shard
 {
 public:
-    Shard(const ShardSettings &settings, FencingToken token);
+    /// `member` names this owner in the record that later owners read.
+    Shard(const ShardSettings &settings, FencingToken token, std::string member);
 
     // Taking over: every stored record, then begin().
     void load(std::string_view key, std::string_view value);
-    void begin(Base::Instant now, WallTime wall);
+    /// `hasEnded` tells of a member whether its process is known to have ended.
+    void begin(Base::Instant now, WallTime wall, const std::function<bool(const std::string &member)> &hasEnded);
 
     /// The workers of this shard's services, whole.
     void setWorkers(std::span<const WorkerInfo> workers, Base::Instant now);
@@ -49,6 +51,8 @@
     void setAdrift(bool isAdrift);
     /// Ends all that waits with an answer, before the shard is handed over.
     void refuseWaiting();
+    /// What tells a later owner that this one renews no more leases.
+    Record releaseRecord() const;
 
     void submit(JobSpec spec, ReplyId reply, Base::Instant now, WallTime wall);
     void cancel(std::string_view job, ReplyId reply, Base::Instant now, WallTime wall);
@@ -99,6 +103,8 @@
     void releaseLapsed(Base::Instant now);
     void askWorkers(Base::Instant now);
     std::int64_t leaseEnd(Worker &worker, Base::Instant now) const;
+    /// From the sending of a renewal to the end of its lease, by the slowest clock.
+    Milliseconds longestLease() const;
 
     // shardpass.cpp: placing and storing
     void addDueOccurrences(Job &job, WallTime wall);
@@ -115,6 +121,9 @@
 
     ShardSettings m_settings;
     FencingToken m_token;
+    std::string m_member;
+    std::string m_earlierOwner; ///< empty when it has released the shard, or there was none
+    bool m_isOwnerStored = false;
     std::map<std::string, Job, std::less<>> m_jobs;
     std::map<std::string, std::string> m_loadedProgress; ///< of jobs, until all records are there
     std::map<std::string, Worker> m_workers;
--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -15,6 +15,7 @@
 
 constexpr Milliseconds SweepPeriod{1000};
 constexpr Milliseconds StoreRetryAfter{1000};
+constexpr std::string_view OwnerKey = "owner";
 
 // One batch stays well below what the store takes in one call.
 constexpr std::size_t MostBytesInBatch = 1U << 20U;
@@ -242,6 +243,10 @@
         append.records.push_back({std::move(key), std::move(value)});
     };
     bool isComplete = true;
+    if (!m_isOwnerStored) {
+        m_isOwnerStored = true;
+        add(std::string(OwnerKey), m_member);
+    }
     for (auto &[id, job] : m_jobs) {
         if (!job.isDirty) {
             continue;
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -421,13 +421,16 @@
     worker.nextAsk = worker.processedCursor > worker.ackCursor ? now + UnstoredPause : now;
 }
 
+Milliseconds Shard::longestLease() const
+{
+    return m_settings.lease + m_settings.lease * ClockDriftPerCent / 100 + LeaseMargin;
+}
+
 std::int64_t Shard::leaseEnd(Worker &worker, Base::Instant now) const
 {
     const auto sinceRead = std::chrono::duration_cast<Milliseconds>(now - worker.clockReadAt);
-    const auto lease = m_settings.lease;
-    const auto bound = now + lease + lease * ClockDriftPerCent / 100 + LeaseMargin;
-    worker.leaseBound = std::max<Base::Instant>(worker.leaseBound, bound);
-    return worker.clock + (sinceRead + lease).count();
+    worker.leaseBound = std::max<Base::Instant>(worker.leaseBound, now + longestLease());
+    return worker.clock + (sinceRead + m_settings.lease).count();
 }
 
 // A worker that stopped answering is only asked, not renewed: its runs then end at a time that is known.
--- a/src/libs/jobservice/requestrouter.h
+++ b/src/libs/jobservice/requestrouter.h
@@ -29,12 +29,14 @@
                   Base::TimerService &timers,
                   Http::Client &peers,
                   ShardHost<Platform> &host,
+                  const std::string &ownName,
                   const RouterSettings &settings)
         : m_platform(platform)
         , m_timers(timers)
         , m_peers(peers)
         , m_host(host)
         , m_settings(settings)
+        , m_ownPlace(splitMember(ownName).first)
         , m_ownersTimer(timers)
     {
     }
@@ -78,7 +80,78 @@
         return !m_owners.empty();
     }
 
+    /// A later life of the same member has been seen.
+    bool hasEnded(const std::string &member) const
+    {
+        const auto [place, start] = splitMember(member);
+        const auto it = m_members.find(place);
+        return it != m_members.end() && it->second.start > start;
+    }
+
+    /// Most of all members, with this one, have said within the last second that they have lost the store.
+    /// Asks them again.
+    bool isStoreLostForMost()
+    {
+        const Base::Instant now = m_timers.now();
+        std::size_t lost = 1;
+        bool isMemberElsewhere = false;
+        for (auto &[place, member] : m_members) {
+            if (member.place == m_ownPlace) {
+                continue;
+            }
+            if (now - member.answeredAt < AnswerLifetime) {
+                lost += member.hasLostStore ? 1 : 0;
+                isMemberElsewhere = isMemberElsewhere || !member.hasLostStore;
+            }
+            ask(place);
+        }
+        return !isMemberElsewhere && lost * 2 > m_members.size();
+    }
+
+    /// The path under which members ask each other whether they have lost the store.
+    static constexpr std::string_view MembershipPath = "/membership";
+
 private:
+    static constexpr Base::Duration AnswerLifetime = std::chrono::milliseconds{1000};
+    static constexpr Base::Duration AskTimeout = std::chrono::milliseconds{500};
+
+    struct Member {
+        std::string place; ///< "IP:port/name"
+        Ini::Endpoint endpoint;
+        std::uint64_t start = 0; ///< of the latest life
+        Base::Instant answeredAt;
+        bool hasLostStore = false;
+        bool isAsked = false;
+    };
+
+    static std::pair<std::string, std::uint64_t> splitMember(const std::string &member)
+    {
+        const auto slash = member.rfind('/');
+        if (slash == std::string::npos) {
+            return {member, 0};
+        }
+        return {member.substr(0, slash), Ini::toInteger(std::string_view(member).substr(slash + 1)).value_or(0)};
+    }
+
+    void ask(const std::string &place)
+    {
+        Member &member = m_members[place];
+        if (member.isAsked) {
+            return;
+        }
+        member.isAsked = true;
+        Http::Request request;
+        request.target = MembershipPath;
+        m_peers.send(member.endpoint, std::move(request), AskTimeout, [this, place](Http::Outcome outcome) {
+            Member &asked = m_members[place];
+            asked.isAsked = false;
+            if (outcome.response) {
+                asked.answeredAt = m_timers.now();
+                asked.hasLostStore = outcome.response->status != 200;
+            }
+        });
+    }
+
     static JobReply refusal()
     {
         return {.status = JobReply::Status::Refused, .retryAfter = std::chrono::milliseconds{500}};
@@ -141,6 +214,7 @@
             if (owners) {
                 m_owners.clear();
                 for (const ShardOwner &it : *owners) {
+                    noteMember(it.member);
                     const auto endpoint = Ini::toEndpoint(std::string_view(it.member).substr(0, it.member.find('/')));
                     if (endpoint) {
                         m_owners[it.shard] = *endpoint;
@@ -152,11 +226,24 @@
         });
     }
 
+    void noteMember(const std::string &name)
+    {
+        const auto [place, start] = splitMember(name);
+        Member &member = m_members[place];
+        member.place = place;
+        member.start = std::max(member.start, start);
+        if (const auto endpoint = Ini::toEndpoint(std::string_view(place).substr(0, place.find('/')))) {
+            member.endpoint = *endpoint;
+        }
+    }
+
     Platform &m_platform;
     Base::TimerService &m_timers;
     Http::Client &m_peers;
     ShardHost<Platform> &m_host;
     RouterSettings m_settings;
+    std::string m_ownPlace;
+    std::map<std::string, Member> m_members; ///< by place
     Base::OneShotTimer m_ownersTimer;
     std::map<ShardNumber, Ini::Endpoint> m_owners;
     Base::Instant m_ownersReadAt;
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -54,6 +54,7 @@
               Base::TimerService &timers,
               WallClock wallClock,
               UncountedTime uncountedTime,
+              std::string member,
               const HostSettings &settings,
               const ServiceLayout &layout)
         : m_platform(platform)
@@ -61,6 +62,7 @@
         , m_wallClock(std::move(wallClock))
         , m_uncountedTime(std::move(uncountedTime))
         , m_uncounted(m_uncountedTime())
+        , m_member(std::move(member))
         , m_settings(settings)
         , m_layout(layout)
         , m_ownership(settings.membershipLifetime)
@@ -68,8 +70,15 @@
     {
     }
 
-    void start()
+    using HasEnded = std::function<bool(const std::string &member)>;
+    using AskPeers = std::function<bool()>;
+
+    /// `hasEnded` tells whether a member's process is known to have ended. `isStoreLostForMost` tells whether
+    /// most members have said lately that they have lost the store, too; it is asked while this one has.
+    void start(HasEnded hasEnded, AskPeers isStoreLostForMost)
     {
+        m_hasEnded = std::move(hasEnded);
+        m_isStoreLostForMost = std::move(isStoreLostForMost);
         join();
     }
 
@@ -78,10 +87,9 @@
     {
         m_isStopping = true;
         m_joinTimer.disarm();
-        for (const ShardNumber it : m_ownership.drop()) {
-            lose(it, "stopping");
-        }
-        m_platform.leaveMembership(std::move(done));
+        release(m_ownership.drop(), "stopping", [this, done = std::move(done)]() mutable {
+            m_platform.leaveMembership(std::move(done));
+        });
     }
 
     /// For shards that are gained from now on.
@@ -140,14 +148,21 @@
 private:
     // Two clocks read one after the other differ by less than this.
     static constexpr Base::Duration SuspensionNoticed = std::chrono::milliseconds{50};
+    // Part of the time that later owners grant in ShardSettings::adrift; the rest covers the call under way.
+    static constexpr Base::Duration AdriftPatience = std::chrono::milliseconds{500};
+    // Before a shard is handed over without the record of its release.
+    static constexpr Base::Duration ReleasePatience = std::chrono::milliseconds{300};
 
     struct Early {
         JobRequest request;
         Reply reply;
     };
     struct Hosted {
-        Hosted(const Jobs::ShardSettings &settings, Jobs::FencingToken token, Base::TimerService &timers)
-            : shard(std::make_unique<Jobs::Shard>(settings, token))
+        Hosted(const Jobs::ShardSettings &settings,
+               Jobs::FencingToken token,
+               const std::string &member,
+               Base::TimerService &timers)
+            : shard(std::make_unique<Jobs::Shard>(settings, token, member))
             , timer(timers)
         {
         }
@@ -158,6 +173,8 @@
         bool isPumping = false;
         bool hasWritten = false;
         bool mayBeStored = false; ///< an attempt of the append under way had no answer
+        bool isAppending = false;
+        std::function<void()> whenAppended; ///< called once, after the shard has been lost
         int attempts = 0;
         std::uint64_t sequence = 1;
     };
@@ -171,13 +188,14 @@
             if (m_isStopping) {
                 return;
             }
-            bool hasLost = false;
+            std::vector<ShardNumber> lost;
             if (grant) {
-                hasLost = takeGrant(*grant, askedAt);
+                lost = takeGrant(*grant, askedAt);
             }
             checkAdrift();
-            if (hasLost) {
-                join(); // what was given up can be dealt at once
+            if (!lost.empty()) {
+                // Joining again lets the platform deal what was released.
+                release(lost, "reassigned", [this] { joinUnlessStopping(); });
                 return;
             }
             m_joinTimer.armAt(std::max<Base::Instant>(askedAt + m_settings.membershipPeriod, m_timers.now()),
@@ -185,26 +203,47 @@
         });
     }
 
-    bool takeGrant(const MembershipGrant &grant, Base::Instant askedAt)
+    void joinUnlessStopping()
+    {
+        if (!m_isStopping) {
+            join();
+        }
+    }
+
+    // A shard that is lost and gained in one grant is released before it is read again.
+    std::vector<ShardNumber> takeGrant(const MembershipGrant &grant, Base::Instant askedAt)
     {
         m_lastGrant = m_timers.now();
         const auto change = m_ownership.granted(grant, askedAt);
+        std::vector<ShardNumber> lost;
         for (const ShardNumber it : change.lost) {
-            lose(it, "reassigned");
+            if (m_ownership.token(it) != 0) {
+                lose(it, "regained");
+            } else {
+                lost.push_back(it);
+            }
         }
         for (const ShardNumber it : change.gained) {
             gain(it);
         }
-        return !change.lost.empty();
+        return lost;
     }
 
+    // Another owner may have been chosen once the membership has lapsed, unless the store is down for all.
     void checkAdrift()
     {
         const Base::Instant now = m_timers.now();
-        if (!m_hosted.empty() && now > m_ownership.validUntil() + m_settings.shard.adrift) {
+        if (m_hosted.empty() || m_ownership.isValid(now)) {
+            m_adriftSince.reset();
+        } else if (m_isStoreLostForMost()) {
+            m_adriftSince.reset();
+        } else if (!m_adriftSince) {
+            m_adriftSince = now;
+        } else if (now > *m_adriftSince + AdriftPatience) {
             for (const ShardNumber it : m_ownership.drop()) {
                 lose(it, "membership lapsed");
             }
+            m_adriftSince.reset();
         }
         for (auto it = m_hosted.begin(); it != m_hosted.end();) {
             pump((it++)->first);
@@ -215,7 +254,7 @@
     {
         // Shards without a service have nothing to own; they are read when they get one.
         const auto token = m_ownership.token(number);
-        auto hosted = std::make_shared<Hosted>(m_settings.shard, token, m_timers);
+        auto hosted = std::make_shared<Hosted>(m_settings.shard, token, m_member, m_timers);
         m_hosted[number] = hosted;
         ++m_counts.shardsGained;
         read(number, hosted);
@@ -240,7 +279,7 @@
                     giveUp(number, "the store has a newer owner");
                     return;
                 }
-                hosted->shard = std::make_unique<Jobs::Shard>(m_settings.shard, token);
+                hosted->shard = std::make_unique<Jobs::Shard>(m_settings.shard, token, m_member);
                 refuseEarly(*hosted);
                 hosted->timer.arm(m_settings.retryPause, [this, number, hosted] {
                     if (isCurrent(number, hosted)) {
@@ -254,7 +293,7 @@
     {
         const Base::Instant now = m_timers.now();
         hosted->isServing = true;
-        hosted->shard->begin(now, m_wallClock());
+        hosted->shard->begin(now, m_wallClock(), m_hasEnded);
         hosted->shard->setWorkers(workersOf(number), now);
         if (!hosted->shard->jobs().empty() || !workersOf(number).empty()) {
             Base::LogLine(Base::LogLevel::Info, "shard-gained")
@@ -303,6 +342,53 @@
         }
     }
 
+    // The record of the release follows the append under way, if there is one.
+    void release(const std::vector<ShardNumber> &numbers, std::string_view reason, std::function<void()> done)
+    {
+        struct Round {
+            explicit Round(std::function<void()> whenDone)
+                : done(std::move(whenDone))
+            {
+            }
+            Round(const Round &) = delete;
+            Round &operator=(const Round &) = delete;
+            ~Round()
+            {
+                done();
+            }
+            std::function<void()> done;
+        };
+        const auto round = std::make_shared<Round>(std::move(done));
+        for (const ShardNumber it : numbers) {
+            const auto found = m_hosted.find(it);
+            if (found == m_hosted.end()) {
+                continue;
+            }
+            const HostedPtr hosted = found->second;
+            lose(it, reason);
+            if (!hosted->isServing || !hosted->hasWritten) {
+                continue;
+            }
+            if (!hosted->isAppending) {
+                writeRelease(it, hosted, round);
+                continue;
+            }
+            hosted->whenAppended = [this, it, hosted, round] { writeRelease(it, hosted, round); };
+            m_timers.subscribeAfter(ReleasePatience, [hosted] { hosted->whenAppended = nullptr; });
+        }
+    }
+
+    template<typename Round>
+    void writeRelease(ShardNumber number, const HostedPtr &hosted, const Round &round)
+    {
+        const Jobs::Record record = hosted->shard->releaseRecord();
+        m_platform.append(number,
+                          hosted->shard->token(),
+                          hosted->sequence,
+                          std::span(&record, 1),
+                          [round](StoreAnswer) {});
+    }
+
     void giveUp(ShardNumber number, std::string_view reason)
     {
         lose(number, reason);
@@ -417,13 +503,20 @@
 
     void append(ShardNumber number, const HostedPtr &hosted, std::shared_ptr<const Jobs::AppendBatch> batch)
     {
+        hosted->isAppending = true;
         m_platform.append(number,
                           hosted->shard->token(),
                           hosted->sequence,
                           batch->records,
                           [this, number, hosted, batch](StoreAnswer answer) {
+                              hosted->isAppending = false;
                               if (isCurrent(number, hosted)) {
                                   appended(number, hosted, batch, answer);
+                                  return;
+                              }
+                              hosted->sequence += answer.status == StoreStatus::Done ? 1 : 0;
+                              if (auto next = std::exchange(hosted->whenAppended, nullptr)) {
+                                  next();
                               }
                           });
     }
@@ -597,6 +690,7 @@
     WallClock m_wallClock;
     UncountedTime m_uncountedTime;
     Base::Duration m_uncounted;
+    std::string m_member;
     HostSettings m_settings;
     const ServiceLayout &m_layout;
     Ownership m_ownership;
@@ -606,6 +700,9 @@
     std::unordered_map<Jobs::ReplyId, Reply> m_replies;
     Jobs::ReplyId m_lastReply = 0;
     Base::Instant m_lastGrant;
+    std::optional<Base::Instant> m_adriftSince;
+    HasEnded m_hasEnded;
+    AskPeers m_isStoreLostForMost;
     HostCounts m_counts;
     bool m_isStopping = false;
 };
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -71,10 +71,10 @@
              "Between two renewals of a worker that runs something.")
         .add(&WorkersSettings::adrift,
              "adrift_ms",
-             10s,
-             range<Milliseconds>(0ms, 60s),
-             "How long an owner that lost the store goes on renewing. A later owner waits as long before it "
-             "restarts what ran on workers that it can't reach.");
+             2s,
+             range<Milliseconds>(1500ms, 60s),
+             "How long an owner that lost the store, while others have it, may go on renewing. A later owner "
+             "waits as long before it restarts what ran on workers that it can't reach.");
 }
 
 void declareShutdown(JobDeclarations &settings)
