--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -38,10 +38,6 @@
     if (!stage.dataRack.empty() && worker.info.rack != stage.dataRack) {
         sum += FarFromData;
     }
-    if (stage.isLongRunning) {
-        // Long-running tasks are spread: a worker that leaves takes few of them along.
-        return sum - left;
-    }
     return sum + left;
 }
 
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -6,6 +6,7 @@
 #include <base/logline.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Jobs
@@ -135,6 +136,11 @@
         if (!wasKnown || worker.info.address != it.address) {
             worker.nextAsk = now;
         }
+        if (it.isDraining && !worker.leavesAt) {
+            worker.leavesAt = now + it.leavesIn;
+        } else if (!it.isDraining) {
+            worker.leavesAt.reset();
+        }
         worker.info = it;
         worker.isListed = true;
     }
@@ -238,6 +244,72 @@
     }));
 }
 
+std::vector<ServiceDemand> Shard::demand(Base::Instant now) const
+{
+    std::map<std::string, ServiceDemand> demands;
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.isListed) {
+            demands[worker.info.service].service = worker.info.service;
+        }
+    }
+    std::set<std::string> anchors;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.state != JobState::Active) {
+            continue;
+        }
+        ServiceDemand &demand = demands[job.spec.queue.service];
+        demand.service = job.spec.queue.service;
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
+                const Stage &stage = job.spec.stages[n];
+                if (occurrence.stages[n].isDone() || !job.isReady(occurrence, n)) {
+                    continue;
+                }
+                const auto left = static_cast<std::int64_t>(stage.count - occurrence.stages[n].done);
+                const std::int64_t cores = left * charge(stage).milliCores;
+                demand.milliCores += cores;
+                if (!stage.isLongRunning) {
+                    continue;
+                }
+                demand.lastingMilliCores += cores;
+                if (stage.tasksPerWorker > 0) {
+                    const std::uint32_t least = (stage.count + stage.tasksPerWorker - 1) / stage.tasksPerWorker;
+                    demand.leastWorkers = std::max(demand.leastWorkers, least);
+                }
+                for (const Task &it : occurrence.stages[n].tasks) {
+                    anchors.insert(it.worker);
+                }
+            }
+        }
+    }
+    std::vector<std::pair<std::int64_t, const Worker *>> free;
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.isListed && anchors.count(id) == 0 && !worker.info.isDraining && worker.evacuatedUntil <= now) {
+            free.emplace_back(worker.used.milliCores, &worker);
+        }
+    }
+    std::sort(free.begin(), free.end());
+    for (const auto &[used, worker] : free) {
+        demands[worker->info.service].releasable.push_back(worker->info.id);
+    }
+    std::vector<ServiceDemand> list;
+    for (auto &[service, demand] : demands) {
+        list.push_back(std::move(demand));
+    }
+    return list;
+}
+
+bool Shard::evacuate(const std::string &id, Base::Instant now)
+{
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end()) {
+        return true;
+    }
+    it->second.evacuatedUntil = now + m_settings.evacuation;
+    m_hasChanged = true;
+    return it->second.runs.empty();
+}
+
 void Shard::appended(std::uint64_t number, AppendResult result, Base::Instant now, WallTime)
 {
     if (!m_batch || m_batch->number != number) {
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "placement.h"
 #include "shardcommands.h"
 #include "worker.h"
 
@@ -26,6 +27,8 @@
     Milliseconds storePatience{400}; ///< an append that takes longer makes new jobs be refused
     Milliseconds answerPatience{300}; ///< before a run that isn't listed after an unanswered order is stopped
     Milliseconds retention{150'000}; ///< how long an ended job's state can be asked for
+    Milliseconds evacuation{1500}; ///< a worker gets nothing new for so long after a call of evacuate()
+    Milliseconds leaveReserve{400}; ///< runs are stopped this much before their worker leaves
     Milliseconds timedLead{50}; ///< an occurrence is started this much before it is due at most
 };
 
@@ -62,6 +65,10 @@
     /// Accepted jobs of which no task has started.
     std::size_t pending(std::string_view queue) const;
 
+    std::vector<ServiceDemand> demand(Base::Instant now) const;
+    /// Gives the worker nothing new for a while, and moves away what can be; true when nothing runs there.
+    bool evacuate(const std::string &worker, Base::Instant now);
+
     void appended(std::uint64_t batch, AppendResult result, Base::Instant now, WallTime wall);
     void startAnswered(const StartRun &order, OrderResult result, std::int64_t clock, Base::Instant now);
     void stopAnswered(const StopRun &order, OrderResult result, std::int64_t clock, Base::Instant now);
@@ -108,6 +115,8 @@
     void orderStop(const TaskId &id, Task &task, Base::Instant now);
     void stopRuns(Job &job, Base::Instant now);
     void releaseLapsed(Base::Instant now);
+    void moveRunsOff(Base::Instant now);
+    bool mayMove(const Job &job, const TaskId &id, const Task &task, const Worker &worker) const;
     void askWorkers(Base::Instant now);
     std::int64_t leaseEnd(Worker &worker, Base::Instant now) const;
     /// From the sending of a renewal to the end of its lease, by the slowest clock.
@@ -116,6 +125,7 @@
     // shardpass.cpp: placing and storing
     void addDueOccurrences(Job &job, WallTime wall);
     void place(Base::Instant now, WallTime wall);
+    std::vector<Candidate> candidatesFor(const Job &job, const StageProgress &progress);
     bool placeStage(
         Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now);
     bool
--- a/src/libs/jobs/shardcommands.h
+++ b/src/libs/jobs/shardcommands.h
@@ -129,6 +129,15 @@
     std::vector<ListedEnd> ended;
 };
 
+/// What one service's jobs need of its workers.
+struct ServiceDemand {
+    std::string service;
+    std::int64_t milliCores = 0; ///< of all tasks that run or could run now
+    std::int64_t lastingMilliCores = 0; ///< of long-running ones among them
+    std::uint32_t leastWorkers = 0; ///< so that long-running tasks can stay apart as their stages ask
+    std::vector<std::string> releasable; ///< workers without long-running tasks, the emptiest first
+};
+
 enum class AppendResult {
     Stored,
     NotStored, ///< and never will be
--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -60,6 +60,7 @@
         place(now, wall);
         sendBatch(now);
     }
+    moveRunsOff(now);
     askWorkers(now);
 }
 
@@ -113,30 +114,24 @@
     }
 }
 
-namespace
-{
-
 // The workers of the stage's service with how many tasks of the stage each has.
-std::vector<Candidate>
-candidatesFor(std::map<std::string, Worker> &workers, const Job &job, const StageProgress &progress)
+std::vector<Candidate> Shard::candidatesFor(const Job &job, const StageProgress &progress)
 {
     std::vector<Candidate> candidates;
-    candidates.reserve(workers.size());
-    for (auto &[id, worker] : workers) {
+    candidates.reserve(m_workers.size());
+    for (auto &[id, worker] : m_workers) {
         if (worker.info.service != job.spec.queue.service) {
             continue;
         }
-        const auto there =
-            std::count_if(progress.tasks.begin(), progress.tasks.end(), [&id = id](const Task &it) {
-                return it.run != RunState::None && it.worker == id;
-            });
+        const auto there
+            = std::count_if(progress.tasks.begin(), progress.tasks.end(), [&id = id](const Task &it) {
+                  return it.run != RunState::None && it.worker == id;
+              });
         candidates.push_back({&worker, static_cast<std::uint32_t>(there)});
     }
     return candidates;
 }
 
-} // namespace
-
 bool Shard::placeStage(
     Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now)
 {
@@ -148,7 +143,7 @@
             continue;
         }
         if (candidates.empty()) {
-            candidates = candidatesFor(m_workers, job, progress);
+            candidates = candidatesFor(job, progress);
         }
         std::vector<Candidate> others;
         std::copy_if(candidates.begin(),
@@ -188,7 +183,7 @@
         }
     }
     const Stage &wanted = job.spec.stages[stage];
-    const auto all = candidatesFor(m_workers, job, progress);
+    const auto all = candidatesFor(job, progress);
     std::vector<std::string> racks;
     if (wanted.isRackSensitive) {
         for (const Candidate &it : all) {
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -32,6 +32,9 @@
 // A token holds the owner's epoch and, below it, a count of the worker's lives under that owner.
 constexpr FencingToken LivesOfWorker = 65536;
 
+// Percent at which a long-running task serves with all that it asks for.
+constexpr int FullyAtWork = 100;
+
 constexpr Milliseconds StopRetryPause{250};
 constexpr Milliseconds NoRoomPause{150};
 constexpr Milliseconds UnhealthyPause{500};
@@ -158,9 +161,7 @@
     switch (end.end) {
     case RunEnd::Done:
         worker.failedInRow = 0;
-        if (job.spec.stages[end.task.stage].isLongRunning) {
-            endRun(job, end.task, *task, now);
-        } else if (job.state == JobState::Active) {
+        if (job.state == JobState::Active && !job.spec.stages[end.task.stage].isLongRunning) {
             taskDone(job, end.task, wall, now);
         } else {
             endRun(job, end.task, *task, now);
@@ -375,9 +376,6 @@
     case OrderResult::Unhealthy:
     case OrderResult::OtherInstance:
     case OrderResult::NotSent:
-        hold(UnhealthyPause);
-        endRun(job, order.task, *task, now);
-        break;
     case OrderResult::Rejected:
         hold(UnhealthyPause);
         endRun(job, order.task, *task, now);
@@ -488,6 +486,46 @@
     }
 }
 
+// A long-running task may be taken away only while so many others of its stage are at work that its stage can
+// spare it, and only when there is room for it elsewhere. Others are stopped when their worker is about to leave.
+bool Shard::mayMove(const Job &job, const TaskId &id, const Task &task, const Worker &worker) const
+{
+    const Stage &stage = job.spec.stages[id.stage];
+    if (!stage.isLongRunning || worker.info.isDraining) {
+        return true;
+    }
+    std::uint32_t away = 0;
+    for (const Task &it : job.occurrences.at(id.occurrence).stages[id.stage].tasks) {
+        away += &it != &task && (it.run != RunState::Running || it.percent < FullyAtWork) ? 1 : 0;
+    }
+    return stage.maxUnavailable == 0 || away < stage.maxUnavailable;
+}
+
+void Shard::moveRunsOff(Base::Instant now)
+{
+    for (auto &[id, worker] : m_workers) {
+        const bool isLeaving = worker.leavesAt && *worker.leavesAt - m_settings.leaveReserve <= now;
+        const bool isEvacuated = worker.evacuatedUntil > now;
+        if (worker.failuresInRow > 0 || (!isEvacuated && !worker.leavesAt)) {
+            continue;
+        }
+        const auto runs = worker.runs;
+        for (const TaskId &it : runs) {
+            Job &job = m_jobs[it.job];
+            Task &task = *job.find(it);
+            const Stage &stage = job.spec.stages[it.stage];
+            if (task.run != RunState::Running || (!stage.isLongRunning && !isLeaving)) {
+                continue;
+            }
+            StageProgress &progress = job.occurrences[it.occurrence].stages[it.stage];
+            const auto places = candidatesFor(job, progress);
+            if (mayMove(job, it, task, worker) && choosePlace(stage, places, now)) {
+                orderStop(it, task, now);
+            }
+        }
+    }
+}
+
 // The runs of a worker that can't be reached are over once every lease that any owner gave it has run out.
 void Shard::releaseLapsed(Base::Instant now)
 {
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -4,6 +4,7 @@
 
 #include <base/instant.h>
 
+#include <optional>
 #include <set>
 #include <string>
 
@@ -38,9 +39,13 @@
     int failedInRow = 0; ///< jobs in a row of which a run failed here, with no success between
     std::string lastFailedJob;
 
+    Base::Instant evacuatedUntil;
+    std::optional<Base::Instant> leavesAt; ///< while it drains: the earliest end
+
     bool isUsable(Base::Instant now) const
     {
-        return isListed && hasAnswered && !info.isDraining && failuresInRow == 0 && noNewRunsBefore <= now;
+        return isListed && hasAnswered && !info.isDraining && failuresInRow == 0 && noNewRunsBefore <= now
+            && evacuatedUntil <= now;
     }
 };
 
--- /dev/null
+++ b/src/libs/jobservice/machineduty.h
@@ -0,0 +1,290 @@
+#pragma once
+
+#include "peerprotocol.h"
+#include "ports.h"
+#include "recordfollower.h"
+#include "servicelayout.h"
+
+#include <base/logline.h>
+#include <base/oneshottimer.h>
+#include <machines/machineplanner.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace JobService
+{
+
+struct MachineDutySettings {
+    Machines::PlannerSettings planner;
+    Base::Duration period = std::chrono::milliseconds{250}; ///< between two passes of the planner
+    Base::Duration listPeriod = std::chrono::milliseconds{600}; ///< between two lists while something is under way
+    Base::Duration idleListPeriod = std::chrono::milliseconds{2500};
+    Base::Duration requestLimit = std::chrono::milliseconds{600}; ///< of questions to owners of shards
+};
+
+/// Moves and maintains machines while this member owns the shard that stands for them.
+template<typename Platform>
+class MachineDuty
+{
+public:
+    using Reply = std::function<void(JobReply)>;
+    using Route = std::function<void(JobRequest, Base::Duration limit, Reply)>;
+    using OwnEpoch = std::function<std::optional<Jobs::Epoch>()>;
+
+    MachineDuty(Platform &platform,
+                Base::TimerService &timers,
+                const MachineDutySettings &settings,
+                const ServiceLayout &layout,
+                OwnEpoch ownEpoch,
+                Route route)
+        : m_platform(platform)
+        , m_timers(timers)
+        , m_settings(settings)
+        , m_layout(layout)
+        , m_ownEpoch(std::move(ownEpoch))
+        , m_route(std::move(route))
+        , m_timer(timers)
+    {
+    }
+
+    void start()
+    {
+        tick();
+    }
+
+    void setPools(std::vector<Machines::Pool> pools)
+    {
+        m_pools = std::move(pools);
+        if (m_planner) {
+            m_planner->setPools(m_pools);
+        }
+    }
+
+    void setWave(const Machines::Wave &wave)
+    {
+        m_waves[wave.number] = wave;
+        if (m_planner) {
+            m_planner->setWave(wave);
+        }
+    }
+
+    void dropWave(std::uint64_t number)
+    {
+        m_waves.erase(number);
+        if (m_planner) {
+            m_planner->dropWave(number);
+        }
+    }
+
+private:
+    void tick()
+    {
+        const auto epoch = m_ownEpoch();
+        if (epoch != m_epoch) {
+            m_epoch = epoch;
+            m_planner.reset();
+            if (epoch) {
+                takeOver();
+            }
+        }
+        if (m_planner) {
+            readMachines();
+            readDemand();
+            for (Machines::Command &it : m_planner->pass(m_timers.now())) {
+                std::visit([this](auto &order) { carryOut(order); }, it);
+            }
+        }
+        m_timer.arm(m_settings.period, [this] { tick(); });
+    }
+
+    // What earlier owners have begun is read before anything is decided.
+    void takeOver()
+    {
+        const auto epoch = *m_epoch;
+        m_sequence = 1;
+        m_platform.takeMachines(
+            epoch,
+            [this, epoch](std::string_view key, std::string_view) {
+                if (epoch != m_epoch) {
+                    return;
+                }
+                const auto slash = key.find('/');
+                if (const auto wave = Ini::toInteger(key.substr(0, slash)); wave && slash != std::string_view::npos) {
+                    m_begun.emplace_back(*wave, std::string(key.substr(slash + 1)));
+                }
+            },
+            [this, epoch](StoreAnswer answer) {
+                if (epoch != m_epoch) {
+                    return;
+                }
+                if (answer.status != StoreStatus::Done) {
+                    m_epoch.reset(); // tried again with the next tick
+                    m_begun.clear();
+                    return;
+                }
+                m_planner = std::make_unique<Machines::MachinePlanner>(m_settings.planner, m_timers.now());
+                m_planner->setPools(m_pools);
+                for (const auto &[number, wave] : m_waves) {
+                    m_planner->setWave(wave);
+                }
+                for (const auto &[wave, machine] : std::exchange(m_begun, {})) {
+                    m_planner->loadUpkeep(wave, machine);
+                }
+                Base::LogLine(Base::LogLevel::Info, "machines-taken-over").with("epoch", epoch);
+            });
+    }
+
+    void readMachines()
+    {
+        const Base::Instant now = m_timers.now();
+        const auto period = m_planner->isActive() ? m_settings.listPeriod : m_settings.idleListPeriod;
+        if (m_isListing || now < m_listedAt + period) {
+            return;
+        }
+        m_isListing = true;
+        m_listedAt = now;
+        m_platform.listMachines([this, now](std::optional<std::vector<Machines::Machine>> machines) {
+            m_isListing = false;
+            if (machines && m_planner) {
+                m_planner->setMachines(*machines, now);
+            }
+        });
+    }
+
+    void readDemand()
+    {
+        std::map<ShardNumber, bool> asked;
+        for (const Machines::Pool &it : m_pools) {
+            const auto shard = m_layout.shardOf(it.name);
+            if (!shard || it.isStandby || !asked.try_emplace(*shard, true).second) {
+                continue;
+            }
+            m_route({*shard, Operation::Demand, std::nullopt, {}}, m_settings.requestLimit, [this](JobReply reply) {
+                if (!m_planner || reply.status != JobReply::Status::Done) {
+                    return;
+                }
+                for (Jobs::ServiceDemand &demand : reply.demand) {
+                    m_planner->setDemand({std::move(demand.service),
+                                          demand.milliCores,
+                                          demand.lastingMilliCores,
+                                          demand.leastWorkers,
+                                          std::move(demand.releasable)},
+                                         m_timers.now());
+                }
+            });
+        }
+    }
+
+    void carryOut(Machines::EvacuateWorker &order)
+    {
+        const auto shard = m_layout.shardOf(order.pool);
+        if (!shard) {
+            return;
+        }
+        m_route({*shard, Operation::Evacuate, std::nullopt, order.worker},
+                m_settings.requestLimit,
+                [this, worker = order.worker](const JobReply &reply) {
+                    if (m_planner) {
+                        const bool isEmpty = reply.status == JobReply::Status::Done;
+                        m_planner->evacuated(worker, isEmpty, m_timers.now());
+                    }
+                });
+    }
+
+    void carryOut(Machines::MoveMachine &order)
+    {
+        Base::LogLine(Base::LogLevel::Info, "machine-moves").with("machine", order.machine).with("pool", order.pool);
+        m_platform.moveMachine(*m_epoch, order, [this, order, epoch = *m_epoch](Machines::OrderResult result) {
+            answered(epoch, result, order.machine);
+            if (m_planner) {
+                m_planner->moveAnswered(order, result, m_timers.now());
+            }
+        });
+    }
+
+    void carryOut(Machines::UpkeepMachine &order)
+    {
+        Base::LogLine(Base::LogLevel::Info, "machine-upkeep").with("machine", order.machine).with("wave", order.wave);
+        m_platform.upkeepMachine(*m_epoch, order, [this, order, epoch = *m_epoch](Machines::OrderResult result) {
+            answered(epoch, result, order.machine);
+            if (m_planner) {
+                m_planner->upkeepAnswered(order, result, m_timers.now());
+            }
+        });
+    }
+
+    void answered(Jobs::Epoch epoch, Machines::OrderResult result, const std::string &machine)
+    {
+        if (result == Machines::OrderResult::Done) {
+            return;
+        }
+        Base::LogLine(Base::LogLevel::Warning, "machine-order-not-done")
+            .with("machine", machine)
+            .with("result", static_cast<int>(result));
+        // A newer owner is at work; this one waits until it owns the machines under a later epoch.
+        if (result == Machines::OrderResult::Fenced && epoch == m_epoch) {
+            m_planner.reset();
+        }
+    }
+
+    void carryOut(Machines::WriteWaveStatus &order)
+    {
+        m_platform.writeWaveStatus(*m_epoch, order);
+    }
+
+    void carryOut(Machines::RecordUpkeep &order)
+    {
+        const Jobs::Record record{std::to_string(order.wave) + "/" + order.machine, "begun"};
+        m_records.push_back(record);
+        writeRecords();
+    }
+
+    void writeRecords()
+    {
+        if (m_isWriting || m_records.empty() || !m_epoch) {
+            return;
+        }
+        m_isWriting = true;
+        const std::vector<Jobs::Record> records = m_records;
+        m_platform.recordMachines(*m_epoch, m_sequence, records, [this, n = records.size()](StoreAnswer answer) {
+            m_isWriting = false;
+            if (answer.status == StoreStatus::Done) {
+                ++m_sequence;
+                m_records.erase(m_records.begin(), m_records.begin() + static_cast<std::ptrdiff_t>(n));
+            } else if (answer.status == StoreStatus::OutOfSequence) {
+                m_sequence = answer.expectedSequence;
+            } else if (answer.status == StoreStatus::Fenced) {
+                m_records.clear();
+                return;
+            }
+            m_timers.subscribeAfter(m_settings.period, [this] { writeRecords(); });
+        });
+    }
+
+    Platform &m_platform;
+    Base::TimerService &m_timers;
+    MachineDutySettings m_settings;
+    const ServiceLayout &m_layout;
+    OwnEpoch m_ownEpoch;
+    Route m_route;
+    Base::OneShotTimer m_timer;
+    std::vector<Machines::Pool> m_pools;
+    std::map<std::uint64_t, Machines::Wave> m_waves;
+    std::vector<std::pair<std::uint64_t, std::string>> m_begun; ///< while they are read
+    std::optional<Jobs::Epoch> m_epoch;
+    std::unique_ptr<Machines::MachinePlanner> m_planner;
+    std::vector<Jobs::Record> m_records; ///< to be written
+    std::uint64_t m_sequence = 1;
+    Base::Instant m_listedAt;
+    bool m_isListing = false;
+    bool m_isWriting = false;
+};
+
+} // namespace JobService
--- a/src/libs/jobservice/peerprotocol.cpp
+++ b/src/libs/jobservice/peerprotocol.cpp
@@ -11,6 +11,33 @@
 
 namespace json = boost::json;
 
+namespace
+{
+
+json::object encodeDemand(const Jobs::ServiceDemand &demand)
+{
+    return {{"service", demand.service},
+            {"cores", demand.milliCores},
+            {"lasting", demand.lastingMilliCores},
+            {"least", demand.leastWorkers},
+            {"releasable", json::array(demand.releasable.begin(), demand.releasable.end())}};
+}
+
+Jobs::ServiceDemand decodeDemand(const json::object &from)
+{
+    Jobs::ServiceDemand demand;
+    demand.service = std::string(from.at("service").as_string());
+    demand.milliCores = from.at("cores").to_number<std::int64_t>();
+    demand.lastingMilliCores = from.at("lasting").to_number<std::int64_t>();
+    demand.leastWorkers = from.at("least").to_number<std::uint32_t>();
+    for (const json::value &it : from.at("releasable").as_array()) {
+        demand.releasable.emplace_back(it.as_string());
+    }
+    return demand;
+}
+
+} // namespace
+
 std::string encode(const JobRequest &request)
 {
     json::object out{{"shard", request.shard}, {"operation", static_cast<int>(request.operation)}};
@@ -47,10 +74,18 @@
 
 std::string encode(const JobReply &reply)
 {
-    return json::serialize(json::object{{"status", static_cast<int>(reply.status)},
-                                        {"state", static_cast<int>(reply.state)},
-                                        {"pending", reply.pending},
-                                        {"retry_after", reply.retryAfter.count()}});
+    json::object out{{"status", static_cast<int>(reply.status)},
+                     {"state", static_cast<int>(reply.state)},
+                     {"pending", reply.pending},
+                     {"retry_after", reply.retryAfter.count()}};
+    if (!reply.demand.empty()) {
+        json::array demand;
+        for (const Jobs::ServiceDemand &it : reply.demand) {
+            demand.push_back(encodeDemand(it));
+        }
+        out["demand"] = std::move(demand);
+    }
+    return json::serialize(out);
 }
 
 std::optional<JobReply> decodeReply(std::string_view text)
@@ -63,6 +98,11 @@
         reply.state = static_cast<ShownState>(from.at("state").to_number<int>());
         reply.pending = from.at("pending").to_number<std::uint64_t>();
         reply.retryAfter = Jobs::Milliseconds(from.at("retry_after").to_number<std::int64_t>());
+        if (const json::value *found = from.if_contains("demand")) {
+            for (const json::value &it : found->as_array()) {
+                reply.demand.push_back(decodeDemand(it.as_object()));
+            }
+        }
         return reply;
     } catch (const std::exception &) {
         return std::nullopt;
--- a/src/libs/jobservice/peerprotocol.h
+++ b/src/libs/jobservice/peerprotocol.h
@@ -11,14 +11,14 @@
 namespace JobService
 {
 
-enum class Operation { Submit, Cancel, State, Pending };
+enum class Operation { Submit, Cancel, State, Pending, Demand, Evacuate };
 
 /// What a member asks of the owner of a shard. One hop only: an owner that isn't one says so.
 struct JobRequest {
     ShardNumber shard = 0;
     Operation operation = Operation::State;
     std::optional<Jobs::JobSpec> spec; ///< of Submit
-    std::string subject; ///< the job, or the queue of Pending
+    std::string subject; ///< the job, the queue of Pending, or the worker of Evacuate
 };
 
 enum class ShownState { Queued, Running, Completed, Failed, Cancelled };
@@ -31,11 +31,13 @@
         Hopeless, ///< as Refused, and a repeat will be refused too
         Unknown, ///< the request may have taken effect
         NotOwner,
+        NotYet, ///< of Evacuate: something runs there
     };
     Status status = Status::Unknown;
     ShownState state = ShownState::Queued;
     std::uint64_t pending = 0;
     Jobs::Milliseconds retryAfter{};
+    std::vector<Jobs::ServiceDemand> demand{};
 };
 
 std::string encode(const JobRequest &request);
--- a/src/libs/jobservice/servicelayout.cpp
+++ b/src/libs/jobservice/servicelayout.cpp
@@ -35,6 +35,7 @@
     }
     std::sort(names.begin(), names.end());
     std::vector<Jobs::Record> records;
+    records.reserve(names.size());
     std::size_t next = m_numbers.size();
     for (const std::string &it : names) {
         records.push_back({it, std::to_string(next++)});
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -116,6 +116,16 @@
         return m_hosted.count(shard) > 0;
     }
 
+    /// The epoch under which this member owns the shard and may act on it; nothing when it doesn't.
+    std::optional<Jobs::Epoch> epochOf(ShardNumber shard) const
+    {
+        const auto it = m_hosted.find(shard);
+        if (it == m_hosted.end() || !it->second->isServing || !isMember()) {
+            return std::nullopt;
+        }
+        return it->second->shard->epoch();
+    }
+
     bool isMember() const
     {
         return m_ownership.isValid(m_timers.now());
@@ -447,6 +457,13 @@
         case Operation::Pending:
             reply({.status = JobReply::Status::Done, .pending = shard.pending(request.subject)});
             return;
+        case Operation::Demand:
+            reply({.status = JobReply::Status::Done, .demand = shard.demand(m_timers.now())});
+            return;
+        case Operation::Evacuate:
+            reply({.status = shard.evacuate(request.subject, m_timers.now()) ? JobReply::Status::Done
+                                                                             : JobReply::Status::NotYet});
+            return;
         }
     }
 
--- /dev/null
+++ b/src/libs/machines/machineplanner.cpp
@@ -0,0 +1,424 @@
+#include "machineplanner.h"
+
+#include <base/logline.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Machines
+{
+
+namespace
+{
+
+// A list that was asked for so long after an order shows its effect.
+constexpr Base::Duration ListLag = std::chrono::milliseconds{300};
+
+// An order without effect after its time and this is given up.
+constexpr Base::Duration OrderPatience = std::chrono::milliseconds{3000};
+
+// An order without an answer may still be carried out after this.
+constexpr Base::Duration LateOrderPatience = std::chrono::milliseconds{13'000};
+
+// A wave is to be done this much before its time is over.
+constexpr Base::Duration WaveReserve = std::chrono::milliseconds{4000};
+
+// What one machine's upkeep takes with its evacuation, for the pace of a wave.
+constexpr Base::Duration UpkeepEstimate = std::chrono::milliseconds{5000};
+
+// Below this share of its room a pool gives machines to upkeep ahead of need.
+constexpr double IdleLoad = 0.5;
+
+} // namespace
+
+MachinePlanner::MachinePlanner(const PlannerSettings &settings, Base::Instant now)
+    : m_settings(settings)
+    , m_ordersFrom(now + settings.handOver)
+{
+}
+
+void MachinePlanner::setPools(std::span<const Pool> pools)
+{
+    m_pools.clear();
+    for (const Pool &it : pools) {
+        m_pools[it.name] = it;
+    }
+}
+
+void MachinePlanner::setMachines(std::span<const Machine> machines, Base::Instant askedAt)
+{
+    m_machines.clear();
+    for (const Machine &it : machines) {
+        m_machines[it.id] = it;
+    }
+    m_listedAt = askedAt;
+}
+
+void MachinePlanner::setDemand(const PoolDemand &demand, Base::Instant now)
+{
+    m_demands[demand.pool] = demand;
+    const auto up = std::count_if(m_machines.begin(), m_machines.end(), [&](const auto &it) {
+        return it.second.pool == demand.pool && it.second.state == MachineState::Up;
+    });
+    if (machinesNeeded(demand.pool) >= static_cast<std::size_t>(up)) {
+        m_neededAt[demand.pool] = now;
+    }
+}
+
+void MachinePlanner::setWave(const Wave &wave)
+{
+    m_waves[wave.number].wave = wave;
+}
+
+void MachinePlanner::dropWave(std::uint64_t number)
+{
+    m_waves.erase(number);
+}
+
+void MachinePlanner::loadUpkeep(std::uint64_t wave, const std::string &machine)
+{
+    m_waves[wave].begun.insert(machine);
+}
+
+void MachinePlanner::evacuated(const std::string &worker, bool isEmpty, Base::Instant)
+{
+    for (auto &[id, work] : m_work) {
+        if (work.worker == worker && work.step == Step::Evacuating) {
+            work.isEmpty = isEmpty;
+        }
+    }
+}
+
+void MachinePlanner::moveAnswered(const MoveMachine &order, OrderResult result, Base::Instant)
+{
+    const auto it = m_work.find(order.machine);
+    if (it == m_work.end() || it->second.step != Step::Ordered) {
+        return;
+    }
+    if (result == OrderResult::Done || result == OrderResult::Unknown) {
+        it->second.step = Step::Down;
+        it->second.isUnknown = result == OrderResult::Unknown;
+    } else {
+        m_work.erase(it);
+    }
+}
+
+void MachinePlanner::upkeepAnswered(const UpkeepMachine &order, OrderResult result, Base::Instant)
+{
+    const auto it = m_work.find(order.machine);
+    if (it == m_work.end() || it->second.step != Step::Ordered) {
+        return;
+    }
+    if (result == OrderResult::Done) {
+        it->second.step = Step::Down;
+        m_waves[order.wave].begun.insert(order.machine);
+        m_commands.emplace_back(RecordUpkeep{order.wave, order.machine});
+    } else if (result == OrderResult::Unknown) {
+        it->second.step = Step::Down; // counted as down; ordered again when it is back
+        it->second.isUnknown = true;
+    } else {
+        m_work.erase(it);
+    }
+}
+
+std::vector<Command> MachinePlanner::pass(Base::Instant now)
+{
+    settleWork(now);
+    if (now >= m_ordersFrom && !m_machines.empty()) {
+        planWaves(now);
+        if (m_settings.movesMachines) {
+            planMoves(now);
+        }
+        advanceWork(now);
+    }
+    return std::exchange(m_commands, {});
+}
+
+bool MachinePlanner::isActive() const
+{
+    return !m_work.empty() || std::any_of(m_waves.begin(), m_waves.end(), [](const auto &it) {
+        return !it.second.isCompletedWritten;
+    });
+}
+
+const Machine *MachinePlanner::find(const std::string &id) const
+{
+    const auto it = m_machines.find(id);
+    return it != m_machines.end() ? &it->second : nullptr;
+}
+
+bool MachinePlanner::isStandby(const std::string &pool) const
+{
+    const auto it = m_pools.find(pool);
+    return it != m_pools.end() && it->second.isStandby;
+}
+
+std::size_t MachinePlanner::workInPool(const std::string &pool) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_work.begin(), m_work.end(), [&](const auto &it) { return it.second.from == pool; }));
+}
+
+std::size_t MachinePlanner::downInWave(std::uint64_t wave) const
+{
+    return static_cast<std::size_t>(std::count_if(m_work.begin(), m_work.end(), [&](const auto &it) {
+        return it.second.wave == wave && it.second.step != Step::Evacuating;
+    }));
+}
+
+double MachinePlanner::load(const std::string &pool) const
+{
+    std::int64_t room = 0;
+    for (const auto &[id, machine] : m_machines) {
+        if (machine.pool == pool && machine.state == MachineState::Up) {
+            room += machine.capacity.milliCores;
+        }
+    }
+    const auto it = m_demands.find(pool);
+    if (it == m_demands.end() || room == 0) {
+        return isStandby(pool) ? 0 : 1;
+    }
+    return double(it->second.milliCores) / double(room);
+}
+
+std::size_t MachinePlanner::machinesNeeded(const std::string &pool) const
+{
+    const auto it = m_demands.find(pool);
+    if (it == m_demands.end()) {
+        return 0;
+    }
+    std::int64_t size = 0;
+    for (const auto &[id, machine] : m_machines) {
+        if (machine.pool == pool) {
+            size = std::max(size, machine.capacity.milliCores);
+        }
+    }
+    if (size == 0) {
+        for (const auto &[id, machine] : m_machines) {
+            size = std::max(size, machine.capacity.milliCores);
+        }
+    }
+    if (size == 0) {
+        return 0;
+    }
+    const double byCores = std::ceil(double(it->second.milliCores) * m_settings.headroom / double(size));
+    return std::max<std::size_t>({static_cast<std::size_t>(byCores), it->second.leastMachines, 1});
+}
+
+// The list shows what became of orders; one that was asked for too early shows the state before.
+void MachinePlanner::settleWork(Base::Instant now)
+{
+    for (auto it = m_work.begin(); it != m_work.end();) {
+        Work &work = it->second;
+        const Machine *machine = find(work.machine);
+        const bool isGone = !machine && m_listedAt > work.since;
+        bool isOver = isGone;
+        if (work.step == Step::Evacuating) {
+            const auto patience = work.wave != 0 ? m_settings.upkeepPatience : m_settings.evacuationPatience;
+            isOver = isOver || (machine && machine->worker != work.worker)
+                || (work.wave == 0 && now - work.since > patience);
+        } else if (work.step == Step::Down) {
+            const auto time = work.wave != 0 ? m_settings.upkeepTime : m_settings.moveTime;
+            const bool isSeen = m_listedAt > work.orderedAt + ListLag;
+            const bool isBack = machine && machine->state == MachineState::Up && !machine->worker.empty()
+                && machine->worker != work.worker;
+            const bool isStored = machine && machine->state == MachineState::Up && isStandby(machine->pool);
+            isOver = isOver || (isSeen && (isBack || (isStored && now - work.orderedAt > time)))
+                || now - work.orderedAt > time + (work.isUnknown ? LateOrderPatience : OrderPatience);
+        }
+        it = isOver ? m_work.erase(it) : std::next(it);
+    }
+}
+
+void MachinePlanner::planWaves(Base::Instant now)
+{
+    for (auto &[number, progress] : m_waves) {
+        const Wave &wave = progress.wave;
+        if (wave.number == 0 || progress.isCompletedWritten) {
+            continue;
+        }
+        if (!std::exchange(progress.isRunningWritten, true)) {
+            m_commands.emplace_back(WriteWaveStatus{number, false});
+        }
+        std::vector<const Machine *> left;
+        std::size_t leftToBegin = 0;
+        for (const std::string &id : wave.machines) {
+            const Machine *machine = find(id);
+            if (!machine || progress.begun.count(id) > 0) {
+                continue;
+            }
+            ++leftToBegin;
+            if (m_work.count(id) == 0 && machine->state == MachineState::Up) {
+                left.push_back(machine);
+            }
+        }
+        if (leftToBegin == 0) {
+            progress.isCompletedWritten = true;
+            m_commands.emplace_back(WriteWaveStatus{number, true});
+            Base::LogLine(Base::LogLevel::Info, "wave-completed").with("wave", number);
+            continue;
+        }
+        const auto active = static_cast<std::size_t>(std::count_if(
+            m_work.begin(), m_work.end(), [n = number](const auto &it) { return it.second.wave == n; }));
+        const Base::Duration timeLeft = wave.noticedAt + wave.duration - WaveReserve - now;
+        const double rounds = std::max(1.0, double(timeLeft.count()) / double(UpkeepEstimate.count()));
+        const auto pace = static_cast<std::size_t>(std::ceil(double(leftToBegin) / rounds));
+        std::sort(left.begin(), left.end(), [this](const Machine *a, const Machine *b) {
+            return std::pair(load(a->pool), a->id) < std::pair(load(b->pool), b->id);
+        });
+        std::size_t begun = active;
+        for (const Machine *it : left) {
+            const bool isIdle = isStandby(it->pool) || load(it->pool) < IdleLoad;
+            const std::size_t most = wave.mostDown;
+            if (begun >= most || (begun >= pace && !isIdle)) {
+                break;
+            }
+            Work work;
+            work.machine = it->id;
+            work.worker = it->worker;
+            work.from = it->pool;
+            work.wave = number;
+            work.since = now;
+            work.isEmpty = it->worker.empty();
+            m_work[it->id] = work;
+            ++begun;
+        }
+    }
+}
+
+const Machine *MachinePlanner::donorIn(const std::string &pool) const
+{
+    if (isStandby(pool)) {
+        for (const auto &[id, machine] : m_machines) {
+            if (machine.pool == pool && machine.state == MachineState::Up && m_work.count(id) == 0) {
+                return &machine;
+            }
+        }
+        return nullptr;
+    }
+    const auto demand = m_demands.find(pool);
+    if (demand == m_demands.end()) {
+        return nullptr;
+    }
+    for (const std::string &worker : demand->second.releasable) {
+        for (const auto &[id, machine] : m_machines) {
+            if (machine.worker == worker && machine.pool == pool && machine.state == MachineState::Up
+                && m_work.count(id) == 0) {
+                return &machine;
+            }
+        }
+    }
+    return nullptr;
+}
+
+void MachinePlanner::beginMove(const Machine &machine, const std::string &to, Base::Instant now)
+{
+    Work work;
+    work.machine = machine.id;
+    work.worker = machine.worker;
+    work.from = machine.pool;
+    work.to = to;
+    work.since = now;
+    work.isEmpty = machine.worker.empty();
+    m_work[machine.id] = work;
+}
+
+void MachinePlanner::planMoves(Base::Instant now)
+{
+    std::map<std::string, std::int64_t> surplus;
+    std::string standby;
+    for (const auto &[name, pool] : m_pools) {
+        if (pool.isStandby) {
+            standby = name;
+        } else if (m_demands.count(name) > 0) {
+            surplus[name] = -static_cast<std::int64_t>(machinesNeeded(name));
+        }
+    }
+    for (const auto &[id, machine] : m_machines) {
+        const auto work = m_work.find(id);
+        const bool isLeaving = work != m_work.end() && !work->second.to.empty();
+        const std::string &pool = isLeaving ? work->second.to : machine.pool;
+        if (const auto it = surplus.find(pool); it != surplus.end() && machine.state != MachineState::Down) {
+            ++it->second;
+        }
+    }
+    std::vector<std::pair<std::int64_t, std::string>> poor;
+    std::vector<std::pair<std::int64_t, std::string>> rich;
+    for (const auto &[name, count] : surplus) {
+        if (count < 0) {
+            poor.emplace_back(count, name);
+        } else if (count > 0) {
+            rich.emplace_back(-count, name);
+        }
+    }
+    std::sort(poor.begin(), poor.end());
+    std::sort(rich.begin(), rich.end());
+    for (auto &[missing, name] : poor) {
+        while (missing < 0 && !standby.empty()) {
+            const Machine *donor = donorIn(standby);
+            if (!donor) {
+                break;
+            }
+            beginMove(*donor, name, now);
+            ++missing;
+        }
+        for (auto &[spare, from] : rich) {
+            while (missing < 0 && spare < 0) {
+                const Machine *donor = donorIn(from);
+                if (!donor) {
+                    break;
+                }
+                beginMove(*donor, name, now);
+                ++missing;
+                ++spare;
+            }
+        }
+    }
+    if (standby.empty()) {
+        return;
+    }
+    for (auto &[spare, from] : rich) {
+        if (now - m_neededAt[from] < m_settings.idlePatience) {
+            continue;
+        }
+        while (spare < 0) {
+            const Machine *donor = donorIn(from);
+            if (!donor) {
+                break;
+            }
+            beginMove(*donor, standby, now);
+            ++spare;
+        }
+    }
+}
+
+void MachinePlanner::advanceWork(Base::Instant now)
+{
+    for (auto &[id, work] : m_work) {
+        if (work.isUnknown && !work.worker.empty()) {
+            m_commands.emplace_back(EvacuateWorker{work.worker, work.from});
+        }
+        if (work.step != Step::Evacuating) {
+            continue;
+        }
+        if (!work.isEmpty) {
+            m_commands.emplace_back(EvacuateWorker{work.worker, work.from});
+            continue;
+        }
+        if (work.wave == 0) {
+            m_commands.emplace_back(MoveMachine{work.machine, work.to});
+        } else if (downInWave(work.wave) < m_waves[work.wave].wave.mostDown) {
+            m_commands.emplace_back(UpkeepMachine{work.machine, work.wave});
+        } else {
+            if (!work.worker.empty()) {
+                m_commands.emplace_back(EvacuateWorker{work.worker, work.from});
+            }
+            continue;
+        }
+        work.step = Step::Ordered;
+        work.orderedAt = now;
+    }
+}
+
+} // namespace Machines
--- /dev/null
+++ b/src/libs/machines/machineplanner.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "machine.h"
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Machines
+{
+
+struct PlannerSettings {
+    Base::Duration handOver = std::chrono::milliseconds{3000}; ///< before a new owner gives its first order
+    Base::Duration moveTime = std::chrono::milliseconds{1500};
+    Base::Duration upkeepTime = std::chrono::milliseconds{2000};
+    Base::Duration evacuationPatience = std::chrono::milliseconds{1500}; ///< for a move; upkeep waits longer
+    Base::Duration upkeepPatience = std::chrono::milliseconds{7000};
+    Base::Duration idlePatience = std::chrono::milliseconds{1500}; ///< before idle machines are put on standby
+    double headroom = 1.15; ///< machines for a pool, by its demand
+    bool movesMachines = true;
+};
+
+/// Decides which machines are moved between pools and when waves of upkeep take theirs. Knows no network and no
+/// clock.
+///
+/// Answers a demand that goes round by turns: each pool in its time asks for several times its mean, so machines
+/// follow the demand, and those that no pool needs are put on standby.
+class MachinePlanner
+{
+public:
+    MachinePlanner(const PlannerSettings &settings, Base::Instant now);
+
+    void setPools(std::span<const Pool> pools);
+    /// All machines; `askedAt` is when the list was asked for.
+    void setMachines(std::span<const Machine> machines, Base::Instant askedAt);
+    void setDemand(const PoolDemand &demand, Base::Instant now);
+    void setWave(const Wave &wave);
+    void dropWave(std::uint64_t number);
+    /// The upkeep has begun under an earlier owner.
+    void loadUpkeep(std::uint64_t wave, const std::string &machine);
+
+    void evacuated(const std::string &worker, bool isEmpty, Base::Instant now);
+    void moveAnswered(const MoveMachine &order, OrderResult result, Base::Instant now);
+    void upkeepAnswered(const UpkeepMachine &order, OrderResult result, Base::Instant now);
+
+    std::vector<Command> pass(Base::Instant now);
+
+    /// Something is under way or due, so that the list of machines should be read often.
+    bool isActive() const;
+
+private:
+    enum class Step { Evacuating, Ordered, Down };
+    struct Work {
+        std::string machine;
+        std::string worker;
+        std::string from;
+        std::string to; ///< pool; empty for upkeep
+        std::uint64_t wave = 0; ///< 0 for a move
+        Step step = Step::Evacuating;
+        bool isEmpty = false;
+        bool isUnknown = false; ///< whether the order was carried out, or still may be
+        Base::Instant since;
+        Base::Instant orderedAt;
+    };
+    struct WaveProgress {
+        Wave wave;
+        std::set<std::string> begun;
+        bool isRunningWritten = false;
+        bool isCompletedWritten = false;
+    };
+
+    const Machine *find(const std::string &id) const;
+    bool isStandby(const std::string &pool) const;
+    std::size_t workInPool(const std::string &pool) const;
+    std::size_t downInWave(std::uint64_t wave) const;
+    double load(const std::string &pool) const;
+    std::size_t machinesNeeded(const std::string &pool) const;
+    void settleWork(Base::Instant now);
+    void planWaves(Base::Instant now);
+    void planMoves(Base::Instant now);
+    void advanceWork(Base::Instant now);
+    void beginMove(const Machine &machine, const std::string &to, Base::Instant now);
+    const Machine *donorIn(const std::string &pool) const;
+
+    PlannerSettings m_settings;
+    Base::Instant m_ordersFrom;
+    std::map<std::string, Pool> m_pools;
+    std::map<std::string, Machine> m_machines;
+    Base::Instant m_listedAt;
+    std::map<std::string, PoolDemand> m_demands;
+    std::map<std::string, Base::Instant> m_neededAt; ///< when a pool last needed all its machines
+    std::map<std::uint64_t, WaveProgress> m_waves;
+    std::map<std::string, Work> m_work; ///< by machine
+    std::vector<Command> m_commands;
+};
+
+} // namespace Machines
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -83,6 +83,32 @@
              "waits as long before it restarts what ran on workers that it can't reach.");
 }
 
+void declareMachines(JobDeclarations &settings)
+{
+    settings.section(&JobSettings::machines, "machines", "How machines are moved and maintained.")
+        .add(&MachinesSettings::address,
+             "address",
+             Required,
+             AnyValue{},
+             "Where the service is that lists, moves and maintains machines.")
+        .add(&MachinesSettings::handOver,
+             "hand_over_ms",
+             3s,
+             range<Milliseconds>(0ms, 60s),
+             "A new owner of the machines gives no order for so long.")
+        .add(&MachinesSettings::move,
+             "move_s",
+             1.5,
+             range(0.0, 3600.0),
+             "Seconds that a machine takes to begin in another pool.")
+        .add(&MachinesSettings::upkeep, "upkeep_s", 2.0, range(0.0, 3600.0), "Seconds that its upkeep takes.")
+        .add(&MachinesSettings::movesMachines,
+             "moves",
+             true,
+             AnyValue{},
+             "Machines follow the demand from pool to pool; otherwise they stay.");
+}
+
 void declareShutdown(JobDeclarations &settings)
 {
     settings.section(&JobSettings::shutdown, "shutdown", "How the process ends.")
@@ -105,6 +131,7 @@
     declareAddresses(settings);
     declareStore(settings);
     declareWorkers(settings);
+    declareMachines(settings);
     declareShutdown(settings);
     return settings;
 }
@@ -113,8 +140,8 @@
 
 const Declarations<JobSettings> &jobDeclarations()
 {
-    static const JobDeclarations settings = declareAll();
-    return settings;
+    static const JobDeclarations Declared = declareAll();
+    return Declared;
 }
 
 } // namespace Settings
--- a/src/libs/settings/jobsettings.h
+++ b/src/libs/settings/jobsettings.h
@@ -33,6 +33,14 @@
     Milliseconds adrift{};
 };
 
+struct MachinesSettings {
+    Ini::Endpoint address;
+    Milliseconds handOver{};
+    double move = 0; ///< seconds
+    double upkeep = 0; ///< seconds
+    bool movesMachines = true;
+};
+
 struct ShutdownSettings {
     std::uint32_t grace = 0; ///< seconds
     Milliseconds notice{};
@@ -46,6 +54,7 @@
     ListenSettings operators;
     StoreSettings store;
     WorkersSettings workers;
+    MachinesSettings machines;
     ShutdownSettings shutdown;
 };
 
--- a/tests/auto/jobs/jobworld.cpp
+++ b/tests/auto/jobs/jobworld.cpp
@@ -61,8 +61,8 @@
     worker.info.capacity = {milliCores, 64'000, 0};
     worker.info.labels = {"a", "r1"};
     worker.info.rack = "r1";
-    worker.bornAt = timers.now() - 60s;
-    worker.info.born = std::chrono::duration_cast<Milliseconds>(worker.bornAt.time_since_epoch()).count();
+    worker.m_bornAt = timers.now() - 60s;
+    worker.info.born = std::chrono::duration_cast<Milliseconds>(worker.m_bornAt.time_since_epoch()).count();
     return worker;
 }
 
@@ -70,20 +70,20 @@
 {
     Worker &worker = workers[id];
     worker.isUp = false;
-    worker.runs.clear();
-    worker.ends.clear();
-    worker.highest.clear();
-    worker.token = 0;
-    worker.lastEnd = 0;
-    worker.voidEnds = 0;
-    worker.leaseEnd = 0;
-    worker.waiting.clear();
+    worker.m_runs.clear();
+    worker.m_ends.clear();
+    worker.m_highest.clear();
+    worker.m_token = 0;
+    worker.m_lastEnd = 0;
+    worker.m_voidEnds = 0;
+    worker.m_leaseEnd = 0;
+    worker.m_waiting.clear();
     timers.subscribeAfter(pause, [this, id] {
         Worker &restarted = workers[id];
         restarted.isUp = true;
-        restarted.bornAt = timers.now();
+        restarted.m_bornAt = timers.now();
         restarted.info.born =
-            std::chrono::duration_cast<Milliseconds>(restarted.bornAt.time_since_epoch()).count();
+            std::chrono::duration_cast<Milliseconds>(restarted.m_bornAt.time_since_epoch()).count();
     });
 }
 
@@ -133,19 +133,19 @@
 
 std::int64_t JobWorld::clockOf(const Worker &worker) const
 {
-    const auto age = std::chrono::duration_cast<Milliseconds>(timers.now() - worker.bornAt).count();
+    const auto age = std::chrono::duration_cast<Milliseconds>(timers.now() - worker.m_bornAt).count();
     return static_cast<std::int64_t>(double(age) * worker.clockRate);
 }
 
 void JobWorld::end(Worker &worker, std::size_t run, Jobs::RunEnd how)
 {
-    const Run ended = worker.runs[run];
+    const Run ended = worker.m_runs[run];
     note(worker, ended.task, ended.attempt, fmt::format("ends ({})", static_cast<int>(how)));
-    worker.runs.erase(worker.runs.begin() + static_cast<std::ptrdiff_t>(run));
-    worker.ends.push_back({++worker.lastEnd, ended.task, ended.attempt, how, {}});
-    auto &highest = worker.highest[ended.task];
+    worker.m_runs.erase(worker.m_runs.begin() + static_cast<std::ptrdiff_t>(run));
+    worker.m_ends.push_back({++worker.m_lastEnd, ended.task, ended.attempt, how, {}});
+    auto &highest = worker.m_highest[ended.task];
     highest = std::max(highest, ended.attempt);
-    for (const auto &it : std::exchange(worker.waiting, {})) {
+    for (const auto &it : std::exchange(worker.m_waiting, {})) {
         timers.subscribeAfter({}, it);
     }
 }
@@ -156,17 +156,17 @@
         return;
     }
     // An end that nobody had acknowledged when the lease lapsed doesn't count: the run may be repeated.
-    const bool isLapsed = clockOf(worker) > worker.leaseEnd;
+    const bool isLapsed = clockOf(worker) > worker.m_leaseEnd;
     if (isLapsed) {
-        worker.voidEnds = worker.lastEnd;
+        worker.m_voidEnds = worker.m_lastEnd;
     }
-    for (std::size_t n = 0; n < worker.runs.size();) {
+    for (std::size_t n = 0; n < worker.m_runs.size();) {
         if (isLapsed) {
             end(worker, n, Jobs::RunEnd::Lapsed);
-        } else if (worker.runs[n].endsAt <= timers.now() && !worker.standsStill) {
+        } else if (worker.m_runs[n].endsAt <= timers.now() && !worker.standsStill) {
             end(worker,
                 n,
-                worker.runs[n].fails || worker.failsAll ? Jobs::RunEnd::Failed : Jobs::RunEnd::Done);
+                worker.m_runs[n].fails || worker.failsAll ? Jobs::RunEnd::Failed : Jobs::RunEnd::Done);
         } else {
             ++n;
         }
@@ -178,10 +178,10 @@
     Jobs::RunList list;
     list.clock = clockOf(worker);
     list.born = worker.info.born;
-    for (const Run &it : worker.runs) {
+    for (const Run &it : worker.m_runs) {
         list.running.push_back({it.task, it.attempt, {}, 100, 0});
     }
-    list.ended = worker.ends;
+    list.ended = worker.m_ends;
     return list;
 }
 
@@ -208,7 +208,7 @@
 {
     std::vector<std::string> found;
     for (const auto &[id, worker] : workers) {
-        for (const Run &it : worker.runs) {
+        for (const Run &it : worker.m_runs) {
             if (cancelled.count(it.task.job) > 0) {
                 found.push_back(Jobs::toString(it.task) + " runs on " + id
                                 + " although its job was cancelled");
@@ -235,7 +235,7 @@
     for (auto &[id, other] : workers) {
         advance(other);
         const bool isThere =
-            other.isUp && std::any_of(other.runs.begin(), other.runs.end(), [&](const Run &it) {
+            other.isUp && std::any_of(other.m_runs.begin(), other.m_runs.end(), [&](const Run &it) {
                 return it.task == task;
             });
         if (isThere) {
@@ -256,29 +256,29 @@
 {
     using Jobs::OrderResult;
     const std::int64_t clock = clockOf(worker);
-    if (order.token < worker.token) {
+    if (order.token < worker.m_token) {
         return {OrderResult::Fenced, clock};
     }
-    worker.token = order.token;
+    worker.m_token = order.token;
     const std::int64_t leaseEnd = std::min(order.leaseEnd, clock + LeaseLimit);
     if (leaseEnd <= clock) {
         return {OrderResult::TooLate, clock};
     }
-    worker.leaseEnd = std::max(worker.leaseEnd, leaseEnd);
-    for (const Run &it : worker.runs) {
+    worker.m_leaseEnd = std::max(worker.m_leaseEnd, leaseEnd);
+    for (const Run &it : worker.m_runs) {
         if (it.task == order.task && it.attempt == order.attempt) {
             return {OrderResult::Done, clock};
         }
     }
-    if (const auto it = worker.highest.find(order.task);
-        it != worker.highest.end() && order.attempt <= it->second) {
+    if (const auto it = worker.m_highest.find(order.task);
+        it != worker.m_highest.end() && order.attempt <= it->second) {
         return {OrderResult::Superseded, clock};
     }
     note(worker, order.task, order.attempt, "starts");
     checkStart(worker, order.task);
     ++startedRuns[order.task];
     const bool fails = std::uniform_real_distribution<>(0, 1)(random) < failureShare;
-    worker.runs.push_back({order.task, order.attempt, timers.now() + taskTime, fails});
+    worker.m_runs.push_back({order.task, order.attempt, timers.now() + taskTime, fails});
     const std::string id = worker.info.id;
     timers.subscribeAfter(taskTime, [this, id] { advance(workers[id]); });
     return {OrderResult::Done, clock};
@@ -288,15 +288,15 @@
 {
     using Jobs::OrderResult;
     const std::int64_t clock = clockOf(worker);
-    if (order.token < worker.token) {
+    if (order.token < worker.m_token) {
         return {OrderResult::Fenced, clock};
     }
-    worker.token = order.token;
+    worker.m_token = order.token;
     note(worker, order.task, order.attempt, "is stopped");
-    auto &highest = worker.highest[order.task];
+    auto &highest = worker.m_highest[order.task];
     highest = std::max(highest, order.attempt);
-    for (std::size_t n = 0; n < worker.runs.size(); ++n) {
-        if (worker.runs[n].task == order.task && worker.runs[n].attempt <= order.attempt) {
+    for (std::size_t n = 0; n < worker.m_runs.size(); ++n) {
+        if (worker.m_runs[n].task == order.task && worker.m_runs[n].attempt <= order.attempt) {
             end(worker, n, Jobs::RunEnd::Stopped);
             break;
         }
@@ -319,9 +319,9 @@
     const auto delay = isLate ? Milliseconds(std::uniform_int_distribution<>(2000, 12'000)(random))
                               : Milliseconds(WorkerDelay);
     // An order is for one life of the worker; what a process has taken in and not yet done dies with it.
-    timers.subscribeAfter(delay, [this, id, handle, isLate, born = worker.bornAt] {
+    timers.subscribeAfter(delay, [this, id, handle, isLate, born = worker.m_bornAt] {
         Worker &there = workers[id];
-        if (there.isUp && there.bornAt == born) {
+        if (there.isUp && there.m_bornAt == born) {
             advance(there);
             m_isLate = isLate;
             handle(there);
@@ -388,18 +388,18 @@
         m_member,
         id,
         [this, id, order, once](Worker &there) {
-            if (order.token < there.token) {
+            if (order.token < there.m_token) {
                 m_world.timers.subscribeAfter(WorkerDelay, [once] { once(Jobs::OrderResult::Fenced, {}); });
                 return;
             }
-            there.token = order.token;
+            there.m_token = order.token;
             if (order.leaseEnd) {
-                there.leaseEnd =
-                    std::max(there.leaseEnd, std::min(*order.leaseEnd, m_world.clockOf(there) + LeaseLimit));
+                there.m_leaseEnd =
+                    std::max(there.m_leaseEnd, std::min(*order.leaseEnd, m_world.clockOf(there) + LeaseLimit));
             }
-            auto &ends = there.ends;
+            auto &ends = there.m_ends;
             for (const Jobs::ListedEnd &it : ends) {
-                if (it.number <= order.ackCursor && it.number > there.voidEnds
+                if (it.number <= order.ackCursor && it.number > there.m_voidEnds
                     && it.end == Jobs::RunEnd::Done) {
                     m_world.note(there, it.task, it.attempt, "is acknowledged as done");
                     ++m_world.doneRuns[it.task];
@@ -423,7 +423,7 @@
                 respond();
                 return;
             }
-            there.waiting.push_back(respond);
+            there.m_waiting.push_back(respond);
             m_world.timers.subscribeAfter(order.wait, respond);
         },
         [once] { once(Jobs::OrderResult::NoAnswer, {}); });
--- a/tests/auto/jobs/jobworld.h
+++ b/tests/auto/jobs/jobworld.h
@@ -42,15 +42,15 @@
 
     private:
         friend class JobWorld;
-        Base::Instant bornAt;
-        Jobs::FencingToken token = 0;
-        std::int64_t leaseEnd = 0;
-        std::vector<Run> runs;
-        std::vector<Jobs::ListedEnd> ends;
-        std::uint64_t lastEnd = 0;
-        std::uint64_t voidEnds = 0; ///< ends up to here stood unacknowledged while the lease lapsed
-        std::map<Jobs::TaskId, std::uint32_t> highest; ///< attempts that ended or were stopped
-        std::vector<std::function<void()>> waiting; ///< leases that wait for an end
+        Base::Instant m_bornAt;
+        Jobs::FencingToken m_token = 0;
+        std::int64_t m_leaseEnd = 0;
+        std::vector<Run> m_runs;
+        std::vector<Jobs::ListedEnd> m_ends;
+        std::uint64_t m_lastEnd = 0;
+        std::uint64_t m_voidEnds = 0; ///< ends up to here stood unacknowledged while the lease lapsed
+        std::map<Jobs::TaskId, std::uint32_t> m_highest; ///< attempts that ended or were stopped
+        std::vector<std::function<void()>> m_waiting; ///< leases that wait for an end
     };
 
     /// What one member does with the platform; the ports of JobService::ShardHost.
