Count runs on silent workers as away; order machines as soon as they are empty

A machine was also ordered down on word that could be old. Ruled out: an order carried out late (the stops of that task were answered).

Change: at work means running, at full percent, on a worker that answers; an order follows within 0.6 s of the word that the worker is empty, and keeps it empty meanwhile. Demand for machines counts only work that can still be in time.

--- a/src/libs/jobs/queueorder.cpp
+++ b/src/libs/jobs/queueorder.cpp
@@ -32,6 +32,11 @@
 
 } // namespace
 
+bool canMeetObjective(const Job &job, std::uint32_t number, const Occurrence &occurrence, WallTime now)
+{
+    return job.spec.isLongRunning() || now + job.remainingChain(occurrence) <= job.objective(number);
+}
+
 void sortByUrgency(std::vector<ReadyOccurrence> &ready, WallTime now)
 {
     std::vector<std::pair<Rank, ReadyOccurrence>> ranked;
--- a/src/libs/jobs/queueorder.h
+++ b/src/libs/jobs/queueorder.h
@@ -14,6 +14,9 @@
     Occurrence *occurrence = nullptr;
 };
 
+/// The occurrence can still meet its objective if the tasks that are ready start now; long-running ones always can.
+bool canMeetObjective(const Job &job, std::uint32_t number, const Occurrence &occurrence, WallTime now);
+
 /// Sorts by who goes first: long-running tasks, then what can still meet its objective, by priority and by
 /// the least slack, then what is past help, in the order of acceptance. Answers a queue that gets several
 /// times its pool's room for some seconds: help that comes too late for one job is spent on one that it still
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -2,6 +2,7 @@
 
 #include "jobrecord.h"
 #include "placement.h"
+#include "queueorder.h"
 
 #include <base/logline.h>
 
@@ -244,7 +245,7 @@
     }));
 }
 
-std::vector<ServiceDemand> Shard::demand(Base::Instant now) const
+std::vector<ServiceDemand> Shard::demand(Base::Instant now, WallTime wall) const
 {
     std::map<std::string, ServiceDemand> demands;
     for (const auto &[id, worker] : m_workers) {
@@ -265,9 +266,14 @@
                 if (occurrence.stages[n].isDone() || !job.isReady(occurrence, n)) {
                     continue;
                 }
-                const auto left = static_cast<std::int64_t>(stage.count - occurrence.stages[n].done);
-                const std::int64_t cores = left * charge(stage).milliCores;
-                demand.milliCores += cores;
+                const auto &tasks = occurrence.stages[n].tasks;
+                const auto waiting = std::count_if(tasks.begin(), tasks.end(), [](const Task &it) { return it.isWaiting(); });
+                const auto running = static_cast<std::int64_t>(stage.count - occurrence.stages[n].done) - waiting;
+                const std::int64_t each = charge(stage).milliCores;
+                const std::int64_t cores = (waiting + running) * each;
+                demand.milliCores += running * each;
+                (canMeetObjective(job, number, occurrence, wall) ? demand.milliCores : demand.lateMilliCores)
+                    += waiting * each;
                 if (!stage.isLongRunning) {
                     continue;
                 }
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -65,7 +65,7 @@
     /// Accepted jobs of which no task has started.
     std::size_t pending(std::string_view queue) const;
 
-    std::vector<ServiceDemand> demand(Base::Instant now) const;
+    std::vector<ServiceDemand> demand(Base::Instant now, WallTime wall) const;
     /// Gives the worker nothing new for a while, and moves away what can be; true when nothing runs there.
     bool evacuate(const std::string &worker, Base::Instant now);
 
@@ -116,6 +116,7 @@
     void stopRuns(Job &job, Base::Instant now);
     void releaseLapsed(Base::Instant now);
     void moveRunsOff(Base::Instant now);
+    bool isAtWork(const Task &task) const;
     bool mayMove(const Job &job, const TaskId &id, const Task &task, const Worker &worker) const;
     void askWorkers(Base::Instant now);
     std::int64_t leaseEnd(Worker &worker, Base::Instant now) const;
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -486,6 +486,13 @@
     }
 }
 
+bool Shard::isAtWork(const Task &task) const
+{
+    const auto worker = m_workers.find(task.worker);
+    return task.run == RunState::Running && task.percent >= FullyAtWork && worker != m_workers.end()
+        && worker->second.hasAnswered && worker->second.failuresInRow == 0;
+}
+
 // A long-running task may be taken away only while so many others of its stage are at work that its stage can
 // spare it, and only when there is room for it elsewhere. Others are stopped when their worker is about to leave.
 bool Shard::mayMove(const Job &job, const TaskId &id, const Task &task, const Worker &worker) const
@@ -496,7 +503,7 @@
     }
     std::uint32_t away = 0;
     for (const Task &it : job.occurrences.at(id.occurrence).stages[id.stage].tasks) {
-        away += &it != &task && (it.run != RunState::Running || it.percent < FullyAtWork) ? 1 : 0;
+        away += &it != &task && !isAtWork(it) ? 1 : 0;
     }
     return stage.maxUnavailable == 0 || away < stage.maxUnavailable;
 }
--- a/src/libs/jobservice/machineduty.h
+++ b/src/libs/jobservice/machineduty.h
@@ -26,6 +26,7 @@
     Base::Duration period = std::chrono::milliseconds{250}; ///< between two passes of the planner
     Base::Duration listPeriod = std::chrono::milliseconds{600}; ///< between two lists while something is under way
     Base::Duration idleListPeriod = std::chrono::milliseconds{2500};
+    Base::Duration statusPeriod = std::chrono::milliseconds{1000}; ///< between two log lines of a pool
     Base::Duration requestLimit = std::chrono::milliseconds{600}; ///< of questions to owners of shards
 };
 
@@ -51,6 +52,7 @@
         , m_ownEpoch(std::move(ownEpoch))
         , m_route(std::move(route))
         , m_timer(timers)
+        , m_soon(timers)
     {
     }
 
@@ -97,13 +99,43 @@
         if (m_planner) {
             readMachines();
             readDemand();
-            for (Machines::Command &it : m_planner->pass(m_timers.now())) {
-                std::visit([this](auto &order) { carryOut(order); }, it);
-            }
+            runPlanner();
+            logStatus();
         }
         m_timer.arm(m_settings.period, [this] { tick(); });
     }
 
+    void runPlannerIfOwner()
+    {
+        if (m_planner) {
+            runPlanner();
+        }
+    }
+
+    void runPlanner()
+    {
+        for (Machines::Command &it : m_planner->pass(m_timers.now())) {
+            std::visit([this](auto &order) { carryOut(order); }, it);
+        }
+    }
+
+    void logStatus()
+    {
+        if (m_timers.now() < m_nextStatus) {
+            return;
+        }
+        m_nextStatus = m_timers.now() + m_settings.statusPeriod;
+        for (const auto &it : m_planner->status()) {
+            Base::LogLine(Base::LogLevel::Info, "pool")
+                .with("pool", it.pool)
+                .with("up", it.up)
+                .with("arriving", it.arriving)
+                .with("leaving", it.leaving)
+                .with("needed", it.needed)
+                .with("load", it.load);
+        }
+    }
+
     // What earlier owners have begun is read before anything is decided.
     void takeOver()
     {
@@ -173,6 +205,7 @@
                 for (Jobs::ServiceDemand &demand : reply.demand) {
                     m_planner->setDemand({std::move(demand.service),
                                           demand.milliCores,
+                                          demand.lateMilliCores,
                                           demand.lastingMilliCores,
                                           demand.leastWorkers,
                                           std::move(demand.releasable)},
@@ -191,9 +224,12 @@
         m_route({*shard, Operation::Evacuate, std::nullopt, order.worker},
                 m_settings.requestLimit,
                 [this, worker = order.worker](const JobReply &reply) {
-                    if (m_planner) {
-                        const bool isEmpty = reply.status == JobReply::Status::Done;
-                        m_planner->evacuated(worker, isEmpty, m_timers.now());
+                    if (!m_planner) {
+                        return;
+                    }
+                    const bool isEmpty = reply.status == JobReply::Status::Done;
+                    if (m_planner->evacuated(worker, isEmpty, m_timers.now())) {
+                        m_soon.arm({}, [this] { runPlannerIfOwner(); });
                     }
                 });
     }
@@ -275,6 +311,7 @@
     OwnEpoch m_ownEpoch;
     Route m_route;
     Base::OneShotTimer m_timer;
+    Base::OneShotTimer m_soon; ///< a pass as soon as a worker is empty
     std::vector<Machines::Pool> m_pools;
     std::map<std::uint64_t, Machines::Wave> m_waves;
     std::vector<std::pair<std::uint64_t, std::string>> m_begun; ///< while they are read
@@ -283,6 +320,7 @@
     std::vector<Jobs::Record> m_records; ///< to be written
     std::uint64_t m_sequence = 1;
     Base::Instant m_listedAt;
+    Base::Instant m_nextStatus;
     bool m_isListing = false;
     bool m_isWriting = false;
 };
--- a/src/libs/jobservice/peerprotocol.cpp
+++ b/src/libs/jobservice/peerprotocol.cpp
@@ -18,6 +18,7 @@
 {
     return {{"service", demand.service},
             {"cores", demand.milliCores},
+            {"late", demand.lateMilliCores},
             {"lasting", demand.lastingMilliCores},
             {"least", demand.leastWorkers},
             {"releasable", json::array(demand.releasable.begin(), demand.releasable.end())}};
@@ -28,6 +29,7 @@
     Jobs::ServiceDemand demand;
     demand.service = std::string(from.at("service").as_string());
     demand.milliCores = from.at("cores").to_number<std::int64_t>();
+    demand.lateMilliCores = from.at("late").to_number<std::int64_t>();
     demand.lastingMilliCores = from.at("lasting").to_number<std::int64_t>();
     demand.leastWorkers = from.at("least").to_number<std::uint32_t>();
     for (const json::value &it : from.at("releasable").as_array()) {
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -458,7 +458,7 @@
             reply({.status = JobReply::Status::Done, .pending = shard.pending(request.subject)});
             return;
         case Operation::Demand:
-            reply({.status = JobReply::Status::Done, .demand = shard.demand(m_timers.now())});
+            reply({.status = JobReply::Status::Done, .demand = shard.demand(m_timers.now(), m_wallClock())});
             return;
         case Operation::Evacuate:
             reply({.status = shard.evacuate(request.subject, m_timers.now()) ? JobReply::Status::Done
--- a/src/libs/machines/machine.h
+++ b/src/libs/machines/machine.h
@@ -31,7 +31,8 @@
 /// What a pool's jobs need of its machines, as the owner of its shard reports it.
 struct PoolDemand {
     std::string pool;
-    std::int64_t milliCores = 0; ///< of all that runs and could run now
+    std::int64_t milliCores = 0; ///< of all that runs, or could run now in time
+    std::int64_t lateMilliCores = 0; ///< of what could run now, but is past its time
     std::int64_t lastingMilliCores = 0; ///< of long-running tasks, among those
     std::uint32_t leastMachines = 0; ///< that long-running tasks need to stay apart from each other
     std::vector<std::string> releasable; ///< workers without long-running tasks, the emptiest first
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -21,6 +21,9 @@
 // An order without an answer may still be carried out after this.
 constexpr Base::Duration LateOrderPatience = std::chrono::milliseconds{13'000};
 
+// A worker that was said to be empty gets nothing new for longer than this.
+constexpr Base::Duration EmptyLifetime = std::chrono::milliseconds{600};
+
 // A wave is to be done this much before its time is over.
 constexpr Base::Duration WaveReserve = std::chrono::milliseconds{4000};
 
@@ -61,7 +64,8 @@
     const auto up = std::count_if(m_machines.begin(), m_machines.end(), [&](const auto &it) {
         return it.second.pool == demand.pool && it.second.state == MachineState::Up;
     });
-    if (machinesNeeded(demand.pool) >= static_cast<std::size_t>(up)) {
+    const std::size_t wanted = machinesFor(demand.pool, demand.milliCores + demand.lateMilliCores);
+    if (std::max(wanted, machinesNeeded(demand.pool)) >= static_cast<std::size_t>(up)) {
         m_neededAt[demand.pool] = now;
     }
 }
@@ -81,13 +85,16 @@
     m_waves[wave].begun.insert(machine);
 }
 
-void MachinePlanner::evacuated(const std::string &worker, bool isEmpty, Base::Instant)
+bool MachinePlanner::evacuated(const std::string &worker, bool isEmpty, Base::Instant now)
 {
+    bool isNews = false;
     for (auto &[id, work] : m_work) {
         if (work.worker == worker && work.step == Step::Evacuating) {
-            work.isEmpty = isEmpty;
+            isNews = isNews || (isEmpty && work.emptyAt == Base::Instant{});
+            work.emptyAt = isEmpty ? now : Base::Instant{};
         }
     }
+    return isNews;
 }
 
 void MachinePlanner::moveAnswered(const MoveMachine &order, OrderResult result, Base::Instant)
@@ -142,6 +149,26 @@
     });
 }
 
+std::vector<MachinePlanner::PoolStatus> MachinePlanner::status() const
+{
+    std::vector<PoolStatus> list;
+    for (const auto &[name, pool] : m_pools) {
+        PoolStatus status;
+        status.pool = name;
+        for (const auto &[id, machine] : m_machines) {
+            status.up += machine.pool == name && machine.state == MachineState::Up ? 1 : 0;
+        }
+        for (const auto &[id, work] : m_work) {
+            status.arriving += work.to == name ? 1 : 0;
+            status.leaving += work.from == name ? 1 : 0;
+        }
+        status.needed = machinesNeeded(name);
+        status.load = load(name);
+        list.push_back(status);
+    }
+    return list;
+}
+
 const Machine *MachinePlanner::find(const std::string &id) const
 {
     const auto it = m_machines.find(id);
@@ -182,28 +209,25 @@
     return double(it->second.milliCores) / double(room);
 }
 
+std::size_t MachinePlanner::machinesFor(const std::string &pool, std::int64_t milliCores) const
+{
+    std::int64_t here = 0;
+    std::int64_t anywhere = 0;
+    for (const auto &[id, machine] : m_machines) {
+        anywhere = std::max(anywhere, machine.capacity.milliCores);
+        here = machine.pool == pool ? std::max(here, machine.capacity.milliCores) : here;
+    }
+    const std::int64_t size = here > 0 ? here : anywhere;
+    return size > 0 ? static_cast<std::size_t>(std::ceil(double(milliCores) * m_settings.headroom / double(size))) : 0;
+}
+
 std::size_t MachinePlanner::machinesNeeded(const std::string &pool) const
 {
     const auto it = m_demands.find(pool);
     if (it == m_demands.end()) {
         return 0;
     }
-    std::int64_t size = 0;
-    for (const auto &[id, machine] : m_machines) {
-        if (machine.pool == pool) {
-            size = std::max(size, machine.capacity.milliCores);
-        }
-    }
-    if (size == 0) {
-        for (const auto &[id, machine] : m_machines) {
-            size = std::max(size, machine.capacity.milliCores);
-        }
-    }
-    if (size == 0) {
-        return 0;
-    }
-    const double byCores = std::ceil(double(it->second.milliCores) * m_settings.headroom / double(size));
-    return std::max<std::size_t>({static_cast<std::size_t>(byCores), it->second.leastMachines, 1});
+    return std::max<std::size_t>({machinesFor(pool, it->second.milliCores), it->second.leastMachines, 1});
 }
 
 // The list shows what became of orders; one that was asked for too early shows the state before.
@@ -280,7 +304,6 @@
             work.from = it->pool;
             work.wave = number;
             work.since = now;
-            work.isEmpty = it->worker.empty();
             m_work[it->id] = work;
             ++begun;
         }
@@ -320,7 +343,6 @@
     work.from = machine.pool;
     work.to = to;
     work.since = now;
-    work.isEmpty = machine.worker.empty();
     m_work[machine.id] = work;
 }
 
@@ -396,14 +418,12 @@
 void MachinePlanner::advanceWork(Base::Instant now)
 {
     for (auto &[id, work] : m_work) {
-        if (work.isUnknown && !work.worker.empty()) {
+        // While an order is under way, nothing may begin on the worker that it ends.
+        if (!work.worker.empty() && (work.step != Step::Down || work.isUnknown)) {
             m_commands.emplace_back(EvacuateWorker{work.worker, work.from});
         }
-        if (work.step != Step::Evacuating) {
-            continue;
-        }
-        if (!work.isEmpty) {
-            m_commands.emplace_back(EvacuateWorker{work.worker, work.from});
+        const bool isEmpty = work.worker.empty() || now - work.emptyAt < EmptyLifetime;
+        if (work.step != Step::Evacuating || !isEmpty) {
             continue;
         }
         if (work.wave == 0) {
@@ -411,9 +431,6 @@
         } else if (downInWave(work.wave) < m_waves[work.wave].wave.mostDown) {
             m_commands.emplace_back(UpkeepMachine{work.machine, work.wave});
         } else {
-            if (!work.worker.empty()) {
-                m_commands.emplace_back(EvacuateWorker{work.worker, work.from});
-            }
             continue;
         }
         work.step = Step::Ordered;
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -41,12 +41,23 @@
     /// The upkeep has begun under an earlier owner.
     void loadUpkeep(std::uint64_t wave, const std::string &machine);
 
-    void evacuated(const std::string &worker, bool isEmpty, Base::Instant now);
+    /// Returns true when a pass has something to do with that.
+    bool evacuated(const std::string &worker, bool isEmpty, Base::Instant now);
     void moveAnswered(const MoveMachine &order, OrderResult result, Base::Instant now);
     void upkeepAnswered(const UpkeepMachine &order, OrderResult result, Base::Instant now);
 
     std::vector<Command> pass(Base::Instant now);
 
+    struct PoolStatus {
+        std::string pool;
+        std::size_t up = 0;
+        std::size_t arriving = 0; ///< machines on their way to it
+        std::size_t leaving = 0;
+        std::size_t needed = 0;
+        double load = 0; ///< demand against the room of the machines that are up
+    };
+    std::vector<PoolStatus> status() const;
+
     /// Something is under way or due, so that the list of machines should be read often.
     bool isActive() const;
 
@@ -59,7 +70,7 @@
         std::string to; ///< pool; empty for upkeep
         std::uint64_t wave = 0; ///< 0 for a move
         Step step = Step::Evacuating;
-        bool isEmpty = false;
+        Base::Instant emptyAt; ///< when its worker was last said to be empty
         bool isUnknown = false; ///< whether the order was carried out, or still may be
         Base::Instant since;
         Base::Instant orderedAt;
@@ -77,6 +88,7 @@
     std::size_t downInWave(std::uint64_t wave) const;
     double load(const std::string &pool) const;
     std::size_t machinesNeeded(const std::string &pool) const;
+    std::size_t machinesFor(const std::string &pool, std::int64_t milliCores) const;
     void settleWork(Base::Instant now);
     void planWaves(Base::Instant now);
     void planMoves(Base::Instant now);
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -231,3 +231,63 @@
     }
     checkKept(world);
 }
+
+namespace
+{
+
+Jobs::JobSpec makeRoster(const std::string &id, std::uint32_t width)
+{
+    auto job = JobWorld::makeJob(id, 1, width);
+    job.stages[0].isLongRunning = true;
+    job.stages[0].tasksPerWorker = 1;
+    job.stages[0].maxUnavailable = 1;
+    return job;
+}
+
+// Asks for the evacuation of `worker` until `time` is over; true when it has become empty.
+bool evacuate(JobWorld &world, const std::string &worker, std::chrono::milliseconds time)
+{
+    bool isEmpty = false;
+    for (auto spent = 0ms; spent < time && !isEmpty; spent += 200ms) {
+        world.owner(0)->host.handle({0, JobService::Operation::Evacuate, std::nullopt, worker},
+                                    [&isEmpty](const JobService::JobReply &it) {
+                                        isEmpty = it.status == JobService::JobReply::Status::Done;
+                                    });
+        world.run(200ms);
+    }
+    return isEmpty;
+}
+
+} // namespace
+
+TEST(ShardHost, LongRunningTasksMoveOffAnEvacuatedWorkerOneAtATime)
+{
+    JobWorld world;
+    world.taskTime = 600s;
+    for (const char *it : {"w1", "w2", "w3"}) {
+        world.addWorker(it);
+    }
+    world.addMember("m1");
+    CHECK(world.submit(makeRoster("a", 2)));
+    world.run(2s);
+    CHECK(evacuate(world, "w1", 3s));
+    CHECK(world.state("a") == ShownState::Running);
+    checkKept(world);
+}
+
+// Red: a task on a worker that had stopped answering counted as at work, so another one of its stage was taken
+// away beside it (AVAIL on plaquewright-prod trouble-1, a dark crash while a wave was under way).
+TEST(ShardHost, NoLongRunningTaskIsTakenAwayBesideOneOnASilentWorker)
+{
+    JobWorld world;
+    world.taskTime = 600s;
+    for (const char *it : {"w1", "w2", "w3"}) {
+        world.addWorker(it);
+    }
+    world.addMember("m1");
+    CHECK(world.submit(makeRoster("a", 2)));
+    world.run(2s);
+    world.crash("w1", 60s);
+    world.run(2s); // a question to it goes unanswered
+    CHECK(!evacuate(world, "w2", 1s));
+}
