--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -109,6 +109,17 @@
     return longest;
 }
 
+double Job::work() const
+{
+    double sum = 0;
+    for (const Stage &it : spec.stages) {
+        if (!it.isLongRunning) {
+            sum += it.count * double(it.size.milliCores) / 1000 * double(it.estimate.count()) / 1000;
+        }
+    }
+    return sum;
+}
+
 WallTime Job::objective(std::uint32_t occurrence) const
 {
     const WallTime due = spec.isTimed() ? spec.firstDue + spec.interval * occurrence : acceptedAt;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -96,6 +96,8 @@
     Milliseconds remainingChain(const Occurrence &occurrence) const;
     /// The longest chain of estimates through the graph.
     Milliseconds chain() const;
+    /// Core-seconds of one occurrence, without long-running tasks.
+    double work() const;
     /// When the occurrence has to end to meet its objective.
     WallTime objective(std::uint32_t occurrence) const;
 };
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -206,6 +206,7 @@
         job.addOccurrence(0);
     }
     addDueOccurrences(job, wall);
+    m_arrivedWork[job.spec.queue.service] += job.work();
     const std::string id = job.spec.id;
     m_jobs[id] = std::move(job);
     m_nextOccurrenceDue = std::min(m_nextOccurrenceDue, now);
@@ -304,6 +305,8 @@
     }
     std::vector<ServiceDemand> list;
     for (auto &[service, demand] : demands) {
+        const auto arrived = m_arrivedWork.find(service);
+        demand.arrivedWork = arrived != m_arrivedWork.end() ? arrived->second : 0;
         list.push_back(std::move(demand));
     }
     return list;
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -151,6 +151,7 @@
     std::optional<Batch> m_batch; ///< under way
     std::uint64_t m_lastBatch = 0;
     Base::Instant m_lastBatchAt;
+    std::map<std::string, double> m_arrivedWork; ///< core-seconds, by service
     std::vector<TaskId> m_plannedStarts;
     std::vector<ReplyId> m_cancelReplies;
     std::vector<std::string> m_forgotten;
--- a/src/libs/jobservice/peerprotocol.cpp
+++ b/src/libs/jobservice/peerprotocol.cpp
@@ -20,6 +20,7 @@
             {"cores", demand.milliCores},
             {"late", demand.lateMilliCores},
             {"lasting", demand.lastingMilliCores},
+            {"arrived", demand.arrivedWork},
             {"least", demand.leastWorkers},
             {"releasable", json::array(demand.releasable.begin(), demand.releasable.end())}};
 }
@@ -31,6 +32,7 @@
     demand.milliCores = from.at("cores").to_number<std::int64_t>();
     demand.lateMilliCores = from.at("late").to_number<std::int64_t>();
     demand.lastingMilliCores = from.at("lasting").to_number<std::int64_t>();
+    demand.arrivedWork = from.at("arrived").to_number<double>();
     demand.leastWorkers = from.at("least").to_number<std::uint32_t>();
     for (const json::value &it : from.at("releasable").as_array()) {
         demand.releasable.emplace_back(it.as_string());
--- a/src/libs/machines/machine.h
+++ b/src/libs/machines/machine.h
@@ -34,6 +34,7 @@
     std::int64_t milliCores = 0; ///< of all that runs, or could run now in time
     std::int64_t lateMilliCores = 0; ///< of what could run now, but is past its time
     std::int64_t lastingMilliCores = 0; ///< of long-running tasks, among those
+    double arrivedWork = 0; ///< core-seconds handed in since its owner began
     std::uint32_t leastMachines = 0; ///< that long-running tasks need to stay apart from each other
     std::vector<std::string> releasable; ///< workers without long-running tasks, the emptiest first
 };
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -64,6 +64,7 @@
 void MachinePlanner::setDemand(const PoolDemand &demand, Base::Instant now)
 {
     m_demands[demand.pool] = demand;
+    m_forecasts[demand.pool].note(demand.arrivedWork, now);
     const auto up = std::count_if(m_machines.begin(), m_machines.end(), [&](const auto &it) {
         return it.second.pool == demand.pool && it.second.state == MachineState::Up;
     });
@@ -232,7 +233,12 @@
     if (it == m_demands.end()) {
         return 0;
     }
-    return std::max<std::size_t>({machinesFor(pool, it->second.milliCores), it->second.leastMachines, 1});
+    std::int64_t milliCores = it->second.milliCores;
+    if (const auto forecast = m_forecasts.find(pool); forecast != m_forecasts.end()) {
+        const double arriving = forecast->second.cores(m_settings.foresight) * 1000;
+        milliCores = std::max(milliCores, it->second.lastingMilliCores + static_cast<std::int64_t>(arriving));
+    }
+    return std::max<std::size_t>({machinesFor(pool, milliCores), it->second.leastMachines, 1});
 }
 
 // The list shows what became of orders; one that was asked for too early shows the state before.
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arrivalforecast.h"
 #include "machine.h"
 
 #include <map>
@@ -19,6 +20,7 @@
     Base::Duration upkeepPatience = std::chrono::milliseconds{7000};
     Base::Duration idlePatience =
         std::chrono::milliseconds{1500}; ///< before idle machines are put on standby
+    Base::Duration foresight = std::chrono::milliseconds{1500}; ///< of the demand that machines are moved for
     double headroom = 1.15; ///< machines for a pool, by its demand
     bool movesMachines = true;
 };
@@ -103,6 +105,7 @@
     std::map<std::string, Machine> m_machines;
     Base::Instant m_listedAt;
     std::map<std::string, PoolDemand> m_demands;
+    std::map<std::string, ArrivalForecast> m_forecasts; ///< by pool
     std::map<std::string, Base::Instant> m_neededAt; ///< when a pool last needed all its machines
     std::map<std::uint64_t, WaveProgress> m_waves;
     std::map<std::string, Work> m_work; ///< by machine
--- a/tests/auto/machines/tst_machineplanner.cpp
+++ b/tests/auto/machines/tst_machineplanner.cpp
@@ -42,7 +42,7 @@
 
     void demand(const std::string &pool, std::int64_t milliCores, std::uint32_t least = 1)
     {
-        demands[pool] = {pool, milliCores, 0, 0, least, {}};
+        demands[pool] = {pool, milliCores, 0, 0, 0, least, {}};
     }
 
     Machines::Wave wave(std::uint32_t cap, Base::Duration duration)
@@ -296,3 +296,46 @@
     LONGS_EQUAL(2, fleet.maintained.size());
     CHECK(fleet.isCompleted);
 }
+
+TEST_GROUP(ArrivalForecast)
+{
+};
+
+TEST(ArrivalForecast, ASteadyRateStays)
+{
+    Machines::ArrivalForecast forecast;
+    Base::Instant now{1h};
+    for (int n = 0; n <= 12; ++n, now += Tick) {
+        forecast.note(n * 25.0, now);
+    }
+    DOUBLES_EQUAL(100, forecast.cores(2s), 1);
+}
+
+TEST(ArrivalForecast, ARisingRateIsExtendedAndAFallingOneIsNot)
+{
+    Machines::ArrivalForecast rising;
+    Machines::ArrivalForecast falling;
+    Base::Instant now{1h};
+    double up = 0;
+    double down = 0;
+    for (int n = 0; n <= 8; ++n, now += Tick) {
+        rising.note(up, now);
+        falling.note(down, now);
+        up += n < 4 ? 10 : 20;
+        down += n < 4 ? 20 : 10;
+    }
+    DOUBLES_EQUAL(80 + 2 * 40, rising.cores(2s), 1);
+    DOUBLES_EQUAL(40, falling.cores(2s), 1);
+}
+
+// Another owner of the shard counts from nothing.
+TEST(ArrivalForecast, BeginsAnewWhenTheCountFalls)
+{
+    Machines::ArrivalForecast forecast;
+    Base::Instant now{1h};
+    for (int n = 0; n <= 12; ++n, now += Tick) {
+        forecast.note(n * 25.0, now);
+    }
+    forecast.note(3, now);
+    DOUBLES_EQUAL(0, forecast.cores(2s), 0.1);
+}
