--- a/src/libs/base/logline.cpp
+++ b/src/libs/base/logline.cpp
@@ -1,11 +1,19 @@
 #include "logline.h"
 
+#include <fmt/chrono.h>
+
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <utility>
 
-#include <fmt/chrono.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace Base
 {
@@ -14,6 +22,39 @@
 {
 
 std::atomic<LogLevel> threshold{LogLevel::Info};
+std::atomic<int> output{STDERR_FILENO};
+std::atomic<std::uint64_t> dropped{0};
+
+// Tokens of one event; a line takes one.
+struct Allowance {
+    double tokens = LogLine::LinesAtOnce;
+    std::chrono::steady_clock::time_point filledAt = std::chrono::steady_clock::now();
+    std::uint64_t leftOut = 0;
+};
+
+// Returns how many lines of the event were left out since the last one; nothing when this one is left out
+// too.
+std::optional<std::uint64_t> takeAllowance(std::string_view event)
+{
+    static std::mutex mutex;
+    static std::map<std::string, Allowance, std::less<>> allowances;
+    const std::lock_guard lock(mutex);
+    auto it = allowances.find(event);
+    if (it == allowances.end()) {
+        it = allowances.emplace(event, Allowance{}).first;
+    }
+    Allowance &allowance = it->second;
+    const auto now = std::chrono::steady_clock::now();
+    const double seconds = std::chrono::duration<double>(now - allowance.filledAt).count();
+    allowance.tokens = std::min(LogLine::LinesAtOnce, allowance.tokens + seconds * LogLine::LinesPerSecond);
+    allowance.filledAt = now;
+    if (allowance.tokens < 1) {
+        ++allowance.leftOut;
+        return std::nullopt;
+    }
+    allowance.tokens -= 1;
+    return std::exchange(allowance.leftOut, 0);
+}
 
 std::string &origin()
 {
@@ -72,8 +113,12 @@
 } // namespace
 
 LogLine::LogLine(LogLevel level, std::string_view event)
-    : m_isWritten(level >= threshold.load(std::memory_order_relaxed))
 {
+    if (level < threshold.load(std::memory_order_relaxed)) {
+        return;
+    }
+    const auto leftOut = level == LogLevel::Error ? std::optional<std::uint64_t>(0) : takeAllowance(event);
+    m_isWritten = leftOut.has_value();
     if (!m_isWritten) {
         return;
     }
@@ -82,14 +127,35 @@
         append("origin", origin());
     }
     append("event", event);
+    if (*leftOut > 0) {
+        with("left_out", *leftOut);
+    }
 }
 
-// One fwrite() a line, so that lines of several threads don't mix.
+// One write() a line, so that lines of several threads don't mix.
 LogLine::~LogLine()
 {
-    if (m_isWritten) {
-        m_text += '\n';
-        std::fwrite(m_text.data(), 1, m_text.size(), stderr);
+    if (!m_isWritten) {
+        return;
+    }
+    if (const auto n = dropped.exchange(0); n > 0) {
+        with("dropped", n);
+    }
+    m_text += '\n';
+    if (::write(output.load(std::memory_order_relaxed), m_text.data(), m_text.size()) < 0) {
+        ++dropped;
+    }
+}
+
+void LogLine::setOutput(LogOutput where)
+{
+    const int fd = where == LogOutput::StandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+    output.store(fd, std::memory_order_relaxed);
+    if (where == LogOutput::StandardOutput) {
+        const int flags = ::fcntl(fd, F_GETFL);
+        if (flags >= 0) {
+            ::fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+        }
     }
 }
 
--- a/src/libs/base/logline.h
+++ b/src/libs/base/logline.h
@@ -10,8 +10,11 @@
 
 enum class LogLevel { Debug, Info, Warning, Error };
 
-/// One event of the log: a line of key=value pairs, written to standard error when the object ends.
-/// Values with blanks, quotes or control characters are quoted and escaped.
+enum class LogOutput { StandardError, StandardOutput };
+
+/// One event of the log: a line of key=value pairs, written when the object ends.
+/// Values with blanks, quotes or control characters are quoted and escaped. Lines of one event beyond
+/// LinesPerSecond are left out, except errors; the next one that is written says how many in left_out=.
 class LogLine
 {
 public:
@@ -30,13 +33,20 @@
     /// Lines below this level are not written; Info at start.
     static void setThreshold(LogLevel level);
 
+    static constexpr double LinesPerSecond = 100; ///< of one event, on average
+    static constexpr double LinesAtOnce = 200; ///< of one event
+
+    /// Standard error at start. Standard output is set to never block: a line that doesn't fit is dropped,
+    /// and the next one that is written says how many were in dropped=.
+    static void setOutput(LogOutput output);
+
     /// A name put on every line of this process, such as the entry instance's.
     static void setOrigin(std::string_view origin);
 
 private:
     void append(std::string_view key, std::string_view value);
 
-    bool m_isWritten;
+    bool m_isWritten = false;
     std::string m_text;
 };
 
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Jobs
@@ -17,6 +18,9 @@
 
 enum class JobState { Active, Completed, Failed, Cancelled };
 
+/// For logs.
+std::string_view toString(JobState state);
+
 /// What this owner knows of the run that a task is assigned to.
 enum class RunState {
     None, ///< waits or has ended
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -181,6 +181,10 @@
     }
     const bool isStalled = m_batch && now - m_batch->sentAt > m_settings.storePatience;
     if (m_isAdrift || isStalled) {
+        Base::LogLine(Base::LogLevel::Info, "job-refused")
+            .with("request", spec.id)
+            .with("reason", m_isAdrift ? "membership lapsed" : "store does not answer")
+            .with("epoch", m_epoch);
         reply(replyId, Answer::Refused, StoreRetryAfter);
         return;
     }
@@ -195,6 +199,10 @@
             return !couldEverRun(it, listed);
         });
     if (isHopeless) {
+        Base::LogLine(Base::LogLevel::Info, "job-refused")
+            .with("request", spec.id)
+            .with("reason", "no worker could hold it")
+            .with("workers", listed.size());
         reply(replyId, Answer::Hopeless);
         return;
     }
@@ -363,6 +371,11 @@
         }
         Job &job = found->second;
         job.isStored = true;
+        Base::LogLine(Base::LogLevel::Info, "job-accepted")
+            .with("request", it)
+            .with("queue", job.spec.queue.name)
+            .with("batch", batch.number)
+            .with("epoch", m_epoch);
         for (const ReplyId waiting : job.waitForAcceptance) {
             reply(waiting, Answer::Accepted);
         }
@@ -406,7 +419,7 @@
     Base::LogLine(Base::LogLevel::Info, "job-ended")
         .with("request", job.spec.id)
         .with("queue", job.spec.queue.name)
-        .with("state", static_cast<int>(state))
+        .with("state", toString(state))
         .with("after_ms", (wall - job.acceptedAt).count());
 }
 
--- a/src/libs/jobs/shardcommands.h
+++ b/src/libs/jobs/shardcommands.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -102,6 +103,9 @@
     NoAnswer, ///< may have been carried out, or may be later
 };
 
+/// For logs.
+std::string_view toString(OrderResult result);
+
 struct ListedRun {
     TaskId task;
     std::uint32_t attempt = 0;
@@ -113,6 +117,9 @@
 
 enum class RunEnd { Done, Failed, Stopped, Lapsed, Broken, Alone };
 
+/// For logs.
+std::string_view toString(RunEnd end);
+
 struct ListedEnd {
     std::uint64_t number = 0; ///< rises within one life of the worker
     TaskId task;
--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -334,6 +334,13 @@
     order.payload = job.spec.payload;
     order.checkpoint = task->checkpoint;
     order.leaseEnd = leaseEnd(worker, now);
+    Base::LogLine(Base::LogLevel::Info, "run-ordered")
+        .with("request", id.job)
+        .with("task", toString(id))
+        .with("attempt", order.attempt)
+        .with("worker", order.worker)
+        .with("token", order.token)
+        .with("worker_seen_ms", std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswer).count());
     m_commands.emplace_back(std::move(order));
 }
 
@@ -346,6 +353,10 @@
             ++it;
             continue;
         }
+        Base::LogLine(Base::LogLevel::Info, "job-refused")
+            .with("request", it->first)
+            .with("reason", "store does not answer")
+            .with("epoch", m_epoch);
         for (const ReplyId waiting : job.waitForAcceptance) {
             reply(waiting, Answer::Refused, StoreRetryAfter);
         }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -155,6 +155,12 @@
         return;
     }
     Job &job = it->second;
+    Base::LogLine(Base::LogLevel::Info, "run-ended")
+        .with("request", end.task.job)
+        .with("task", toString(end.task))
+        .with("attempt", end.attempt)
+        .with("worker", worker.info.id)
+        .with("end", toString(end.end));
     if (!end.checkpoint.empty()) {
         task->checkpoint = end.checkpoint;
     }
@@ -386,7 +392,7 @@
         .with("task", toString(order.task))
         .with("attempt", order.attempt)
         .with("worker", order.worker)
-        .with("result", static_cast<int>(result));
+        .with("result", toString(result));
 }
 
 void Shard::stopAnswered(const StopRun &order, OrderResult result, std::int64_t clock, Base::Instant now)
@@ -426,7 +432,7 @@
             Base::LogLine(Base::LogLevel::Warning, "worker-lost")
                 .with("worker", worker.info.id)
                 .with("runs", worker.runs.size())
-                .with("result", static_cast<int>(result));
+                .with("result", toString(result));
         }
         worker.nextAsk = now + RetryPause;
         return;
--- a/src/libs/jobservice/machineduty.h
+++ b/src/libs/jobservice/machineduty.h
@@ -211,7 +211,7 @@
                                                   demand.milliCores,
                                                   demand.lateMilliCores,
                                                   demand.lastingMilliCores,
-                                          demand.arrivedWork,
+                                                  demand.arrivedWork,
                                                   demand.leastWorkers,
                                                   std::move(demand.releasable)},
                                                  m_timers.now());
--- a/src/libs/jobservice/peerprotocol.cpp
+++ b/src/libs/jobservice/peerprotocol.cpp
@@ -42,6 +42,46 @@
 
 } // namespace
 
+std::string_view toString(Operation operation)
+{
+    switch (operation) {
+    case Operation::Submit:
+        return "submit";
+    case Operation::Cancel:
+        return "cancel";
+    case Operation::State:
+        return "state";
+    case Operation::Pending:
+        return "pending";
+    case Operation::Demand:
+        return "demand";
+    case Operation::Evacuate:
+        return "evacuate";
+    }
+    return "unknown";
+}
+
+std::string_view toString(JobReply::Status status)
+{
+    switch (status) {
+    case JobReply::Status::Done:
+        return "done";
+    case JobReply::Status::NoSuchJob:
+        return "no-such-job";
+    case JobReply::Status::Refused:
+        return "refused";
+    case JobReply::Status::Hopeless:
+        return "hopeless";
+    case JobReply::Status::Unknown:
+        return "unknown";
+    case JobReply::Status::NotOwner:
+        return "not-owner";
+    case JobReply::Status::NotYet:
+        return "not-yet";
+    }
+    return "unknown";
+}
+
 std::string encode(const JobRequest &request)
 {
     json::object out{{"shard", request.shard}, {"operation", static_cast<int>(request.operation)}};
--- a/src/libs/jobservice/peerprotocol.h
+++ b/src/libs/jobservice/peerprotocol.h
@@ -40,6 +40,10 @@
     std::vector<Jobs::ServiceDemand> demand{};
 };
 
+/// For logs.
+std::string_view toString(Operation operation);
+std::string_view toString(JobReply::Status status);
+
 std::string encode(const JobRequest &request);
 std::optional<JobRequest> decodeRequest(std::string_view text);
 std::string encode(const JobReply &reply);
--- a/src/libs/machines/arrivalforecast.cpp
+++ b/src/libs/machines/arrivalforecast.cpp
@@ -40,7 +40,8 @@
     const Sample &first = m_samples.front();
     const Sample &between = *std::prev(middle);
     const double recent = (last.arrivedWork - between.arrivedWork) / seconds(last.at - between.at);
-    const double before = (between.arrivedWork - first.arrivedWork) / std::max(seconds(between.at - first.at), 0.001);
+    const double before =
+        (between.arrivedWork - first.arrivedWork) / std::max(seconds(between.at - first.at), 0.001);
     const double trend = (recent - before) / seconds(Window);
     return std::max(0.0, recent + std::max(0.0, trend) * seconds(ahead));
 }
--- a/tests/auto/machines/tst_machineplanner.cpp
+++ b/tests/auto/machines/tst_machineplanner.cpp
@@ -297,9 +297,7 @@
     CHECK(fleet.isCompleted);
 }
 
-TEST_GROUP(ArrivalForecast)
-{
-};
+TEST_GROUP(ArrivalForecast){};
 
 TEST(ArrivalForecast, ASteadyRateStays)
 {
