Ask queues' policies for workers, and pace tasks that fill what others leave

Cause: a queue with advice had each start rejected for want of a ticket, and tasks that fill disturbed those that serve without bound (HARM).

Change: AdviceBook keeps tickets and denials by stage, asks in batches of 12 and in few calls at once; fillers are paced by the tails beside them, before these reach their target.

--- /dev/null
+++ b/src/libs/jobs/advicebook.cpp
@@ -0,0 +1,102 @@
+#include "advicebook.h"
+
+namespace Jobs
+{
+
+namespace
+{
+
+// A ticket has to last until the start that carries it has been stored and has arrived.
+constexpr Milliseconds TicketReserve{250};
+
+// Workers in one question: enough for a stage, without waiting for the answer on a whole fleet.
+constexpr std::size_t MostWorkersAsked = 12;
+
+// Questions of one shard at the same time; the service turns calls away when 32 wait.
+constexpr std::size_t MostQuestions = 4;
+
+// After a question that was turned away or lost.
+constexpr Milliseconds RetryPause{200};
+
+} // namespace
+
+std::optional<std::string>
+AdviceBook::ticket(const StageKey &stage, const std::string &worker, Base::Instant now) const
+{
+    const auto it = m_stages.find(stage);
+    if (it == m_stages.end()) {
+        return std::nullopt;
+    }
+    const auto found = it->second.tickets.find(worker);
+    if (found == it->second.tickets.end() || found->second.validUntil < now + TicketReserve) {
+        return std::nullopt;
+    }
+    return found->second.text;
+}
+
+std::optional<AskAdvice> AdviceBook::question(const StageKey &stage,
+                                              const AdvicePolicy &policy,
+                                              std::span<const std::string> workers,
+                                              Base::Instant now)
+{
+    StageAdvice &advice = m_stages[stage];
+    if (advice.isAsking || m_asking >= MostQuestions || now < advice.notBefore) {
+        return std::nullopt;
+    }
+    AskAdvice ask;
+    std::tie(ask.job, ask.occurrence, ask.stage) = stage;
+    for (const std::string &it : workers) {
+        if (ask.workers.size() < MostWorkersAsked && advice.denied.count(it) == 0
+            && !ticket(stage, it, now)) {
+            ask.workers.push_back(it);
+        }
+    }
+    if (ask.workers.empty()) {
+        return std::nullopt;
+    }
+    ask.expected = policy.decide + policy.perWorker * static_cast<std::int64_t>(ask.workers.size());
+    advice.isAsking = true;
+    ++m_asking;
+    return ask;
+}
+
+void AdviceBook::answered(const AskAdvice &question,
+                          const std::optional<AdviceAnswer> &answer,
+                          Base::Instant now)
+{
+    --m_asking;
+    const auto it = m_stages.find({question.job, question.occurrence, question.stage});
+    if (it == m_stages.end()) {
+        return;
+    }
+    StageAdvice &advice = it->second;
+    advice.isAsking = false;
+    if (!answer) {
+        advice.notBefore = now + RetryPause;
+        return;
+    }
+    std::set<std::string> denied(question.workers.begin(), question.workers.end());
+    for (const AdviceTicket &allowed : answer->allowed) {
+        denied.erase(allowed.worker);
+        advice.tickets[allowed.worker] = {allowed.ticket, now + answer->validity};
+    }
+    advice.denied.merge(denied);
+}
+
+void AdviceBook::rejected(const StageKey &stage, const std::string &worker)
+{
+    const auto it = m_stages.find(stage);
+    if (it != m_stages.end()) {
+        it->second.tickets.erase(worker);
+    }
+}
+
+void AdviceBook::forget(std::string_view job)
+{
+    for (auto it = m_stages.lower_bound({std::string(job), 0, 0});
+         it != m_stages.end() && std::get<0>(it->first) == job;) {
+        it = m_stages.erase(it);
+    }
+}
+
+} // namespace Jobs
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -413,6 +413,7 @@
 {
     job.state = state;
     job.endedAt = wall;
+    m_advice.forget(job.spec.id);
     job.isDirty = true;
     m_hasChanged = true;
     stopRuns(job, now);
@@ -423,6 +424,14 @@
         .with("after_ms", (wall - job.acceptedAt).count());
 }
 
+void Shard::adviceAnswered(const AskAdvice &question,
+                           const std::optional<AdviceAnswer> &answer,
+                           Base::Instant now)
+{
+    m_advice.answered(question, answer, now);
+    m_hasChanged = true;
+}
+
 void Shard::reply(ReplyId id, Answer answer, Milliseconds retryAfter)
 {
     m_commands.emplace_back(SendReply{id, answer, retryAfter});
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "advicebook.h"
 #include "placement.h"
 #include "shardcommands.h"
 #include "worker.h"
@@ -75,6 +76,10 @@
     void renewAnswered(
         const RenewLease &order, OrderResult result, const RunList &list, Base::Instant now, WallTime wall);
 
+    /// Without an answer the question is asked again later.
+    void
+    adviceAnswered(const AskAdvice &question, const std::optional<AdviceAnswer> &answer, Base::Instant now);
+
     /// Decides what is due by now; to be called after events and at nextDue().
     void pass(Base::Instant now, WallTime wall);
     Base::Instant nextDue(Base::Instant now) const;
@@ -104,6 +109,7 @@
     void takeRunList(
         Worker &worker, FencingToken askedWith, const RunList &list, Base::Instant now, WallTime wall);
     void takeEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall);
+    void paceFillers(Worker &worker, const RunList &list);
     void settleUnlisted(Worker &worker,
                         FencingToken askedWith,
                         const RunList &list,
@@ -126,6 +132,12 @@
     // shardpass.cpp: placing and storing
     void addDueOccurrences(Job &job, WallTime wall);
     void place(Base::Instant now, WallTime wall);
+    /// Leaves those that the queue's policy allows, and asks when there are too few.
+    std::vector<Candidate> advised(const Job &job,
+                                   std::uint32_t number,
+                                   std::uint32_t stage,
+                                   std::vector<Candidate> candidates,
+                                   Base::Instant now);
     std::vector<Candidate> candidatesFor(const Job &job, const StageProgress &progress);
     bool placeStage(
         Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now);
@@ -152,6 +164,7 @@
     std::uint64_t m_lastBatch = 0;
     Base::Instant m_lastBatchAt;
     std::map<std::string, double> m_arrivedWork; ///< core-seconds, by service
+    AdviceBook m_advice;
     std::vector<TaskId> m_plannedStarts;
     std::vector<ReplyId> m_cancelReplies;
     std::vector<std::string> m_forgotten;
--- a/src/libs/jobs/shardcommands.h
+++ b/src/libs/jobs/shardcommands.h
@@ -66,6 +66,25 @@
     int percent = 100;
 };
 
+/// Asks the queue's policy which workers may run a stage.
+struct AskAdvice {
+    std::string job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t stage = 0;
+    std::vector<std::string> workers;
+    Milliseconds expected{}; ///< that the service takes for so many workers
+};
+
+struct AdviceTicket {
+    std::string worker;
+    std::string ticket;
+};
+
+struct AdviceAnswer {
+    std::vector<AdviceTicket> allowed;
+    Milliseconds validity{};
+};
+
 enum class Answer {
     Accepted, ///< the job is stored
     Cancelled, ///< the cancel is stored
@@ -86,7 +105,8 @@
     std::string reason;
 };
 
-using Command = std::variant<AppendBatch, StartRun, StopRun, RenewLease, PaceRun, SendReply, GiveUpShard>;
+using Command =
+    std::variant<AppendBatch, StartRun, StopRun, RenewLease, PaceRun, AskAdvice, SendReply, GiveUpShard>;
 
 /// How a worker answered an order.
 enum class OrderResult {
--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -132,6 +132,34 @@
     return candidates;
 }
 
+std::vector<Candidate> Shard::advised(const Job &job,
+                                      std::uint32_t number,
+                                      std::uint32_t stage,
+                                      std::vector<Candidate> candidates,
+                                      Base::Instant now)
+{
+    if (!job.spec.queue.advice) {
+        return candidates;
+    }
+    const AdviceBook::StageKey key{job.spec.id, number, stage};
+    std::vector<Candidate> allowed;
+    std::vector<std::string> unknown;
+    for (const Candidate &it : candidates) {
+        if (m_advice.ticket(key, it.worker->info.id, now)) {
+            allowed.push_back(it);
+        } else if (it.worker->isUsable(now)) {
+            unknown.push_back(it.worker->info.id);
+        }
+    }
+    const bool isEnough = choosePlace(job.spec.stages[stage], allowed, now) != nullptr;
+    if (!isEnough) {
+        if (auto ask = m_advice.question(key, *job.spec.queue.advice, unknown, now)) {
+            m_commands.emplace_back(std::move(*ask));
+        }
+    }
+    return allowed;
+}
+
 bool Shard::placeStage(
     Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now)
 {
@@ -143,7 +171,7 @@
             continue;
         }
         if (candidates.empty()) {
-            candidates = candidatesFor(job, progress);
+            candidates = advised(job, number, stage, candidatesFor(job, progress), now);
         }
         std::vector<Candidate> others;
         std::copy_if(candidates.begin(),
@@ -183,7 +211,7 @@
         }
     }
     const Stage &wanted = job.spec.stages[stage];
-    const auto all = candidatesFor(job, progress);
+    const auto all = advised(job, number, stage, candidatesFor(job, progress), now);
     std::vector<std::string> racks;
     if (wanted.isRackSensitive) {
         for (const Candidate &it : all) {
@@ -323,6 +351,14 @@
         endRun(job, id, *task, now);
         return;
     }
+    std::optional<std::string> ticket;
+    if (job.spec.queue.advice) {
+        ticket = m_advice.ticket({id.job, id.occurrence, id.stage}, task->worker, now);
+        if (!ticket) {
+            endRun(job, id, *task, now);
+            return;
+        }
+    }
     task->run = RunState::Starting;
     task->orderedAt = now;
     job.hasStarted = true;
@@ -333,6 +369,7 @@
     order.attempt = task->attempt;
     order.payload = job.spec.payload;
     order.checkpoint = task->checkpoint;
+    order.ticket = ticket.value_or(std::string());
     order.leaseEnd = leaseEnd(worker, now);
     Base::LogLine(Base::LogLevel::Info, "run-ordered")
         .with("request", id.job)
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -35,6 +35,12 @@
 // Percent at which a long-running task serves with all that it asks for.
 constexpr int FullyAtWork = 100;
 
+// Shares of a tail's target between which the pace of fillers stays, and percent.
+constexpr double TailTooHigh = 0.85;
+constexpr double TailLow = 0.6;
+constexpr int FullPace = 100;
+constexpr int PaceStep = 10;
+
 constexpr Milliseconds StopRetryPause{250};
 constexpr Milliseconds NoRoomPause{150};
 constexpr Milliseconds UnhealthyPause{500};
@@ -245,12 +251,54 @@
             found->second.hasStarted = true;
         }
     }
+    paceFillers(worker, list);
     if (list.ended.size() < MostEndsInList) {
         settleUnlisted(worker, askedWith, list, listed, now);
     }
     m_hasChanged = true;
 }
 
+// Tasks that fill what others leave give way before the tail of those that serve reaches its target, and come
+// back step by step.
+void Shard::paceFillers(Worker &worker, const RunList &list)
+{
+    double worst = 0; ///< tail against its target
+    std::vector<const ListedRun *> fillers;
+    for (const ListedRun &it : list.running) {
+        const auto job = m_jobs.find(it.task.job);
+        const Stage *stage = job != m_jobs.end() ? job->second.stageOf(it.task) : nullptr;
+        if (!stage) {
+            continue;
+        }
+        if (stage->fillsLeftovers) {
+            fillers.push_back(&it);
+        } else if (stage->tailTarget.count() > 0) {
+            worst = std::max(worst, double(it.load) / double(stage->tailTarget.count()));
+        }
+    }
+    if (fillers.empty()) {
+        worker.fillPercent = FullPace;
+        worker.paced.clear();
+        return;
+    }
+    if (worst > TailTooHigh) {
+        worker.fillPercent = worst > 1 ? worker.fillPercent / 4 : worker.fillPercent / 2;
+    } else if (worst < TailLow) {
+        worker.fillPercent = std::min(FullPace, worker.fillPercent + PaceStep);
+    }
+    std::map<TaskId, int> paced;
+    for (const ListedRun *it : fillers) {
+        const auto known = worker.paced.find(it->task);
+        const int before = known != worker.paced.end() ? known->second : FullPace;
+        if (before != worker.fillPercent) {
+            m_commands.emplace_back(
+                PaceRun{worker.info.id, worker.token, it->task, it->attempt, worker.fillPercent});
+        }
+        paced[it->task] = worker.fillPercent;
+    }
+    worker.paced = std::move(paced);
+}
+
 // Runs that the worker neither lists as running nor as ended. A list that is older than the worker's last
 // word on a run proves nothing, since answers on two connections overtake each other.
 void Shard::settleUnlisted(Worker &worker,
@@ -374,9 +422,12 @@
         hold(NoRoomPause);
         endRun(job, order.task, *task, now);
         break;
+    case OrderResult::NoTicket:
+        m_advice.rejected({order.task.job, order.task.occurrence, order.task.stage}, order.worker);
+        endRun(job, order.task, *task, now);
+        break;
     case OrderResult::Superseded:
     case OrderResult::TooLate:
-    case OrderResult::NoTicket:
         endRun(job, order.task, *task, now);
         break;
     case OrderResult::Unhealthy:
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -4,6 +4,7 @@
 
 #include <base/instant.h>
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -39,6 +40,8 @@
     int failedInRow = 0; ///< jobs in a row of which a run failed here, with no success between
     std::string lastFailedJob;
 
+    int fillPercent = 100; ///< pace of the tasks that fill what others leave
+    std::map<TaskId, int> paced; ///< what those have been told
     Base::Instant evacuatedUntil;
     std::optional<Base::Instant> leavesAt; ///< while it drains: the earliest end
 
--- a/src/libs/jobservice/ports.h
+++ b/src/libs/jobservice/ports.h
@@ -44,6 +44,8 @@
 using ListCallback = std::function<void(Jobs::OrderResult, const Jobs::RunList &)>;
 using GrantCallback = std::function<void(std::optional<MembershipGrant>)>;
 
+using AdviceCallback = std::function<void(std::optional<Jobs::AdviceAnswer>)>;
+
 /// What the platform has to offer to the owner of shards. Each callback is called once, later.
 template<typename T>
 concept ShardPlatform = requires(T &platform,
@@ -56,6 +58,8 @@
                                  const Jobs::StopRun &stop,
                                  const Jobs::RenewLease &renew,
                                  const Jobs::PaceRun &pace,
+                                 const Jobs::AskAdvice &question,
+                                 AdviceCallback advised,
                                  RecordSink sink,
                                  StoreCallback stored,
                                  RunCallback answered,
@@ -70,6 +74,7 @@
     platform.stopRun(worker, stop, answered);
     platform.renewLease(worker, renew, listed);
     platform.paceRun(worker, pace, answered);
+    platform.askAdvice(question, advised);
     platform.renewMembership(number, granted);
     platform.leaveMembership(done);
 };
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -661,6 +661,17 @@
         }
     }
 
+    void carryOut(ShardNumber number, const HostedPtr &hosted, Jobs::AskAdvice &question)
+    {
+        m_platform.askAdvice(question,
+                             [this, number, hosted, question](std::optional<Jobs::AdviceAnswer> answer) {
+                                 if (isCurrent(number, hosted)) {
+                                     hosted->shard->adviceAnswered(question, answer, m_timers.now());
+                                     pump(number);
+                                 }
+                             });
+    }
+
     void carryOut(ShardNumber, const HostedPtr &, Jobs::SendReply &order)
     {
         answerReply(order);
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -85,6 +85,12 @@
 
 void declareMachines(JobDeclarations &settings)
 {
+    settings.section(&JobSettings::advice, "advice", "Queues whose own policy decides on workers.")
+        .add(&AdviceSettings::address,
+             "address",
+             std::nullopt,
+             AnyValue{},
+             "Where the service is that knows these policies; empty: there are none.");
     settings.section(&JobSettings::machines, "machines", "How machines are moved and maintained.")
         .add(&MachinesSettings::address,
              "address",
--- a/src/libs/settings/jobsettings.h
+++ b/src/libs/settings/jobsettings.h
@@ -5,6 +5,7 @@
 #include <ini/values.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Settings
@@ -33,6 +34,10 @@
     Milliseconds adrift{};
 };
 
+struct AdviceSettings {
+    std::optional<Ini::Endpoint> address; ///< nothing: no queue has such a policy
+};
+
 struct MachinesSettings {
     Ini::Endpoint address;
     Milliseconds handOver{};
@@ -54,6 +59,7 @@
     ListenSettings operators;
     StoreSettings store;
     WorkersSettings workers;
+    AdviceSettings advice;
     MachinesSettings machines;
     ShutdownSettings shutdown;
 };
--- a/tests/auto/jobs/jobworld.cpp
+++ b/tests/auto/jobs/jobworld.cpp
@@ -186,7 +186,8 @@
     list.clock = clockOf(worker);
     list.born = worker.info.born;
     for (const Run &it : worker.m_runs) {
-        list.running.push_back({it.task, it.attempt, {}, 100, 0});
+        const auto tail = tails.find(it.task);
+        list.running.push_back({it.task, it.attempt, {}, 100, tail != tails.end() ? tail->second : 0});
     }
     list.ended = worker.m_ends;
     return list;
@@ -283,6 +284,9 @@
     }
     note(worker, order.task, order.attempt, "starts");
     checkStart(worker, order.task);
+    if (!order.ticket.empty() && order.ticket != "ticket-" + worker.info.id) {
+        breaks(order.task, "start with another worker's ticket");
+    }
     ++startedRuns[order.task];
     const bool fails = std::uniform_real_distribution<>(0, 1)(random) < failureShare;
     worker.m_runs.push_back({order.task, order.attempt, timers.now() + taskTime, fails});
@@ -443,9 +447,23 @@
 }
 
 void JobWorld::Platform::paceRun(const Jobs::WorkerInfo &,
-                                 const Jobs::PaceRun &,
+                                 const Jobs::PaceRun &order,
                                  const JobService::RunCallback &)
 {
+    m_world.paces[order.task] = order.percent;
+}
+
+void JobWorld::Platform::askAdvice(const Jobs::AskAdvice &question, const JobService::AdviceCallback &done)
+{
+    ++m_world.questions;
+    Jobs::AdviceAnswer answer;
+    answer.validity = 3s;
+    for (const std::string &it : question.workers) {
+        if (m_world.advised.count(it) > 0) {
+            answer.allowed.push_back({it, "ticket-" + it});
+        }
+    }
+    m_world.timers.subscribeAfter(question.expected, [done, answer] { done(answer); });
 }
 
 void JobWorld::Platform::takeShard(JobService::ShardNumber shard,
--- a/tests/auto/jobs/jobworld.h
+++ b/tests/auto/jobs/jobworld.h
@@ -82,6 +82,7 @@
         void paceRun(const Jobs::WorkerInfo &worker,
                      const Jobs::PaceRun &order,
                      const JobService::RunCallback &done);
+        void askAdvice(const Jobs::AskAdvice &question, const JobService::AdviceCallback &done);
         void renewMembership(std::uint64_t generation, const JobService::GrantCallback &done);
         void leaveMembership(const std::function<void()> &done);
 
@@ -134,6 +135,10 @@
     std::map<Jobs::TaskId, int> startedRuns;
     std::set<std::string> cancelled; ///< with the cancel acknowledged
     bool isStoreDown = false;
+    std::set<std::string> advised; ///< workers that the queues' policy allows
+    int questions = 0; ///< asked of that policy
+    std::map<Jobs::TaskId, int> paces; ///< percent that runs were told last
+    std::map<Jobs::TaskId, std::int64_t> tails; ///< ms, of long-running tasks
     Milliseconds taskTime{700};
     double failureShare = 0; ///< of runs
     std::mt19937 random;
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -291,3 +291,46 @@
     world.run(2s); // a question to it goes unanswered
     CHECK(!evacuate(world, "w2", 1s));
 }
+
+TEST(ShardHost, AQueueWithAdviceRunsOnlyWhereItsPolicyAllows)
+{
+    JobWorld world;
+    for (const char *it : {"w1", "w2", "w3"}) {
+        world.addWorker(it);
+    }
+    world.advised = {"w2"};
+    world.addMember("m1");
+    auto job = JobWorld::makeJob("a", 2, 3);
+    job.queue.advice = Jobs::AdvicePolicy{30ms, 4ms};
+    CHECK(world.submit(job));
+    world.run(4s);
+    CHECK(world.state("a") == ShownState::Completed);
+    LONGS_EQUAL(2, world.questions); // one for each stage
+    CHECK(world.describe("a").find("w1") == std::string::npos);
+    CHECK(world.describe("a").find("w3") == std::string::npos);
+    checkKept(world);
+}
+
+TEST(ShardHost, FillersGiveWayBeforeATailReachesItsTargetAndComeBack)
+{
+    JobWorld world;
+    world.taskTime = 600s;
+    world.addWorker("w1");
+    world.addMember("m1");
+    auto roster = makeRoster("a", 1);
+    roster.stages[0].tailTarget = 100ms;
+    CHECK(world.submit(roster));
+    auto filler = JobWorld::makeJob("b", 1, 1);
+    filler.stages[0].fillsLeftovers = true;
+    CHECK(world.submit(filler));
+    world.run(2s);
+    const Jobs::TaskId served{"a", 0, 0, 0};
+    const Jobs::TaskId filling{"b", 0, 0, 0};
+    LONGS_EQUAL(0, world.paces.count(filling));
+    world.tails[served] = 120;
+    world.run(4s); // within which harm has to end
+    CHECK(world.paces[filling] <= 5);
+    world.tails[served] = 30;
+    world.run(12s);
+    LONGS_EQUAL(100, world.paces[filling]);
+}
