Deny no job without a valid membership; learn owners from peers

A member that the store turns away kept an old list of owners and refused what it could have passed on.

Change: an unknown job is 503 while the membership isn't valid; a member that can't read the owners asks the others in turn.

--- a/src/libs/jobservice/requestrouter.h
+++ b/src/libs/jobservice/requestrouter.h
@@ -109,6 +109,19 @@
         return !isMemberElsewhere && lost * 2 > m_members.size();
     }
 
+    /// What this member knows of the owners, for one that can't read them; one line each.
+    std::string ownersText() const
+    {
+        std::string text;
+        for (const auto &[shard, member] : m_ownerNames) {
+            text += std::to_string(shard) + " " + member + "\n";
+        }
+        return text;
+    }
+
+    /// The path under which members hand on what they know of the owners.
+    static constexpr std::string_view OwnersPath = "/owners";
+
     /// The path under which members ask each other whether they have lost the store.
     static constexpr std::string_view MembershipPath = "/membership";
 
@@ -213,21 +226,73 @@
         m_isReading = true;
         m_ownersReadAt = m_timers.now();
         m_platform.readOwners([this](std::optional<std::vector<ShardOwner>> owners) {
-            m_isReading = false;
             if (owners) {
-                m_owners.clear();
-                for (const ShardOwner &it : *owners) {
-                    noteMember(it.member);
-                    const auto endpoint =
-                        Ini::toEndpoint(std::string_view(it.member).substr(0, it.member.find('/')));
-                    if (endpoint) {
-                        m_owners[it.shard] = *endpoint;
-                    }
-                }
+                takeOwners(*owners);
+            } else if (askPeerForOwners()) {
+                return;
+            }
+            ownersRead();
+        });
+    }
+
+    void ownersRead()
+    {
+        m_isReading = false;
+        m_nextRead = m_ownersReadAt + m_settings.ownersPeriod;
+        m_ownersTimer.armAt(m_nextRead, [this] { readOwners(); });
+    }
+
+    void takeOwners(const std::vector<ShardOwner> &owners)
+    {
+        m_owners.clear();
+        m_ownerNames.clear();
+        for (const ShardOwner &it : owners) {
+            noteMember(it.member);
+            const auto endpoint = Ini::toEndpoint(std::string_view(it.member).substr(0, it.member.find('/')));
+            if (endpoint) {
+                m_owners[it.shard] = *endpoint;
+                m_ownerNames[it.shard] = it.member;
             }
-            m_nextRead = m_ownersReadAt + m_settings.ownersPeriod;
-            m_ownersTimer.armAt(m_nextRead, [this] { readOwners(); });
+        }
+    }
+
+    // The store may turn this member away while it serves the others; they are asked in turn.
+    bool askPeerForOwners()
+    {
+        auto it = m_members.upper_bound(m_askedForOwners);
+        if (it == m_members.end()) {
+            it = m_members.begin();
+        }
+        if (it == m_members.end() || it->first == m_ownPlace) {
+            m_askedForOwners = m_ownPlace;
+            return false;
+        }
+        m_askedForOwners = it->first;
+        Http::Request request;
+        request.target = OwnersPath;
+        m_peers.send(it->second.endpoint, std::move(request), AskTimeout, [this](Http::Outcome outcome) {
+            if (outcome.response && outcome.response->status == 200) {
+                m_lastPeerAnswer = m_timers.now();
+                takeOwners(parseOwners(outcome.response->body));
+            }
+            ownersRead();
         });
+        return true;
+    }
+
+    static std::vector<ShardOwner> parseOwners(std::string_view text)
+    {
+        std::vector<ShardOwner> owners;
+        while (!text.empty()) {
+            const std::string_view line = text.substr(0, text.find('\n'));
+            text.remove_prefix(std::min(text.size(), line.size() + 1));
+            const auto blank = line.find(' ');
+            const auto shard = Ini::toInteger(line.substr(0, blank));
+            if (shard && blank != std::string_view::npos) {
+                owners.push_back({static_cast<ShardNumber>(*shard), std::string(line.substr(blank + 1))});
+            }
+        }
+        return owners;
     }
 
     void noteMember(const std::string &name)
@@ -250,6 +315,8 @@
     std::map<std::string, Member> m_members; ///< by place
     Base::OneShotTimer m_ownersTimer;
     std::map<ShardNumber, Ini::Endpoint> m_owners;
+    std::map<ShardNumber, std::string> m_ownerNames;
+    std::string m_askedForOwners; ///< the place of the member that was asked last
     Base::Instant m_ownersReadAt;
     Base::Instant m_nextRead;
     Base::Instant m_lastPeerAnswer;
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -149,6 +149,7 @@
             return;
         }
         Hosted &hosted = *it->second;
+        noticeSuspension();
         if (!hosted.isServing) {
             hosted.early.push_back({std::move(request), std::move(reply)});
             return;
@@ -440,6 +441,10 @@
             return;
         }
         case Operation::Cancel: {
+            if (!shard.find(request.subject) && !isMember()) {
+                reply(unknownJob());
+                return;
+            }
             const Jobs::ReplyId id = ++m_lastReply;
             m_replies[id] = std::move(reply);
             shard.cancel(request.subject, id, m_timers.now(), m_wallClock());
@@ -448,7 +453,7 @@
         case Operation::State: {
             const Jobs::Job *job = shard.find(request.subject);
             if (!job) {
-                reply({.status = JobReply::Status::NoSuchJob});
+                reply(unknownJob());
                 return;
             }
             reply({.status = JobReply::Status::Done, .state = shownState(*job)});
@@ -467,6 +472,15 @@
         }
     }
 
+    // Once the membership has lapsed another owner may have accepted the job.
+    JobReply unknownJob() const
+    {
+        if (isMember()) {
+            return {.status = JobReply::Status::NoSuchJob};
+        }
+        return {.status = JobReply::Status::Refused, .retryAfter = std::chrono::milliseconds{1000}};
+    }
+
     static ShownState shownState(const Jobs::Job &job)
     {
         switch (job.storedState) {
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -334,3 +334,25 @@
     world.run(12s);
     LONGS_EQUAL(100, world.paces[filling]);
 }
+
+// Red: an owner that had lost the store went on saying of jobs that the next owner had accepted that there are
+// none (LOST on a larger kapo-releases, a daemon that was too busy to renew its membership).
+TEST(ShardHost, AnOwnerWhoseMembershipHasLapsedDoesNotDenyJobs)
+{
+    JobWorld world;
+    world.addWorker("w1");
+    auto &member = world.addMember("m1");
+    world.run(1s);
+    std::optional<JobService::JobReply> reply;
+    const auto ask = [&] {
+        member.host.handle({0, JobService::Operation::State, std::nullopt, "elsewhere"},
+                           [&reply](const JobService::JobReply &it) { reply = it; });
+    };
+    ask();
+    CHECK(reply->status == JobService::JobReply::Status::NoSuchJob);
+    member.platform.isStoreDown = true;
+    world.isStoreDown = true;
+    world.run(2s);
+    ask();
+    CHECK(reply->status == JobService::JobReply::Status::Refused);
+}
