Wait only with machines that an earlier owner gave orders for

Change: an order is stored before it is sent; the next owner waits only with machines ordered within the lease, with a second for differing clocks. An owner that keeps its epoch keeps its plan. An append of such records that had no answer is sent again unchanged (it could have lost what was added).

--- a/src/libs/jobservice/machineduty.h
+++ b/src/libs/jobservice/machineduty.h
@@ -39,17 +39,20 @@
     using Reply = std::function<void(JobReply)>;
     using Route = std::function<void(JobRequest, Base::Duration limit, Reply)>;
     using OwnEpoch = std::function<std::optional<Jobs::Epoch>()>;
+    using WallClock = std::function<Jobs::WallTime()>;
 
     MachineDuty(Platform &platform,
                 Base::TimerService &timers,
                 const MachineDutySettings &settings,
                 const ServiceLayout &layout,
+                WallClock wallClock,
                 OwnEpoch ownEpoch,
                 Route route)
         : m_platform(platform)
         , m_timers(timers)
         , m_settings(settings)
         , m_layout(layout)
+        , m_wallClock(std::move(wallClock))
         , m_ownEpoch(std::move(ownEpoch))
         , m_route(std::move(route))
         , m_timer(timers)
@@ -90,14 +93,15 @@
     void tick()
     {
         const auto epoch = m_ownEpoch();
-        if (epoch != m_epoch) {
+        if (epoch && epoch != m_epoch) {
             m_epoch = epoch;
             m_planner.reset();
-            if (epoch) {
-                takeOver();
-            }
+            m_underWay.clear();
+            m_waiting.clear();
+            takeOver();
         }
-        if (m_planner) {
+        // Without the store nothing is ordered; the same owner goes on where it stopped.
+        if (m_planner && epoch) {
             readMachines();
             readDemand();
             runPlanner();
@@ -144,13 +148,18 @@
         m_sequence = 1;
         m_platform.takeMachines(
             epoch,
-            [this, epoch](std::string_view key, std::string_view) {
+            [this, epoch](std::string_view key, std::string_view value) {
                 if (epoch != m_epoch) {
                     return;
                 }
                 const auto slash = key.find('/');
-                if (const auto wave = Ini::toInteger(key.substr(0, slash));
-                    wave && slash != std::string_view::npos) {
+                if (key.substr(0, slash + 1) == OrderPrefix) {
+                    if (const auto at = Ini::toInteger(value)) {
+                        m_ordered.emplace_back(std::string(key.substr(slash + 1)),
+                                               Jobs::WallTime(Jobs::Milliseconds(*at)));
+                    }
+                } else if (const auto wave = Ini::toInteger(key.substr(0, slash));
+                           wave && slash != std::string_view::npos) {
                     m_begun.emplace_back(*wave, std::string(key.substr(slash + 1)));
                 }
             },
@@ -161,13 +170,17 @@
                 if (answer.status != StoreStatus::Done) {
                     m_epoch.reset(); // tried again with the next tick
                     m_begun.clear();
+                    m_ordered.clear();
                     return;
                 }
-                m_planner = std::make_unique<Machines::MachinePlanner>(m_settings.planner, m_timers.now());
+                m_planner = std::make_unique<Machines::MachinePlanner>(m_settings.planner);
                 m_planner->setPools(m_pools);
                 for (const auto &[number, wave] : m_waves) {
                     m_planner->setWave(wave);
                 }
+                for (const auto &[machine, at] : std::exchange(m_ordered, {})) {
+                    m_planner->loadOrder(machine, m_timers.now() - (m_wallClock() - at) + ClockMargin);
+                }
                 for (const auto &[wave, machine] : std::exchange(m_begun, {})) {
                     m_planner->loadUpkeep(wave, machine);
                 }
@@ -239,32 +252,59 @@
                 });
     }
 
+    // An order is stored before it is sent, so that the next owner knows which machines it has to wait with.
+    template<typename Send, typename Refuse>
+    void storeOrder(const std::string &machine, Send send, Refuse refuse)
+    {
+        const std::string at = std::to_string(m_wallClock().time_since_epoch().count());
+        m_waiting.push_back({{std::string(OrderPrefix) + machine, at}, [send, refuse](bool isStored) {
+                                 if (isStored) {
+                                     send();
+                                 } else {
+                                     refuse();
+                                 }
+                             }});
+        writeRecords();
+    }
+
     void carryOut(Machines::MoveMachine &order)
     {
-        Base::LogLine(Base::LogLevel::Info, "machine-moves")
-            .with("machine", order.machine)
-            .with("pool", order.pool);
-        m_platform.moveMachine(
-            *m_epoch, order, [this, order, epoch = *m_epoch](Machines::OrderResult result) {
-                answered(epoch, result, order.machine);
-                if (m_planner) {
-                    m_planner->moveAnswered(order, result, m_timers.now());
-                }
-            });
+        const auto answer = [this, order, epoch = *m_epoch](Machines::OrderResult result) {
+            answered(epoch, result, order.machine);
+            if (m_planner) {
+                m_planner->moveAnswered(order, result, m_timers.now());
+            }
+        };
+        storeOrder(
+            order.machine,
+            [this, order, answer, epoch = *m_epoch] {
+                Base::LogLine(Base::LogLevel::Info, "machine-moves")
+                    .with("machine", order.machine)
+                    .with("pool", order.pool)
+                    .with("epoch", epoch);
+                m_platform.moveMachine(epoch, order, answer);
+            },
+            [answer] { answer(Machines::OrderResult::NotDone); });
     }
 
     void carryOut(Machines::UpkeepMachine &order)
     {
-        Base::LogLine(Base::LogLevel::Info, "machine-upkeep")
-            .with("machine", order.machine)
-            .with("wave", order.wave);
-        m_platform.upkeepMachine(
-            *m_epoch, order, [this, order, epoch = *m_epoch](Machines::OrderResult result) {
-                answered(epoch, result, order.machine);
-                if (m_planner) {
-                    m_planner->upkeepAnswered(order, result, m_timers.now());
-                }
-            });
+        const auto answer = [this, order, epoch = *m_epoch](Machines::OrderResult result) {
+            answered(epoch, result, order.machine);
+            if (m_planner) {
+                m_planner->upkeepAnswered(order, result, m_timers.now());
+            }
+        };
+        storeOrder(
+            order.machine,
+            [this, order, answer, epoch = *m_epoch] {
+                Base::LogLine(Base::LogLevel::Info, "machine-upkeep")
+                    .with("machine", order.machine)
+                    .with("wave", order.wave)
+                    .with("epoch", epoch);
+                m_platform.upkeepMachine(epoch, order, answer);
+            },
+            [answer] { answer(Machines::OrderResult::NotDone); });
     }
 
     void answered(Jobs::Epoch epoch, Machines::OrderResult result, const std::string &machine)
@@ -288,38 +328,87 @@
 
     void carryOut(Machines::RecordUpkeep &order)
     {
-        const Jobs::Record record{std::to_string(order.wave) + "/" + order.machine, "begun"};
-        m_records.push_back(record);
+        m_waiting.push_back({{std::to_string(order.wave) + "/" + order.machine, "begun"}, [](bool) {
+                             }});
         writeRecords();
     }
 
+    // One append at a time. One without an answer is sent again as it was, under its number.
     void writeRecords()
     {
-        if (m_isWriting || m_records.empty() || !m_epoch) {
+        if (m_isWriting || !m_epoch) {
+            return;
+        }
+        if (m_underWay.empty()) {
+            m_underWay = std::exchange(m_waiting, {});
+            m_mayBeStored = false;
+        }
+        if (m_underWay.empty()) {
             return;
         }
         m_isWriting = true;
-        const std::vector<Jobs::Record> records = m_records;
+        std::vector<Jobs::Record> records;
+        records.reserve(m_underWay.size());
+        for (const Entry &it : m_underWay) {
+            records.push_back(it.record);
+        }
         m_platform.recordMachines(
-            *m_epoch, m_sequence, records, [this, n = records.size()](StoreAnswer answer) {
+            *m_epoch, m_sequence, records, [this, epoch = *m_epoch](StoreAnswer answer) {
                 m_isWriting = false;
-                if (answer.status == StoreStatus::Done) {
-                    ++m_sequence;
-                    m_records.erase(m_records.begin(), m_records.begin() + static_cast<std::ptrdiff_t>(n));
-                } else if (answer.status == StoreStatus::OutOfSequence) {
-                    m_sequence = answer.expectedSequence;
-                } else if (answer.status == StoreStatus::Fenced) {
-                    m_records.clear();
-                    return;
+                if (epoch == m_epoch) {
+                    recordsWritten(answer);
                 }
-                m_timers.subscribeAfter(m_settings.period, [this] { writeRecords(); });
             });
     }
 
+    void recordsWritten(StoreAnswer answer)
+    {
+        switch (answer.status) {
+        case StoreStatus::Done:
+            ++m_sequence;
+            finishWriting(true);
+            return;
+        case StoreStatus::OutOfSequence:
+            m_sequence = answer.expectedSequence;
+            break;
+        case StoreStatus::Unknown:
+            m_mayBeStored = true;
+            break;
+        case StoreStatus::Fenced:
+        case StoreStatus::NotDone:
+        case StoreStatus::Full:
+            if (!m_mayBeStored) {
+                finishWriting(false);
+                return;
+            }
+            break;
+        }
+        m_timers.subscribeAfter(m_settings.period, [this] { writeRecords(); });
+    }
+
+    void finishWriting(bool isStored)
+    {
+        for (const Entry &it : std::exchange(m_underWay, {})) {
+            it.stored(isStored);
+        }
+        writeRecords();
+    }
+
+    // Clocks of two instances differ by less than this.
+    static constexpr Base::Duration ClockMargin = std::chrono::milliseconds{1000};
+    static constexpr std::string_view OrderPrefix = "order/";
+
+    /// A record to be written, and what waits for it.
+    struct Entry {
+        Jobs::Record record;
+        std::function<void(bool isStored)> stored;
+    };
+
     Platform &m_platform;
     Base::TimerService &m_timers;
     MachineDutySettings m_settings;
     const ServiceLayout &m_layout;
+    WallClock m_wallClock;
     OwnEpoch m_ownEpoch;
     Route m_route;
     Base::OneShotTimer m_timer;
@@ -329,7 +418,10 @@
     std::vector<std::pair<std::uint64_t, std::string>> m_begun; ///< while they are read
     std::optional<Jobs::Epoch> m_epoch;
     std::unique_ptr<Machines::MachinePlanner> m_planner;
-    std::vector<Jobs::Record> m_records; ///< to be written
+    std::vector<std::pair<std::string, Jobs::WallTime>> m_ordered; ///< machines, while they are read
+    std::vector<Entry> m_underWay; ///< in the append that has been sent
+    std::vector<Entry> m_waiting; ///< for the next one
+    bool m_mayBeStored = false; ///< an attempt of the append had no answer
     std::uint64_t m_sequence = 1;
     Base::Instant m_listedAt;
     Base::Instant m_nextStatus;
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -38,9 +38,8 @@
 
 } // namespace
 
-MachinePlanner::MachinePlanner(const PlannerSettings &settings, Base::Instant now)
+MachinePlanner::MachinePlanner(const PlannerSettings &settings)
     : m_settings(settings)
-    , m_ordersFrom(now + settings.handOver)
 {
 }
 
@@ -89,6 +88,11 @@
     m_waves[wave].begun.insert(machine);
 }
 
+void MachinePlanner::loadOrder(const std::string &machine, Base::Instant at)
+{
+    m_ordersFrom[machine] = at + m_settings.handOver;
+}
+
 bool MachinePlanner::evacuated(const std::string &worker, bool isEmpty, Base::Instant now)
 {
     bool isNews = false;
@@ -136,7 +140,7 @@
 std::vector<Command> MachinePlanner::pass(Base::Instant now)
 {
     settleWork(now);
-    if (now >= m_ordersFrom && !m_machines.empty()) {
+    if (!m_machines.empty()) {
         planWaves(now);
         if (m_settings.movesMachines) {
             planMoves(now);
@@ -443,7 +447,9 @@
             m_commands.emplace_back(EvacuateWorker{work.worker, work.from});
         }
         const bool isEmpty = work.worker.empty() || now - work.emptyAt < EmptyLifetime;
-        if (work.step != Step::Evacuating || !isEmpty) {
+        const auto from = m_ordersFrom.find(id);
+        const bool mayOrder = from == m_ordersFrom.end() || from->second <= now;
+        if (work.step != Step::Evacuating || !isEmpty || !mayOrder) {
             continue;
         }
         if (work.wave == 0) {
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -13,7 +13,8 @@
 {
 
 struct PlannerSettings {
-    Base::Duration handOver = std::chrono::milliseconds{3000}; ///< before a new owner gives its first order
+    Base::Duration handOver =
+        std::chrono::milliseconds{3000}; ///< after an earlier owner's order for a machine
     Base::Duration moveTime = std::chrono::milliseconds{1500};
     Base::Duration upkeepTime = std::chrono::milliseconds{2000};
     Base::Duration evacuationPatience = std::chrono::milliseconds{1500}; ///< for a move; upkeep waits longer
@@ -33,7 +34,7 @@
 class MachinePlanner
 {
 public:
-    MachinePlanner(const PlannerSettings &settings, Base::Instant now);
+    explicit MachinePlanner(const PlannerSettings &settings);
 
     void setPools(std::span<const Pool> pools);
     /// All machines; `askedAt` is when the list was asked for.
@@ -43,6 +44,8 @@
     void dropWave(std::uint64_t number);
     /// The upkeep has begun under an earlier owner.
     void loadUpkeep(std::uint64_t wave, const std::string &machine);
+    /// An earlier owner gave an order for the machine.
+    void loadOrder(const std::string &machine, Base::Instant at);
 
     /// Returns true when a pass has something to do with that.
     bool evacuated(const std::string &worker, bool isEmpty, Base::Instant now);
@@ -100,7 +103,7 @@
     const Machine *donorIn(const std::string &pool) const;
 
     PlannerSettings m_settings;
-    Base::Instant m_ordersFrom;
+    std::map<std::string, Base::Instant> m_ordersFrom; ///< of machines that an earlier owner gave orders for
     std::map<std::string, Pool> m_pools;
     std::map<std::string, Machine> m_machines;
     Base::Instant m_listedAt;
