Count machines that an earlier owner took down; mend lint findings

The daemon rhubarbcrankd logs to standard error as before, since its tests over processes read that (processes timed out with the other output).

Change: machines in upkeep, and those ordered within the lease, count as down.

--- a/src/app/rhubarbcrankd/main.cpp
+++ b/src/app/rhubarbcrankd/main.cpp
@@ -64,7 +64,6 @@
 int runDaemon(const Settings::DaemonSettings &settings, const std::string &shareFolder)
 {
     Base::LogLine::setThreshold(settings.telemetry.logLevel);
-    Base::LogLine::setOutput(Base::LogOutput::StandardOutput);
     Base::LogLine::setOrigin(settings.instance.name);
     std::signal(SIGPIPE, SIG_IGN);
     Daemon::Daemon daemon(settings, shareFolder);
--- a/src/libs/jobservice/machineduty.h
+++ b/src/libs/jobservice/machineduty.h
@@ -120,7 +120,7 @@
     void runPlanner()
     {
         for (Machines::Command &it : m_planner->pass(m_timers.now())) {
-            std::visit([this](auto &order) { carryOut(order); }, it);
+            std::visit([this](auto &order) { this->carryOut(order); }, it);
         }
     }
 
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -195,11 +195,22 @@
         std::count_if(m_work.begin(), m_work.end(), [&](const auto &it) { return it.second.from == pool; }));
 }
 
-std::size_t MachinePlanner::downInWave(std::uint64_t wave) const
+// Machines that an earlier owner took down count as well, and those that it may just have.
+std::size_t MachinePlanner::downInWave(std::uint64_t number, Base::Instant now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_work.begin(), m_work.end(), [&](const auto &it) {
-        return it.second.wave == wave && it.second.step != Step::Evacuating;
-    }));
+    std::size_t down = 0;
+    for (const std::string &id : m_waves.at(number).wave.machines) {
+        if (const auto work = m_work.find(id);
+            work != m_work.end() && work->second.step != Step::Evacuating) {
+            ++down;
+            continue;
+        }
+        const Machine *machine = find(id);
+        const auto ordered = m_ordersFrom.find(id);
+        const bool mayBeDown = ordered != m_ordersFrom.end() && ordered->second > now;
+        down += mayBeDown || (machine && machine->state == MachineState::Upkeep) ? 1 : 0;
+    }
+    return down;
 }
 
 double MachinePlanner::load(const std::string &pool) const
@@ -454,7 +465,7 @@
         }
         if (work.wave == 0) {
             m_commands.emplace_back(MoveMachine{work.machine, work.to});
-        } else if (downInWave(work.wave) < m_waves[work.wave].wave.mostDown) {
+        } else if (downInWave(work.wave, now) < m_waves[work.wave].wave.mostDown) {
             m_commands.emplace_back(UpkeepMachine{work.machine, work.wave});
         } else {
             continue;
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -91,7 +91,7 @@
     const Machine *find(const std::string &id) const;
     bool isStandby(const std::string &pool) const;
     std::size_t workInPool(const std::string &pool) const;
-    std::size_t downInWave(std::uint64_t wave) const;
+    std::size_t downInWave(std::uint64_t wave, Base::Instant now) const;
     double load(const std::string &pool) const;
     std::size_t machinesNeeded(const std::string &pool) const;
     std::size_t machinesFor(const std::string &pool, std::int64_t milliCores) const;
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -176,14 +176,21 @@
 // What follows a request that can't be read is no request: one answer, then the connection ends.
 TEST(Http, ABadRequestGetsOneAnswer)
 {
-    for (const std::string text :
-         {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: bogus\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
-          "NOT HTTP\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n"}) {
+    struct Case {
+        std::string text;
+        std::string answer; ///< how it begins
+    };
+    const std::vector<Case> cases{
+        {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: bogus\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+         "HTTP/1.1 501"},
+        {"NOT HTTP\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400"},
+    };
+    for (const Case &it : cases) {
         Loop loop;
         loop.serve([](const Http::Request &, const Http::Responder &respond) { respond({}); });
         tcp::socket socket(loop.context);
         socket.connect({boost::asio::ip::make_address("127.0.0.1"), loop.endpoint.port});
-        boost::asio::write(socket, boost::asio::buffer(text));
+        boost::asio::write(socket, boost::asio::buffer(it.text));
         std::string answer;
         bool isClosed = false;
         boost::asio::async_read(socket,
@@ -191,8 +198,7 @@
                                 [&](boost::system::error_code, std::size_t) { isClosed = true; });
         loop.runUntil([&] { return isClosed; });
         CHECK(isClosed);
-        const auto first = answer.find("HTTP/1.1 4");
-        CHECK(first == 0);
+        STRCMP_EQUAL(it.answer.c_str(), answer.substr(0, it.answer.size()).c_str());
         CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
     }
 }
--- a/tests/auto/jobs/jobworld.cpp
+++ b/tests/auto/jobs/jobworld.cpp
@@ -247,7 +247,8 @@
                 return it.task == task;
             });
         if (isThere) {
-            breaks(task, "two runs of " + name + " at the same time, on " + id + " and " + worker.info.id);
+            breaks(task,
+                   fmt::format("two runs of {} at the same time, on {} and {}", name, id, worker.info.id));
         }
     }
     if (doneRuns[task] > 0) {
@@ -664,7 +665,7 @@
     auto isDone = std::make_shared<bool>(false);
     if (Member *member = owner(0)) {
         member->host.handle({0, JobService::Operation::Cancel, std::nullopt, job},
-                            [this, isDone, job](const JobService::JobReply &reply) {
+                            [isDone](const JobService::JobReply &reply) {
                                 *isDone = reply.status == JobService::JobReply::Status::Done;
                             });
     }
--- a/tests/auto/jobs/queuesimulation.h
+++ b/tests/auto/jobs/queuesimulation.h
@@ -33,9 +33,9 @@
 {
     using namespace std::chrono_literals;
     using Jobs::Milliseconds;
-    constexpr auto TurnTime = 5000;
-    constexpr auto PauseTime = 10'000;
-    constexpr auto Step = 25;
+    constexpr std::int64_t TurnTime = 5000;
+    constexpr std::int64_t PauseTime = 10'000;
+    constexpr std::int64_t Step = 25;
     constexpr double LateShare = 0.07;
 
     struct Running {
@@ -54,7 +54,7 @@
     std::vector<double> work;
     std::vector<Running> running;
     std::int64_t free = load.milliCores;
-    double meanWork = 13.8; // core-seconds, as makeJob below draws them
+    const double meanWork = 13.8; // core-seconds, as makeJob below draws them
     const auto makeJob = [&](std::int64_t now) {
         Jobs::Job job;
         job.spec.id = std::to_string(jobs.size());
@@ -82,7 +82,7 @@
         truths.push_back(std::move(truth));
         work.push_back(cores);
     };
-    const double perStep = load.overload * double(load.milliCores) / 1000 / meanWork * Step / 1000;
+    const double perStep = load.overload * double(load.milliCores) / 1000 / meanWork * double(Step) / 1000;
     const std::int64_t end = load.turns * (TurnTime + PauseTime);
     for (std::int64_t now = 0; now < end; now += Step) {
         if (now % (TurnTime + PauseTime) < TurnTime) {
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -335,8 +335,8 @@
     LONGS_EQUAL(100, world.paces[filling]);
 }
 
-// Red: an owner that had lost the store went on saying of jobs that the next owner had accepted that there are
-// none (LOST on a larger kapo-releases, a daemon that was too busy to renew its membership).
+// Red: an owner that had lost the store went on saying of jobs that the next owner had accepted that there
+// are none (LOST on a larger kapo-releases, a daemon that was too busy to renew its membership).
 TEST(ShardHost, AnOwnerWhoseMembershipHasLapsedDoesNotDenyJobs)
 {
     JobWorld world;
--- a/tests/auto/machines/tst_machineplanner.cpp
+++ b/tests/auto/machines/tst_machineplanner.cpp
@@ -300,6 +300,26 @@
     CHECK(fleet.isCompleted);
 }
 
+// Red: a new owner that no longer waited for all machines filled the cap beside those that the earlier one
+// had taken down (LIMIT on plaquewright-prod trouble-2 with seed 667885202201).
+TEST(MachinePlanner, ANewOwnerCountsWhatAnEarlierOneTookDown)
+{
+    fleet.add("sign", 6);
+    fleet.demand("sign", MachineCores, 1);
+    fleet.planner.setWave(fleet.wave(2, 25s));
+    for (const char *it : {"m0", "m1"}) {
+        fleet.machines[it].state = MachineState::Upkeep;
+        fleet.planner.loadOrder(it, fleet.now);
+        fleet.planner.loadUpkeep(1, it);
+    }
+    fleet.run(2500ms);
+    LONGS_EQUAL(0, fleet.maintained.size());
+    fleet.machines["m0"].state = fleet.machines["m1"].state = MachineState::Up;
+    fleet.run(18s);
+    LONGS_EQUAL(4, fleet.maintained.size());
+    CHECK(fleet.mostDown <= 2);
+}
+
 TEST_GROUP(ArrivalForecast){};
 
 TEST(ArrivalForecast, ASteadyRateStays)
