Name the order token, and drop what nothing sets

Cause: read as a newcomer: FencingToken and LongRunning were also words of the wire; Task::notBefore and HostSettings::acquirePatience were never set.

Change: OrderToken, Endless; the two fields and their checks are gone. Nothing decides otherwise.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -45,7 +45,6 @@
     bool isStopConfirmed = false;
     Base::Instant orderedAt; ///< of the start or the stop under way
     Base::Instant waitsSince;
-    Base::Instant notBefore; ///< of the next run
 
     bool isWaiting() const
     {
--- a/src/libs/jobs/queueorder.cpp
+++ b/src/libs/jobs/queueorder.cpp
@@ -18,7 +18,7 @@
 // A job that has begun is given up only when it is later than this share of what is left.
 constexpr double BegunMargin = 0.3;
 
-enum Group { LongRunning, Begun, InTime, Tight, Late };
+enum Group { Endless, Begun, InTime, Tight, Late };
 
 struct Rank {
     Group group = Late;
@@ -45,7 +45,7 @@
     const Job &job = *it.job;
     const std::uint32_t priority = job.spec.queue.priority;
     if (job.spec.isLongRunning()) {
-        return {LongRunning, priority, double(job.acceptedAt.time_since_epoch().count())};
+        return {Endless, priority, double(job.acceptedAt.time_since_epoch().count())};
     }
     const double chain = double(job.remainingChain(*it.occurrence).count());
     const double slack = double((job.objective(it.number) - now).count()) - chain;
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -106,12 +106,12 @@
     // shardworkers.cpp: runs and workers
     Worker &workerFor(const std::string &id);
     void startNewLife(Worker &worker, std::int64_t born, Base::Instant now);
-    void takeRunList(
-        Worker &worker, FencingToken askedWith, const RunList &list, Base::Instant now, WallTime wall);
+    void
+    takeRunList(Worker &worker, OrderToken askedWith, const RunList &list, Base::Instant now, WallTime wall);
     void takeEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall);
     void paceFillers(Worker &worker, const RunList &list);
     void settleUnlisted(Worker &worker,
-                        FencingToken askedWith,
+                        OrderToken askedWith,
                         const RunList &list,
                         const std::vector<TaskId> &listed,
                         Base::Instant now);
--- a/src/libs/jobs/shardcommands.h
+++ b/src/libs/jobs/shardcommands.h
@@ -13,7 +13,7 @@
 
 /// Rises from owner to owner of a shard, and with each life of a worker under one owner; workers refuse lower
 /// ones.
-using FencingToken = std::uint64_t;
+using OrderToken = std::uint64_t;
 
 /// Of an owner; the store refuses the appends of lower ones.
 using Epoch = std::uint64_t;
@@ -32,7 +32,7 @@
 
 struct StartRun {
     std::string worker;
-    FencingToken token = 0;
+    OrderToken token = 0;
     TaskId task;
     std::uint32_t attempt = 0;
     std::string payload;
@@ -43,7 +43,7 @@
 
 struct StopRun {
     std::string worker;
-    FencingToken token = 0;
+    OrderToken token = 0;
     TaskId task;
     std::uint32_t attempt = 0;
 };
@@ -51,7 +51,7 @@
 /// Renews the lease of everything on the worker and asks what runs and has ended there.
 struct RenewLease {
     std::string worker;
-    FencingToken token = 0;
+    OrderToken token = 0;
     std::optional<std::int64_t> leaseEnd; ///< on the worker's clock, ms; nothing: only asks
     std::uint64_t ackCursor = 0; ///< the worker may forget ends up to here
     Milliseconds wait{}; ///< the worker answers as soon as a run ends, or after this
@@ -60,7 +60,7 @@
 /// Limits the share of its cores that a run gets.
 struct PaceRun {
     std::string worker;
-    FencingToken token = 0;
+    OrderToken token = 0;
     TaskId task;
     std::uint32_t attempt = 0;
     int percent = 100;
--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -167,7 +167,7 @@
     std::vector<Candidate> candidates;
     for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
         Task &task = progress.tasks[n];
-        if (!task.isWaiting() || task.notBefore > now) {
+        if (!task.isWaiting()) {
             continue;
         }
         if (candidates.empty()) {
@@ -202,7 +202,7 @@
     std::uint32_t attempt = 0;
     std::string checkpoint;
     for (const Task &it : progress.tasks) {
-        if (!it.isWaiting() || it.notBefore > now) {
+        if (!it.isWaiting()) {
             return false;
         }
         attempt = std::max(attempt, it.attempt + 1);
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -30,7 +30,7 @@
 constexpr Milliseconds IdleWait{1900};
 
 // A token holds the owner's epoch and, below it, a count of the worker's lives under that owner.
-constexpr FencingToken LivesOfWorker = 65536;
+constexpr OrderToken LivesOfWorker = 65536;
 
 // Percent at which a long-running task serves with all that it asks for.
 constexpr int FullyAtWork = 100;
@@ -203,7 +203,7 @@
 }
 
 void Shard::takeRunList(
-    Worker &worker, FencingToken askedWith, const RunList &list, Base::Instant now, WallTime wall)
+    Worker &worker, OrderToken askedWith, const RunList &list, Base::Instant now, WallTime wall)
 {
     if (list.born != 0 && list.born < worker.born) {
         return; // of a life that is over
@@ -302,7 +302,7 @@
 // Runs that the worker neither lists as running nor as ended. A list that is older than the worker's last
 // word on a run proves nothing, since answers on two connections overtake each other.
 void Shard::settleUnlisted(Worker &worker,
-                           FencingToken askedWith,
+                           OrderToken askedWith,
                            const RunList &list,
                            const std::vector<TaskId> &listed,
                            Base::Instant now)
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -18,7 +18,7 @@
     bool isListed = false; ///< in the newest list of the platform
     bool hasAnswered = false; ///< in this life, under this owner's token
     std::int64_t born = 0;
-    FencingToken token = 0;
+    OrderToken token = 0;
 
     // The worker's clock, as read off its latest answer.
     std::int64_t clock = 0;
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -25,8 +25,6 @@
     Base::Duration membershipPeriod = std::chrono::milliseconds{400};
     Base::Duration retryPause = std::chrono::milliseconds{150}; ///< before a call of the store is repeated
     int appendAttempts = 3; ///< of one that is known not to have been done
-    Base::Duration acquirePatience =
-        std::chrono::milliseconds{300}; ///< of requests while a shard is taken over
 };
 
 struct HostCounts {
--- a/tests/auto/jobs/jobworld.h
+++ b/tests/auto/jobs/jobworld.h
@@ -43,7 +43,7 @@
     private:
         friend class JobWorld;
         Base::Instant m_bornAt;
-        Jobs::FencingToken m_token = 0;
+        Jobs::OrderToken m_token = 0;
         std::int64_t m_leaseEnd = 0;
         std::vector<Run> m_runs;
         std::vector<Jobs::ListedEnd> m_ends;
