--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -52,12 +52,15 @@
     return size;
 }
 
-Worker *choosePlace(const Stage &stage, std::span<const Candidate> candidates, Base::Instant now)
+Worker *choosePlace(const Stage &stage,
+                    std::span<const Candidate> candidates,
+                    Base::Instant now,
+                    std::string_view excluded)
 {
     Worker *best = nullptr;
     std::int64_t bestCost = 0;
     for (const Candidate &it : candidates) {
-        if (!fits(stage, it, now)) {
+        if (it.worker->info.id == excluded || !fits(stage, it, now)) {
             continue;
         }
         const std::int64_t itsCost = cost(stage, it);
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace Jobs
 {
@@ -16,9 +17,13 @@
 };
 
 /// The worker on which a task of `stage` is best started now; null when none has room.
+/// `excluded` is the ID of a worker that is not to be taken.
 /// Answers a load of many sizes on workers that are nearly full: the tightest fit keeps room for wide tasks,
 /// and leaves workers empty that can then be given to another service.
-Worker *choosePlace(const Stage &stage, std::span<const Candidate> candidates, Base::Instant now);
+Worker *choosePlace(const Stage &stage,
+                    std::span<const Candidate> candidates,
+                    Base::Instant now,
+                    std::string_view excluded = {});
 
 /// False when no worker of the list could hold a task of `stage` even if it were empty.
 bool couldEverRun(const Stage &stage, std::span<const WorkerInfo *const> workers);
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -139,9 +139,9 @@
                                    std::vector<Candidate> candidates,
                                    Base::Instant now);
     std::vector<Candidate> candidatesFor(const Job &job, const StageProgress &progress);
-    bool placeStage(
+    void placeStage(
         Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now);
-    bool
+    void
     placeGang(Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now);
     void assign(Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt);
     void sendBatch(Base::Instant now);
--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -160,7 +160,7 @@
     return allowed;
 }
 
-bool Shard::placeStage(
+void Shard::placeStage(
     Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now)
 {
     StageProgress &progress = occurrence.stages[stage];
@@ -173,29 +173,24 @@
         if (candidates.empty()) {
             candidates = advised(job, number, stage, candidatesFor(job, progress), now);
         }
-        std::vector<Candidate> others;
-        std::copy_if(candidates.begin(),
-                     candidates.end(),
-                     std::back_inserter(others),
-                     [&](const Candidate &it) { return it.worker->info.id != task.failedOn; });
-        Worker *worker = choosePlace(job.spec.stages[stage], others, now);
+        const Stage &wanted = job.spec.stages[stage];
+        Worker *worker = choosePlace(wanted, candidates, now, task.failedOn);
         if (!worker && !task.failedOn.empty()) {
-            worker = choosePlace(job.spec.stages[stage], candidates, now);
+            worker = choosePlace(wanted, candidates, now);
         }
         if (!worker) {
-            return false;
+            return;
         }
         assign(job, {job.spec.id, number, stage, n}, task, *worker, task.attempt + 1);
         for (Candidate &it : candidates) {
             it.tasksOfStage += it.worker == worker ? 1 : 0;
         }
     }
-    return true;
 }
 
 // All members or none, and only when nothing of the run before is left. A gang whose tasks lose by distance
 // is tried on one rack first.
-bool Shard::placeGang(
+void Shard::placeGang(
     Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now)
 {
     StageProgress &progress = occurrence.stages[stage];
@@ -203,7 +198,7 @@
     std::string checkpoint;
     for (const Task &it : progress.tasks) {
         if (!it.isWaiting()) {
-            return false;
+            return;
         }
         attempt = std::max(attempt, it.attempt + 1);
         if (it.checkpoint > checkpoint) {
@@ -248,9 +243,8 @@
             progress.tasks[n].checkpoint = checkpoint;
             assign(job, {job.spec.id, number, stage, n}, progress.tasks[n], *places[n], attempt);
         }
-        return true;
+        return;
     }
-    return false;
 }
 
 void Shard::assign(Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt)
