Send no order for a machine that was stored too late

Upkeeps decided before went out when it came back, and their time counted from the decision: each was given up in the next pass, and a list and demands from before the break let as many begin again. In the same pass every machine that had been idle before went to standby.

Ruled out: two owners (one epoch throughout).

Change: an order is sent only while its worker is still empty and the decision is under 3 s old; its time counts from the answer; lists over 5 s and demands over 1.5 s old decide nothing. Three tests, each red without its part.

--- a/src/libs/jobservice/machineduty.h
+++ b/src/libs/jobservice/machineduty.h
@@ -257,13 +257,15 @@
     void storeOrder(const std::string &machine, Send send, Refuse refuse)
     {
         const std::string at = std::to_string(m_wallClock().time_since_epoch().count());
-        m_waiting.push_back({{std::string(OrderPrefix) + machine, at}, [send, refuse](bool isStored) {
-                                 if (isStored) {
-                                     send();
-                                 } else {
-                                     refuse();
-                                 }
-                             }});
+        m_waiting.push_back(
+            {{std::string(OrderPrefix) + machine, at}, [this, machine, send, refuse](bool isStored) {
+                 // Storing may have taken as long as the store was away.
+                 if (isStored && m_planner && m_planner->isOrderDue(machine, m_timers.now())) {
+                     send();
+                 } else {
+                     refuse();
+                 }
+             }});
         writeRecords();
     }
 
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -21,6 +21,10 @@
 // An order without an answer may still be carried out after this.
 constexpr Base::Duration LateOrderPatience = std::chrono::milliseconds{13'000};
 
+// Older lists and demands decide nothing: after a break the first new ones are waited for.
+constexpr Base::Duration ListLifetime = std::chrono::milliseconds{5000};
+constexpr Base::Duration DemandLifetime = std::chrono::milliseconds{1500};
+
 // A worker that was said to be empty gets nothing new for longer than this.
 constexpr Base::Duration EmptyLifetime = std::chrono::milliseconds{600};
 
@@ -62,6 +66,11 @@
 
 void MachinePlanner::setDemand(const PoolDemand &demand, Base::Instant now)
 {
+    const auto before = m_demandAt.find(demand.pool);
+    if (before == m_demandAt.end() || now - before->second > DemandLifetime) {
+        m_neededAt[demand.pool] = now; // what was needed in between is not known
+    }
+    m_demandAt[demand.pool] = now;
     m_demands[demand.pool] = demand;
     m_forecasts[demand.pool].note(demand.arrivedWork, now);
     const auto up = std::count_if(m_machines.begin(), m_machines.end(), [&](const auto &it) {
@@ -97,15 +106,23 @@
 {
     bool isNews = false;
     for (auto &[id, work] : m_work) {
-        if (work.worker == worker && work.step == Step::Evacuating) {
-            isNews = isNews || (isEmpty && work.emptyAt == Base::Instant{});
+        if (work.worker == worker && work.step != Step::Down) {
+            isNews = isNews
+                || (isEmpty && work.step == Step::Evacuating && work.emptyAt == Base::Instant{});
             work.emptyAt = isEmpty ? now : Base::Instant{};
         }
     }
     return isNews;
 }
 
-void MachinePlanner::moveAnswered(const MoveMachine &order, OrderResult result, Base::Instant)
+bool MachinePlanner::isOrderDue(const std::string &machine, Base::Instant now) const
+{
+    const auto it = m_work.find(machine);
+    return it != m_work.end() && it->second.step == Step::Ordered
+        && now - it->second.orderedAt < OrderPatience && isEmpty(it->second, now);
+}
+
+void MachinePlanner::moveAnswered(const MoveMachine &order, OrderResult result, Base::Instant now)
 {
     const auto it = m_work.find(order.machine);
     if (it == m_work.end() || it->second.step != Step::Ordered) {
@@ -113,13 +130,14 @@
     }
     if (result == OrderResult::Done || result == OrderResult::Unknown) {
         it->second.step = Step::Down;
+        it->second.orderedAt = now;
         it->second.isUnknown = result == OrderResult::Unknown;
     } else {
         m_work.erase(it);
     }
 }
 
-void MachinePlanner::upkeepAnswered(const UpkeepMachine &order, OrderResult result, Base::Instant)
+void MachinePlanner::upkeepAnswered(const UpkeepMachine &order, OrderResult result, Base::Instant now)
 {
     const auto it = m_work.find(order.machine);
     if (it == m_work.end() || it->second.step != Step::Ordered) {
@@ -127,10 +145,12 @@
     }
     if (result == OrderResult::Done) {
         it->second.step = Step::Down;
+        it->second.orderedAt = now;
         m_waves[order.wave].begun.insert(order.machine);
         m_commands.emplace_back(RecordUpkeep{order.wave, order.machine});
     } else if (result == OrderResult::Unknown) {
         it->second.step = Step::Down; // counted as down; ordered again when it is back
+        it->second.orderedAt = now;
         it->second.isUnknown = true;
     } else {
         m_work.erase(it);
@@ -140,7 +160,7 @@
 std::vector<Command> MachinePlanner::pass(Base::Instant now)
 {
     settleWork(now);
-    if (!m_machines.empty()) {
+    if (!m_machines.empty() && now - m_listedAt < ListLifetime) {
         planWaves(now);
         if (m_settings.movesMachines) {
             planMoves(now);
@@ -189,10 +209,9 @@
     return it != m_pools.end() && it->second.isStandby;
 }
 
-std::size_t MachinePlanner::workInPool(const std::string &pool) const
+bool MachinePlanner::isEmpty(const Work &work, Base::Instant now)
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_work.begin(), m_work.end(), [&](const auto &it) { return it.second.from == pool; }));
+    return work.worker.empty() || now - work.emptyAt < EmptyLifetime;
 }
 
 // Machines that an earlier owner took down count as well, and those that it may just have.
@@ -384,7 +403,8 @@
     for (const auto &[name, pool] : m_pools) {
         if (pool.isStandby) {
             standby = name;
-        } else if (m_demands.count(name) > 0) {
+        } else if (const auto at = m_demandAt.find(name);
+                   at != m_demandAt.end() && now - at->second < DemandLifetime) {
             surplus[name] = -static_cast<std::int64_t>(machinesNeeded(name));
         }
     }
@@ -457,10 +477,9 @@
         if (!work.worker.empty() && (work.step != Step::Down || work.isUnknown)) {
             m_commands.emplace_back(EvacuateWorker{work.worker, work.from});
         }
-        const bool isEmpty = work.worker.empty() || now - work.emptyAt < EmptyLifetime;
         const auto from = m_ordersFrom.find(id);
         const bool mayOrder = from == m_ordersFrom.end() || from->second <= now;
-        if (work.step != Step::Evacuating || !isEmpty || !mayOrder) {
+        if (work.step != Step::Evacuating || !isEmpty(work, now) || !mayOrder) {
             continue;
         }
         if (work.wave == 0) {
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -49,6 +49,8 @@
 
     /// Returns true when a pass has something to do with that.
     bool evacuated(const std::string &worker, bool isEmpty, Base::Instant now);
+    /// Whether an order that had to be stored first may still be sent: its worker is empty and it isn't old.
+    bool isOrderDue(const std::string &machine, Base::Instant now) const;
     void moveAnswered(const MoveMachine &order, OrderResult result, Base::Instant now);
     void upkeepAnswered(const UpkeepMachine &order, OrderResult result, Base::Instant now);
 
@@ -79,7 +81,7 @@
         Base::Instant emptyAt; ///< when its worker was last said to be empty
         bool isUnknown = false; ///< whether the order was carried out, or still may be
         Base::Instant since;
-        Base::Instant orderedAt;
+        Base::Instant orderedAt; ///< when it was decided, and then when it was answered
     };
     struct WaveProgress {
         Wave wave;
@@ -90,7 +92,7 @@
 
     const Machine *find(const std::string &id) const;
     bool isStandby(const std::string &pool) const;
-    std::size_t workInPool(const std::string &pool) const;
+    static bool isEmpty(const Work &work, Base::Instant now);
     std::size_t downInWave(std::uint64_t wave, Base::Instant now) const;
     double load(const std::string &pool) const;
     std::size_t machinesNeeded(const std::string &pool) const;
@@ -108,6 +110,7 @@
     std::map<std::string, Machine> m_machines;
     Base::Instant m_listedAt;
     std::map<std::string, PoolDemand> m_demands;
+    std::map<std::string, Base::Instant> m_demandAt; ///< when the demand was told, by pool
     std::map<std::string, ArrivalForecast> m_forecasts; ///< by pool
     std::map<std::string, Base::Instant> m_neededAt; ///< when a pool last needed all its machines
     std::map<std::uint64_t, WaveProgress> m_waves;
--- a/tests/auto/machines/tst_machineplanner.cpp
+++ b/tests/auto/machines/tst_machineplanner.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <utility>
 
 using namespace std::chrono_literals;
 using Machines::Command;
@@ -65,6 +66,39 @@
         }));
     }
 
+    /// The owner neither passes nor reads anything, as without the store.
+    void pause(std::chrono::milliseconds time)
+    {
+        now += time;
+        bringBack();
+    }
+
+    /// One pass that knows only the list and the demand from before.
+    void passUnread()
+    {
+        carryOut(planner.pass(now));
+    }
+
+    void begin(const Machines::UpkeepMachine &order)
+    {
+        machines[order.machine].state = MachineState::Upkeep;
+        m_backAt[order.machine] = now + 2s;
+        maintained.insert(order.machine);
+        planner.upkeepAnswered(order, Machines::OrderResult::Done, now);
+    }
+
+    /// Carries out the upkeeps held back; those that are no longer due are refused.
+    void releaseUpkeeps()
+    {
+        for (const Machines::UpkeepMachine &it : std::exchange(heldUpkeeps, {})) {
+            if (planner.isOrderDue(it.machine, now)) {
+                begin(it);
+            } else {
+                planner.upkeepAnswered(it, Machines::OrderResult::NotDone, now);
+            }
+        }
+    }
+
     void run(std::chrono::milliseconds time)
     {
         for (auto spent = 0ms; spent < time; spent += Tick) {
@@ -79,6 +113,8 @@
     std::map<std::string, Machines::PoolDemand> demands;
     std::set<std::string> stuck; ///< workers that don't become empty
     bool losesAnswers = false; ///< of upkeep, before the effect
+    bool holdsUpkeeps = false; ///< orders stay in heldUpkeeps
+    std::vector<Machines::UpkeepMachine> heldUpkeeps;
     std::size_t moves = 0;
     std::size_t mostDown = 0;
     std::set<std::string> maintained;
@@ -86,7 +122,7 @@
     std::size_t begunAtCompletion = 0;
 
 private:
-    void step()
+    void bringBack()
     {
         for (auto &[id, back] : m_backAt) {
             Machines::Machine &machine = machines[id];
@@ -95,6 +131,11 @@
                 machine.worker = machine.pool == "spare" ? "" : id + "/" + std::to_string(++m_lives);
             }
         }
+    }
+
+    void step()
+    {
+        bringBack();
         std::vector<Machines::Machine> list;
         for (const auto &[id, machine] : machines) {
             list.push_back(machine);
@@ -109,7 +150,12 @@
             }
             planner.setDemand(demand, now);
         }
-        for (const Command &it : planner.pass(now)) {
+        carryOut(planner.pass(now));
+    }
+
+    void carryOut(const std::vector<Command> &commands)
+    {
+        for (const Command &it : commands) {
             std::visit([this](const auto &order) { carryOut(order); }, it);
         }
         const auto down = std::count_if(machines.begin(), machines.end(), [](const auto &it) {
@@ -139,10 +185,11 @@
             planner.upkeepAnswered(order, Machines::OrderResult::Unknown, now);
             return;
         }
-        machines[order.machine].state = MachineState::Upkeep;
-        m_backAt[order.machine] = now + 2s;
-        maintained.insert(order.machine);
-        planner.upkeepAnswered(order, Machines::OrderResult::Done, now);
+        if (holdsUpkeeps) {
+            heldUpkeeps.push_back(order);
+            return;
+        }
+        begin(order);
     }
 
     void carryOut(const Machines::WriteWaveStatus &order)
@@ -277,6 +324,61 @@
     CHECK(fleet.isCompleted);
 }
 
+// Red: an order's time counted from its decision, so one that was answered seconds later was given up at once,
+// and a list from before let as many begin again (LIMIT on plaquewright-prod with
+// deploy/days/store-away-twice.toml).
+TEST(MachinePlanner, AnOrderAnsweredLateCountsAsDown)
+{
+    fleet.add("sign", 8);
+    fleet.demand("sign", MachineCores, 1);
+    fleet.planner.setWave(fleet.wave(2, 60s));
+    fleet.holdsUpkeeps = true;
+    fleet.run(500ms);
+    LONGS_EQUAL(2, fleet.heldUpkeeps.size());
+    fleet.pause(7s);
+    fleet.holdsUpkeeps = false;
+    for (const Machines::UpkeepMachine &it : std::exchange(fleet.heldUpkeeps, {})) {
+        fleet.begin(it);
+    }
+    fleet.passUnread();
+    fleet.passUnread();
+    fleet.run(10s);
+    CHECK(fleet.mostDown <= 2);
+}
+
+// Red: the same day; the orders were sent 7 s after their workers had been empty.
+TEST(MachinePlanner, AnOrderStoredTooLateIsNotSent)
+{
+    fleet.add("sign", 8);
+    fleet.demand("sign", MachineCores, 1);
+    fleet.planner.setWave(fleet.wave(2, 60s));
+    fleet.holdsUpkeeps = true;
+    fleet.run(500ms);
+    fleet.pause(7s);
+    fleet.releaseUpkeeps();
+    LONGS_EQUAL(0, fleet.maintained.size());
+    fleet.holdsUpkeeps = false;
+    fleet.run(60s);
+    LONGS_EQUAL(8, fleet.maintained.size());
+    CHECK(fleet.mostDown <= 2);
+}
+
+// Red: the same day; after the break all that had been idle before it went to standby in one pass.
+TEST(MachinePlanner, ADemandFromBeforeABreakMovesNothing)
+{
+    fleet.add("sign", 8);
+    fleet.add("spare", 1);
+    fleet.demand("sign", MachineCores / 2, 2);
+    fleet.run(1s);
+    fleet.pause(7s);
+    fleet.passUnread();
+    LONGS_EQUAL(0, fleet.moves);
+    fleet.run(1s);
+    LONGS_EQUAL(0, fleet.moves);
+    fleet.run(5s);
+    LONGS_EQUAL(6, fleet.moves);
+}
+
 TEST(MachinePlanner, AWaveSkipsMachinesThatAreGone)
 {
     fleet.add("sign", 3);
