Keep what a shard does at every pass to active jobs and changes

Every answer of a worker looked up each run of each worker, placing and storing walked all jobs of the last minutes, and telling a shard whether its owner has the store counted as a change, so placing ran every 25 ms with nothing to do.

Change: lists of active and of changed jobs and of runs being stopped; candidates collected once a placing; a size for which no worker has room isn't tried again in the same placing; the planner finds machines by worker.

JobWorld now checks order, place, room, attempts, times and origin of every start, also in the seeded histories; tst_rules.cpp plays the loads that make each hard.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -81,7 +81,7 @@
 
     bool isStored = false; ///< the specification is known to be stored
     std::uint64_t firstBatch = 0; ///< the append that carries the specification; 0: none yet
-    bool isDirty = true; ///< the progress has changed since it was last appended
+    bool isDirty = false; ///< the progress has changed since it was last appended
     std::vector<ReplyId> waitForAcceptance;
     std::vector<ReplyId> waitForCancel;
 
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -59,7 +59,6 @@
             return;
         }
         job->isStored = true;
-        job->isDirty = false;
         m_jobs[id] = std::move(*job);
     } else if (key == OwnerKey) {
         m_earlierOwner = std::string(value);
@@ -78,6 +77,22 @@
     }
 }
 
+Job &Shard::addJob(Job job)
+{
+    const std::string id = job.spec.id;
+    Job &added = m_jobs[id] = std::move(job);
+    m_active.push_back(&added);
+    return added;
+}
+
+void Shard::markChanged(Job &job)
+{
+    if (!std::exchange(job.isDirty, true)) {
+        m_changed.push_back(&job);
+    }
+    m_hasChanged = true;
+}
+
 Record Shard::releaseRecord() const
 {
     return {std::string(OwnerKey), {}};
@@ -111,6 +126,7 @@
             }
         }
         if (job.state == JobState::Active) {
+            m_active.push_back(&job);
             addDueOccurrences(job, wall);
         } else {
             stopRuns(job, now);
@@ -150,8 +166,10 @@
 
 void Shard::setAdrift(bool isAdrift)
 {
-    m_isAdrift = isAdrift;
-    m_hasChanged = true;
+    if (m_isAdrift != isAdrift) {
+        m_isAdrift = isAdrift;
+        m_hasChanged = true;
+    }
 }
 
 void Shard::refuseWaiting()
@@ -206,19 +224,18 @@
         reply(replyId, Answer::Hopeless);
         return;
     }
-    Job job;
-    job.spec = std::move(spec);
-    job.acceptedAt = wall;
-    job.waitForAcceptance.push_back(replyId);
+    Job accepted;
+    accepted.spec = std::move(spec);
+    accepted.acceptedAt = wall;
+    accepted.waitForAcceptance.push_back(replyId);
+    Job &job = addJob(std::move(accepted));
     if (!job.spec.isTimed()) {
         job.addOccurrence(0);
     }
     addDueOccurrences(job, wall);
+    markChanged(job);
     m_arrivedWork[job.spec.queue.service] += job.work();
-    const std::string id = job.spec.id;
-    m_jobs[id] = std::move(job);
     m_nextOccurrenceDue = std::min(m_nextOccurrenceDue, now);
-    m_hasChanged = true;
 }
 
 void Shard::cancel(std::string_view id, ReplyId replyId, Base::Instant now, WallTime wall)
@@ -247,10 +264,8 @@
 
 std::size_t Shard::pending(std::string_view queue) const
 {
-    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto &it) {
-        const Job &job = it.second;
-        return job.isStored && job.state == JobState::Active && !job.hasStarted
-            && job.spec.queue.name == queue;
+    return static_cast<std::size_t>(std::count_if(m_active.begin(), m_active.end(), [&](const Job *it) {
+        return it->isStored && !it->hasStarted && it->spec.queue.name == queue;
     }));
 }
 
@@ -263,16 +278,13 @@
         }
     }
     std::set<std::string> anchors;
-    for (const auto &[id, job] : m_jobs) {
-        if (job.state != JobState::Active) {
-            continue;
-        }
-        ServiceDemand &demand = demands[job.spec.queue.service];
-        demand.service = job.spec.queue.service;
-        for (const auto &[number, occurrence] : job.occurrences) {
+    for (const Job *job : m_active) {
+        ServiceDemand &demand = demands[job->spec.queue.service];
+        demand.service = job->spec.queue.service;
+        for (const auto &[number, occurrence] : job->occurrences) {
             for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
-                const Stage &stage = job.spec.stages[n];
-                if (occurrence.stages[n].isDone() || !job.isReady(occurrence, n)) {
+                const Stage &stage = job->spec.stages[n];
+                if (occurrence.stages[n].isDone() || !job->isReady(occurrence, n)) {
                     continue;
                 }
                 const auto &tasks = occurrence.stages[n].tasks;
@@ -283,8 +295,8 @@
                 const std::int64_t each = charge(stage).milliCores;
                 const std::int64_t cores = (waiting + running) * each;
                 demand.milliCores += running * each;
-                (canMeetObjective(job, number, occurrence, wall) ? demand.milliCores
-                                                                 : demand.lateMilliCores) += waiting * each;
+                (canMeetObjective(*job, number, occurrence, wall) ? demand.milliCores
+                                                                  : demand.lateMilliCores) += waiting * each;
                 if (!stage.isLongRunning) {
                     continue;
                 }
@@ -327,6 +339,7 @@
         return true;
     }
     it->second.evacuatedUntil = now + m_settings.evacuation;
+    m_nextMovesOff = std::min(m_nextMovesOff, now);
     m_hasChanged = true;
     return it->second.runs.empty();
 }
@@ -346,7 +359,7 @@
     if (result == AppendResult::NotStored) {
         for (const std::string &it : batch.jobs) {
             if (const auto found = m_jobs.find(it); found != m_jobs.end()) {
-                found->second.isDirty = true;
+                markChanged(found->second);
             }
         }
         for (const TaskId &it : batch.starts) {
@@ -414,8 +427,8 @@
     job.state = state;
     job.endedAt = wall;
     m_advice.forget(job.spec.id);
-    job.isDirty = true;
-    m_hasChanged = true;
+    std::erase(m_active, &job);
+    markChanged(job);
     stopRuns(job, now);
     Base::LogLine(Base::LogLevel::Info, "job-ended")
         .with("request", job.spec.id)
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -102,6 +103,8 @@
     };
 
     void applyLoadedProgress();
+    Job &addJob(Job job);
+    void markChanged(Job &job);
 
     // shardworkers.cpp: runs and workers
     Worker &workerFor(const std::string &id);
@@ -124,6 +127,7 @@
     void moveRunsOff(Base::Instant now);
     bool isAtWork(const Task &task) const;
     bool mayMove(const Job &job, const TaskId &id, const Task &task, const Worker &worker) const;
+    void repeatStops(Base::Instant now);
     void askWorkers(Base::Instant now);
     std::int64_t leaseEnd(Worker &worker, Base::Instant now) const;
     /// From the sending of a renewal to the end of its lease, by the slowest clock.
@@ -138,7 +142,8 @@
                                    std::uint32_t stage,
                                    std::vector<Candidate> candidates,
                                    Base::Instant now);
-    std::vector<Candidate> candidatesFor(const Job &job, const StageProgress &progress);
+    const std::vector<Candidate> &candidatesOf(const std::string &service);
+    std::vector<Candidate> candidatesFor(const Job &job, const Stage &stage, const StageProgress &progress);
     void placeStage(
         Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now);
     void
@@ -157,8 +162,14 @@
     std::string m_earlierOwner; ///< empty when it has released the shard, or there was none
     bool m_isOwnerStored = false;
     std::map<std::string, Job, std::less<>> m_jobs;
+    // Jobs that have ended stay in m_jobs for minutes; what is done at every pass keeps to these.
+    std::vector<Job *> m_active;
+    std::vector<Job *> m_changed; ///< those with isDirty
+    std::set<TaskId> m_stopping; ///< runs that were ordered to stop; some may be gone
     std::map<std::string, std::string> m_loadedProgress; ///< of jobs, until all records are there
     std::map<std::string, Worker> m_workers;
+    std::map<std::string, std::vector<Candidate>> m_candidates; ///< by service, during one placing
+    std::map<std::string, std::vector<Resources>> m_noRoomFor; ///< sizes by service, during one placing
     std::vector<Command> m_commands;
     std::optional<Batch> m_batch; ///< under way
     std::uint64_t m_lastBatch = 0;
@@ -170,6 +181,8 @@
     std::vector<std::string> m_forgotten;
     Base::Instant m_nextSweep;
     Base::Instant m_nextOccurrenceDue;
+    Base::Instant m_nextMovesOff;
+    Base::Instant m_placeAgainAt; ///< workers that were left out may be used again by then
     bool m_isAdrift = false;
     bool m_hasChanged = true; ///< since the last placing
 };
--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -17,6 +17,12 @@
 constexpr Milliseconds StoreRetryAfter{1000};
 constexpr std::string_view OwnerKey = "owner";
 
+// Pauses of workers end within this, so what found no place is tried again.
+constexpr Milliseconds PlaceAgainPeriod{100};
+
+// Between two looks at what has to leave its worker, and at stops without an answer.
+constexpr Milliseconds MoveOffPeriod{50};
+
 // One batch stays well below what the store takes in one call.
 constexpr std::size_t MostBytesInBatch = 1U << 20U;
 
@@ -27,7 +33,7 @@
     while (job.spec.isTimed() && job.nextOccurrence < job.spec.occurrences
            && job.spec.firstDue + job.spec.interval * job.nextOccurrence - m_settings.timedLead <= wall) {
         job.addOccurrence(job.nextOccurrence);
-        job.isDirty = true;
+        markChanged(job);
     }
 }
 
@@ -41,34 +47,39 @@
     }
     if (m_nextOccurrenceDue <= now) {
         m_nextOccurrenceDue = now + SweepPeriod;
-        for (auto &[id, job] : m_jobs) {
-            if (!job.spec.isTimed() || job.state != JobState::Active) {
+        for (Job *job : m_active) {
+            if (!job->spec.isTimed()) {
                 continue;
             }
-            addDueOccurrences(job, wall);
-            m_hasChanged = m_hasChanged || job.isDirty;
+            addDueOccurrences(*job, wall);
             const WallTime next =
-                job.spec.firstDue + job.spec.interval * job.nextOccurrence - m_settings.timedLead;
+                job->spec.firstDue + job->spec.interval * job->nextOccurrence - m_settings.timedLead;
             m_nextOccurrenceDue = std::min<Base::Instant>(m_nextOccurrenceDue, now + (next - wall));
         }
     }
     if (m_batch && now - m_batch->sentAt > m_settings.storePatience) {
         refuseUnsent(now);
     }
+    m_hasChanged = m_hasChanged || m_placeAgainAt <= now;
     if (!m_batch && !m_isAdrift && m_hasChanged && m_lastBatchAt + m_settings.batchPeriod <= now) {
         m_hasChanged = false;
         place(now, wall);
         sendBatch(now);
     }
-    moveRunsOff(now);
+    if (m_nextMovesOff <= now) {
+        m_nextMovesOff = now + MoveOffPeriod;
+        moveRunsOff(now);
+        repeatStops(now);
+    }
     askWorkers(now);
 }
 
 Base::Instant Shard::nextDue(Base::Instant now) const
 {
     Base::Instant due = std::min(m_nextSweep, m_nextOccurrenceDue);
-    if (m_hasChanged && !m_batch && !m_isAdrift) {
-        due = std::min<Base::Instant>(due, m_lastBatchAt + m_settings.batchPeriod);
+    if (!m_batch && !m_isAdrift) {
+        due = std::min<Base::Instant>(due,
+                                      m_hasChanged ? m_lastBatchAt + m_settings.batchPeriod : m_placeAgainAt);
     }
     if (m_batch) {
         due = std::min<Base::Instant>(
@@ -82,20 +93,24 @@
         if (worker.failuresInRow > 0 && !worker.runs.empty()) {
             due = std::min(due, worker.leaseBound);
         }
+        const bool isLeft = worker.leavesAt || worker.evacuatedUntil > now;
+        if ((isLeft && !worker.runs.empty()) || !m_stopping.empty()) {
+            due = std::min(due, m_nextMovesOff);
+        }
     }
     return std::max<Base::Instant>(due, now + Milliseconds(1));
 }
 
 void Shard::place(Base::Instant now, WallTime wall)
 {
+    m_candidates.clear();
+    m_noRoomFor.clear();
+    m_placeAgainAt = Base::Instant::max();
     std::vector<ReadyOccurrence> ready;
-    for (auto &[id, job] : m_jobs) {
-        if (job.state != JobState::Active) {
-            continue;
-        }
-        for (auto &[number, occurrence] : job.occurrences) {
+    for (Job *job : m_active) {
+        for (auto &[number, occurrence] : job->occurrences) {
             if (!occurrence.isDone) {
-                ready.push_back({&job, number, &occurrence});
+                ready.push_back({job, number, &occurrence});
             }
         }
     }
@@ -114,20 +129,35 @@
     }
 }
 
-// The workers of the stage's service with how many tasks of the stage each has.
-std::vector<Candidate> Shard::candidatesFor(const Job &job, const StageProgress &progress)
+const std::vector<Candidate> &Shard::candidatesOf(const std::string &service)
 {
-    std::vector<Candidate> candidates;
-    candidates.reserve(m_workers.size());
-    for (auto &[id, worker] : m_workers) {
-        if (worker.info.service != job.spec.queue.service) {
-            continue;
+    const auto [it, isNew] = m_candidates.try_emplace(service);
+    if (isNew) {
+        for (auto &[id, worker] : m_workers) {
+            if (worker.info.service == service) {
+                it->second.push_back({&worker, 0});
+            }
+        }
+    }
+    return it->second;
+}
+
+// The workers of the stage's service, with how many tasks of the stage each has where that matters.
+std::vector<Candidate> Shard::candidatesFor(const Job &job, const Stage &stage, const StageProgress &progress)
+{
+    std::vector<Candidate> candidates = candidatesOf(job.spec.queue.service);
+    if (stage.tasksPerWorker == 0) {
+        return candidates;
+    }
+    std::map<std::string_view, std::uint32_t> tasksOn;
+    for (const Task &it : progress.tasks) {
+        if (it.run != RunState::None) {
+            ++tasksOn[it.worker];
         }
-        const auto there =
-            std::count_if(progress.tasks.begin(), progress.tasks.end(), [&id = id](const Task &it) {
-                return it.run != RunState::None && it.worker == id;
-            });
-        candidates.push_back({&worker, static_cast<std::uint32_t>(there)});
+    }
+    for (Candidate &it : candidates) {
+        const auto found = tasksOn.find(it.worker->info.id);
+        it.tasksOfStage = found != tasksOn.end() ? found->second : 0;
     }
     return candidates;
 }
@@ -164,21 +194,34 @@
     Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now)
 {
     StageProgress &progress = occurrence.stages[stage];
+    const Stage &wanted = job.spec.stages[stage];
+    std::vector<Resources> &noRoomFor = m_noRoomFor[job.spec.queue.service];
+    const bool isHopeless = std::any_of(
+        noRoomFor.begin(), noRoomFor.end(), [&](const Resources &it) { return charge(wanted).contains(it); });
     std::vector<Candidate> candidates;
     for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
         Task &task = progress.tasks[n];
         if (!task.isWaiting()) {
             continue;
         }
+        if (isHopeless) {
+            m_placeAgainAt = now + PlaceAgainPeriod;
+            return;
+        }
         if (candidates.empty()) {
-            candidates = advised(job, number, stage, candidatesFor(job, progress), now);
+            candidates = advised(job, number, stage, candidatesFor(job, wanted, progress), now);
         }
-        const Stage &wanted = job.spec.stages[stage];
         Worker *worker = choosePlace(wanted, candidates, now, task.failedOn);
         if (!worker && !task.failedOn.empty()) {
             worker = choosePlace(wanted, candidates, now);
         }
         if (!worker) {
+            m_placeAgainAt = now + PlaceAgainPeriod;
+            const bool isAnyWorkerGood =
+                wanted.requiredLabel.empty() && wanted.tasksPerWorker == 0 && !job.spec.queue.advice;
+            if (isAnyWorkerGood) {
+                noRoomFor.push_back(charge(wanted));
+            }
             return;
         }
         assign(job, {job.spec.id, number, stage, n}, task, *worker, task.attempt + 1);
@@ -206,7 +249,8 @@
         }
     }
     const Stage &wanted = job.spec.stages[stage];
-    const auto all = advised(job, number, stage, candidatesFor(job, progress), now);
+    m_placeAgainAt = now + PlaceAgainPeriod;
+    const auto all = advised(job, number, stage, candidatesFor(job, wanted, progress), now);
     std::vector<std::string> racks;
     if (wanted.isRackSensitive) {
         for (const Candidate &it : all) {
@@ -254,7 +298,7 @@
     task.worker = worker.info.id;
     worker.runs.insert(id);
     worker.used += charge(job.spec.stages[id.stage]);
-    job.isDirty = true;
+    markChanged(job);
     m_plannedStarts.push_back(id);
 }
 
@@ -267,19 +311,14 @@
         bytes += key.size() + value.size();
         append.records.push_back({std::move(key), std::move(value)});
     };
-    bool isComplete = true;
     if (!m_isOwnerStored) {
         m_isOwnerStored = true;
         add(std::string(OwnerKey), m_member);
     }
-    for (auto &[id, job] : m_jobs) {
-        if (!job.isDirty) {
-            continue;
-        }
-        if (bytes > MostBytesInBatch) {
-            isComplete = false;
-            break;
-        }
+    std::size_t carried = 0;
+    for (; carried < m_changed.size() && bytes <= MostBytesInBatch; ++carried) {
+        Job &job = *m_changed[carried];
+        const std::string &id = job.spec.id;
         if (!job.isStored && job.firstBatch == 0) {
             add(specKey(id), encodeSpec(job.spec, job.acceptedAt));
             batch.newJobs.push_back(id);
@@ -289,6 +328,8 @@
         batch.states[id] = job.state;
         job.isDirty = false;
     }
+    m_changed.erase(m_changed.begin(), m_changed.begin() + static_cast<std::ptrdiff_t>(carried));
+    const bool isComplete = m_changed.empty();
     for (const std::string &it : m_forgotten) {
         add(progressKey(it), {});
         add(specKey(it), {});
@@ -395,6 +436,8 @@
             reply(waiting, Answer::NoSuchJob);
         }
         stopRuns(job, now);
+        std::erase(m_active, &job);
+        std::erase(m_changed, &job);
         it = m_jobs.erase(it);
     }
 }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -87,6 +87,9 @@
         }
         task.confirmedAt = 0;
         task.isStopConfirmed = false;
+        if (task.run == RunState::Stopping) {
+            m_stopping.insert(it);
+        }
     }
 }
 
@@ -101,8 +104,7 @@
     task.percent = 0;
     task.isStopConfirmed = false;
     task.waitsSince = now;
-    job.isDirty = true;
-    m_hasChanged = true;
+    markChanged(job);
 }
 
 void Shard::taskDone(Job &job, const TaskId &id, WallTime wall, Base::Instant now)
@@ -212,6 +214,7 @@
         startNewLife(worker, list.born, now);
     }
     worker.born = list.born != 0 ? list.born : worker.born;
+    m_hasChanged = m_hasChanged || !worker.hasAnswered || !list.ended.empty();
     worker.hasAnswered = true;
     worker.clock = list.clock;
     worker.clockReadAt = now;
@@ -255,7 +258,6 @@
     if (list.ended.size() < MostEndsInList) {
         settleUnlisted(worker, askedWith, list, listed, now);
     }
-    m_hasChanged = true;
 }
 
 // Tasks that fill what others leave give way before the tail of those that serve reaches its target, and come
@@ -352,6 +354,7 @@
     task.run = RunState::Stopping;
     task.isStopConfirmed = false;
     task.orderedAt = now;
+    m_stopping.insert(id);
     m_commands.emplace_back(StopRun{task.worker, workerFor(task.worker).token, id, task.attempt});
 }
 
@@ -491,6 +494,7 @@
     if (worker.failuresInRow > 0) {
         Base::LogLine(Base::LogLevel::Info, "worker-regained").with("worker", worker.info.id);
         worker.failuresInRow = 0;
+        m_hasChanged = true;
     }
     takeRunList(worker, order.token, list, now, wall);
     worker.nextAsk = worker.processedCursor > worker.ackCursor ? now + UnstoredPause : now;
@@ -508,6 +512,20 @@
     return worker.clock + (sinceRead + m_settings.lease).count();
 }
 
+void Shard::repeatStops(Base::Instant now)
+{
+    const auto stopping = m_stopping;
+    for (const TaskId &it : stopping) {
+        const auto job = m_jobs.find(it.job);
+        Task *task = job != m_jobs.end() ? job->second.find(it) : nullptr;
+        if (!task || task->run != RunState::Stopping || task->isStopConfirmed) {
+            m_stopping.erase(it);
+        } else if (workerFor(task->worker).failuresInRow == 0 && now - task->orderedAt > StopRetryPause) {
+            orderStop(it, *task, now);
+        }
+    }
+}
+
 // A worker that stopped answering is only asked, not renewed: its runs then end at a time that is known.
 void Shard::askWorkers(Base::Instant now)
 {
@@ -518,13 +536,6 @@
             it = m_workers.erase(it);
             continue;
         }
-        for (const TaskId &id : worker.runs) {
-            Task &task = *m_jobs[id.job].find(id);
-            if (task.run == RunState::Stopping && !task.isStopConfirmed && worker.failuresInRow == 0
-                && now - task.orderedAt > StopRetryPause) {
-                orderStop(id, task, now);
-            }
-        }
         if (!worker.isAsked && worker.nextAsk <= now && !worker.info.address.empty()
             && (worker.isListed || !worker.runs.empty())) {
             RenewLease ask;
@@ -568,6 +579,7 @@
 
 void Shard::moveRunsOff(Base::Instant now)
 {
+    m_candidates.clear();
     for (auto &[id, worker] : m_workers) {
         const bool isLeaving = worker.leavesAt && *worker.leavesAt - m_settings.leaveReserve <= now;
         const bool isEvacuated = worker.evacuatedUntil > now;
@@ -583,7 +595,7 @@
                 continue;
             }
             StageProgress &progress = job.occurrences[it.occurrence].stages[it.stage];
-            const auto places = candidatesFor(job, progress);
+            const auto places = candidatesFor(job, stage, progress);
             if (mayMove(job, it, task, worker) && choosePlace(stage, places, now)) {
                 orderStop(it, task, now);
             }
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace Machines
@@ -58,8 +59,12 @@
 void MachinePlanner::setMachines(std::span<const Machine> machines, Base::Instant askedAt)
 {
     m_machines.clear();
+    m_byWorker.clear();
     for (const Machine &it : machines) {
         m_machines[it.id] = it;
+        if (!it.worker.empty()) {
+            m_byWorker[it.worker] = it.id;
+        }
     }
     m_listedAt = askedAt;
 }
@@ -107,8 +112,7 @@
     bool isNews = false;
     for (auto &[id, work] : m_work) {
         if (work.worker == worker && work.step != Step::Down) {
-            isNews = isNews
-                || (isEmpty && work.step == Step::Evacuating && work.emptyAt == Base::Instant{});
+            isNews = isNews || (isEmpty && work.step == Step::Evacuating && work.emptyAt == Base::Instant{});
             work.emptyAt = isEmpty ? now : Base::Instant{};
         }
     }
@@ -305,6 +309,12 @@
 
 void MachinePlanner::planWaves(Base::Instant now)
 {
+    std::map<std::string, double> loads; ///< by pool
+    for (const auto &[id, machine] : m_machines) {
+        if (loads.count(machine.pool) == 0) {
+            loads[machine.pool] = load(machine.pool);
+        }
+    }
     for (auto &[number, progress] : m_waves) {
         const Wave &wave = progress.wave;
         if (wave.number == 0 || progress.isCompletedWritten) {
@@ -338,12 +348,12 @@
         const Base::Duration timeLeft = wave.noticedAt + wave.duration - WaveReserve - now;
         const double rounds = std::max(1.0, double(timeLeft.count()) / double(UpkeepEstimate.count()));
         const auto pace = static_cast<std::size_t>(std::ceil(double(leftToBegin) / rounds));
-        std::sort(left.begin(), left.end(), [this](const Machine *a, const Machine *b) {
-            return std::pair(load(a->pool), a->id) < std::pair(load(b->pool), b->id);
+        std::sort(left.begin(), left.end(), [&loads](const Machine *a, const Machine *b) {
+            return std::tie(loads.at(a->pool), a->id) < std::tie(loads.at(b->pool), b->id);
         });
         std::size_t begun = active;
         for (const Machine *it : left) {
-            const bool isIdle = isStandby(it->pool) || load(it->pool) < IdleLoad;
+            const bool isIdle = isStandby(it->pool) || loads.at(it->pool) < IdleLoad;
             const std::size_t most = wave.mostDown;
             if (begun >= most || (begun >= pace && !isIdle)) {
                 break;
@@ -375,11 +385,11 @@
         return nullptr;
     }
     for (const std::string &worker : demand->second.releasable) {
-        for (const auto &[id, machine] : m_machines) {
-            if (machine.worker == worker && machine.pool == pool && machine.state == MachineState::Up
-                && m_work.count(id) == 0) {
-                return &machine;
-            }
+        const auto id = m_byWorker.find(worker);
+        const Machine *machine = id != m_byWorker.end() ? find(id->second) : nullptr;
+        if (machine && machine->pool == pool && machine->state == MachineState::Up
+            && m_work.count(machine->id) == 0) {
+            return machine;
         }
     }
     return nullptr;
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -108,6 +108,7 @@
     std::map<std::string, Base::Instant> m_ordersFrom; ///< of machines that an earlier owner gave orders for
     std::map<std::string, Pool> m_pools;
     std::map<std::string, Machine> m_machines;
+    std::map<std::string, std::string> m_byWorker; ///< machines by the ID of their worker
     Base::Instant m_listedAt;
     std::map<std::string, PoolDemand> m_demands;
     std::map<std::string, Base::Instant> m_demandAt; ///< when the demand was told, by pool
--- a/tests/auto/jobs/jobworld.cpp
+++ b/tests/auto/jobs/jobworld.cpp
@@ -17,6 +17,7 @@
 constexpr auto StoreTimeout = 1000ms;
 constexpr std::size_t MostOpenCalls = 200; // remembered of a worker; older ones have been answered
 constexpr std::int64_t LeaseLimit = 10'000; // ms
+constexpr auto EarlyStart = 250ms; // of an occurrence, at most
 
 } // namespace
 
@@ -150,6 +151,9 @@
     note(worker, ended.task, ended.attempt, fmt::format("ends ({})", static_cast<int>(how)));
     worker.m_runs.erase(worker.m_runs.begin() + static_cast<std::ptrdiff_t>(run));
     worker.m_ends.push_back({++worker.m_lastEnd, ended.task, ended.attempt, how, {}});
+    if (how == Jobs::RunEnd::Done) {
+        m_ended.insert(ended.task);
+    }
     auto &highest = worker.m_highest[ended.task];
     highest = std::max(highest, ended.attempt);
     for (const auto &it : std::exchange(worker.m_waiting, {})) {
@@ -237,8 +241,73 @@
     return text;
 }
 
-void JobWorld::checkStart(const Worker &worker, const Jobs::TaskId &task)
+const Jobs::Stage *JobWorld::stageOf(const Jobs::TaskId &task) const
+{
+    const auto job = submitted.find(task.job);
+    return job != submitted.end() && task.stage < job->second.stages.size() ? &job->second.stages[task.stage]
+                                                                            : nullptr;
+}
+
+Jobs::Resources JobWorld::usedOn(const Worker &worker) const
+{
+    Jobs::Resources used;
+    for (const Run &it : worker.m_runs) {
+        if (const Jobs::Stage *stage = stageOf(it.task)) {
+            used += Jobs::charge(*stage);
+        }
+    }
+    return used;
+}
+
+void JobWorld::checkPlace(const Worker &worker, const Jobs::StartRun &order, const Jobs::Stage &stage)
+{
+    const Jobs::TaskId &task = order.task;
+    const std::string name = Jobs::toString(task) + " on " + worker.info.id;
+    Jobs::Resources room = worker.info.capacity;
+    room -= usedOn(worker);
+    if (!room.contains(Jobs::charge(stage))) {
+        breaks(task, name + " is more than the worker holds");
+    }
+    const auto &labels = worker.info.labels;
+    const bool hasLabel = stage.requiredLabel.empty()
+        || std::find(labels.begin(), labels.end(), stage.requiredLabel) != labels.end();
+    if (!hasLabel || worker.info.service != submitted[task.job].queue.service) {
+        breaks(task, name + " is on a worker that may not run it");
+    }
+    const auto there = std::count_if(worker.m_runs.begin(), worker.m_runs.end(), [&](const Run &it) {
+        return it.task.job == task.job && it.task.occurrence == task.occurrence
+            && it.task.stage == task.stage;
+    });
+    if (stage.tasksPerWorker > 0 && there >= stage.tasksPerWorker) {
+        breaks(task, name + " is one more of its stage than may be there");
+    }
+}
+
+void JobWorld::checkStart(const Worker &worker, const Jobs::StartRun &order)
 {
+    const Jobs::TaskId &task = order.task;
+    const Jobs::Stage *stage = stageOf(task);
+    if (!stage || submitted[task.job].payload != order.payload) {
+        breaks(task, "start of " + Jobs::toString(task) + ", which nobody asked for");
+        return;
+    }
+    const Jobs::JobSpec &job = submitted[task.job];
+    checkPlace(worker, order, *stage);
+    for (const std::uint32_t earlier : stage->dependsOn) {
+        for (std::uint32_t n = 0; n < job.stages[earlier].count; ++n) {
+            if (m_ended.count({task.job, task.occurrence, earlier, n}) == 0) {
+                breaks(task, "start of " + Jobs::toString(task) + " before what it depends on");
+            }
+        }
+    }
+    if (!stage->isLongRunning && failedRuns[task] >= static_cast<int>(job.queue.maxAttempts)) {
+        breaks(task, "start of " + Jobs::toString(task) + " after its last attempt");
+    }
+    const auto wall = std::chrono::duration_cast<Milliseconds>(timers.now().time_since_epoch());
+    if (job.isTimed()
+        && (job.firstDue + job.interval * task.occurrence).time_since_epoch() > wall + EarlyStart) {
+        breaks(task, "start of " + Jobs::toString(task) + " before its time");
+    }
     const std::string name = Jobs::toString(task);
     for (auto &[id, other] : workers) {
         advance(other);
@@ -283,12 +352,19 @@
         it != worker.m_highest.end() && order.attempt <= it->second) {
         return {OrderResult::Superseded, clock};
     }
+    const Jobs::Stage *stage = stageOf(order.task);
+    Jobs::Resources room = worker.info.capacity;
+    room -= usedOn(worker);
+    if (stage && worker.guardsRoom && !room.contains(Jobs::charge(*stage))) {
+        return {OrderResult::NoRoom, clock};
+    }
     note(worker, order.task, order.attempt, "starts");
-    checkStart(worker, order.task);
+    checkStart(worker, order);
     if (!order.ticket.empty() && order.ticket != "ticket-" + worker.info.id) {
         breaks(order.task, "start with another worker's ticket");
     }
     ++startedRuns[order.task];
+    startedAt.try_emplace(order.task, timers.now());
     const bool fails = std::uniform_real_distribution<>(0, 1)(random) < failureShare;
     worker.m_runs.push_back({order.task, order.attempt, timers.now() + taskTime, fails});
     const std::string id = worker.info.id;
@@ -415,8 +491,11 @@
             }
             auto &ends = there.m_ends;
             for (const Jobs::ListedEnd &it : ends) {
-                if (it.number <= order.ackCursor && it.number > there.m_voidEnds
-                    && it.end == Jobs::RunEnd::Done) {
+                const bool isNoted = it.number <= order.ackCursor && it.number > there.m_voidEnds;
+                if (isNoted && it.end == Jobs::RunEnd::Failed) {
+                    ++m_world.failedRuns[it.task];
+                }
+                if (isNoted && it.end == Jobs::RunEnd::Done) {
                     m_world.note(there, it.task, it.attempt, "is acknowledged as done");
                     ++m_world.doneRuns[it.task];
                 }
@@ -642,6 +721,7 @@
 
 bool JobWorld::submit(const Jobs::JobSpec &job, Milliseconds time)
 {
+    submitted[job.id] = job;
     const Base::Instant until = timers.now() + time;
     while (timers.now() < until) {
         auto status = std::make_shared<std::optional<JobService::JobReply::Status>>();
--- a/tests/auto/jobs/jobworld.h
+++ b/tests/auto/jobs/jobworld.h
@@ -33,7 +33,7 @@
     public:
         Jobs::WorkerInfo info;
         bool isUp = true;
-        bool guardsRoom = true;
+        bool guardsRoom = true; ///< refuses what doesn't fit
         double clockRate = 1; ///< of its clock against true time
         std::set<std::string> cutFrom; ///< members that can't reach it
         double lateShare = 0; ///< of the orders that are carried out late and not answered
@@ -132,7 +132,10 @@
     std::vector<std::unique_ptr<Member>> deadMembers;
     std::vector<std::string> broken; ///< promises that were, with what happened to the task
     std::map<Jobs::TaskId, int> doneRuns; ///< ends as done that were acknowledged
+    std::map<Jobs::TaskId, int> failedRuns; ///< the same of ends as failed
     std::map<Jobs::TaskId, int> startedRuns;
+    std::map<Jobs::TaskId, Base::Instant> startedAt; ///< the first run
+    std::map<std::string, Jobs::JobSpec> submitted;
     std::set<std::string> cancelled; ///< with the cancel acknowledged
     bool isStoreDown = false;
     std::set<std::string> advised; ///< workers that the queues' policy allows
@@ -162,7 +165,10 @@
     std::int64_t clockOf(const Worker &worker) const;
     void advance(Worker &worker);
     void end(Worker &worker, std::size_t run, Jobs::RunEnd how);
-    void checkStart(const Worker &worker, const Jobs::TaskId &task);
+    void checkStart(const Worker &worker, const Jobs::StartRun &order);
+    void checkPlace(const Worker &worker, const Jobs::StartRun &order, const Jobs::Stage &stage);
+    const Jobs::Stage *stageOf(const Jobs::TaskId &task) const;
+    Jobs::Resources usedOn(const Worker &worker) const;
     void note(const Worker &worker, const Jobs::TaskId &task, std::uint32_t attempt, std::string_view what);
     void breaks(const Jobs::TaskId &task, const std::string &what);
     Jobs::RunList listOf(const Worker &worker) const;
@@ -175,6 +181,7 @@
     void order(const std::string &member, const std::string &worker, Handle handle, Fail fail);
 
     std::map<Jobs::TaskId, std::string> m_history;
+    std::set<Jobs::TaskId> m_ended; ///< as done, at least once
     JobService::ServiceLayout m_layout;
     std::vector<Partition> m_partitions;
     std::map<std::string, Membership> m_memberships;
--- /dev/null
+++ b/tests/auto/jobs/tst_rules.cpp
@@ -0,0 +1,202 @@
+#include "jobworld.h"
+
+#include <base/logline.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using JobService::ShownState;
+
+namespace
+{
+
+void checkKept(const JobWorld &world)
+{
+    for (const std::string &it : world.broken) {
+        FAIL(it.c_str());
+    }
+}
+
+Jobs::WallTime wallAfter(const JobWorld &world, std::chrono::milliseconds time)
+{
+    return Jobs::WallTime(
+        std::chrono::duration_cast<Jobs::Milliseconds>(world.timers.now().time_since_epoch() + time));
+}
+
+// Kills the owner of the only shard; a member of another name takes its place.
+void replaceOwner(JobWorld &world, const std::string &by)
+{
+    const std::string owner = world.owner(0)->name;
+    world.addMember(by);
+    world.kill(owner);
+}
+
+} // namespace
+
+// What must always hold for runs. JobWorld checks it at every start, also in the seeded histories of Faults;
+// each test here plays the load that makes one of them hard.
+TEST_GROUP(Rules)
+{
+    void setup() override
+    {
+        Base::LogLine::setThreshold(Base::LogLevel::Error);
+        for (const char *it : {"w1", "w2", "w3"}) {
+            world.addWorker(it, 4000);
+        }
+        world.addMember("m1");
+    }
+
+    JobWorld world;
+};
+
+TEST(Rules, AStageWaitsForAllThatItDependsOnAcrossOwners)
+{
+    auto job = JobWorld::makeJob("a", 4, 3);
+    job.stages[3].dependsOn = {0, 2};
+    CHECK(world.submit(job));
+    world.run(900ms);
+    replaceOwner(world, "m2");
+    world.run(20s);
+    CHECK(world.state("a") == ShownState::Completed);
+    LONGS_EQUAL(12, world.startedRuns.size());
+    checkKept(world);
+}
+
+TEST(Rules, OccurrencesStartInTimeAndNotEarly)
+{
+    auto job = JobWorld::makeJob("a", 1, 2);
+    job.firstDue = wallAfter(world, 2s);
+    job.interval = 1500ms;
+    job.occurrences = 4;
+    const Base::Instant due = world.timers.now() + 2s;
+    CHECK(world.submit(job));
+    world.run(12s);
+    CHECK(world.state("a") == ShownState::Completed);
+    for (std::uint32_t n = 0; n < 4; ++n) {
+        const auto late = world.startedAt[{"a", n, 0, 0}] - (due + n * 1500ms);
+        CHECK(late < 300ms);
+    }
+    checkKept(world);
+}
+
+TEST(Rules, OccurrencesOfATimedJobOutliveTheirOwner)
+{
+    auto job = JobWorld::makeJob("a", 2, 2);
+    job.firstDue = wallAfter(world, 1s);
+    job.interval = 4s;
+    job.occurrences = 4;
+    CHECK(world.submit(job));
+    world.run(2s);
+    replaceOwner(world, "m2");
+    world.run(5s);
+    replaceOwner(world, "m3");
+    world.run(20s);
+    CHECK(world.state("a") == ShownState::Completed);
+    LONGS_EQUAL(16, world.startedRuns.size());
+    checkKept(world);
+}
+
+// Members that wait for one another hold room that nobody can use.
+TEST(Rules, AGangStartsWholeOrNotAtAll)
+{
+    CHECK(world.submit(JobWorld::makeJob("filler", 1, 10))); // leaves two places of twelve
+    auto gang = JobWorld::makeJob("gang", 1, 4);
+    gang.stages[0].isGang = true;
+    CHECK(world.submit(gang));
+    world.run(400ms);
+    LONGS_EQUAL(10, world.startedRuns.size());
+    world.run(5s);
+    Base::Instant first = Base::Instant::max();
+    Base::Instant last{};
+    for (std::uint32_t n = 0; n < 4; ++n) {
+        const Base::Instant at = world.startedAt[{"gang", 0, 0, n}];
+        first = std::min(first, at);
+        last = std::max(last, at);
+    }
+    CHECK(last - first < 100ms);
+    CHECK(world.state("gang") == ShownState::Completed);
+    checkKept(world);
+}
+
+TEST(Rules, AttemptsAreCountedAcrossOwners)
+{
+    world.failureShare = 1;
+    auto job = JobWorld::makeJob("a", 1, 1);
+    job.queue.maxAttempts = 3;
+    CHECK(world.submit(job));
+    world.run(1s);
+    replaceOwner(world, "m2");
+    world.run(20s);
+    CHECK(world.state("a") == ShownState::Failed);
+    const Jobs::TaskId task{"a", 0, 0, 0};
+    CHECK(world.startedRuns[task] >= 3);
+    checkKept(world);
+}
+
+TEST(Rules, WorkersThatRefuseNothingAreNotOverfilled)
+{
+    for (auto &[id, worker] : world.workers) {
+        worker.guardsRoom = false;
+    }
+    for (int n = 0; n < 12; ++n) {
+        CHECK(world.submit(JobWorld::makeJob("j" + std::to_string(n), 2, 3)));
+    }
+    world.run(1s);
+    replaceOwner(world, "m2");
+    world.workers["w1"].lateShare = 0.5;
+    world.run(10s);
+    world.workers["w1"].lateShare = 0;
+    for (int n = 0; n < 30; ++n) {
+        world.run(1s);
+        world.publishWorkers();
+    }
+    for (int n = 0; n < 12; ++n) {
+        CHECK(world.state("j" + std::to_string(n)) == ShownState::Completed);
+    }
+    checkKept(world);
+}
+
+TEST(Rules, NothingOfARefusedJobEverStarts)
+{
+    world.run(1s);
+    world.isStoreDown = true;
+    CHECK(!world.submit(JobWorld::makeJob("a", 1, 2), 1500ms));
+    world.isStoreDown = false;
+    world.run(10s);
+    CHECK(world.startedRuns.empty());
+    CHECK(!world.state("a"));
+    checkKept(world);
+}
+
+TEST(Rules, LabelsAndTheLimitForOneWorkerAreKept)
+{
+    world.workers["w2"].info.labels.emplace_back("fast");
+    world.workers["w3"].info.labels.emplace_back("fast");
+    world.publishWorkers();
+    auto job = JobWorld::makeJob("a", 2, 5);
+    job.stages[0].requiredLabel = "fast";
+    job.stages[1].tasksPerWorker = 1;
+    CHECK(world.submit(job));
+    world.run(600ms);
+    replaceOwner(world, "m2");
+    world.run(20s);
+    CHECK(world.state("a") == ShownState::Completed);
+    checkKept(world);
+}
+
+TEST(Rules, ADrainingWorkerGetsNothingNew)
+{
+    world.run(500ms);
+    world.workers["w1"].info.isDraining = true;
+    world.workers["w1"].info.leavesIn = 5s;
+    world.publishWorkers();
+    world.run(200ms);
+    for (int n = 0; n < 6; ++n) {
+        CHECK(world.submit(JobWorld::makeJob("j" + std::to_string(n), 1, 3)));
+    }
+    world.run(4s);
+    for (int n = 0; n < 6; ++n) {
+        CHECK(world.describe("j" + std::to_string(n)).find("w1") == std::string::npos);
+    }
+    checkKept(world);
+}
