Answer once behind an unknown transfer coding; survive a hangup signal

Cause: without "chunked" the parser takes a request with another transfer coding for one without a body, so the connection was kept and the body's bytes were answered as a request of their own (501, then 400). SIGHUP was not handled, so rhubarbcrankd ended with status 129.

Change: a request whose end isn't known closes its connection; SIGHUP is logged as refused, since rhubarbcrankd reads its settings at the start only. Both tests were red before (run against the former sources).

--- a/src/app/rhubarbcrankd/daemon.cpp
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -130,7 +130,7 @@
         , m_claims(claimSettings(settings, m_control.status()->member), [this] { onClaimReplies(); })
         , m_telemetryThread("telemetry")
         , m_telemetry(m_telemetryThread, telemetryLimits(settings))
-        , m_signals(m_context, SIGTERM, SIGINT)
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_shutdownTimer(m_context)
     {
         m_plane.setClaims({[this](const Claims::ClaimRequest &request) { return m_claims.claim(request); },
@@ -155,7 +155,7 @@
         Base::LogLine(Base::LogLevel::Info, "started")
             .with("callers_port", m_plane.callers().port())
             .with("operators_port", m_telemetry.port());
-        m_signals.async_wait([this](const boost::system::error_code &, int signal) { onSignal(signal); });
+        waitForSignal();
         m_context.run();
         m_control.stopPeers();
         m_plane.stop();
@@ -263,6 +263,22 @@
         });
     }
 
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code &ec, int signal) {
+            if (ec) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                Base::LogLine(Base::LogLevel::Warning, "reload-refused")
+                    .with("reason", "the settings are read at the start only");
+                waitForSignal();
+                return;
+            }
+            onSignal(signal);
+        });
+    }
+
     // Readiness goes first; the callers' side then serves through the notice, stops accepting and ends with
     // its last response. Only after that this member leaves the zone.
     void onSignal(int signal)
--- a/src/libs/gateway/callersession.cpp
+++ b/src/libs/gateway/callersession.cpp
@@ -392,7 +392,10 @@
             .with("reason", failure.reason);
     }
     m_phase = Phase::Exchange;
-    const bool isReadToEnd = m_parser && m_parser->is_done();
+    // With a transfer coding that isn't known the end of the body isn't either, whatever the parser says.
+    const bool isFramed =
+        m_parser && (m_parser->chunked() || m_parser->get().count(http::field::transfer_encoding) == 0);
+    const bool isReadToEnd = isFramed && m_parser->is_done();
     if (!isReadToEnd) {
         m_owner.counters().malformed.fetch_add(1, std::memory_order_relaxed);
     }
--- a/tests/auto/gateway/tst_framing.cpp
+++ b/tests/auto/gateway/tst_framing.cpp
@@ -49,6 +49,16 @@
                   "POST /proof HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n");
 }
 
+// Red: without "chunked" the parser takes such a request for one without a body, so the body's bytes got a
+// second answer.
+TEST(Framing, TheBodyBehindAnUnknownTransferEncodingGetsNoAnswer)
+{
+    TestCaller caller(fixture.port());
+    caller.send("POST /proof HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\nslate, serif\r\n\r\n");
+    CHECK_EQUAL(501, caller.read().status);
+    CHECK(caller.isClosed());
+}
+
 TEST(Framing, WhatIsNoHttpIsRefused)
 {
     expectRefused(400, "rhubarb\r\n\r\n");
--- a/tests/auto/processes/tst_gracefulstop.cpp
+++ b/tests/auto/processes/tst_gracefulstop.cpp
@@ -121,3 +121,14 @@
     cluster.daemon(0).signal(SIGTERM);
     CHECK_EQUAL(0, cluster.daemon(0).wait().value_or(-1));
 }
+
+// Red: the signal was not handled and ended the daemon (status 129).
+TEST(GracefulStop, AHangupSignalEndsNoDaemon)
+{
+    CHECK(cluster.start({2, {"none", "none"}, ""}));
+    cluster.daemon(0).signal(SIGHUP);
+    for (int n = 0; n < 5; ++n) {
+        CHECK(
+            tell(cluster.callersPort(0), "POST", "/proofs?delay=50", "", fmt::format("h{}", n)).isAnswered());
+    }
+}
