Move tasks off draining workers within the limit of their stage

Cause: in one pass long-running tasks were taken off sound workers up to MaxUnavailable and, beside them, at once off draining ones.

Ruled out: a machine's upkeep taking a worker that was not empty (the stops were the shard's own), and a lost limit after a change of owner (one owner throughout). The log line run-moved-off, which is new, shows the order.

Test: WhatLeavesWithItsWorkerIsMovedWithinTheSameLimit, red before.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -125,8 +125,13 @@
     void stopRuns(Job &job, Base::Instant now);
     void releaseLapsed(Base::Instant now);
     void moveRunsOff(Base::Instant now);
+    void moveRunsOff(Worker &worker, Base::Instant now);
     bool isAtWork(const Task &task) const;
-    bool mayMove(const Job &job, const TaskId &id, const Task &task, const Worker &worker) const;
+    /// Tasks of the stage, but for this one, that are not at work.
+    std::uint32_t othersAway(const Job &job, const TaskId &id, const Task &task) const;
+    bool isLeaving(const Worker &worker, Base::Instant now) const;
+    bool mayMove(
+        const Job &job, const TaskId &id, const Task &task, const Worker &worker, Base::Instant now) const;
     void repeatStops(Base::Instant now);
     void askWorkers(Base::Instant now);
     std::int64_t leaseEnd(Worker &worker, Base::Instant now) const;
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -561,45 +561,71 @@
         && worker->second.hasAnswered && worker->second.failuresInRow == 0;
 }
 
-// A long-running task may be taken away only while so many others of its stage are at work that its stage can
-// spare it, and only when there is room for it elsewhere. Others are stopped when their worker is about to
-// leave.
-bool Shard::mayMove(const Job &job, const TaskId &id, const Task &task, const Worker &worker) const
+bool Shard::isLeaving(const Worker &worker, Base::Instant now) const
+{
+    return worker.leavesAt && *worker.leavesAt - m_settings.leaveReserve <= now;
+}
+
+std::uint32_t Shard::othersAway(const Job &job, const TaskId &id, const Task &task) const
 {
-    const Stage &stage = job.spec.stages[id.stage];
-    if (!stage.isLongRunning || worker.info.isDraining) {
-        return true;
-    }
     std::uint32_t away = 0;
+    const bool isSound = !m_workers.at(task.worker).info.isDraining;
     for (const Task &it : job.occurrences.at(id.occurrence).stages[id.stage].tasks) {
-        away += &it != &task && !isAtWork(it) ? 1 : 0;
+        const bool isThere = isAtWork(it) && !(isSound && m_workers.at(it.worker).info.isDraining);
+        away += &it != &task && !isThere ? 1 : 0;
     }
-    return stage.maxUnavailable == 0 || away < stage.maxUnavailable;
+    return away;
+}
+
+// A long-running task may be taken away only while so many others of its stage are at work that its stage can
+// spare it, and only when there is room for it elsewhere. Those on draining workers are going to be away, so
+// they count as such for the others; they are moved first, and without this limit once their worker is about
+// to leave. Only then are tasks stopped that end by themselves.
+bool Shard::mayMove(
+    const Job &job, const TaskId &id, const Task &task, const Worker &worker, Base::Instant now) const
+{
+    const Stage &stage = job.spec.stages[id.stage];
+    return !stage.isLongRunning || isLeaving(worker, now) || stage.maxUnavailable == 0
+        || othersAway(job, id, task) < stage.maxUnavailable;
 }
 
 void Shard::moveRunsOff(Base::Instant now)
 {
     m_candidates.clear();
-    for (auto &[id, worker] : m_workers) {
-        const bool isLeaving = worker.leavesAt && *worker.leavesAt - m_settings.leaveReserve <= now;
-        const bool isEvacuated = worker.evacuatedUntil > now;
-        if (worker.failuresInRow > 0 || (!isEvacuated && !worker.leavesAt)) {
+    for (const bool drains : {true, false}) {
+        for (auto &[id, worker] : m_workers) {
+            const bool isToBeEmptied = worker.evacuatedUntil > now || worker.leavesAt;
+            if (worker.leavesAt.has_value() == drains && worker.failuresInRow == 0 && isToBeEmptied) {
+                moveRunsOff(worker, now);
+            }
+        }
+    }
+}
+
+void Shard::moveRunsOff(Worker &worker, Base::Instant now)
+{
+    const auto runs = worker.runs;
+    for (const TaskId &it : runs) {
+        Job &job = m_jobs[it.job];
+        Task &task = *job.find(it);
+        const Stage &stage = job.spec.stages[it.stage];
+        if (task.run != RunState::Running || (!stage.isLongRunning && !isLeaving(worker, now))
+            || !mayMove(job, it, task, worker, now)) {
             continue;
         }
-        const auto runs = worker.runs;
-        for (const TaskId &it : runs) {
-            Job &job = m_jobs[it.job];
-            Task &task = *job.find(it);
-            const Stage &stage = job.spec.stages[it.stage];
-            if (task.run != RunState::Running || (!stage.isLongRunning && !isLeaving)) {
-                continue;
-            }
-            StageProgress &progress = job.occurrences[it.occurrence].stages[it.stage];
-            const auto places = candidatesFor(job, stage, progress);
-            if (mayMove(job, it, task, worker) && choosePlace(stage, places, now)) {
-                orderStop(it, task, now);
-            }
+        StageProgress &progress = job.occurrences[it.occurrence].stages[it.stage];
+        if (!choosePlace(stage, candidatesFor(job, stage, progress), now)) {
+            continue;
         }
+        Base::LogLine(Base::LogLevel::Info, "run-moved-off")
+            .with("request", it.job)
+            .with("task", toString(it))
+            .with("worker", worker.info.id)
+            .with("worker_seen_ms", std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswer).count())
+            .with("others_away", othersAway(job, it, task))
+            .with("most_away", stage.maxUnavailable)
+            .with("draining", worker.info.isDraining);
+        orderStop(it, task, now);
     }
 }
 
--- a/tests/auto/jobs/jobworld.cpp
+++ b/tests/auto/jobs/jobworld.cpp
@@ -284,6 +284,28 @@
     }
 }
 
+// Tasks on a worker that drains are going to be taken away by it anyhow.
+void JobWorld::checkStop(const Worker &worker, const Jobs::StopRun &order)
+{
+    const Jobs::Stage *stage = stageOf(order.task);
+    if (!checksAvailability || !stage || stage->maxUnavailable == 0 || worker.info.isDraining) {
+        return;
+    }
+    std::set<std::uint32_t> there;
+    for (const auto &[id, other] : workers) {
+        for (const Run &it : other.m_runs) {
+            if (it.task.job == order.task.job && it.task.stage == order.task.stage) {
+                there.insert(it.task.index);
+            }
+        }
+    }
+    const auto away = stage->count - there.size();
+    if (there.count(order.task.index) > 0 && away >= stage->maxUnavailable) {
+        breaks(order.task,
+               fmt::format("{} is taken away beside {} others", Jobs::toString(order.task), away));
+    }
+}
+
 void JobWorld::checkStart(const Worker &worker, const Jobs::StartRun &order)
 {
     const Jobs::TaskId &task = order.task;
@@ -382,6 +404,7 @@
     }
     worker.m_token = order.token;
     note(worker, order.task, order.attempt, "is stopped");
+    checkStop(worker, order);
     auto &highest = worker.m_highest[order.task];
     highest = std::max(highest, order.attempt);
     for (std::size_t n = 0; n < worker.m_runs.size(); ++n) {
@@ -409,8 +432,8 @@
     }
     worker.m_open.emplace_back(member, fail);
     const bool isLate = std::uniform_real_distribution<>(0, 1)(random) < worker.lateShare;
-    const auto delay = isLate ? Milliseconds(std::uniform_int_distribution<>(2000, 12'000)(random))
-                              : Milliseconds(WorkerDelay);
+    const auto delay =
+        isLate ? Milliseconds(std::uniform_int_distribution<>(2000, 12'000)(random)) : worker.delay;
     // An order is for one life of the worker; what a process has taken in and not yet done dies with it.
     timers.subscribeAfter(delay, [this, id, handle, isLate, born = worker.m_bornAt] {
         Worker &there = workers[id];
@@ -769,3 +792,18 @@
     }
     return shown;
 }
+
+std::size_t JobWorld::runsOf(const std::string &job) const
+{
+    std::size_t n = 0;
+    for (const auto &[id, worker] : workers) {
+        n += static_cast<std::size_t>(std::count_if(
+            worker.m_runs.begin(), worker.m_runs.end(), [&](const Run &it) { return it.task.job == job; }));
+    }
+    return n;
+}
+
+std::size_t JobWorld::runsOn(const std::string &worker) const
+{
+    return workers.at(worker).m_runs.size();
+}
--- a/tests/auto/jobs/jobworld.h
+++ b/tests/auto/jobs/jobworld.h
@@ -36,6 +36,7 @@
         bool guardsRoom = true; ///< refuses what doesn't fit
         double clockRate = 1; ///< of its clock against true time
         std::set<std::string> cutFrom; ///< members that can't reach it
+        Milliseconds delay{1}; ///< one way
         double lateShare = 0; ///< of the orders that are carried out late and not answered
         bool failsAll = false;
         bool standsStill = false; ///< its runs make no progress
@@ -121,6 +122,9 @@
     /// As callers see it; nothing when nobody can tell.
     std::optional<JobService::ShownState> state(const std::string &job);
     Member *owner(JobService::ShardNumber shard);
+    /// How many tasks of the job run now.
+    std::size_t runsOf(const std::string &job) const;
+    std::size_t runsOn(const std::string &worker) const;
     /// Runs of cancelled jobs.
     std::vector<std::string> stray() const;
     /// What happened to the tasks of a job, for messages.
@@ -138,6 +142,8 @@
     std::map<std::string, Jobs::JobSpec> submitted;
     std::set<std::string> cancelled; ///< with the cancel acknowledged
     bool isStoreDown = false;
+    bool checksAvailability =
+        false; ///< of long-running stages, where nothing but the system takes tasks away
     std::set<std::string> advised; ///< workers that the queues' policy allows
     int questions = 0; ///< asked of that policy
     std::map<Jobs::TaskId, int> paces; ///< percent that runs were told last
@@ -165,6 +171,7 @@
     std::int64_t clockOf(const Worker &worker) const;
     void advance(Worker &worker);
     void end(Worker &worker, std::size_t run, Jobs::RunEnd how);
+    void checkStop(const Worker &worker, const Jobs::StopRun &order);
     void checkStart(const Worker &worker, const Jobs::StartRun &order);
     void checkPlace(const Worker &worker, const Jobs::StartRun &order, const Jobs::Stage &stage);
     const Jobs::Stage *stageOf(const Jobs::TaskId &task) const;
--- a/tests/auto/jobs/tst_rules.cpp
+++ b/tests/auto/jobs/tst_rules.cpp
@@ -46,6 +46,31 @@
         world.addMember("m1");
     }
 
+    /// A long-running job "a" of 24 tasks, two on a worker, of which it can spare four.
+    void submitRoster()
+    {
+        world.taskTime = 600s;
+        for (int n = 4; n <= 24; ++n) {
+            world.addWorker("w" + std::to_string(n), 4000);
+        }
+        world.publishWorkers();
+        auto job = JobWorld::makeJob("a", 1, 24);
+        job.stages[0].isLongRunning = true;
+        job.stages[0].tasksPerWorker = 2;
+        job.stages[0].maxUnavailable = 4;
+        CHECK(world.submit(job));
+        world.run(3s);
+        world.checksAvailability = true;
+    }
+
+    void evacuate(std::initializer_list<const char *> workers)
+    {
+        for (const char *it : workers) {
+            world.owner(0)->host.handle({0, JobService::Operation::Evacuate, std::nullopt, it},
+                                        [](const JobService::JobReply &) {});
+        }
+    }
+
     JobWorld world;
 };
 
@@ -200,3 +225,40 @@
     }
     checkKept(world);
 }
+
+TEST(Rules, OfALongRunningStageNoMoreIsTakenAwayThanItCanSpare)
+{
+    submitRoster();
+    for (int round = 0; round < 20; ++round) {
+        evacuate({"w1", "w10", "w11", "w12", "w13", "w14"});
+        world.run(200ms);
+    }
+    LONGS_EQUAL(24, world.runsOf("a"));
+    checkKept(world);
+}
+
+// Red: tasks were taken off sound workers up to the limit and off draining ones beside them; where the sound
+// workers were slower to act, theirs were above it (AVAIL on plaquewright-prod-grown trouble-1).
+TEST(Rules, WhatLeavesWithItsWorkerIsMovedWithinTheSameLimit)
+{
+    submitRoster();
+    for (const char *it : {"w1", "w10", "w11"}) {
+        world.workers[it].delay = 15ms;
+    }
+    for (const char *it : {"w17", "w18", "w19"}) {
+        world.workers[it].info.isDraining = true;
+        world.workers[it].info.leavesIn = 2500ms;
+    }
+    evacuate({"w1", "w10", "w11"});
+    world.run(5ms);
+    world.publishWorkers();
+    for (int round = 0; round < 20; ++round) {
+        evacuate({"w1", "w10", "w11"});
+        world.run(200ms);
+        for (const char *it : {"w17", "w18", "w19"}) {
+            CHECK(round < 11 || world.runsOn(it) == 0);
+        }
+    }
+    LONGS_EQUAL(24, world.runsOf("a"));
+    checkKept(world);
+}
