--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -1,5 +1,7 @@
 #include "jobrecord.h"
 
+#include "jsonfields.h"
+
 #include <boost/json.hpp>
 
 #include <exception>
@@ -52,24 +54,6 @@
     return out;
 }
 
-template<typename Number>
-Number numberOr(const json::object &from, const char *name, Number fallback)
-{
-    const json::value *found = from.if_contains(name);
-    return found ? found->to_number<Number>() : fallback;
-}
-
-bool flag(const json::object &from, const char *name)
-{
-    return from.if_contains(name) != nullptr;
-}
-
-std::string textOr(const json::object &from, const char *name)
-{
-    const json::value *found = from.if_contains(name);
-    return found ? std::string(found->as_string()) : std::string();
-}
-
 Stage decodeStage(const json::object &from)
 {
     Stage stage;
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -16,12 +16,8 @@
 namespace
 {
 
-// A caller whose job was refused because the store doesn't answer may come back after this.
-constexpr Milliseconds StoreRetryAfter{1000};
-
 constexpr std::string_view SpecPrefix = "spec/";
 constexpr std::string_view ProgressPrefix = "progress/";
-constexpr std::string_view OwnerKey = "owner";
 
 } // namespace
 
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -91,6 +91,10 @@
     const std::map<std::string, Job, std::less<>> &jobs() const;
 
 private:
+    static constexpr std::string_view OwnerKey = "owner";
+    // A caller whose job was refused because the store doesn't answer may come back after this.
+    static constexpr Milliseconds StoreRetryAfter{1000};
+
     struct Batch {
         std::uint64_t number = 0;
         std::vector<std::string> jobs; ///< whose progress it carries
--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -14,8 +14,6 @@
 {
 
 constexpr Milliseconds SweepPeriod{1000};
-constexpr Milliseconds StoreRetryAfter{1000};
-constexpr std::string_view OwnerKey = "owner";
 
 // Pauses of workers end within this, so what found no place is tried again.
 constexpr Milliseconds PlaceAgainPeriod{100};
