Tell fillers their pace again when it isn't known

Cause: a shard's next owner took every task that fills for one at full pace, so one that the earlier owner had slowed was never told to come back; and a pace counted as set although the order had no answer, so a task told to stand still could go on at full pace beside a late tail.

Tests: Pace, two, both red without the change.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -77,6 +77,8 @@
     void renewAnswered(
         const RenewLease &order, OrderResult result, const RunList &list, Base::Instant now, WallTime wall);
 
+    void paceAnswered(const PaceRun &order, OrderResult result);
+
     /// Without an answer the question is asked again later.
     void
     adviceAnswered(const AskAdvice &question, const std::optional<AdviceAnswer> &answer, Base::Instant now);
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -278,27 +278,45 @@
             worst = std::max(worst, double(it.load) / double(stage->tailTarget.count()));
         }
     }
+    std::erase_if(worker.paced, [&worker](const auto &it) { return worker.runs.count(it.first) == 0; });
     if (fillers.empty()) {
         worker.fillPercent = FullPace;
-        worker.paced.clear();
         return;
     }
-    if (worst > TailTooHigh) {
+    // What an earlier owner told them, or an order without an answer did, isn't known.
+    const bool isAllKnown = std::all_of(fillers.begin(), fillers.end(), [&worker](const ListedRun *it) {
+        return worker.paced.count(it->task) > 0;
+    });
+    if (!isAllKnown) {
+        worker.fillPercent = std::min(worker.fillPercent, PaceStep);
+    } else if (worst > TailTooHigh) {
         worker.fillPercent = worst > 1 ? worker.fillPercent / 4 : worker.fillPercent / 2;
     } else if (worst < TailLow) {
         worker.fillPercent = std::min(FullPace, worker.fillPercent + PaceStep);
     }
-    std::map<TaskId, int> paced;
     for (const ListedRun *it : fillers) {
         const auto known = worker.paced.find(it->task);
-        const int before = known != worker.paced.end() ? known->second : FullPace;
-        if (before != worker.fillPercent) {
+        if (known == worker.paced.end() || known->second != worker.fillPercent) {
             m_commands.emplace_back(
                 PaceRun{worker.info.id, worker.token, it->task, it->attempt, worker.fillPercent});
         }
-        paced[it->task] = worker.fillPercent;
+        worker.paced[it->task] = worker.fillPercent;
     }
-    worker.paced = std::move(paced);
+}
+
+void Shard::paceAnswered(const PaceRun &order, OrderResult result)
+{
+    const auto worker = m_workers.find(order.worker);
+    if (result == OrderResult::Done || worker == m_workers.end()) {
+        return;
+    }
+    Base::LogLine(Base::LogLevel::Warning, "pace-not-set")
+        .with("request", order.task.job)
+        .with("task", toString(order.task))
+        .with("worker", order.worker)
+        .with("percent", order.percent)
+        .with("result", toString(result));
+    worker->second.paced.erase(order.task);
 }
 
 // Runs that the worker neither lists as running nor as ended. A list that is older than the worker's last
@@ -402,6 +420,9 @@
         // Whether an answer to an earlier token is from the present life isn't known.
         task->run = order.token == worker.token ? RunState::Running : RunState::Inherited;
         task->confirmedAt = clock;
+        if (job.spec.stages[order.task.stage].fillsLeftovers) {
+            worker.paced[order.task] = FullPace;
+        }
         if (job.state != JobState::Active) {
             orderStop(order.task, *task, now);
         }
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -694,11 +694,18 @@
             });
     }
 
-    void carryOut(ShardNumber, const HostedPtr &hosted, Jobs::PaceRun &order)
+    void carryOut(ShardNumber number, const HostedPtr &hosted, Jobs::PaceRun &order)
     {
-        if (const Jobs::WorkerInfo *worker = workerInfo(*hosted, order.worker)) {
-            m_platform.paceRun(*worker, order, [](RunAnswer) {});
+        const Jobs::WorkerInfo *worker = workerInfo(*hosted, order.worker);
+        if (!worker) {
+            hosted->shard->paceAnswered(order, Jobs::OrderResult::NotSent);
+            return;
         }
+        m_platform.paceRun(*worker, order, [this, number, hosted, order](RunAnswer answer) {
+            if (isCurrent(number, hosted)) {
+                hosted->shard->paceAnswered(order, answer.result);
+            }
+        });
     }
 
     void carryOut(ShardNumber number, const HostedPtr &hosted, Jobs::AskAdvice &question)
--- a/tests/auto/jobs/jobworld.cpp
+++ b/tests/auto/jobs/jobworld.cpp
@@ -552,9 +552,16 @@
 
 void JobWorld::Platform::paceRun(const Jobs::WorkerInfo &,
                                  const Jobs::PaceRun &order,
-                                 const JobService::RunCallback &)
+                                 const JobService::RunCallback &done)
 {
-    m_world.paces[order.task] = order.percent;
+    const bool isLost = m_world.losesPaces;
+    if (!isLost) {
+        m_world.paces[order.task] = order.percent;
+    }
+    m_world.timers.subscribeAfter(
+        isLost ? Milliseconds(OrderTimeout) : Milliseconds(2 * WorkerDelay), [done, isLost] {
+            done({isLost ? Jobs::OrderResult::NoAnswer : Jobs::OrderResult::Done, 0});
+        });
 }
 
 void JobWorld::Platform::askAdvice(const Jobs::AskAdvice &question, const JobService::AdviceCallback &done)
--- a/tests/auto/jobs/jobworld.h
+++ b/tests/auto/jobs/jobworld.h
@@ -148,6 +148,7 @@
     std::set<std::string> advised; ///< workers that the queues' policy allows
     int questions = 0; ///< asked of that policy
     std::map<Jobs::TaskId, int> paces; ///< percent that runs were told last
+    bool losesPaces = false; ///< orders of pace have neither effect nor answer
     std::map<Jobs::TaskId, std::int64_t> tails; ///< ms, of long-running tasks
     Milliseconds taskTime{700};
     double failureShare = 0; ///< of runs
--- a/tests/auto/jobs/tst_rules.cpp
+++ b/tests/auto/jobs/tst_rules.cpp
@@ -262,3 +262,54 @@
     LONGS_EQUAL(24, world.runsOf("a"));
     checkKept(world);
 }
+
+TEST_GROUP(Pace)
+{
+    void setup() override
+    {
+        Base::LogLine::setThreshold(Base::LogLevel::Error);
+        world.taskTime = 600s;
+        world.addWorker("w1");
+        world.addMember("m1");
+        auto roster = JobWorld::makeJob("a", 1, 1);
+        roster.stages[0].isLongRunning = true;
+        roster.stages[0].tailTarget = 100ms;
+        CHECK(world.submit(roster));
+        auto filler = JobWorld::makeJob("b", 1, 1);
+        filler.stages[0].fillsLeftovers = true;
+        CHECK(world.submit(filler));
+        world.run(2s);
+        world.tails[served] = 120;
+        world.run(4s);
+        CHECK(world.paces[filling] <= 5);
+    }
+
+    const Jobs::TaskId served{"a", 0, 0, 0};
+    const Jobs::TaskId filling{"b", 0, 0, 0};
+    JobWorld world;
+};
+
+// Red: the next owner took the filler to be at full pace already and never told it so.
+TEST(Pace, AFillerComesBackUnderTheNextOwner)
+{
+    world.tails[served] = 30;
+    replaceOwner(world, "m2");
+    world.run(25s);
+    LONGS_EQUAL(100, world.paces[filling]);
+    checkKept(world);
+}
+
+// Red: a pace that was told counted as set, with or without an answer.
+TEST(Pace, AnOrderWithoutAnAnswerIsRepeated)
+{
+    world.tails[served] = 30;
+    world.run(12s);
+    LONGS_EQUAL(100, world.paces[filling]);
+    world.losesPaces = true;
+    world.tails[served] = 120;
+    world.run(6s);
+    world.losesPaces = false;
+    world.run(3s);
+    CHECK(world.paces[filling] <= 5);
+    checkKept(world);
+}
