Keep machines longer and a few more in their pools

Cause: a queue's demand swells for some seconds after it seems over, and moving a machine back takes 1.5 s, in which its callers are late. Machines went to standby after 1.5 s of being spare.

Change: 2.5 s, and 1.3 instead of 1.15 times the demand.

--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -20,9 +20,9 @@
     Base::Duration evacuationPatience = std::chrono::milliseconds{1500}; ///< for a move; upkeep waits longer
     Base::Duration upkeepPatience = std::chrono::milliseconds{7000};
     Base::Duration idlePatience =
-        std::chrono::milliseconds{1500}; ///< before idle machines are put on standby
+        std::chrono::milliseconds{2500}; ///< before idle machines are put on standby
     Base::Duration foresight = std::chrono::milliseconds{1500}; ///< of the demand that machines are moved for
-    double headroom = 1.15; ///< machines for a pool, by its demand
+    double headroom = 1.3; ///< machines for a pool, by its demand
     bool movesMachines = true;
 };
 
