--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -194,7 +194,8 @@
     StageProgress &progress = occurrence.stages[stage];
     const Stage &wanted = job.spec.stages[stage];
     std::vector<Resources> &noRoomFor = m_noRoomFor[job.spec.queue.service];
-    const bool isHopeless = std::any_of(
+    // A smaller task has found no room in this placing.
+    const bool isTooLarge = std::any_of(
         noRoomFor.begin(), noRoomFor.end(), [&](const Resources &it) { return charge(wanted).contains(it); });
     std::vector<Candidate> candidates;
     for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
@@ -202,7 +203,7 @@
         if (!task.isWaiting()) {
             continue;
         }
-        if (isHopeless) {
+        if (isTooLarge) {
             m_placeAgainAt = now + PlaceAgainPeriod;
             return;
         }
--- a/tests/auto/jobs/tst_recordfollower.cpp
+++ b/tests/auto/jobs/tst_recordfollower.cpp
@@ -97,10 +97,10 @@
         Base::LogLine::setThreshold(Base::LogLevel::Error);
         topic.write("a", "1");
         follower.start();
-        run(500ms);
+        runFor(500ms);
     }
 
-    void run(Base::Duration time)
+    void runFor(Base::Duration time)
     {
         const Base::Instant until = timers.now() + time;
         while (timers.nextDue() && *timers.nextDue() <= until) {
@@ -134,7 +134,7 @@
     LONGS_EQUAL(1, changes);
     topic.write("b", "2");
     topic.write("a", std::nullopt);
-    run(500ms);
+    runFor(500ms);
     LONGS_EQUAL(3, changes);
     CHECK((seen == std::map<std::string, std::string>{{"b", "2"}}));
 }
@@ -142,12 +142,12 @@
 TEST(RecordFollower, WhatWasDroppedWhileTheStoreWasAwayIsTold)
 {
     topic.isDown = true;
-    run(2s);
+    runFor(2s);
     topic.write("a", std::nullopt);
     topic.write("c", "3");
     topic.firstKept = 3; // the history is gone as well
     topic.isDown = false;
-    run(1s);
+    runFor(1s);
     CHECK((seen == std::map<std::string, std::string>{{"c", "3"}}));
 }
 
@@ -155,16 +155,16 @@
 TEST(RecordFollower, AShorterPauseHoldsAtOnce)
 {
     follower.setPause(1s);
-    run(1100ms);
+    runFor(1100ms);
     const int before = topic.tails;
-    run(800ms);
+    runFor(800ms);
     CHECK(topic.tails - before <= 1);
     topic.write("d", "4");
     follower.setPause(100ms);
-    run(20ms);
+    runFor(20ms);
     STRCMP_EQUAL("4", seen["d"].c_str());
     const int since = topic.tails;
-    run(1s);
+    runFor(1s);
     CHECK(topic.tails - since >= 8);
 }
 
@@ -178,7 +178,7 @@
     topic.firstKept = 21;
     topic.refusals = 1000;
     topic.pages = 0;
-    run(5s);
+    runFor(5s);
     LONGS_EQUAL(21, seen.size());
     CHECK(topic.pages < 15);
 }
--- a/tests/auto/machines/tst_machineplanner.cpp
+++ b/tests/auto/machines/tst_machineplanner.cpp
@@ -324,8 +324,8 @@
     CHECK(fleet.isCompleted);
 }
 
-// Red: an order's time counted from its decision, so one that was answered seconds later was given up at once,
-// and a list from before let as many begin again (LIMIT on plaquewright-prod with
+// Red: an order's time counted from its decision, so one that was answered seconds later was given up at
+// once, and a list from before let as many begin again (LIMIT on plaquewright-prod with
 // deploy/days/store-away-twice.toml).
 TEST(MachinePlanner, AnOrderAnsweredLateCountsAsDown)
 {
