--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -111,7 +111,6 @@
                 auto &tasks = occurrence.stages[stage].tasks;
                 for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                     Task &task = tasks[index];
-                    task.waitsSince = now;
                     if (task.run == RunState::None) {
                         continue;
                     }
@@ -362,7 +361,7 @@
             const auto found = m_jobs.find(it.job);
             Task *task = found != m_jobs.end() ? found->second.find(it) : nullptr;
             if (task && task->run == RunState::Planned) {
-                endRun(found->second, it, *task, now);
+                endRun(found->second, it, *task);
             }
         }
         for (const std::string &it : batch.newJobs) {
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -104,7 +104,6 @@
         std::vector<std::string> newJobs; ///< whose specification it carries
         std::vector<std::pair<std::string, std::uint64_t>> cursors; ///< worker, ends that it carries
         std::vector<TaskId> starts; ///< assignments that it carries
-        std::vector<ReplyId> cancelReplies;
         Base::Instant sentAt;
     };
 
@@ -124,7 +123,7 @@
                         const RunList &list,
                         const std::vector<TaskId> &listed,
                         Base::Instant now);
-    void endRun(Job &job, const TaskId &id, Task &task, Base::Instant now);
+    void endRun(Job &job, const TaskId &id, Task &task);
     void taskDone(Job &job, const TaskId &id, WallTime wall, Base::Instant now);
     void taskFailed(Job &job, const TaskId &id, Task &task, Base::Instant now, WallTime wall);
     void orderStop(const TaskId &id, Task &task, Base::Instant now);
@@ -188,7 +187,6 @@
     std::map<std::string, double> m_arrivedWork; ///< core-seconds, by service
     AdviceBook m_advice;
     std::vector<TaskId> m_plannedStarts;
-    std::vector<ReplyId> m_cancelReplies;
     std::vector<std::string> m_forgotten;
     Base::Instant m_nextSweep;
     Base::Instant m_nextOccurrenceDue;
--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -382,14 +382,14 @@
     Job &job = it->second;
     Worker &worker = workerFor(task->worker);
     if (!worker.isListed || !worker.hasAnswered || worker.info.isDraining || m_isAdrift) {
-        endRun(job, id, *task, now);
+        endRun(job, id, *task);
         return;
     }
     std::optional<std::string> ticket;
     if (job.spec.queue.advice) {
         ticket = m_advice.ticket({id.job, id.occurrence, id.stage}, task->worker, now);
         if (!ticket) {
-            endRun(job, id, *task, now);
+            endRun(job, id, *task);
             return;
         }
     }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -93,7 +93,7 @@
     }
 }
 
-void Shard::endRun(Job &job, const TaskId &id, Task &task, Base::Instant now)
+void Shard::endRun(Job &job, const TaskId &id, Task &task)
 {
     const auto it = m_workers.find(task.worker);
     if (it != m_workers.end() && it->second.runs.erase(id) > 0) {
@@ -103,7 +103,6 @@
     task.worker.clear();
     task.percent = 0;
     task.isStopConfirmed = false;
-    task.waitsSince = now;
     markChanged(job);
 }
 
@@ -119,7 +118,7 @@
             continue;
         }
         if (task.run != RunState::None) {
-            endRun(job, {id.job, id.occurrence, id.stage, n}, task, now);
+            endRun(job, {id.job, id.occurrence, id.stage, n}, task);
         }
         task.isDone = true;
         task.checkpoint.clear();
@@ -141,7 +140,7 @@
 {
     const Stage &stage = job.spec.stages[id.stage];
     task.failedOn = task.worker;
-    endRun(job, id, task, now);
+    endRun(job, id, task);
     // The members of a gang fail together; the first one counts for all.
     Task &counted = stage.isGang ? job.occurrences[id.occurrence].stages[id.stage].tasks.front() : task;
     ++counted.failures;
@@ -178,7 +177,7 @@
         if (job.state == JobState::Active && !job.spec.stages[end.task.stage].isLongRunning) {
             taskDone(job, end.task, wall, now);
         } else {
-            endRun(job, end.task, *task, now);
+            endRun(job, end.task, *task);
         }
         return;
     case RunEnd::Failed:
@@ -192,14 +191,14 @@
         if (job.state == JobState::Active) {
             taskFailed(job, end.task, *task, now, wall);
         } else {
-            endRun(job, end.task, *task, now);
+            endRun(job, end.task, *task);
         }
         return;
     case RunEnd::Stopped:
     case RunEnd::Lapsed:
     case RunEnd::Broken:
     case RunEnd::Alone:
-        endRun(job, end.task, *task, now);
+        endRun(job, end.task, *task);
         return;
     }
 }
@@ -345,12 +344,12 @@
                     .with("request", it.job)
                     .with("task", toString(it))
                     .with("worker", worker.info.id);
-                endRun(job, it, task, now);
+                endRun(job, it, task);
             }
             break;
         case RunState::Inherited:
             if (askedWith == worker.token) {
-                endRun(job, it, task, now);
+                endRun(job, it, task);
             }
             break;
         case RunState::Unanswered:
@@ -360,7 +359,7 @@
             break;
         case RunState::Stopping:
             if (task.isStopConfirmed && list.clock > task.confirmedAt) {
-                endRun(job, it, task, now);
+                endRun(job, it, task);
             }
             break;
         }
@@ -390,7 +389,7 @@
                 case RunState::Starting: // stopped when its order has been answered
                     break;
                 case RunState::Planned:
-                    endRun(job, id, task, now);
+                    endRun(job, id, task);
                     break;
                 case RunState::Running:
                 case RunState::Unanswered:
@@ -440,26 +439,26 @@
             m_commands.emplace_back(GiveUpShard{"a worker has a newer owner"});
             return;
         }
-        endRun(job, order.task, *task, now);
+        endRun(job, order.task, *task);
         break;
     case OrderResult::NoRoom:
         hold(NoRoomPause);
-        endRun(job, order.task, *task, now);
+        endRun(job, order.task, *task);
         break;
     case OrderResult::NoTicket:
         m_advice.rejected({order.task.job, order.task.occurrence, order.task.stage}, order.worker);
-        endRun(job, order.task, *task, now);
+        endRun(job, order.task, *task);
         break;
     case OrderResult::Superseded:
     case OrderResult::TooLate:
-        endRun(job, order.task, *task, now);
+        endRun(job, order.task, *task);
         break;
     case OrderResult::Unhealthy:
     case OrderResult::OtherInstance:
     case OrderResult::NotSent:
     case OrderResult::Rejected:
         hold(UnhealthyPause);
-        endRun(job, order.task, *task, now);
+        endRun(job, order.task, *task);
         break;
     }
     Base::LogLine(Base::LogLevel::Info, "start-refused")
@@ -669,7 +668,7 @@
                 .with("request", it.job)
                 .with("task", toString(it))
                 .with("worker", id);
-            endRun(job, it, task, now);
+            endRun(job, it, task);
         }
     }
 }
--- a/src/libs/peering/peerclient.cpp
+++ b/src/libs/peering/peerclient.cpp
@@ -48,17 +48,17 @@
         m_idle.wait(lock, [this] { return m_underWay == 0; });
     }
 
-    Proto::Peers::Stub &stubFor(const std::string &address)
+    Proto::Peers::Stub &clientFor(const std::string &address)
     {
-        auto &stub = m_stubs[address];
-        if (!stub) {
+        auto &client = m_clients[address];
+        if (!client) {
             grpc::ChannelArguments arguments;
             arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, LongestReconnectMilliseconds);
             arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-            stub = Proto::Peers::NewStub(
+            client = Proto::Peers::NewStub(
                 grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
         }
-        return *stub;
+        return *client;
     }
 
     template<typename Request, typename Response>
@@ -87,7 +87,7 @@
 private:
     PeerIdentity m_self;
     Base::Duration m_timeout;
-    std::map<std::string, std::unique_ptr<Proto::Peers::Stub>> m_stubs;
+    std::map<std::string, std::unique_ptr<Proto::Peers::Stub>> m_clients;
     std::mutex m_mutex;
     std::condition_variable m_idle;
     std::size_t m_underWay = 0;
@@ -115,8 +115,8 @@
         call.reset();
         d->ended();
     };
-    auto &stub = d->stubFor(address);
-    stub.async()->GetReport(&call->context, &call->request, &call->response, std::move(done));
+    auto &client = d->clientFor(address);
+    client.async()->GetReport(&call->context, &call->request, &call->response, std::move(done));
 }
 
 void PeerClient::passSlotMessage(const std::string &address, const Scheduling::SlotMessage &message)
@@ -127,8 +127,8 @@
         call.reset();
         d->ended();
     };
-    auto &stub = d->stubFor(address);
-    stub.async()->PassSlotMessage(&call->context, &call->request, &call->response, std::move(done));
+    auto &client = d->clientFor(address);
+    client.async()->PassSlotMessage(&call->context, &call->request, &call->response, std::move(done));
 }
 
 void PeerClient::askState(const std::string &address, std::function<void(std::optional<PeerState>)> callback)
@@ -143,8 +143,8 @@
         call.reset();
         d->ended();
     };
-    auto &stub = d->stubFor(address);
-    stub.async()->GetState(&call->context, &call->request, &call->response, std::move(done));
+    auto &client = d->clientFor(address);
+    client.async()->GetState(&call->context, &call->request, &call->response, std::move(done));
 }
 
 } // namespace Peering
