--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -151,6 +151,29 @@
     return "spec/" + std::string(job);
 }
 
+std::string elsewhereKey(std::string_view job)
+{
+    return "elsewhere/" + std::string(job);
+}
+
+std::string encodeElsewhere(const ElsewhereRecord &record)
+{
+    return json::serialize(
+        json::object{{"shard", record.shard}, {"since", record.since.time_since_epoch().count()}});
+}
+
+std::optional<ElsewhereRecord> decodeElsewhere(std::string_view text)
+{
+    try {
+        const json::value parsed = json::parse(json::string_view(text.data(), text.size()));
+        const json::object &from = parsed.as_object();
+        return ElsewhereRecord{from.at("shard").to_number<ShardNumber>(),
+                               WallTime(Milliseconds(from.at("since").to_number<std::int64_t>()))};
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
 std::string progressKey(std::string_view job)
 {
     return "progress/" + std::string(job);
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "job.h"
+#include "shardcommands.h"
 
 #include <optional>
 #include <string>
@@ -13,6 +14,18 @@
 std::string specKey(std::string_view job);
 std::string progressKey(std::string_view job);
 
+/// The key of the record that says which shard has the job instead.
+std::string elsewhereKey(std::string_view job);
+
+struct ElsewhereRecord {
+    ShardNumber shard = 0;
+    WallTime since{};
+};
+
+std::string encodeElsewhere(const ElsewhereRecord &record);
+/// Nothing when the text isn't one.
+std::optional<ElsewhereRecord> decodeElsewhere(std::string_view text);
+
 std::string encodeSpec(const JobSpec &spec, WallTime acceptedAt);
 std::string encodeProgress(const Job &job);
 
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::string_view SpecPrefix = "spec/";
 constexpr std::string_view ProgressPrefix = "progress/";
+constexpr std::string_view ElsewherePrefix = "elsewhere/";
 
 } // namespace
 
@@ -56,6 +57,16 @@
         }
         job->isStored = true;
         m_jobs[id] = std::move(*job);
+    } else if (key.substr(0, ElsewherePrefix.size()) == ElsewherePrefix) {
+        const auto where = decodeElsewhere(value);
+        if (!where) {
+            Base::LogLine(Base::LogLevel::Error, "record-unreadable").with("key", key);
+            return;
+        }
+        Elsewhere &known = m_elsewhere[std::string(key.substr(ElsewherePrefix.size()))];
+        known.shard = where->shard;
+        known.since = where->since;
+        known.isStored = true;
     } else if (key == OwnerKey) {
         m_earlierOwner = std::string(value);
     } else if (key.substr(0, ProgressPrefix.size()) == ProgressPrefix) {
@@ -180,6 +191,66 @@
         job.waitForAcceptance.clear();
         job.waitForCancel.clear();
     }
+    // Sending a job elsewhere runs nothing, so that it may still be stored changes nothing for the caller.
+    for (auto &[id, where] : m_elsewhere) {
+        for (const ReplyId it : std::exchange(where.waiting, {})) {
+            reply(it, Answer::Refused, StoreRetryAfter);
+        }
+    }
+}
+
+std::string_view Shard::refusalReason(Base::Instant now) const
+{
+    if (m_isAdrift) {
+        return "membership lapsed";
+    }
+    const bool isStalled = m_batch && now - m_batch->sentAt > m_settings.storePatience;
+    return isStalled ? "store does not answer" : std::string_view();
+}
+
+void Shard::refuse(std::string_view job, std::string_view reason, ReplyId replyId)
+{
+    Base::LogLine(Base::LogLevel::Info, "job-refused")
+        .with("request", job)
+        .with("reason", reason)
+        .with("epoch", m_epoch);
+    reply(replyId, Answer::Refused, StoreRetryAfter);
+}
+
+// Once this is stored, no later owner of this shard accepts the job itself, whatever workers it has by then.
+void Shard::submitElsewhere(
+    const std::string &job, ShardNumber shard, ReplyId replyId, Base::Instant now, WallTime wall)
+{
+    const auto it = m_elsewhere.find(job);
+    if (it != m_elsewhere.end() && it->second.isStored) {
+        replyElsewhere(replyId, it->second.shard);
+        return;
+    }
+    if (it != m_elsewhere.end()) {
+        it->second.waiting.push_back(replyId);
+        return;
+    }
+    if (const std::string_view reason = refusalReason(now); !reason.empty()) {
+        refuse(job, reason, replyId);
+        return;
+    }
+    Elsewhere &added = m_elsewhere[job];
+    added.shard = shard;
+    added.since = wall;
+    added.waiting.push_back(replyId);
+    m_newElsewhere.push_back(job);
+    m_hasChanged = true;
+}
+
+std::optional<ShardNumber> Shard::elsewhere(std::string_view job) const
+{
+    const auto it = m_elsewhere.find(job);
+    return it != m_elsewhere.end() ? std::optional(it->second.shard) : std::nullopt;
+}
+
+bool Shard::has(std::string_view job) const
+{
+    return m_jobs.find(job) != m_jobs.end();
 }
 
 void Shard::submit(JobSpec spec, ReplyId replyId, Base::Instant now, WallTime wall)
@@ -192,13 +263,8 @@
         }
         return;
     }
-    const bool isStalled = m_batch && now - m_batch->sentAt > m_settings.storePatience;
-    if (m_isAdrift || isStalled) {
-        Base::LogLine(Base::LogLevel::Info, "job-refused")
-            .with("request", spec.id)
-            .with("reason", m_isAdrift ? "membership lapsed" : "store does not answer")
-            .with("epoch", m_epoch);
-        reply(replyId, Answer::Refused, StoreRetryAfter);
+    if (const std::string_view reason = refusalReason(now); !reason.empty()) {
+        refuse(spec.id, reason, replyId);
         return;
     }
     std::vector<const WorkerInfo *> listed;
@@ -369,6 +435,9 @@
                 found->second.firstBatch = 0;
             }
         }
+        for (const std::string &it : batch.sentElsewhere) {
+            m_elsewhere[it].firstBatch = 0;
+        }
         refuseUnsent(now);
         return;
     }
@@ -389,6 +458,18 @@
         }
         job.waitForAcceptance.clear();
     }
+    for (const std::string &it : batch.sentElsewhere) {
+        Elsewhere &where = m_elsewhere[it];
+        where.isStored = true;
+        Base::LogLine(Base::LogLevel::Info, "job-sent-elsewhere")
+            .with("request", it)
+            .with("shard", where.shard)
+            .with("batch", batch.number)
+            .with("epoch", m_epoch);
+        for (const ReplyId waiting : std::exchange(where.waiting, {})) {
+            replyElsewhere(waiting, where.shard);
+        }
+    }
     for (const auto &[id, state] : batch.states) {
         const auto found = m_jobs.find(id);
         if (found == m_jobs.end()) {
@@ -442,7 +523,12 @@
 
 void Shard::reply(ReplyId id, Answer answer, Milliseconds retryAfter)
 {
-    m_commands.emplace_back(SendReply{id, answer, retryAfter});
+    m_commands.emplace_back(SendReply{.reply = id, .answer = answer, .retryAfter = retryAfter});
+}
+
+void Shard::replyElsewhere(ReplyId id, ShardNumber shard)
+{
+    m_commands.emplace_back(SendReply{.reply = id, .answer = Answer::Elsewhere, .elsewhere = shard});
 }
 
 std::vector<Command> Shard::takeCommands()
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -61,6 +61,16 @@
     Record releaseRecord() const;
 
     void submit(JobSpec spec, ReplyId reply, Base::Instant now, WallTime wall);
+    /// Stores that another shard has the job, and says so then; does nothing else with a job that this one
+    /// has.
+    void submitElsewhere(
+        const std::string &job, ShardNumber shard, ReplyId reply, Base::Instant now, WallTime wall);
+    /// The shard that is to have a job instead of this one.
+    std::optional<ShardNumber> elsewhere(std::string_view job) const;
+    /// The other shard has forgotten the job, or never had it.
+    void forgetElsewhere(const std::string &job);
+    /// A job that was handed in here, stored or not.
+    bool has(std::string_view job) const;
     void cancel(std::string_view job, ReplyId reply, Base::Instant now, WallTime wall);
     /// The stored state; null when there is no such job.
     const Job *find(std::string_view job) const;
@@ -102,12 +112,26 @@
         std::vector<std::string> jobs; ///< whose progress it carries
         std::map<std::string, JobState> states;
         std::vector<std::string> newJobs; ///< whose specification it carries
+        std::vector<std::string> sentElsewhere; ///< jobs whose other shard it carries
         std::vector<std::pair<std::string, std::uint64_t>> cursors; ///< worker, ends that it carries
         std::vector<TaskId> starts; ///< assignments that it carries
         Base::Instant sentAt;
     };
 
+    /// A job that another shard has.
+    struct Elsewhere {
+        ShardNumber shard = 0;
+        WallTime since{};
+        WallTime checkedAt{}; ///< when the other shard was last asked for it
+        bool isStored = false;
+        std::uint64_t firstBatch = 0; ///< the append that carries it; 0: none yet
+        std::vector<ReplyId> waiting;
+    };
+
     void applyLoadedProgress();
+    /// Why nothing new can be stored now; empty when it can.
+    std::string_view refusalReason(Base::Instant now) const;
+    void refuse(std::string_view job, std::string_view reason, ReplyId reply);
     Job &addJob(Job job);
     void markChanged(Job &job);
 
@@ -163,8 +187,10 @@
     void sendStart(const TaskId &id, Base::Instant now);
     void refuseUnsent(Base::Instant now);
     void forgetEnded(WallTime wall);
+    void checkElsewhere(WallTime wall);
     void endJob(Job &job, JobState state, WallTime wall, Base::Instant now);
     void reply(ReplyId id, Answer answer, Milliseconds retryAfter = {});
+    void replyElsewhere(ReplyId id, ShardNumber shard);
 
     ShardSettings m_settings;
     Epoch m_epoch;
@@ -175,6 +201,8 @@
     // Jobs that have ended stay in m_jobs for minutes; what is done at every pass keeps to these.
     std::vector<Job *> m_active;
     std::vector<Job *> m_changed; ///< those with isDirty
+    std::map<std::string, Elsewhere, std::less<>> m_elsewhere; ///< by job
+    std::vector<std::string> m_newElsewhere; ///< not yet in an append
     std::set<TaskId> m_stopping; ///< runs that were ordered to stop; some may be gone
     std::map<std::string, std::string> m_loadedProgress; ///< of jobs, until all records are there
     std::map<std::string, Worker> m_workers;
@@ -187,7 +215,7 @@
     std::map<std::string, double> m_arrivedWork; ///< core-seconds, by service
     AdviceBook m_advice;
     std::vector<TaskId> m_plannedStarts;
-    std::vector<std::string> m_forgotten;
+    std::vector<std::string> m_droppedKeys; ///< of records, by the next append
     Base::Instant m_nextSweep;
     Base::Instant m_nextOccurrenceDue;
     Base::Instant m_nextMovesOff;
--- a/src/libs/jobs/shardcommands.h
+++ b/src/libs/jobs/shardcommands.h
@@ -18,6 +18,9 @@
 /// Of an owner; the store refuses the appends of lower ones.
 using Epoch = std::uint64_t;
 
+/// Of a shard; a service has one, or one for each of its cells.
+using ShardNumber = std::uint32_t;
+
 /// A record of the store; an empty value drops the key.
 struct Record {
     std::string key;
@@ -92,12 +95,20 @@
     Hopeless, ///< refused, and will be refused again
     Unknown, ///< whether it is stored isn't known yet
     NoSuchJob,
+    Elsewhere, ///< another shard of the service has the job, or is to have it
 };
 
 struct SendReply {
     ReplyId reply = 0;
     Answer answer = Answer::Unknown;
     Milliseconds retryAfter{};
+    ShardNumber elsewhere = 0; ///< of Elsewhere
+};
+
+/// Asks whether another shard still has the job that was sent there.
+struct AskElsewhere {
+    std::string job;
+    ShardNumber shard = 0;
 };
 
 /// Another owner has taken the shard; this one has to end.
@@ -105,8 +116,15 @@
     std::string reason;
 };
 
-using Command =
-    std::variant<AppendBatch, StartRun, StopRun, RenewLease, PaceRun, AskAdvice, SendReply, GiveUpShard>;
+using Command = std::variant<AppendBatch,
+                             StartRun,
+                             StopRun,
+                             RenewLease,
+                             PaceRun,
+                             AskAdvice,
+                             SendReply,
+                             AskElsewhere,
+                             GiveUpShard>;
 
 /// How a worker answered an order.
 enum class OrderResult {
--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -6,6 +6,7 @@
 #include <base/logline.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Jobs
 {
@@ -24,6 +25,9 @@
 // One batch stays well below what the store takes in one call.
 constexpr std::size_t MostBytesInBatch = 1U << 20U;
 
+// Questions to other shards in one sweep.
+constexpr std::size_t MostAskedElsewhere = 20;
+
 } // namespace
 
 void Shard::addDueOccurrences(Job &job, WallTime wall)
@@ -41,6 +45,7 @@
     if (m_nextSweep <= now) {
         m_nextSweep = now + SweepPeriod;
         forgetEnded(wall);
+        checkElsewhere(wall);
         m_hasChanged = true;
     }
     if (m_nextOccurrenceDue <= now) {
@@ -329,11 +334,14 @@
     }
     m_changed.erase(m_changed.begin(), m_changed.begin() + static_cast<std::ptrdiff_t>(carried));
     const bool isComplete = m_changed.empty();
-    for (const std::string &it : m_forgotten) {
-        add(progressKey(it), {});
-        add(specKey(it), {});
+    for (const std::string &it : std::exchange(m_newElsewhere, {})) {
+        const Elsewhere &where = m_elsewhere[it];
+        add(elsewhereKey(it), encodeElsewhere({where.shard, where.since}));
+        batch.sentElsewhere.push_back(it);
+    }
+    for (std::string &it : std::exchange(m_droppedKeys, {})) {
+        add(std::move(it), {});
     }
-    m_forgotten.clear();
     m_hasChanged = m_hasChanged || !isComplete;
     const auto isCarried = [&](const TaskId &it) {
         return batch.states.count(it.job) > 0;
@@ -365,6 +373,9 @@
     for (const std::string &it : batch.newJobs) {
         m_jobs[it].firstBatch = batch.number;
     }
+    for (const std::string &it : batch.sentElsewhere) {
+        m_elsewhere[it].firstBatch = batch.number;
+    }
     append.number = batch.number;
     m_lastBatchAt = now;
     m_batch = std::move(batch);
@@ -439,6 +450,17 @@
         std::erase(m_changed, &job);
         it = m_jobs.erase(it);
     }
+    for (auto it = m_elsewhere.begin(); it != m_elsewhere.end();) {
+        if (it->second.isStored || it->second.firstBatch != 0) {
+            ++it;
+            continue;
+        }
+        for (const ReplyId waiting : it->second.waiting) {
+            refuse(it->first, "store does not answer", waiting);
+        }
+        std::erase(m_newElsewhere, it->first);
+        it = m_elsewhere.erase(it);
+    }
 }
 
 void Shard::forgetEnded(WallTime wall)
@@ -451,9 +473,38 @@
             ++it;
             continue;
         }
-        m_forgotten.push_back(it->first);
+        m_droppedKeys.push_back(progressKey(it->first));
+        m_droppedKeys.push_back(specKey(it->first));
         it = m_jobs.erase(it);
     }
 }
 
+// A job that was sent elsewhere may last for days, so its record goes when the other shard says that it has
+// forgotten the job, and not by its age.
+void Shard::checkElsewhere(WallTime wall)
+{
+    std::size_t asked = 0;
+    for (auto &[id, where] : m_elsewhere) {
+        const WallTime last = std::max(where.since, where.checkedAt);
+        if (!where.isStored || last + m_settings.retention > wall) {
+            continue;
+        }
+        where.checkedAt = wall;
+        m_commands.emplace_back(AskElsewhere{id, where.shard});
+        if (++asked == MostAskedElsewhere) {
+            return;
+        }
+    }
+}
+
+void Shard::forgetElsewhere(const std::string &job)
+{
+    const auto it = m_elsewhere.find(job);
+    if (it != m_elsewhere.end() && it->second.isStored) {
+        m_droppedKeys.push_back(elsewhereKey(job));
+        m_elsewhere.erase(it);
+        m_hasChanged = true;
+    }
+}
+
 } // namespace Jobs
--- a/src/libs/jobservice/layoutkeeper.h
+++ b/src/libs/jobservice/layoutkeeper.h
@@ -8,6 +8,7 @@
 #include <base/oneshottimer.h>
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -16,7 +17,9 @@
 namespace JobService
 {
 
-/// Sees to it that every service of the configuration has a shard in the stored layout.
+/// Sees to it that every service of the configuration has its shards in the stored layout. The member that
+/// knows the sizes of the pools writes what is missing; the others read until it is there, and after a while
+/// give each service that is left one shard.
 template<typename Platform>
 class LayoutKeeper
 {
@@ -27,6 +30,7 @@
                  ServiceLayout &layout,
                  std::function<void()> changed)
         : m_platform(platform)
+        , m_timers(timers)
         , m_topic(std::move(topic))
         , m_layout(layout)
         , m_changed(std::move(changed))
@@ -37,18 +41,27 @@
     void ensure(std::vector<std::string> services)
     {
         m_services = std::move(services);
-        if (!m_isReading && !m_layout.missing(m_services).empty()) {
+        if (!m_isReading && !isComplete()) {
+            m_incompleteSince = m_timers.now();
             read();
         }
     }
 
+    /// How many machines each pool has.
+    void setPoolSizes(std::map<std::string, std::size_t> sizes)
+    {
+        m_sizes = std::move(sizes);
+    }
+
     bool isComplete() const
     {
-        return m_layout.missing(m_services).empty();
+        return m_layout.isComplete(m_services);
     }
 
 private:
-    static constexpr Base::Duration RetryPause = std::chrono::milliseconds{200};
+    static constexpr Base::Duration RetryPause = std::chrono::milliseconds{400};
+    // Longer than the first deal of the shards and a list of machines take.
+    static constexpr Base::Duration SizesPatience = std::chrono::milliseconds{6000};
 
     void read()
     {
@@ -80,12 +93,21 @@
     // Another member that writes at the same time makes the condition fail; its numbers are read then.
     void extend(std::uint64_t end)
     {
-        const auto records = m_layout.missing(m_services);
-        if (records.empty()) {
+        if (isComplete()) {
             m_isReading = false;
             m_changed();
             return;
         }
+        if (!m_sizes && m_timers.now() - m_incompleteSince < SizesPatience) {
+            retry();
+            return;
+        }
+        std::vector<ServiceSize> sizes;
+        for (const std::string &it : m_services) {
+            const bool isKnown = m_sizes && m_sizes->count(it) > 0;
+            sizes.push_back({it, isKnown ? m_sizes->at(it) : 0});
+        }
+        const auto records = m_layout.missing(sizes);
         m_platform.appendAt(m_topic, end, records, [this](StoreAnswer answer) {
             if (answer.status == StoreStatus::Done) {
                 Base::LogLine(Base::LogLevel::Info, "layout-extended").with("services", m_services.size());
@@ -100,11 +122,14 @@
     }
 
     Platform &m_platform;
+    Base::TimerService &m_timers;
     std::string m_topic;
     ServiceLayout &m_layout;
     std::function<void()> m_changed;
     Base::OneShotTimer m_timer;
     std::vector<std::string> m_services;
+    std::optional<std::map<std::string, std::size_t>> m_sizes;
+    Base::Instant m_incompleteSince;
     bool m_isReading = false;
 };
 
--- a/src/libs/jobservice/machineduty.h
+++ b/src/libs/jobservice/machineduty.h
@@ -9,11 +9,15 @@
 #include <base/oneshottimer.h>
 #include <machines/machineplanner.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -40,6 +44,8 @@
     using Route = std::function<void(JobRequest, Base::Duration limit, Reply)>;
     using OwnEpoch = std::function<std::optional<Jobs::Epoch>()>;
     using WallClock = std::function<Jobs::WallTime()>;
+    /// Called with every list of all machines.
+    using Listed = std::function<void(std::span<const Machines::Machine>)>;
 
     MachineDuty(Platform &platform,
                 Base::TimerService &timers,
@@ -47,7 +53,8 @@
                 const ServiceLayout &layout,
                 WallClock wallClock,
                 OwnEpoch ownEpoch,
-                Route route)
+                Route route,
+                Listed listed)
         : m_platform(platform)
         , m_timers(timers)
         , m_settings(settings)
@@ -55,6 +62,7 @@
         , m_wallClock(std::move(wallClock))
         , m_ownEpoch(std::move(ownEpoch))
         , m_route(std::move(route))
+        , m_listed(std::move(listed))
         , m_timer(timers)
         , m_soon(timers)
     {
@@ -68,6 +76,14 @@
     void setPools(std::vector<Machines::Pool> pools)
     {
         m_pools = std::move(pools);
+        layoutChanged();
+    }
+
+    void layoutChanged()
+    {
+        for (Machines::Pool &it : m_pools) {
+            it.cells = std::max<std::size_t>(1, m_layout.cellsOf(it.name).size());
+        }
         if (m_planner) {
             m_planner->setPools(m_pools);
         }
@@ -122,6 +138,7 @@
         for (Machines::Command &it : m_planner->pass(m_timers.now())) {
             std::visit([this](auto &order) { this->carryOut(order); }, it);
         }
+        sendEvacuations();
     }
 
     void logStatus()
@@ -173,7 +190,10 @@
                     m_ordered.clear();
                     return;
                 }
-                m_planner = std::make_unique<Machines::MachinePlanner>(m_settings.planner);
+                m_planner = std::make_unique<Machines::MachinePlanner>(
+                    m_settings.planner, [this](const std::string &pool, const Machines::Machine &machine) {
+                        return m_layout.cellOf(pool, machine.rack);
+                    });
                 m_planner->setPools(m_pools);
                 for (const auto &[number, wave] : m_waves) {
                     m_planner->setWave(wave);
@@ -199,7 +219,11 @@
         m_listedAt = now;
         m_platform.listMachines([this, now](std::optional<std::vector<Machines::Machine>> machines) {
             m_isListing = false;
-            if (machines && m_planner) {
+            if (!machines) {
+                return;
+            }
+            m_listed(*machines);
+            if (m_planner) {
                 m_planner->setMachines(*machines, now);
             }
         });
@@ -207,51 +231,73 @@
 
     void readDemand()
     {
-        std::map<ShardNumber, bool> asked;
         for (const Machines::Pool &it : m_pools) {
-            const auto shard = m_layout.shardOf(it.name);
-            if (!shard || it.isStandby || !asked.try_emplace(*shard, true).second) {
-                continue;
+            const auto cells = m_layout.cellsOf(it.name);
+            for (std::size_t n = 0; n < cells.size() && !it.isStandby; ++n) {
+                readDemand(it.name, n, cells[n]);
             }
-            m_route({*shard, Operation::Demand, std::nullopt, {}},
-                    m_settings.requestLimit,
-                    [this](JobReply reply) {
-                        if (!m_planner || reply.status != JobReply::Status::Done) {
-                            return;
-                        }
-                        for (Jobs::ServiceDemand &demand : reply.demand) {
-                            m_planner->setDemand({std::move(demand.service),
-                                                  demand.milliCores,
-                                                  demand.lateMilliCores,
-                                                  demand.lastingMilliCores,
-                                                  demand.arrivedWork,
-                                                  demand.leastWorkers,
-                                                  std::move(demand.releasable)},
-                                                 m_timers.now());
-                        }
-                    });
         }
     }
 
-    void carryOut(Machines::EvacuateWorker &order)
+    // Services beyond the number of shards share one; each reads its own part of the answer.
+    void readDemand(const std::string &pool, std::size_t cell, ShardNumber shard)
     {
-        const auto shard = m_layout.shardOf(order.pool);
-        if (!shard) {
-            return;
-        }
-        m_route({*shard, Operation::Evacuate, std::nullopt, order.worker},
+        m_route({.shard = shard, .operation = Operation::Demand},
                 m_settings.requestLimit,
-                [this, worker = order.worker](const JobReply &reply) {
-                    if (!m_planner) {
+                [this, pool, cell](JobReply reply) {
+                    if (!m_planner || reply.status != JobReply::Status::Done) {
                         return;
                     }
-                    const bool isEmpty = reply.status == JobReply::Status::Done;
-                    if (m_planner->evacuated(worker, isEmpty, m_timers.now())) {
-                        m_soon.arm({}, [this] { runPlannerIfOwner(); });
+                    for (Jobs::ServiceDemand &demand : reply.demand) {
+                        if (demand.service != pool) {
+                            continue;
+                        }
+                        m_planner->setDemand({pool,
+                                              cell,
+                                              demand.milliCores,
+                                              demand.lateMilliCores,
+                                              demand.lastingMilliCores,
+                                              demand.arrivedWork,
+                                              demand.leastWorkers,
+                                              std::move(demand.releasable)},
+                                             m_timers.now());
                     }
                 });
     }
 
+    void carryOut(Machines::EvacuateWorker &order)
+    {
+        const auto cells = m_layout.cellsOf(order.pool);
+        if (order.cell < cells.size()) {
+            m_evacuations[cells[order.cell]].push_back(std::move(order.worker));
+        }
+    }
+
+    // One question for all workers of a shard; hundreds move at the same time.
+    void sendEvacuations()
+    {
+        for (auto &[shard, workers] : std::exchange(m_evacuations, {})) {
+            m_route({.shard = shard, .operation = Operation::Evacuate, .workers = workers},
+                    m_settings.requestLimit,
+                    [this, workers](const JobReply &reply) { evacuationsAnswered(workers, reply); });
+        }
+    }
+
+    void evacuationsAnswered(std::span<const std::string> workers, const JobReply &reply)
+    {
+        if (!m_planner || reply.status != JobReply::Status::Done) {
+            return;
+        }
+        const std::set<std::string_view> empty(reply.emptyWorkers.begin(), reply.emptyWorkers.end());
+        bool isNews = false;
+        for (const std::string &it : workers) {
+            isNews = m_planner->evacuated(it, empty.count(it) > 0, m_timers.now()) || isNews;
+        }
+        if (isNews) {
+            m_soon.arm({}, [this] { runPlannerIfOwner(); });
+        }
+    }
+
     // An order is stored before it is sent, so that the next owner knows which machines it has to wait with.
     template<typename Send, typename Refuse>
     void storeOrder(const std::string &machine, Send send, Refuse refuse)
@@ -413,6 +459,7 @@
     WallClock m_wallClock;
     OwnEpoch m_ownEpoch;
     Route m_route;
+    Listed m_listed;
     Base::OneShotTimer m_timer;
     Base::OneShotTimer m_soon; ///< a pass as soon as a worker is empty
     std::vector<Machines::Pool> m_pools;
@@ -421,6 +468,7 @@
     std::optional<Jobs::Epoch> m_epoch;
     std::unique_ptr<Machines::MachinePlanner> m_planner;
     std::vector<std::pair<std::string, Jobs::WallTime>> m_ordered; ///< machines, while they are read
+    std::map<ShardNumber, std::vector<std::string>> m_evacuations; ///< workers, during one pass
     std::vector<Entry> m_underWay; ///< in the append that has been sent
     std::vector<Entry> m_waiting; ///< for the next one
     bool m_mayBeStored = false; ///< an attempt of the append had no answer
--- a/src/libs/jobservice/ownership.h
+++ b/src/libs/jobservice/ownership.h
@@ -11,7 +11,7 @@
 namespace JobService
 {
 
-using ShardNumber = std::uint32_t;
+using Jobs::ShardNumber;
 
 /// What the platform said when this member renewed its membership.
 struct MembershipGrant {
--- a/src/libs/jobservice/peerprotocol.cpp
+++ b/src/libs/jobservice/peerprotocol.cpp
@@ -1,10 +1,12 @@
 #include "peerprotocol.h"
 
 #include <jobs/jobrecord.h>
+#include <jobs/jsonfields.h>
 
 #include <boost/json.hpp>
 
 #include <exception>
+#include <span>
 
 namespace JobService
 {
@@ -14,6 +16,20 @@
 namespace
 {
 
+json::array encodeNames(std::span<const std::string> names)
+{
+    return json::array(names.begin(), names.end());
+}
+
+std::vector<std::string> decodeNames(const json::value &from)
+{
+    std::vector<std::string> names;
+    for (const json::value &it : from.as_array()) {
+        names.emplace_back(it.as_string());
+    }
+    return names;
+}
+
 json::object encodeDemand(const Jobs::ServiceDemand &demand)
 {
     return {{"service", demand.service},
@@ -22,7 +38,7 @@
             {"lasting", demand.lastingMilliCores},
             {"arrived", demand.arrivedWork},
             {"least", demand.leastWorkers},
-            {"releasable", json::array(demand.releasable.begin(), demand.releasable.end())}};
+            {"releasable", encodeNames(demand.releasable)}};
 }
 
 Jobs::ServiceDemand decodeDemand(const json::object &from)
@@ -34,9 +50,7 @@
     demand.lastingMilliCores = from.at("lasting").to_number<std::int64_t>();
     demand.arrivedWork = from.at("arrived").to_number<double>();
     demand.leastWorkers = from.at("least").to_number<std::uint32_t>();
-    for (const json::value &it : from.at("releasable").as_array()) {
-        demand.releasable.emplace_back(it.as_string());
-    }
+    demand.releasable = decodeNames(from.at("releasable"));
     return demand;
 }
 
@@ -76,8 +90,8 @@
         return "unknown";
     case JobReply::Status::NotOwner:
         return "not-owner";
-    case JobReply::Status::NotYet:
-        return "not-yet";
+    case JobReply::Status::Elsewhere:
+        return "elsewhere";
     }
     return "unknown";
 }
@@ -90,6 +104,12 @@
     } else {
         out["subject"] = request.subject;
     }
+    if (!request.workers.empty()) {
+        out["workers"] = encodeNames(request.workers);
+    }
+    if (request.isSentOn) {
+        out["sent_on"] = true;
+    }
     return json::serialize(out);
 }
 
@@ -110,6 +130,10 @@
         } else {
             request.subject = std::string(from.at("subject").as_string());
         }
+        if (const json::value *found = from.if_contains("workers")) {
+            request.workers = decodeNames(*found);
+        }
+        request.isSentOn = Jobs::flag(from, "sent_on");
         return request;
     } catch (const std::exception &) {
         return std::nullopt;
@@ -129,6 +153,12 @@
         }
         out["demand"] = std::move(demand);
     }
+    if (!reply.emptyWorkers.empty()) {
+        out["empty"] = encodeNames(reply.emptyWorkers);
+    }
+    if (reply.status == JobReply::Status::Elsewhere) {
+        out["elsewhere"] = reply.elsewhere;
+    }
     return json::serialize(out);
 }
 
@@ -147,6 +177,10 @@
                 reply.demand.push_back(decodeDemand(it.as_object()));
             }
         }
+        if (const json::value *found = from.if_contains("empty")) {
+            reply.emptyWorkers = decodeNames(*found);
+        }
+        reply.elsewhere = Jobs::numberOr<ShardNumber>(from, "elsewhere", 0);
         return reply;
     } catch (const std::exception &) {
         return std::nullopt;
--- a/src/libs/jobservice/peerprotocol.h
+++ b/src/libs/jobservice/peerprotocol.h
@@ -17,8 +17,10 @@
 struct JobRequest {
     ShardNumber shard = 0;
     Operation operation = Operation::State;
-    std::optional<Jobs::JobSpec> spec; ///< of Submit
-    std::string subject; ///< the job, the queue of Pending, or the worker of Evacuate
+    std::optional<Jobs::JobSpec> spec{}; ///< of Submit
+    std::string subject{}; ///< the job, or the queue of Pending
+    std::vector<std::string> workers{}; ///< of Evacuate
+    bool isSentOn = false; ///< the job's home has stored that this shard is to have it
 };
 
 enum class ShownState { Queued, Running, Completed, Failed, Cancelled };
@@ -31,13 +33,15 @@
         Hopeless, ///< as Refused, and a repeat will be refused too
         Unknown, ///< the request may have taken effect
         NotOwner,
-        NotYet, ///< of Evacuate: something runs there
+        Elsewhere, ///< `elsewhere` has the job, or is to have it
     };
     Status status = Status::Unknown;
     ShownState state = ShownState::Queued;
     std::uint64_t pending = 0;
     Jobs::Milliseconds retryAfter{};
     std::vector<Jobs::ServiceDemand> demand{};
+    std::vector<std::string> emptyWorkers{}; ///< of Evacuate: nothing runs there
+    ShardNumber elsewhere = 0;
 };
 
 /// For logs.
--- a/src/libs/jobservice/requestrouter.h
+++ b/src/libs/jobservice/requestrouter.h
@@ -63,6 +63,35 @@
             Routed{std::move(request), now + limit, now + patience, std::move(reply)}));
     }
 
+    /// Asks the owners of several shards and adds up what they say of `pending`. Any other answer stands for
+    /// all.
+    void routeToAll(std::span<const ShardNumber> shards,
+                    const JobRequest &request,
+                    Base::Duration limit,
+                    Reply reply)
+    {
+        struct Sum {
+            JobReply reply{.status = JobReply::Status::Done};
+            std::size_t left = 0;
+        };
+        const auto sum = std::make_shared<Sum>();
+        sum->left = shards.size();
+        for (const ShardNumber it : shards) {
+            JobRequest part = request;
+            part.shard = it;
+            route(std::move(part), limit, [sum, reply](const JobReply &answer) {
+                if (answer.status == JobReply::Status::Done) {
+                    sum->reply.pending += answer.pending;
+                } else {
+                    sum->reply = answer;
+                }
+                if (--sum->left == 0) {
+                    reply(sum->reply);
+                }
+            });
+        }
+    }
+
     /// The last time that a peer answered.
     Base::Instant lastPeerAnswer() const
     {
@@ -192,6 +221,12 @@
     // caller that was refused would come back.
     void finish(const RoutedPtr &routed, const JobReply &reply)
     {
+        if (reply.status == JobReply::Status::Elsewhere && !routed->request.isSentOn) {
+            routed->request.isSentOn = true;
+            routed->request.shard = reply.elsewhere;
+            send(routed);
+            return;
+        }
         if (reply.status != JobReply::Status::NotOwner) {
             routed->reply(reply);
             return;
--- a/src/libs/jobservice/servicelayout.cpp
+++ b/src/libs/jobservice/servicelayout.cpp
@@ -1,57 +1,217 @@
 #include "servicelayout.h"
 
 #include <ini/values.h>
+#include <jobs/placement.h>
+
+#include <boost/crc.hpp>
 
 #include <algorithm>
+#include <cctype>
 
 namespace JobService
 {
 
+namespace
+{
+
+// Workers of one cell: what one owner on half a core speaks to in a turn that brings its pool five times its
+// mean (docs/CAPACITY.md).
+constexpr std::size_t WorkersPerCell = 64;
+
+std::size_t checksum(std::string_view text)
+{
+    boost::crc_32_type crc;
+    crc.process_bytes(text.data(), text.size());
+    return crc.checksum();
+}
+
+// Racks are numbered within their zones as a rule, "r2-7"; the sum of the numbers deals the racks of each
+// zone out evenly, which a checksum of some tens of names does not.
+std::size_t ordinal(std::string_view rack)
+{
+    std::size_t sum = 0;
+    std::size_t number = 0;
+    bool hasNumber = false;
+    for (const char it : rack) {
+        if (std::isdigit(static_cast<unsigned char>(it)) != 0) {
+            number = number * 10 + static_cast<std::size_t>(it - '0');
+            hasNumber = true;
+        } else {
+            sum += std::exchange(number, 0);
+        }
+    }
+    return hasNumber ? sum + number : checksum(rack);
+}
+
+std::size_t cellsWanted(const ServiceSize &service)
+{
+    return std::max<std::size_t>(1, (service.workers + WorkersPerCell / 2) / WorkersPerCell);
+}
+
+std::vector<std::string_view> split(std::string_view text)
+{
+    std::vector<std::string_view> parts;
+    while (!text.empty()) {
+        const std::string_view part = text.substr(0, text.find(','));
+        text.remove_prefix(std::min(text.size(), part.size() + 1));
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+} // namespace
+
 ServiceLayout::ServiceLayout(std::uint32_t shards)
     : m_shards(std::max<std::uint32_t>(1, shards))
 {
 }
 
-void ServiceLayout::load(std::string_view service, std::string_view number)
+void ServiceLayout::load(std::string_view service, std::string_view numbers)
+{
+    std::vector<ShardNumber> cells;
+    for (const std::string_view it : split(numbers)) {
+        const auto value = Ini::toInteger(it);
+        if (!value) {
+            return;
+        }
+        cells.push_back(static_cast<ShardNumber>(*value % m_shards));
+    }
+    if (!cells.empty()) {
+        m_cells[std::string(service)] = std::move(cells);
+    }
+}
+
+std::span<const ShardNumber> ServiceLayout::cellsOf(std::string_view service) const
+{
+    const auto it = m_cells.find(service);
+    return it != m_cells.end() ? std::span<const ShardNumber>(it->second) : std::span<const ShardNumber>();
+}
+
+std::optional<ShardNumber> ServiceLayout::homeOf(std::string_view service, std::string_view job) const
 {
-    if (const auto value = Ini::toInteger(number)) {
-        m_numbers[std::string(service)] = static_cast<ShardNumber>(*value % m_shards);
+    const auto cells = cellsOf(service);
+    if (cells.empty()) {
+        return std::nullopt;
     }
+    return cells.size() == 1 ? cells.front() : cells[checksum(job) % cells.size()];
 }
 
-std::optional<ShardNumber> ServiceLayout::shardOf(std::string_view service) const
+std::optional<ShardNumber> ServiceLayout::shardOf(const Jobs::WorkerInfo &worker) const
 {
-    const auto it = m_numbers.find(service);
-    return it != m_numbers.end() ? std::optional(it->second) : std::nullopt;
+    const auto cells = cellsOf(worker.service);
+    if (cells.empty()) {
+        return std::nullopt;
+    }
+    return cells.size() == 1 ? cells.front() : cells[ordinal(worker.rack) % cells.size()];
 }
 
-std::vector<Jobs::Record> ServiceLayout::missing(std::span<const std::string> services) const
+std::size_t ServiceLayout::cellOf(std::string_view service, std::string_view rack) const
 {
-    std::vector<std::string> names;
-    for (const std::string &it : services) {
-        if (m_numbers.count(it) == 0) {
-            names.push_back(it);
+    const auto cells = cellsOf(service);
+    return cells.size() < 2 ? 0 : ordinal(rack) % cells.size();
+}
+
+bool ServiceLayout::isComplete(std::span<const std::string> services) const
+{
+    return std::all_of(
+        services.begin(), services.end(), [this](const auto &it) { return m_cells.count(it) > 0; });
+}
+
+// Cells of one service get consecutive numbers, which the platform deals to different members.
+std::vector<Jobs::Record> ServiceLayout::missing(std::span<const ServiceSize> services) const
+{
+    std::vector<ServiceSize> added;
+    std::size_t wanted = 0;
+    for (const ServiceSize &it : services) {
+        if (m_cells.count(it.service) == 0) {
+            added.push_back(it);
+            wanted += cellsWanted(it);
         }
     }
-    std::sort(names.begin(), names.end());
+    std::sort(added.begin(), added.end(), [](const auto &a, const auto &b) { return a.service < b.service; });
+    const std::size_t usable = std::max<std::size_t>(1, m_shards - 1);
+    std::size_t next = size();
+    const std::size_t free = next < usable ? usable - next : 0;
     std::vector<Jobs::Record> records;
-    records.reserve(names.size());
-    std::size_t next = m_numbers.size();
-    for (const std::string &it : names) {
-        records.push_back({it, std::to_string(next++)});
+    records.reserve(added.size());
+    for (const ServiceSize &it : added) {
+        std::size_t cells = cellsWanted(it);
+        if (wanted > free) {
+            cells = std::max<std::size_t>(1, cells * free / wanted);
+        }
+        std::string numbers;
+        for (std::size_t n = 0; n < cells; ++n) {
+            numbers += (n > 0 ? "," : "") + std::to_string(next++ % usable);
+        }
+        records.push_back({it.service, std::move(numbers)});
     }
     return records;
 }
 
 bool ServiceLayout::isUsed(ShardNumber shard) const
 {
-    return std::any_of(
-        m_numbers.begin(), m_numbers.end(), [shard](const auto &it) { return it.second == shard; });
+    return std::any_of(m_cells.begin(), m_cells.end(), [shard](const auto &it) {
+        return std::find(it.second.begin(), it.second.end(), shard) != it.second.end();
+    });
 }
 
 std::size_t ServiceLayout::size() const
 {
-    return m_numbers.size();
+    std::size_t sum = 0;
+    for (const auto &[service, cells] : m_cells) {
+        sum += cells.size();
+    }
+    return sum;
+}
+
+// Long-running jobs stay together in the first cell: each cell that has some must keep as many workers as
+// their tasks need to stay apart, also while the pool is idle.
+ShardNumber shardFor(const Jobs::JobSpec &spec,
+                     ShardNumber home,
+                     const ServiceLayout &layout,
+                     std::span<const Jobs::WorkerInfo> workers)
+{
+    const auto cells = layout.cellsOf(spec.queue.service);
+    if (cells.size() < 2) {
+        return home;
+    }
+    if (spec.isLongRunning()) {
+        return cells.front();
+    }
+    std::map<ShardNumber, std::vector<const Jobs::WorkerInfo *>> byShard;
+    for (const Jobs::WorkerInfo &it : workers) {
+        if (it.service == spec.queue.service) {
+            byShard[*layout.shardOf(it)].push_back(&it);
+        }
+    }
+    const auto couldRun = [&spec](const auto &list) {
+        return std::all_of(spec.stages.begin(), spec.stages.end(), [&list](const Jobs::Stage &it) {
+            return Jobs::couldEverRun(it, list);
+        });
+    };
+    const bool wantsRack = std::any_of(
+        spec.stages.begin(), spec.stages.end(), [](const Jobs::Stage &it) { return !it.dataRack.empty(); });
+    if (!wantsRack && couldRun(byShard[home])) {
+        return home;
+    }
+    std::optional<ShardNumber> best;
+    std::size_t bestNear = 0;
+    for (const auto &[shard, list] : byShard) {
+        if (!couldRun(list)) {
+            continue;
+        }
+        const auto near = std::count_if(spec.stages.begin(), spec.stages.end(), [&](const auto &stage) {
+            return !stage.dataRack.empty() && std::any_of(list.begin(), list.end(), [&](const auto *it) {
+                return it->rack == stage.dataRack;
+            });
+        });
+        const auto itsNear = static_cast<std::size_t>(near);
+        if (!best || itsNear > bestNear || (itsNear == bestNear && shard == home)) {
+            best = shard;
+            bestNear = itsNear;
+        }
+    }
+    return best.value_or(home);
 }
 
 } // namespace JobService
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -75,13 +75,16 @@
     using HasEnded = std::function<bool(const std::string &member)>;
     using AskPeers = std::function<bool()>;
     using Notify = std::function<void()>;
+    using Route = std::function<void(JobRequest, Base::Duration limit, Reply)>;
 
     /// `hasEnded` tells whether a member's process is known to have ended. `isStoreLostForMost` tells whether
     /// most members have said lately that they have lost the store, too; it is asked while this one has.
-    /// `gained` is called for each shard that this member becomes the owner of.
-    void start(HasEnded hasEnded, AskPeers isStoreLostForMost, Notify gained)
+    /// `gained` is called for each shard that this member becomes the owner of; `route` brings requests to
+    /// the owners of others.
+    void start(HasEnded hasEnded, AskPeers isStoreLostForMost, Notify gained, Route route)
     {
         m_whenGained = std::move(gained);
+        m_route = std::move(route);
         m_hasEnded = std::move(hasEnded);
         m_isStoreLostForMost = std::move(isStoreLostForMost);
     }
@@ -190,6 +193,9 @@
     // Before a shard is handed over without the record of its release.
     static constexpr Base::Duration ReleasePatience = std::chrono::milliseconds{300};
 
+    // Of questions to the owners of other shards.
+    static constexpr Base::Duration ElsewhereLimit = std::chrono::milliseconds{2000};
+
     struct Early {
         JobRequest request;
         Reply reply;
@@ -461,7 +467,7 @@
     {
         std::vector<Jobs::WorkerInfo> found;
         for (const Jobs::WorkerInfo &it : m_workers) {
-            if (m_layout.shardOf(it.service) == number) {
+            if (m_layout.shardOf(it) == number) {
                 found.push_back(it);
             }
         }
@@ -475,10 +481,23 @@
         case Operation::Submit: {
             const Jobs::ReplyId id = ++m_lastReply;
             m_replies[id] = std::move(reply);
+            const Jobs::JobSpec &spec = *request.spec;
+            ShardNumber keeper = shard.elsewhere(spec.id).value_or(request.shard);
+            if (keeper == request.shard && !request.isSentOn && !shard.has(spec.id)) {
+                keeper = shardFor(spec, request.shard, m_layout, m_workers);
+            }
+            if (keeper != request.shard) {
+                shard.submitElsewhere(spec.id, keeper, id, m_timers.now(), m_wallClock());
+                return;
+            }
             shard.submit(std::move(*request.spec), id, m_timers.now(), m_wallClock());
             return;
         }
         case Operation::Cancel: {
+            if (const auto keeper = shard.elsewhere(request.subject)) {
+                reply({.status = JobReply::Status::Elsewhere, .elsewhere = *keeper});
+                return;
+            }
             if (!shard.find(request.subject) && !isMember()) {
                 reply(unknownJob());
                 return;
@@ -489,6 +508,10 @@
             return;
         }
         case Operation::State: {
+            if (const auto keeper = shard.elsewhere(request.subject)) {
+                reply({.status = JobReply::Status::Elsewhere, .elsewhere = *keeper});
+                return;
+            }
             const Jobs::Job *job = shard.find(request.subject);
             if (!job) {
                 reply(unknownJob());
@@ -503,11 +526,17 @@
         case Operation::Demand:
             reply({.status = JobReply::Status::Done, .demand = shard.demand(m_timers.now(), m_wallClock())});
             return;
-        case Operation::Evacuate:
-            reply({.status = shard.evacuate(request.subject, m_timers.now()) ? JobReply::Status::Done
-                                                                             : JobReply::Status::NotYet});
+        case Operation::Evacuate: {
+            JobReply done{.status = JobReply::Status::Done};
+            for (std::string &it : request.workers) {
+                if (shard.evacuate(it, m_timers.now())) {
+                    done.emptyWorkers.push_back(std::move(it));
+                }
+            }
+            reply(done);
             return;
         }
+        }
     }
 
     // Once the membership has lapsed another owner may have accepted the job.
@@ -736,6 +765,20 @@
         answerReply(order);
     }
 
+    void carryOut(ShardNumber number, const HostedPtr &hosted, Jobs::AskElsewhere &question)
+    {
+        m_route({.shard = question.shard,
+                 .operation = Operation::State,
+                 .subject = question.job,
+                 .isSentOn = true},
+                ElsewhereLimit,
+                [this, number, hosted, job = question.job](const JobReply &reply) {
+                    if (reply.status == JobReply::Status::NoSuchJob && isCurrent(number, hosted)) {
+                        hosted->shard->forgetElsewhere(job);
+                    }
+                });
+    }
+
     void carryOut(ShardNumber number, const HostedPtr &, Jobs::GiveUpShard &order)
     {
         giveUp(number, order.reason);
@@ -774,6 +817,10 @@
         case Jobs::Answer::NoSuchJob:
             answer.status = JobReply::Status::NoSuchJob;
             break;
+        case Jobs::Answer::Elsewhere:
+            answer.status = JobReply::Status::Elsewhere;
+            answer.elsewhere = order.elsewhere;
+            break;
         }
         reply(answer);
     }
@@ -798,6 +845,7 @@
     HasEnded m_hasEnded;
     AskPeers m_isStoreLostForMost;
     Notify m_whenGained;
+    Route m_route;
     HostCounts m_counts;
     bool m_isCandidate = false;
     bool m_isStopping = false;
--- a/src/libs/machines/machine.h
+++ b/src/libs/machines/machine.h
@@ -19,6 +19,7 @@
     std::string pool; ///< the service that it works for
     MachineState state = MachineState::Down;
     std::string worker; ///< empty while none runs on it
+    std::string rack;
     Jobs::Resources capacity;
 };
 
@@ -26,11 +27,13 @@
 struct Pool {
     std::string name;
     bool isStandby = false; ///< its machines are off and cost nothing
+    std::size_t cells = 1; ///< parts with an owner each that it is divided into
 };
 
-/// What a pool's jobs need of its machines, as the owner of its shard reports it.
+/// What the jobs of a pool's cell need of its machines, as the owner of its shard reports it.
 struct PoolDemand {
     std::string pool;
+    std::size_t cell = 0;
     std::int64_t milliCores = 0; ///< of all that runs, or could run now in time
     std::int64_t lateMilliCores = 0; ///< of what could run now, but is past its time
     std::int64_t lastingMilliCores = 0; ///< of long-running tasks, among those
@@ -52,6 +55,7 @@
 struct EvacuateWorker {
     std::string worker;
     std::string pool;
+    std::size_t cell = 0;
 };
 
 /// Everything that runs on the machine ends, and another worker begins in `pool`.
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -43,25 +43,39 @@
 
 } // namespace
 
-MachinePlanner::MachinePlanner(const PlannerSettings &settings)
+MachinePlanner::MachinePlanner(const PlannerSettings &settings, CellOf cellOf)
     : m_settings(settings)
+    , m_cellOf(std::move(cellOf))
 {
 }
 
+std::size_t MachinePlanner::cellOf(const std::string &pool, const Machine &machine) const
+{
+    return m_cellOf ? m_cellOf(pool, machine) : 0;
+}
+
 void MachinePlanner::setPools(std::span<const Pool> pools)
 {
     m_pools.clear();
     for (const Pool &it : pools) {
         m_pools[it.name] = it;
     }
+    for (auto &[id, known] : m_machines) {
+        known.cell = cellOf(known.machine.pool, known.machine);
+    }
 }
 
 void MachinePlanner::setMachines(std::span<const Machine> machines, Base::Instant askedAt)
 {
     m_machines.clear();
     m_byWorker.clear();
+    m_sizes.clear();
+    m_largest = 0;
     for (const Machine &it : machines) {
-        m_machines[it.id] = it;
+        m_machines[it.id] = {it, cellOf(it.pool, it)};
+        std::int64_t &size = m_sizes[it.pool];
+        size = std::max(size, it.capacity.milliCores);
+        m_largest = std::max(m_largest, size);
         if (!it.worker.empty()) {
             m_byWorker[it.worker] = it.id;
         }
@@ -71,22 +85,28 @@
 
 void MachinePlanner::setDemand(const PoolDemand &demand, Base::Instant now)
 {
-    const auto before = m_demandAt.find(demand.pool);
-    if (before == m_demandAt.end() || now - before->second > DemandLifetime) {
-        m_neededAt[demand.pool] = now; // what was needed in between is not known
+    const CellKey key{demand.pool, demand.cell};
+    Cell &cell = m_cells[key];
+    if (now - cell.demandAt > DemandLifetime) {
+        cell.neededAt = now; // what was needed in between is not known
     }
-    m_demandAt[demand.pool] = now;
-    m_demands[demand.pool] = demand;
-    m_forecasts[demand.pool].note(demand.arrivedWork, now);
-    const auto up = std::count_if(m_machines.begin(), m_machines.end(), [&](const auto &it) {
-        return it.second.pool == demand.pool && it.second.state == MachineState::Up;
-    });
+    cell.demandAt = now;
+    cell.demand = demand;
+    cell.forecast.note(demand.arrivedWork, now);
     const std::size_t wanted = machinesFor(demand.pool, demand.milliCores + demand.lateMilliCores);
-    if (std::max(wanted, machinesNeeded(demand.pool)) >= static_cast<std::size_t>(up)) {
-        m_neededAt[demand.pool] = now;
+    if (std::max(wanted, machinesNeeded(key, cell)) >= upIn(key)) {
+        cell.neededAt = now;
     }
 }
 
+std::size_t MachinePlanner::upIn(const CellKey &key) const
+{
+    return static_cast<std::size_t>(std::count_if(m_machines.begin(), m_machines.end(), [&](const auto &it) {
+        return it.second.cell == key.cell && it.second.machine.pool == key.pool
+            && it.second.machine.state == MachineState::Up;
+    }));
+}
+
 void MachinePlanner::setWave(const Wave &wave)
 {
     m_waves[wave.number].wave = wave;
@@ -187,14 +207,16 @@
     for (const auto &[name, pool] : m_pools) {
         PoolStatus status;
         status.pool = name;
-        for (const auto &[id, machine] : m_machines) {
-            status.up += machine.pool == name && machine.state == MachineState::Up ? 1 : 0;
+        for (const auto &[id, known] : m_machines) {
+            status.up += known.machine.pool == name && known.machine.state == MachineState::Up ? 1 : 0;
         }
         for (const auto &[id, work] : m_work) {
-            status.arriving += work.to == name ? 1 : 0;
-            status.leaving += work.from == name ? 1 : 0;
+            status.arriving += work.to.pool == name ? 1 : 0;
+            status.leaving += work.from.pool == name ? 1 : 0;
+        }
+        for (auto it = m_cells.lower_bound({name, 0}); it != m_cells.end() && it->first.pool == name; ++it) {
+            status.needed += machinesNeeded(it->first, it->second);
         }
-        status.needed = machinesNeeded(name);
         status.load = load(name);
         list.push_back(status);
     }
@@ -202,6 +224,12 @@
 }
 
 const Machine *MachinePlanner::find(const std::string &id) const
+{
+    const Known *found = known(id);
+    return found ? &found->machine : nullptr;
+}
+
+const MachinePlanner::Known *MachinePlanner::known(const std::string &id) const
 {
     const auto it = m_machines.find(id);
     return it != m_machines.end() ? &it->second : nullptr;
@@ -239,44 +267,38 @@
 double MachinePlanner::load(const std::string &pool) const
 {
     std::int64_t room = 0;
-    for (const auto &[id, machine] : m_machines) {
-        if (machine.pool == pool && machine.state == MachineState::Up) {
-            room += machine.capacity.milliCores;
+    for (const auto &[id, known] : m_machines) {
+        if (known.machine.pool == pool && known.machine.state == MachineState::Up) {
+            room += known.machine.capacity.milliCores;
         }
     }
-    const auto it = m_demands.find(pool);
-    if (it == m_demands.end() || room == 0) {
+    std::int64_t demand = 0;
+    bool isKnown = false;
+    for (auto it = m_cells.lower_bound({pool, 0}); it != m_cells.end() && it->first.pool == pool; ++it) {
+        demand += it->second.demand.milliCores;
+        isKnown = true;
+    }
+    if (!isKnown || room == 0) {
         return isStandby(pool) ? 0 : 1;
     }
-    return double(it->second.milliCores) / double(room);
+    return double(demand) / double(room);
 }
 
 std::size_t MachinePlanner::machinesFor(const std::string &pool, std::int64_t milliCores) const
 {
-    std::int64_t here = 0;
-    std::int64_t anywhere = 0;
-    for (const auto &[id, machine] : m_machines) {
-        anywhere = std::max(anywhere, machine.capacity.milliCores);
-        here = machine.pool == pool ? std::max(here, machine.capacity.milliCores) : here;
-    }
-    const std::int64_t size = here > 0 ? here : anywhere;
+    const auto here = m_sizes.find(pool);
+    const std::int64_t size = here != m_sizes.end() && here->second > 0 ? here->second : m_largest;
     return size > 0
         ? static_cast<std::size_t>(std::ceil(double(milliCores) * m_settings.headroom / double(size)))
         : 0;
 }
 
-std::size_t MachinePlanner::machinesNeeded(const std::string &pool) const
+std::size_t MachinePlanner::machinesNeeded(const CellKey &key, const Cell &cell) const
 {
-    const auto it = m_demands.find(pool);
-    if (it == m_demands.end()) {
-        return 0;
-    }
-    std::int64_t milliCores = it->second.milliCores;
-    if (const auto forecast = m_forecasts.find(pool); forecast != m_forecasts.end()) {
-        const double arriving = forecast->second.cores(m_settings.foresight) * 1000;
-        milliCores = std::max(milliCores, it->second.lastingMilliCores + static_cast<std::int64_t>(arriving));
-    }
-    return std::max<std::size_t>({machinesFor(pool, milliCores), it->second.leastMachines, 1});
+    const double arriving = cell.forecast.cores(m_settings.foresight) * 1000;
+    const std::int64_t milliCores =
+        std::max(cell.demand.milliCores, cell.demand.lastingMilliCores + static_cast<std::int64_t>(arriving));
+    return std::max<std::size_t>({machinesFor(key.pool, milliCores), cell.demand.leastMachines, 1});
 }
 
 // The list shows what became of orders; one that was asked for too early shows the state before.
@@ -310,10 +332,8 @@
 void MachinePlanner::planWaves(Base::Instant now)
 {
     std::map<std::string, double> loads; ///< by pool
-    for (const auto &[id, machine] : m_machines) {
-        if (loads.count(machine.pool) == 0) {
-            loads[machine.pool] = load(machine.pool);
-        }
+    for (const auto &[pool, size] : m_sizes) {
+        loads[pool] = load(pool);
     }
     for (auto &[number, progress] : m_waves) {
         const Wave &wave = progress.wave;
@@ -323,17 +343,17 @@
         if (!std::exchange(progress.isRunningWritten, true)) {
             m_commands.emplace_back(WriteWaveStatus{number, false});
         }
-        std::vector<const Machine *> left;
+        std::vector<const Known *> left;
         std::size_t leftToBegin = 0;
         for (const std::string &id : wave.machines) {
-            const Machine *machine = find(id);
+            const Known *machine = known(id);
             if (!machine || progress.begun.count(id) > 0) {
                 continue;
             }
             ++leftToBegin;
             const auto pause = m_notBefore.find(id);
             const bool isPaused = pause != m_notBefore.end() && now < pause->second;
-            if (m_work.count(id) == 0 && machine->state == MachineState::Up && !isPaused) {
+            if (m_work.count(id) == 0 && machine->machine.state == MachineState::Up && !isPaused) {
                 left.push_back(machine);
             }
         }
@@ -348,129 +368,153 @@
         const Base::Duration timeLeft = wave.noticedAt + wave.duration - WaveReserve - now;
         const double rounds = std::max(1.0, double(timeLeft.count()) / double(UpkeepEstimate.count()));
         const auto pace = static_cast<std::size_t>(std::ceil(double(leftToBegin) / rounds));
-        std::sort(left.begin(), left.end(), [&loads](const Machine *a, const Machine *b) {
-            return std::tie(loads.at(a->pool), a->id) < std::tie(loads.at(b->pool), b->id);
+        std::sort(left.begin(), left.end(), [&loads](const Known *a, const Known *b) {
+            return std::tie(loads.at(a->machine.pool), a->machine.id)
+                < std::tie(loads.at(b->machine.pool), b->machine.id);
         });
         std::size_t begun = active;
-        for (const Machine *it : left) {
-            const bool isIdle = isStandby(it->pool) || loads.at(it->pool) < IdleLoad;
+        for (const Known *it : left) {
+            const std::string &pool = it->machine.pool;
+            const bool isIdle = isStandby(pool) || loads.at(pool) < IdleLoad;
             const std::size_t most = wave.mostDown;
             if (begun >= most || (begun >= pace && !isIdle)) {
                 break;
             }
             Work work;
-            work.machine = it->id;
-            work.worker = it->worker;
-            work.from = it->pool;
+            work.machine = it->machine.id;
+            work.worker = it->machine.worker;
+            work.from = {pool, it->cell};
             work.wave = number;
             work.since = now;
-            m_work[it->id] = work;
+            m_work[work.machine] = work;
             ++begun;
         }
     }
 }
 
-const Machine *MachinePlanner::donorIn(const std::string &pool) const
+MachinePlanner::Donors MachinePlanner::findDonors() const
 {
-    if (isStandby(pool)) {
-        for (const auto &[id, machine] : m_machines) {
-            if (machine.pool == pool && machine.state == MachineState::Up && m_work.count(id) == 0) {
-                return &machine;
+    Donors donors;
+    const auto isFree = [this](const Known &known) {
+        return known.machine.state == MachineState::Up && m_work.count(known.machine.id) == 0;
+    };
+    for (const auto &[id, known] : m_machines) {
+        if (isStandby(known.machine.pool) && isFree(known)) {
+            donors[{known.machine.pool, 0}].push_back(&known);
+        }
+    }
+    for (const auto &[key, cell] : m_cells) {
+        std::vector<const Known *> &list = donors[key];
+        for (const std::string &worker : cell.demand.releasable) {
+            const auto id = m_byWorker.find(worker);
+            const Known *machine = id != m_byWorker.end() ? known(id->second) : nullptr;
+            if (machine && machine->machine.pool == key.pool && isFree(*machine)) {
+                list.push_back(machine);
             }
         }
-        return nullptr;
     }
-    const auto demand = m_demands.find(pool);
-    if (demand == m_demands.end()) {
-        return nullptr;
+    for (auto &[key, list] : donors) {
+        std::reverse(list.begin(), list.end());
     }
-    for (const std::string &worker : demand->second.releasable) {
-        const auto id = m_byWorker.find(worker);
-        const Machine *machine = id != m_byWorker.end() ? find(id->second) : nullptr;
-        if (machine && machine->pool == pool && machine->state == MachineState::Up
-            && m_work.count(machine->id) == 0) {
-            return machine;
-        }
+    return donors;
+}
+
+const MachinePlanner::Known *
+MachinePlanner::takeDonor(Donors &donors, const CellKey &from, const CellKey &to) const
+{
+    std::vector<const Known *> &list = donors[from];
+    const bool isAnyCell = isStandby(to.pool);
+    const auto it = std::find_if(list.rbegin(), list.rend(), [&](const Known *known) {
+        return isAnyCell || cellOf(to.pool, known->machine) == to.cell;
+    });
+    if (it == list.rend()) {
+        return nullptr;
     }
-    return nullptr;
+    const Known *donor = *it;
+    list.erase(std::next(it).base());
+    return donor;
 }
 
-void MachinePlanner::beginMove(const Machine &machine, const std::string &to, Base::Instant now)
+void MachinePlanner::beginMove(const Known &known, const CellKey &to, Base::Instant now)
 {
     Work work;
-    work.machine = machine.id;
-    work.worker = machine.worker;
-    work.from = machine.pool;
+    work.machine = known.machine.id;
+    work.worker = known.machine.worker;
+    work.from = {known.machine.pool, known.cell};
     work.to = to;
     work.since = now;
-    m_work[machine.id] = work;
+    m_work[work.machine] = work;
 }
 
 void MachinePlanner::planMoves(Base::Instant now)
 {
-    std::map<std::string, std::int64_t> surplus;
-    std::string standby;
+    std::map<CellKey, std::int64_t> surplus;
+    CellKey standby;
     for (const auto &[name, pool] : m_pools) {
         if (pool.isStandby) {
-            standby = name;
-        } else if (const auto at = m_demandAt.find(name);
-                   at != m_demandAt.end() && now - at->second < DemandLifetime) {
-            surplus[name] = -static_cast<std::int64_t>(machinesNeeded(name));
+            standby = {name, 0};
+        }
+    }
+    for (const auto &[key, cell] : m_cells) {
+        if (m_pools.count(key.pool) > 0 && !isStandby(key.pool) && now - cell.demandAt < DemandLifetime) {
+            surplus[key] = -static_cast<std::int64_t>(machinesNeeded(key, cell));
         }
     }
-    for (const auto &[id, machine] : m_machines) {
+    for (const auto &[id, known] : m_machines) {
         const auto work = m_work.find(id);
         // A machine that is due for upkeep is replaced first, so that its long-running tasks have a place to
         // go.
         if (work != m_work.end() && work->second.wave != 0) {
             continue;
         }
-        const std::string &pool = work != m_work.end() ? work->second.to : machine.pool;
-        if (const auto it = surplus.find(pool); it != surplus.end() && machine.state != MachineState::Down) {
+        const CellKey key = work != m_work.end() ? work->second.to : CellKey{known.machine.pool, known.cell};
+        if (const auto it = surplus.find(key);
+            it != surplus.end() && known.machine.state != MachineState::Down) {
             ++it->second;
         }
     }
-    std::vector<std::pair<std::int64_t, std::string>> poor;
-    std::vector<std::pair<std::int64_t, std::string>> rich;
-    for (const auto &[name, count] : surplus) {
+    std::vector<std::pair<std::int64_t, CellKey>> poor;
+    std::vector<std::pair<std::int64_t, CellKey>> rich;
+    for (const auto &[key, count] : surplus) {
         if (count < 0) {
-            poor.emplace_back(count, name);
+            poor.emplace_back(count, key);
         } else if (count > 0) {
-            rich.emplace_back(-count, name);
+            rich.emplace_back(-count, key);
         }
     }
     std::sort(poor.begin(), poor.end());
     std::sort(rich.begin(), rich.end());
-    for (auto &[missing, name] : poor) {
-        while (missing < 0 && !standby.empty()) {
-            const Machine *donor = donorIn(standby);
+    Donors donors = findDonors();
+    for (auto &[missing, key] : poor) {
+        while (missing < 0 && !standby.pool.empty()) {
+            const Known *donor = takeDonor(donors, standby, key);
             if (!donor) {
                 break;
             }
-            beginMove(*donor, name, now);
+            beginMove(*donor, key, now);
             ++missing;
         }
         for (auto &[spare, from] : rich) {
-            while (missing < 0 && spare < 0) {
-                const Machine *donor = donorIn(from);
+            while (missing < 0 && spare < 0 && from.pool != key.pool) {
+                const Known *donor = takeDonor(donors, from, key);
                 if (!donor) {
                     break;
                 }
-                beginMove(*donor, name, now);
+                beginMove(*donor, key, now);
                 ++missing;
                 ++spare;
             }
         }
     }
-    if (standby.empty()) {
+    if (standby.pool.empty()) {
         return;
     }
     for (auto &[spare, from] : rich) {
-        if (now - m_neededAt[from] < m_settings.idlePatience) {
+        if (now - m_cells[from].neededAt < m_settings.idlePatience) {
             continue;
         }
         while (spare < 0) {
-            const Machine *donor = donorIn(from);
+            const Known *donor = takeDonor(donors, from, standby);
             if (!donor) {
                 break;
             }
@@ -485,7 +529,7 @@
     for (auto &[id, work] : m_work) {
         // While an order is under way, nothing may begin on the worker that it ends.
         if (!work.worker.empty() && (work.step != Step::Down || work.isUnknown)) {
-            m_commands.emplace_back(EvacuateWorker{work.worker, work.from});
+            m_commands.emplace_back(EvacuateWorker{work.worker, work.from.pool, work.from.cell});
         }
         const auto from = m_ordersFrom.find(id);
         const bool mayOrder = from == m_ordersFrom.end() || from->second <= now;
@@ -493,7 +537,7 @@
             continue;
         }
         if (work.wave == 0) {
-            m_commands.emplace_back(MoveMachine{work.machine, work.to});
+            m_commands.emplace_back(MoveMachine{work.machine, work.to.pool});
         } else if (downInWave(work.wave, now) < m_waves[work.wave].wave.mostDown) {
             m_commands.emplace_back(UpkeepMachine{work.machine, work.wave});
         } else {
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -3,6 +3,9 @@
 #include "arrivalforecast.h"
 #include "machine.h"
 
+#include <compare>
+#include <cstddef>
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -27,14 +30,19 @@
 };
 
 /// Decides which machines are moved between pools and when waves of upkeep take theirs. Knows no network and
-/// no clock.
+/// no clock. A pool may be divided into cells; the rack decides which cell of a pool a machine belongs to, so
+/// a cell that is short of machines gets those that come to it.
 ///
 /// Answers a demand that goes round by turns: each pool in its time asks for several times its mean, so
 /// machines follow the demand, and those that no pool needs are put on standby.
 class MachinePlanner
 {
 public:
-    explicit MachinePlanner(const PlannerSettings &settings);
+    /// The cell of the pool that the machine belongs to while it is there.
+    using CellOf = std::function<std::size_t(const std::string &pool, const Machine &machine)>;
+
+    /// Without `cellOf` each pool is one cell.
+    explicit MachinePlanner(const PlannerSettings &settings, CellOf cellOf = {});
 
     void setPools(std::span<const Pool> pools);
     /// All machines; `askedAt` is when the list was asked for.
@@ -70,12 +78,31 @@
     bool isActive() const;
 
 private:
+    struct CellKey {
+        std::string pool;
+        std::size_t cell = 0;
+
+        auto operator<=>(const CellKey &) const = default;
+    };
+    struct Cell {
+        PoolDemand demand;
+        Base::Instant demandAt; ///< when the demand was told
+        ArrivalForecast forecast;
+        Base::Instant neededAt; ///< when the cell last needed all its machines
+    };
+    struct Known {
+        Machine machine;
+        std::size_t cell = 0; ///< of its pool
+    };
+    /// Machines of a cell that may leave it, the best one last.
+    using Donors = std::map<CellKey, std::vector<const Known *>>;
+
     enum class Step { Evacuating, Ordered, Down };
     struct Work {
         std::string machine;
         std::string worker;
-        std::string from;
-        std::string to; ///< pool; empty for upkeep
+        CellKey from;
+        CellKey to; ///< without a pool for upkeep
         std::uint64_t wave = 0; ///< 0 for a move
         Step step = Step::Evacuating;
         Base::Instant emptyAt; ///< when its worker was last said to be empty
@@ -90,30 +117,35 @@
         bool isCompletedWritten = false;
     };
 
+    std::size_t cellOf(const std::string &pool, const Machine &machine) const;
     const Machine *find(const std::string &id) const;
+    const Known *known(const std::string &id) const;
     bool isStandby(const std::string &pool) const;
     static bool isEmpty(const Work &work, Base::Instant now);
     std::size_t downInWave(std::uint64_t wave, Base::Instant now) const;
     double load(const std::string &pool) const;
-    std::size_t machinesNeeded(const std::string &pool) const;
+    std::size_t machinesNeeded(const CellKey &key, const Cell &cell) const;
     std::size_t machinesFor(const std::string &pool, std::int64_t milliCores) const;
+    std::size_t upIn(const CellKey &key) const;
     void settleWork(Base::Instant now);
     void planWaves(Base::Instant now);
     void planMoves(Base::Instant now);
     void advanceWork(Base::Instant now);
-    void beginMove(const Machine &machine, const std::string &to, Base::Instant now);
-    const Machine *donorIn(const std::string &pool) const;
+    void beginMove(const Known &known, const CellKey &to, Base::Instant now);
+    Donors findDonors() const;
+    /// Takes one that belongs to `to` once it is there; null when there is none.
+    const Known *takeDonor(Donors &donors, const CellKey &from, const CellKey &to) const;
 
     PlannerSettings m_settings;
+    CellOf m_cellOf;
     std::map<std::string, Base::Instant> m_ordersFrom; ///< of machines that an earlier owner gave orders for
     std::map<std::string, Pool> m_pools;
-    std::map<std::string, Machine> m_machines;
+    std::map<std::string, Known> m_machines;
+    std::map<std::string, std::int64_t> m_sizes; ///< cores of a pool's largest machine, thousandths
+    std::int64_t m_largest = 0; ///< the same of all machines
     std::map<std::string, std::string> m_byWorker; ///< machines by the ID of their worker
     Base::Instant m_listedAt;
-    std::map<std::string, PoolDemand> m_demands;
-    std::map<std::string, Base::Instant> m_demandAt; ///< when the demand was told, by pool
-    std::map<std::string, ArrivalForecast> m_forecasts; ///< by pool
-    std::map<std::string, Base::Instant> m_neededAt; ///< when a pool last needed all its machines
+    std::map<CellKey, Cell> m_cells;
     std::map<std::uint64_t, WaveProgress> m_waves;
     std::map<std::string, Work> m_work; ///< by machine
     std::map<std::string, Base::Instant> m_notBefore; ///< of another evacuation, by machine
--- a/tests/auto/jobs/jobworld.cpp
+++ b/tests/auto/jobs/jobworld.cpp
@@ -31,6 +31,15 @@
     m_layout.load("proof", "1");
 }
 
+void JobWorld::divide(std::uint32_t cells)
+{
+    std::string numbers;
+    for (std::uint32_t n = 0; n < cells; ++n) {
+        numbers += (n > 0 ? "," : "") + std::to_string(n);
+    }
+    m_layout.load("sign", numbers);
+}
+
 JobWorld::Member::Member(JobWorld &world, const std::string &memberName)
     : name(memberName)
     , platform(world, memberName)
@@ -99,9 +108,13 @@
 {
     auto &member = members[name];
     member = std::make_unique<Member>(*this, name);
-    member->host.start([this](const std::string &other) { return members.count(other) == 0; },
-                       [this] { return isStoreDown; },
-                       [] {});
+    member->host.start(
+        [this](const std::string &other) { return members.count(other) == 0; },
+        [this] { return isStoreDown; },
+        [] {},
+        [this](const JobService::JobRequest &request,
+               Base::Duration,
+               const std::function<void(JobService::JobReply)> &reply) { ask(request, reply); });
     member->host.setCandidate(true);
     publishWorkers();
     return *member;
@@ -766,16 +779,37 @@
     return nullptr;
 }
 
+void JobWorld::ask(JobService::JobRequest request, const std::function<void(JobService::JobReply)> &done)
+{
+    Member *member = owner(request.shard);
+    if (!member) {
+        return;
+    }
+    member->host.handle(request, [this, request, done](const JobService::JobReply &reply) {
+        if (reply.status != JobService::JobReply::Status::Elsewhere || request.isSentOn) {
+            done(reply);
+            return;
+        }
+        JobService::JobRequest sentOn = request;
+        sentOn.shard = reply.elsewhere;
+        sentOn.isSentOn = true;
+        ask(sentOn, done);
+    });
+}
+
+JobService::ShardNumber JobWorld::homeOf(const std::string &job) const
+{
+    return *m_layout.homeOf("sign", job);
+}
+
 bool JobWorld::submit(const Jobs::JobSpec &job, Milliseconds time)
 {
     submitted[job.id] = job;
     const Base::Instant until = timers.now() + time;
     while (timers.now() < until) {
         auto status = std::make_shared<std::optional<JobService::JobReply::Status>>();
-        if (Member *member = owner(0)) {
-            member->host.handle({0, JobService::Operation::Submit, job, {}},
-                                [status](const JobService::JobReply &reply) { *status = reply.status; });
-        }
+        ask({homeOf(job.id), JobService::Operation::Submit, job, {}},
+            [status](const JobService::JobReply &reply) { *status = reply.status; });
         for (int n = 0; n < 20 && !*status; ++n) {
             run(50ms);
         }
@@ -790,12 +824,10 @@
 bool JobWorld::cancel(const std::string &job)
 {
     auto isDone = std::make_shared<bool>(false);
-    if (Member *member = owner(0)) {
-        member->host.handle({0, JobService::Operation::Cancel, std::nullopt, job},
-                            [isDone](const JobService::JobReply &reply) {
-                                *isDone = reply.status == JobService::JobReply::Status::Done;
-                            });
-    }
+    ask({homeOf(job), JobService::Operation::Cancel, std::nullopt, job},
+        [isDone](const JobService::JobReply &reply) {
+            *isDone = reply.status == JobService::JobReply::Status::Done;
+        });
     for (int n = 0; n < 40 && !*isDone; ++n) {
         run(50ms);
     }
@@ -804,16 +836,23 @@
 
 std::optional<JobService::ShownState> JobWorld::state(const std::string &job)
 {
-    std::optional<JobService::ShownState> shown;
-    if (Member *member = owner(0)) {
-        member->host.handle({0, JobService::Operation::State, std::nullopt, job},
-                            [&shown](const JobService::JobReply &reply) {
-                                if (reply.status == JobService::JobReply::Status::Done) {
-                                    shown = reply.state;
-                                }
-                            });
-    }
-    return shown;
+    const auto shown = std::make_shared<std::optional<JobService::ShownState>>();
+    ask({homeOf(job), JobService::Operation::State, std::nullopt, job},
+        [shown](const JobService::JobReply &reply) {
+            if (reply.status == JobService::JobReply::Status::Done) {
+                *shown = reply.state;
+            }
+        });
+    return *shown;
+}
+
+bool JobWorld::holdsRecordOf(const std::string &job) const
+{
+    return std::any_of(m_partitions.begin(), m_partitions.end(), [&](const Partition &partition) {
+        return std::any_of(partition.records.begin(), partition.records.end(), [&](const auto &it) {
+            return it.first.substr(it.first.find('/') + 1) == job;
+        });
+    });
 }
 
 std::size_t JobWorld::runsOf(const std::string &job) const
--- a/tests/auto/jobs/jobworld.h
+++ b/tests/auto/jobs/jobworld.h
@@ -106,6 +106,8 @@
     };
 
     Worker &addWorker(const std::string &id, std::int64_t milliCores = 8000);
+    /// Divides the service "sign" into cells, which are the first shards.
+    void divide(std::uint32_t cells);
     /// Ends all its runs; it starts anew after `pause` under the same id.
     void crash(const std::string &id, Milliseconds pause);
     Member &addMember(const std::string &name);
@@ -123,6 +125,12 @@
     /// As callers see it; nothing when nobody can tell.
     std::optional<JobService::ShownState> state(const std::string &job);
     Member *owner(JobService::ShardNumber shard);
+    /// The shard that the job's ID leads to.
+    JobService::ShardNumber homeOf(const std::string &job) const;
+    /// Asks the owner of the request's shard, and the one that it names instead; no answer without an owner.
+    void ask(JobService::JobRequest request, const std::function<void(JobService::JobReply)> &done);
+    /// The store has a record whose key names the job.
+    bool holdsRecordOf(const std::string &job) const;
     /// How many tasks of the job run now.
     std::size_t runsOf(const std::string &job) const;
     std::size_t runsOn(const std::string &worker) const;
--- a/tests/auto/jobs/tst_faults.cpp
+++ b/tests/auto/jobs/tst_faults.cpp
@@ -16,15 +16,20 @@
 
 // One seeded history: jobs come while workers crash, are cut off or answer late, members are killed and come
 // back, and the store is away or loses answers. In the end all is well again and every job has to be done.
-void play(std::uint32_t seed)
+// With more than one cell some jobs belong to another cell than the one that their ID leads to.
+void play(std::uint32_t seed, std::uint32_t cells = 1)
 {
-    JobWorld world(seed);
+    JobWorld world(seed, cells);
+    world.divide(cells);
     std::mt19937 random(seed);
     const auto pick = [&random](int least, int most) {
         return std::uniform_int_distribution<>(least, most)(random);
     };
     for (int n = 0; n < 4; ++n) {
-        world.addWorker("w" + std::to_string(n), 6000).clockRate = n % 2 == 0 ? 1.0 : 0.98;
+        JobWorld::Worker &worker = world.addWorker("w" + std::to_string(n), 6000);
+        worker.clockRate = n % 2 == 0 ? 1.0 : 0.98;
+        worker.info.rack = "r" + std::to_string(n);
+        worker.info.labels = {"a", worker.info.rack};
     }
     int lastMember = 0;
     const auto addMember = [&] {
@@ -38,10 +43,12 @@
     std::vector<std::string> accepted;
     for (int step = 0; step < 40; ++step) {
         const std::string job = "j" + std::to_string(step);
-        if (world.submit(JobWorld::makeJob(job,
-                                           static_cast<std::uint32_t>(pick(1, 3)),
-                                           static_cast<std::uint32_t>(pick(1, 5))),
-                         600ms)) {
+        const auto stages = static_cast<std::uint32_t>(pick(1, 3));
+        auto spec = JobWorld::makeJob(job, stages, static_cast<std::uint32_t>(pick(1, 5)));
+        if (cells > 1 && step % 3 == 0) {
+            spec.stages[0].requiredLabel = "r" + std::to_string(step % 4);
+        }
+        if (world.submit(spec, 600ms)) {
             accepted.push_back(job);
         }
         JobWorld::Worker &worker = world.workers["w" + std::to_string(pick(0, 3))];
@@ -132,3 +139,10 @@
         play(seed);
     }
 }
+
+TEST(Faults, NoTaskRunsTwiceAndNoJobIsLostInADividedService)
+{
+    for (std::uint32_t seed = 1; seed <= 150; ++seed) {
+        play(seed, 2);
+    }
+}
--- a/tests/auto/jobs/tst_ownership.cpp
+++ b/tests/auto/jobs/tst_ownership.cpp
@@ -62,14 +62,103 @@
 {
     JobService::ServiceLayout layout(24);
     layout.load("b", "0");
-    const std::vector<std::string> services{"c", "a", "b"};
+    const std::vector<JobService::ServiceSize> services{{"c", 60}, {"a", 8}, {"b", 500}};
     const auto records = layout.missing(services);
     LONGS_EQUAL(2, records.size());
     STRCMP_EQUAL("a", records[0].key.c_str());
     STRCMP_EQUAL("1", records[0].value.c_str());
     STRCMP_EQUAL("2", records[1].value.c_str());
-    CHECK(layout.shardOf("b") == 0U);
-    CHECK(!layout.shardOf("c"));
+    CHECK(layout.homeOf("b", "0123456789abcdef") == 0U);
+    CHECK(!layout.homeOf("c", "0123456789abcdef"));
+}
+
+TEST(Ownership, LargeServicesAreDividedIntoCellsOfConsecutiveShards)
+{
+    JobService::ServiceLayout layout(24);
+    const std::vector<JobService::ServiceSize> services{{"a", 195}, {"b", 266}, {"c", 85}};
+    for (const auto &it : layout.missing(services)) {
+        layout.load(it.key, it.value);
+    }
+    LONGS_EQUAL(3, layout.cellsOf("a").size());
+    LONGS_EQUAL(4, layout.cellsOf("b").size());
+    LONGS_EQUAL(1, layout.cellsOf("c").size());
+    LONGS_EQUAL(0, layout.cellsOf("a")[0]);
+    LONGS_EQUAL(6, layout.cellsOf("b")[3]);
+    LONGS_EQUAL(8, layout.size());
+}
+
+TEST(Ownership, CellsLeaveTheShardOfTheMachinesAlone)
+{
+    JobService::ServiceLayout layout(24);
+    std::vector<JobService::ServiceSize> services;
+    for (int n = 0; n < 5; ++n) {
+        services.push_back({"s" + std::to_string(n), 600});
+    }
+    for (const auto &it : layout.missing(services)) {
+        layout.load(it.key, it.value);
+        CHECK(!layout.cellsOf(it.key).empty());
+    }
+    CHECK(layout.size() <= 23);
+    CHECK(!layout.isUsed(23));
+}
+
+TEST(Ownership, CellsAreWholeRacksOfAboutTheSameNumber)
+{
+    JobService::ServiceLayout layout(24);
+    layout.load("a", "0,1,2,3");
+    std::map<JobService::ShardNumber, int> racks;
+    for (int zone = 1; zone <= 5; ++zone) {
+        for (int rack = 1; rack <= 6; ++rack) {
+            Jobs::WorkerInfo worker;
+            worker.service = "a";
+            worker.rack = "r" + std::to_string(zone) + "-" + std::to_string(rack);
+            worker.id = worker.rack + "/0";
+            ++racks[*layout.shardOf(worker)];
+            LONGS_EQUAL(layout.cellsOf("a")[layout.cellOf("a", worker.rack)], *layout.shardOf(worker));
+        }
+    }
+    for (const auto &[shard, count] : racks) {
+        CHECK(count >= 6 && count <= 9);
+    }
+}
+
+// Each cell with long-running tasks keeps workers for them while its pool is idle.
+TEST(Ownership, LongRunningJobsAreKeptByTheFirstCell)
+{
+    JobService::ServiceLayout layout(24);
+    layout.load("a", "5,6");
+    Jobs::JobSpec job;
+    job.queue.service = "a";
+    job.stages.resize(1);
+    LONGS_EQUAL(6, JobService::shardFor(job, 6, layout, {}));
+    job.stages[0].isLongRunning = true;
+    LONGS_EQUAL(5, JobService::shardFor(job, 6, layout, {}));
+}
+
+TEST(Ownership, AJobIsKeptByACellThatCouldRunItNearItsData)
+{
+    JobService::ServiceLayout layout(24);
+    layout.load("a", "0,1");
+    std::vector<Jobs::WorkerInfo> workers(2);
+    for (std::size_t n = 0; n < 2; ++n) {
+        workers[n].service = "a";
+        workers[n].rack = "r" + std::to_string(n);
+        workers[n].labels = {n == 0 ? "small" : "large", workers[n].rack};
+        workers[n].capacity = {n == 0 ? 1000 : 8000, 1000, 0};
+    }
+    Jobs::JobSpec job;
+    job.queue.service = "a";
+    job.stages.resize(1);
+    job.stages[0].size = {1000, 100, 0};
+    LONGS_EQUAL(0, JobService::shardFor(job, 0, layout, workers));
+    job.stages[0].dataRack = "r1";
+    LONGS_EQUAL(1, JobService::shardFor(job, 0, layout, workers));
+    job.stages[0].dataRack = "elsewhere";
+    LONGS_EQUAL(0, JobService::shardFor(job, 0, layout, workers));
+    job.stages[0].size.milliCores = 4000;
+    LONGS_EQUAL(1, JobService::shardFor(job, 0, layout, workers));
+    job.stages[0].requiredLabel = "none";
+    LONGS_EQUAL(0, JobService::shardFor(job, 0, layout, workers));
 }
 
 TEST(Ownership, TheLongestPrefixOfTheHostWins)
--- a/tests/auto/jobs/tst_rules.cpp
+++ b/tests/auto/jobs/tst_rules.cpp
@@ -65,10 +65,10 @@
 
     void evacuate(std::initializer_list<const char *> workers)
     {
-        for (const char *it : workers) {
-            world.owner(0)->host.handle({0, JobService::Operation::Evacuate, std::nullopt, it},
-                                        [](const JobService::JobReply &) {});
-        }
+        world.owner(0)->host.handle({.shard = 0,
+                                     .operation = JobService::Operation::Evacuate,
+                                     .workers = {workers.begin(), workers.end()}},
+                                    [](const JobService::JobReply &) {});
     }
 
     JobWorld world;
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -274,10 +274,9 @@
 {
     bool isEmpty = false;
     for (auto spent = 0ms; spent < time && !isEmpty; spent += 200ms) {
-        world.owner(0)->host.handle({0, JobService::Operation::Evacuate, std::nullopt, worker},
-                                    [&isEmpty](const JobService::JobReply &it) {
-                                        isEmpty = it.status == JobService::JobReply::Status::Done;
-                                    });
+        world.owner(0)->host.handle(
+            {.shard = 0, .operation = JobService::Operation::Evacuate, .workers = {worker}},
+            [&isEmpty](const JobService::JobReply &it) { isEmpty = !it.emptyWorkers.empty(); });
         world.run(200ms);
     }
     return isEmpty;
@@ -381,3 +380,86 @@
     ask();
     CHECK(reply->status == JobService::JobReply::Status::Refused);
 }
+
+namespace
+{
+
+// Two cells of one worker each; jobs may ask for the rack of one of them.
+void divide(JobWorld &world)
+{
+    world.divide(2);
+    for (const std::string rack : {"r0", "r1"}) {
+        JobWorld::Worker &worker = world.addWorker("w" + rack);
+        worker.info.rack = rack;
+        worker.info.labels = {"a", rack};
+    }
+}
+
+Jobs::JobSpec jobFor(const JobWorld &world, JobService::ShardNumber home, const std::string &rack)
+{
+    std::string id = "j";
+    while (world.homeOf(id) != home) {
+        id += "j";
+    }
+    auto job = JobWorld::makeJob(id, 1, 2);
+    job.stages[0].requiredLabel = rack;
+    return job;
+}
+
+} // namespace
+
+// Red without the stored record: the next owner of the home accepts the job itself and it runs twice.
+TEST(ShardHost, AJobThatWasSentElsewhereStaysThereUnderLaterOwners)
+{
+    JobWorld world(1, 2);
+    divide(world);
+    world.addMember("m1");
+    world.run(2s);
+    const auto job = jobFor(world, 0, "r1");
+    CHECK(world.submit(job));
+    CHECK(world.owner(1)->host.counts().jobsAccepted == 1);
+    world.run(3s);
+    CHECK(world.state(job.id) == JobService::ShownState::Completed);
+    world.kill("m1");
+    world.workers["wr0"].info.labels.push_back("r1"); // its home could run it now
+    world.addMember("m2");
+    world.run(4s);
+    CHECK(world.submit(job));
+    world.run(3s);
+    CHECK(world.state(job.id) == JobService::ShownState::Completed);
+    LONGS_EQUAL(1, (world.startedRuns[{job.id, 0, 0, 0}]));
+    CHECK(world.broken.empty());
+}
+
+TEST(ShardHost, AJobElsewhereIsCancelledThroughItsHome)
+{
+    JobWorld world(1, 2);
+    divide(world);
+    world.addMember("m1");
+    world.run(2s);
+    auto job = jobFor(world, 1, "");
+    job.stages[0].isLongRunning = true;
+    CHECK(world.submit(job));
+    world.run(2s);
+    LONGS_EQUAL(2, world.runsOn("wr0"));
+    CHECK(world.cancel(job.id));
+    world.run(1s);
+    LONGS_EQUAL(0, world.runsOn("wr0"));
+    CHECK(world.state(job.id) == JobService::ShownState::Cancelled);
+}
+
+TEST(ShardHost, AJobElsewhereIsForgottenAfterItsShardHasForgottenIt)
+{
+    JobWorld world(1, 2);
+    world.settings.shard.retention = 5s;
+    divide(world);
+    world.addMember("m1");
+    world.run(2s);
+    const auto job = jobFor(world, 0, "r1");
+    CHECK(world.submit(job));
+    world.run(4s);
+    CHECK(world.holdsRecordOf(job.id));
+    world.run(20s);
+    CHECK(!world.holdsRecordOf(job.id));
+    CHECK(!world.state(job.id));
+}
--- a/tests/auto/machines/tst_machineplanner.cpp
+++ b/tests/auto/machines/tst_machineplanner.cpp
@@ -43,7 +43,7 @@
 
     void demand(const std::string &pool, std::int64_t milliCores, std::uint32_t least = 1)
     {
-        demands[pool] = {pool, milliCores, 0, 0, 0, least, {}};
+        demands[pool] = {pool, 0, milliCores, 0, 0, 0, least, {}};
     }
 
     Machines::Wave wave(std::uint32_t cap, Base::Duration duration)
@@ -462,3 +462,35 @@
     forecast.note(3, now);
     DOUBLES_EQUAL(0, forecast.cores(2s), 0.1);
 }
+
+// Machines come to the cell that their rack belongs to, so a cell that is short gets those of its racks.
+TEST(MachinePlanner, ACellThatIsShortGetsTheMachinesOfItsRacks)
+{
+    Machines::MachinePlanner planner({}, [](const std::string &pool, const Machines::Machine &machine) {
+        return pool == "sign" && machine.rack == "r1" ? 1U : 0U;
+    });
+    planner.setPools(std::vector<Machines::Pool>{{"sign", false, 2}, {"spare", true, 1}});
+    std::vector<Machines::Machine> machines;
+    for (int n = 0; n < 8; ++n) {
+        machines.push_back({"m" + std::to_string(n),
+                            "spare",
+                            MachineState::Up,
+                            "",
+                            n % 2 == 0 ? "r0" : "r1",
+                            {MachineCores, 64'000, 0}});
+    }
+    const auto now = Base::Instant{} + 1h;
+    planner.setMachines(machines, now);
+    planner.setDemand({"sign", 0, MachineCores / 2, 0, 0, 0, 1, {}}, now);
+    planner.setDemand({"sign", 1, 2 * MachineCores, 0, 0, 0, 1, {}}, now);
+    std::map<std::string, int> moved;
+    for (const Command &it : planner.pass(now)) {
+        if (const auto *move = std::get_if<Machines::MoveMachine>(&it)) {
+            const auto machine = std::find_if(
+                machines.begin(), machines.end(), [&](const auto &that) { return that.id == move->machine; });
+            ++moved[machine->rack];
+        }
+    }
+    LONGS_EQUAL(1, moved["r0"]);
+    LONGS_EQUAL(3, moved["r1"]);
+}
