Keep weak members out of ownership while strong ones can carry it

Seen in the log: candidacy at 4.0 s for all, no way back. Change: a strong member counts for four shards; too few have to be seen for 4 s (0.8 s while nobody stronger owns any); members in doubt ask the strong ones they know, owners or not.

--- a/src/libs/jobservice/candidacy.cpp
+++ b/src/libs/jobservice/candidacy.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace JobService
 {
@@ -24,8 +25,15 @@
 // A member counts as stronger from this multiple on, so that nearly equal ones share the work.
 constexpr Strength StrongerBy = 2;
 
-// Shards that one strong member carries beside others.
-constexpr std::size_t ShardsPerMember = 2;
+// So long too few stronger members have to own shards before a weak one joins them. A new deal of all shards,
+// or a store that turns some members away, shows few for about two seconds.
+constexpr Base::Duration FewPatience = std::chrono::milliseconds{4000};
+// The same while none of them does, and the shards may have no owner at all.
+constexpr Base::Duration NonePatience = std::chrono::milliseconds{800};
+
+// Shards that a strong member carries for a while when others of its kind are gone: an owner of one cell on the
+// large site takes 0.06 of its 0.5 cores in a turn (docs/CAPACITY.md).
+constexpr std::size_t ShardsPerMember = 4;
 
 } // namespace
 
@@ -55,14 +63,19 @@
     return name;
 }
 
-Candidacy::Candidacy(Strength strength, Base::Instant startedAt)
-    : m_strength(strength)
+Candidacy::Candidacy(MemberName self, Base::Instant startedAt)
+    : m_self(std::move(self))
     , m_startedAt(startedAt)
-    , m_isCandidate(strength >= AmpleStrength)
+    , m_isCandidate(m_self.strength >= AmpleStrength)
 {
 }
 
-void Candidacy::noteOwners(std::span<const ShardOwner> owners, std::size_t shardsInUse, Base::Instant now)
+// A member that owns nothing isn't listed, so where weak ones own shards few of the strong are seen; those
+// that were seen before are asked.
+void Candidacy::noteOwners(std::span<const ShardOwner> owners,
+                           std::span<const std::string> ready,
+                           std::size_t shardsInUse,
+                           Base::Instant now)
 {
     if (!m_isCandidate && now - m_startedAt < StartPatience) {
         return;
@@ -70,11 +83,29 @@
     std::set<std::string> stronger;
     for (const ShardOwner &it : owners) {
         const MemberName name = memberNameFrom(it.member);
-        if (name.strength >= m_strength * StrongerBy) {
+        if (isStronger(name)) {
             stronger.insert(name.place);
         }
     }
-    m_isCandidate = stronger.size() * ShardsPerMember < shardsInUse;
+    m_isInDoubt = stronger.size() * ShardsPerMember < shardsInUse;
+    stronger.insert(ready.begin(), ready.end());
+    if (stronger.size() * ShardsPerMember >= shardsInUse) {
+        m_isCandidate = false;
+        m_fewSince.reset();
+        return;
+    }
+    m_fewSince = m_fewSince.value_or(now);
+    m_isCandidate = m_isCandidate || now - *m_fewSince >= (stronger.empty() ? NonePatience : FewPatience);
+}
+
+bool Candidacy::isInDoubt() const
+{
+    return m_isInDoubt;
+}
+
+bool Candidacy::isStronger(const MemberName &other) const
+{
+    return other.strength >= m_self.strength * StrongerBy;
 }
 
 bool Candidacy::isCandidate() const
--- a/src/libs/jobservice/candidacy.h
+++ b/src/libs/jobservice/candidacy.h
@@ -5,6 +5,7 @@
 #include <base/instant.h>
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -30,20 +31,31 @@
 
 /// Decides whether this member should own shards.
 ///
-/// Answers a fleet of machines of several sizes: a shard's owner speaks to all workers of a service, which a
-/// small machine can't do for many. It leaves the shards to stronger members while there are enough of them.
+/// Answers a fleet of machines of several sizes: a shard's owner speaks to all workers of a cell, which a
+/// small machine can't do for many. It leaves the shards to stronger members while there are enough of them,
+/// and a deal that shows few of them for a moment changes nothing.
 class Candidacy
 {
 public:
-    Candidacy(Strength strength, Base::Instant startedAt);
-
-    void noteOwners(std::span<const ShardOwner> owners, std::size_t shardsInUse, Base::Instant now);
+    Candidacy(MemberName self, Base::Instant startedAt);
+
+    /// `ready` are the places of members that have said lately that they could own shards, whether they do or
+    /// not.
+    void noteOwners(std::span<const ShardOwner> owners,
+                    std::span<const std::string> ready,
+                    std::size_t shardsInUse,
+                    Base::Instant now);
     bool isCandidate() const;
+    /// Too few stronger members own shards; others that are known to be stronger should be asked.
+    bool isInDoubt() const;
+    bool isStronger(const MemberName &other) const;
 
 private:
-    Strength m_strength;
+    MemberName m_self;
     Base::Instant m_startedAt;
     bool m_isCandidate;
+    std::optional<Base::Instant> m_fewSince; ///< since when there are too few stronger members
+    bool m_isInDoubt = false;
 };
 
 } // namespace JobService
--- a/src/libs/jobservice/requestrouter.h
+++ b/src/libs/jobservice/requestrouter.h
@@ -137,6 +137,24 @@
         return !isMemberElsewhere && lost * 2 > m_members.size();
     }
 
+    /// Places of the members among `isWanted` that have said within the last seconds that they have the
+    /// store. Asks them again.
+    template<typename IsWanted>
+    std::vector<std::string> readyMembers(IsWanted isWanted)
+    {
+        std::vector<std::string> ready;
+        for (const auto &[place, member] : m_members) {
+            if (place == m_ownPlace || !isWanted(memberNameFrom(place + "/0"))) {
+                continue;
+            }
+            if (m_timers.now() - member.answeredAt < ReadyLifetime && !member.hasLostStore) {
+                ready.push_back(place);
+            }
+            ask(place);
+        }
+        return ready;
+    }
+
     /// What this member knows of the owners, for one that can't read them; one line each.
     std::string ownersText() const
     {
@@ -155,6 +173,8 @@
 
 private:
     static constexpr Base::Duration AnswerLifetime = std::chrono::milliseconds{1000};
+    // The same for what readyMembers() tells; they are asked with every look at the owners.
+    static constexpr Base::Duration ReadyLifetime = std::chrono::milliseconds{2500};
     static constexpr Base::Duration AskTimeout = std::chrono::milliseconds{500};
 
     /// A request on its way to the owner of its shard.
