--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -284,13 +284,17 @@
     return double(demand) / double(room);
 }
 
+// Demand varies by about the root of its size, so large pools get along with a smaller share to spare (square-root
+// staffing: Halfin and Whitt, Operations Research 29, 1981).
 std::size_t MachinePlanner::machinesFor(const std::string &pool, std::int64_t milliCores) const
 {
     const auto here = m_sizes.find(pool);
     const std::int64_t size = here != m_sizes.end() && here->second > 0 ? here->second : m_largest;
-    return size > 0
-        ? static_cast<std::size_t>(std::ceil(double(milliCores) * m_settings.headroom / double(size)))
-        : 0;
+    if (size == 0) {
+        return 0;
+    }
+    const double load = double(milliCores) / double(size);
+    return static_cast<std::size_t>(std::ceil(load + m_settings.headroom * std::sqrt(load)));
 }
 
 std::size_t MachinePlanner::machinesNeeded(const CellKey &key, const Cell &cell) const
