Give a whole machine to a task that fits on none

A late task of 29 cores waited from 23 s to the end: 48 machines were up in its pool, 39 % in use, and each had a small long-running task, since these stay apart. Late work counts for few machines, and the pool had more than it needed, so none came. Change: an owner whose workers are mostly free and none of which holds a waiting task says how many whole workers it lacks, four at most; the planner adds as many to those that are up. Tests for the owner and the planner; both ask for numbers that the code before did not have.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -24,6 +24,12 @@
 // Workers that are empty within the same multiple of this are alike; the one with less work goes first.
 constexpr Milliseconds DrainStep{250};
 
+// Up to this share in use, a pool that has no place for a task lacks a whole worker rather than room.
+constexpr double MostlyFree = 0.6;
+
+// Whole workers that are asked for at the same time.
+constexpr std::uint32_t MostWholeWorkers = 4;
+
 // How long all tasks of the stage that aren't done have been under way.
 Milliseconds timeSpent(const StageProgress &progress, Base::Instant now)
 {
@@ -387,6 +393,7 @@
             }
         }
     }
+    addWholeWorkers(demands, now);
     std::vector<std::tuple<std::int64_t, std::int64_t, const Worker *>> free;
     for (const auto &[id, worker] : m_workers) {
         if (worker.isListed && anchors.count(id) == 0 && !worker.info.isDraining
@@ -407,6 +414,48 @@
     return list;
 }
 
+// Long-running tasks stay apart and leave no worker whole, so a large task may find no place in a pool that
+// is nearly idle.
+void Shard::addWholeWorkers(std::map<std::string, ServiceDemand> &demands, Base::Instant now) const
+{
+    struct Room {
+        std::int64_t used = 0;
+        std::int64_t all = 0;
+        std::vector<Resources> free;
+    };
+    std::map<std::string, Room> rooms;
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker.isUsable(now)) {
+            continue;
+        }
+        Room &room = rooms[worker.info.service];
+        room.used += worker.used.milliCores;
+        room.all += worker.info.capacity.milliCores;
+        room.free.push_back(worker.info.capacity);
+        room.free.back() -= worker.used;
+    }
+    for (const Job *job : m_active) {
+        const Room &room = rooms[job->spec.queue.service];
+        if (double(room.used) > double(room.all) * MostlyFree) {
+            continue;
+        }
+        ServiceDemand &demand = demands[job->spec.queue.service];
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
+                const auto &tasks = occurrence.stages[n].tasks;
+                const bool isWaiting = job->isReady(occurrence, n)
+                    && std::any_of(tasks.begin(), tasks.end(), [](const Task &it) { return it.isWaiting(); });
+                const Resources size = charge(job->spec.stages[n]);
+                const bool fits = std::any_of(room.free.begin(), room.free.end(), [&](const Resources &it) {
+                    return it.contains(size);
+                });
+                demand.wholeWorkers += isWaiting && !fits ? 1 : 0;
+            }
+        }
+        demand.wholeWorkers = std::min(demand.wholeWorkers, MostWholeWorkers);
+    }
+}
+
 bool Shard::evacuate(const std::string &id, Base::Instant now)
 {
     const auto it = m_workers.find(id);
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -163,6 +163,8 @@
                    const Worker &worker,
                    Base::Instant now,
                    WallTime wall) const;
+    /// Sets wholeWorkers of each service.
+    void addWholeWorkers(std::map<std::string, ServiceDemand> &demands, Base::Instant now) const;
     /// Until the runs there have ended, by their estimates.
     Milliseconds timeToEmpty(const Worker &worker, Base::Instant now) const;
     bool isAtWork(const Task &task) const;
--- a/src/libs/jobs/shardcommands.h
+++ b/src/libs/jobs/shardcommands.h
@@ -182,6 +182,7 @@
     std::int64_t lastingMilliCores = 0; ///< of long-running ones among them
     double arrivedWork = 0; ///< core-seconds of all jobs accepted by this owner, without long-running ones
     std::uint32_t leastWorkers = 0; ///< so that long-running tasks can stay apart as their stages ask
+    std::uint32_t wholeWorkers = 0; ///< that tasks need which fit on none, though most of the room is free
     std::vector<std::string> releasable; ///< workers without long-running tasks, the soonest empty first
 };
 
--- a/src/libs/jobservice/machineduty.h
+++ b/src/libs/jobservice/machineduty.h
@@ -259,6 +259,7 @@
                                               demand.lastingMilliCores,
                                               demand.arrivedWork,
                                               demand.leastWorkers,
+                                              demand.wholeWorkers,
                                               std::move(demand.releasable)},
                                              m_timers.now());
                     }
--- a/src/libs/jobservice/peerprotocol.cpp
+++ b/src/libs/jobservice/peerprotocol.cpp
@@ -38,6 +38,7 @@
             {"lasting", demand.lastingMilliCores},
             {"arrived", demand.arrivedWork},
             {"least", demand.leastWorkers},
+            {"whole", demand.wholeWorkers},
             {"releasable", encodeNames(demand.releasable)}};
 }
 
@@ -50,6 +51,7 @@
     demand.lastingMilliCores = from.at("lasting").to_number<std::int64_t>();
     demand.arrivedWork = from.at("arrived").to_number<double>();
     demand.leastWorkers = from.at("least").to_number<std::uint32_t>();
+    demand.wholeWorkers = from.at("whole").to_number<std::uint32_t>();
     demand.releasable = decodeNames(from.at("releasable"));
     return demand;
 }
--- a/src/libs/machines/machine.h
+++ b/src/libs/machines/machine.h
@@ -39,6 +39,7 @@
     std::int64_t lastingMilliCores = 0; ///< of long-running tasks, among those
     double arrivedWork = 0; ///< core-seconds handed in since its owner began
     std::uint32_t leastMachines = 0; ///< that long-running tasks need to stay apart from each other
+    std::uint32_t wholeMachines = 0; ///< more than there are, for tasks that fit on none of them
     std::vector<std::string> releasable; ///< workers without long-running tasks, the soonest empty first
 };
 
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -284,8 +284,8 @@
     return double(demand) / double(room);
 }
 
-// Demand varies by about the root of its size, so large pools get along with a smaller share to spare (square-root
-// staffing: Halfin and Whitt, Operations Research 29, 1981).
+// Demand varies by about the root of its size, so large pools get along with a smaller share to spare
+// (square-root staffing: Halfin and Whitt, Operations Research 29, 1981).
 std::size_t MachinePlanner::machinesFor(const std::string &pool, std::int64_t milliCores) const
 {
     const auto here = m_sizes.find(pool);
@@ -302,7 +302,9 @@
     const double arriving = cell.forecast.cores(m_settings.foresight) * 1000;
     const std::int64_t milliCores =
         std::max(cell.demand.milliCores, cell.demand.lastingMilliCores + static_cast<std::int64_t>(arriving));
-    return std::max<std::size_t>({machinesFor(key.pool, milliCores), cell.demand.leastMachines, 1});
+    const std::size_t whole = cell.demand.wholeMachines;
+    return std::max<std::size_t>(
+        {machinesFor(key.pool, milliCores), cell.demand.leastMachines, whole > 0 ? upIn(key) + whole : 0, 1});
 }
 
 // Late work fills what is left of the machines that are there. A few more see to it that it ends, and that a
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -505,3 +505,32 @@
     CHECK(!evacuate(world, "w1", 1s));
     LONGS_EQUAL(2, world.runsOn("w1"));
 }
+
+TEST(ShardHost, ATaskThatFitsOnNoWorkerAsksForAWholeOne)
+{
+    JobWorld world;
+    world.addWorker("w1", 8000);
+    world.addWorker("w2", 8000);
+    world.addMember("m1");
+    world.run(2s);
+    CHECK(world.submit(makeRoster("a", 2)));
+    world.run(2s);
+    LONGS_EQUAL(1, world.runsOn("w1"));
+    LONGS_EQUAL(1, world.runsOn("w2"));
+    auto large = JobWorld::makeJob("b", 1, 1);
+    large.stages[0].size.milliCores = 7900;
+    CHECK(world.submit(large));
+    world.run(1s);
+    std::uint32_t whole = 0;
+    const auto askDemand = [&] {
+        world.ask({.shard = 0, .operation = JobService::Operation::Demand},
+                  [&whole](const JobService::JobReply &reply) { whole = reply.demand.at(0).wholeWorkers; });
+        return whole;
+    };
+    LONGS_EQUAL(1, askDemand());
+    world.addWorker("w3", 8000);
+    world.publishWorkers();
+    world.run(2s);
+    LONGS_EQUAL(0, askDemand());
+    CHECK(world.state("b") == JobService::ShownState::Completed);
+}
--- a/tests/auto/machines/tst_machineplanner.cpp
+++ b/tests/auto/machines/tst_machineplanner.cpp
@@ -43,7 +43,7 @@
 
     void demand(const std::string &pool, std::int64_t milliCores, std::uint32_t least = 1)
     {
-        demands[pool] = {pool, 0, milliCores, 0, 0, 0, least, {}};
+        demands[pool] = {pool, 0, milliCores, 0, 0, 0, least, 0, {}};
     }
 
     Machines::Wave wave(std::uint32_t cap, Base::Duration duration)
@@ -317,7 +317,21 @@
     CHECK(fleet.up("sign") >= 13);
 }
 
-// Red (LOST, plaquewright-prod-large quiet-1): a late task of 29 cores found no machine with so much room.
+// Red (LOST, plaquewright-prod-large quiet-1): a late task of 29 cores waited for 28 s on 48 machines that
+// all had a small long-running task.
+TEST(MachinePlanner, ATaskThatFitsOnNoMachineGetsAWholeOne)
+{
+    fleet.add("sign", 6);
+    fleet.add("spare", 4);
+    fleet.demand("sign", MachineCores, 6);
+    fleet.demands["sign"].wholeMachines = 1;
+    fleet.run(3s);
+    CHECK(fleet.up("sign") >= 7);
+    fleet.demands["sign"].wholeMachines = 0;
+    fleet.run(10s);
+    LONGS_EQUAL(6, fleet.up("sign"));
+}
+
 TEST(MachinePlanner, LateWorkGetsAFewMachinesThatNobodyElseNeeds)
 {
     fleet.add("sign", 2);
@@ -547,8 +561,8 @@
     }
     const auto now = Base::Instant{} + 1h;
     planner.setMachines(machines, now);
-    planner.setDemand({"sign", 0, MachineCores / 4, 0, 0, 0, 1, {}}, now);
-    planner.setDemand({"sign", 1, 3 * MachineCores / 2, 0, 0, 0, 1, {}}, now);
+    planner.setDemand({"sign", 0, MachineCores / 4, 0, 0, 0, 1, 0, {}}, now);
+    planner.setDemand({"sign", 1, 3 * MachineCores / 2, 0, 0, 0, 1, 0, {}}, now);
     std::map<std::string, int> moved;
     for (const Command &it : planner.pass(now)) {
         if (const auto *move = std::get_if<Machines::MoveMachine>(&it)) {
