Read a topic to its end without a pause, and only the newest of each key

A task was ended at 15.78 s, 4.0 s (one lease) after its cell changed hands at 11.8 s. They read what had been written to the workers' records page by page, with a pause between, and called the list complete after the first page: dead workers were asked, the living ones unknown. With an unanswered question or two on top the leases run out. Change: a follower reads on until the end that the store names, tells of changes only then, takes only the last of several values of a key, and reads the newest of each key anew where it is over 3,000 records behind. The tests were not run against the code before, which lacks the end in a page.

--- a/src/libs/jobservice/recordfollower.h
+++ b/src/libs/jobservice/recordfollower.h
@@ -3,12 +3,14 @@
 #include <base/logline.h>
 #include <base/oneshottimer.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -34,6 +36,7 @@
     bool isExpired = false; ///< the records at that offset are gone
     std::vector<KeyedRecord> records{};
     std::uint64_t next = 0; ///< offset behind the last record
+    std::uint64_t end = 0; ///< of the topic when it was read
 };
 
 struct FollowerSettings {
@@ -42,7 +45,8 @@
     Base::Duration retryPause = std::chrono::milliseconds{300};
 };
 
-/// Keeps the newest value of each key of a topic, and tells of every change.
+/// Keeps the newest value of each key of a topic, and tells of changes: of several at once, of the last. One
+/// that has fallen behind reads to the end without a pause.
 template<typename Platform>
 class RecordFollower
 {
@@ -91,6 +95,9 @@
     }
 
 private:
+    // Records; from here on the newest of each key are less to read than all.
+    static constexpr std::uint64_t MostBehind = 3000;
+
     void readAll()
     {
         m_seen.clear();
@@ -168,14 +175,37 @@
                 readAll();
                 return;
             }
-            for (KeyedRecord &it : page->records) {
-                take(std::move(it));
-            }
+            takeNewest(page->records);
+            const bool isProgress = page->next > *m_end;
             m_end = page->next;
-            readDone();
+            if (page->next >= page->end || !isProgress) {
+                readDone();
+            } else if (page->end - page->next > MostBehind) {
+                readAll();
+            } else {
+                readTail();
+            }
         });
     }
 
+    // Of what was written in quick succession only the last counts.
+    void takeNewest(std::vector<KeyedRecord> &records)
+    {
+        std::map<std::string_view, std::size_t> newest;
+        for (std::size_t n = 0; n < records.size(); ++n) {
+            newest[records[n].key] = n;
+        }
+        std::vector<std::size_t> order;
+        order.reserve(newest.size());
+        for (const auto &[key, n] : newest) {
+            order.push_back(n);
+        }
+        std::sort(order.begin(), order.end());
+        for (const std::size_t n : order) {
+            take(std::move(records[n]));
+        }
+    }
+
     void readDone()
     {
         m_lastRead = m_timers.now();
--- a/tests/auto/jobs/tst_recordfollower.cpp
+++ b/tests/auto/jobs/tst_recordfollower.cpp
@@ -70,9 +70,13 @@
             JobService::TailPage page;
             page.isExpired = from < firstKept;
             for (std::uint64_t n = from; n < m_records.size() && !page.isExpired; ++n) {
+                if (page.records.size() == recordsOfTail) {
+                    break;
+                }
                 page.records.push_back(m_records[n]);
             }
-            page.next = m_records.size();
+            page.next = from + page.records.size();
+            page.end = m_records.size();
             done(isDown ? std::nullopt : std::optional(page));
         });
     }
@@ -80,6 +84,7 @@
     bool isDown = false;
     int refusals = 0; ///< of every other page
     std::uint64_t firstKept = 0;
+    std::size_t recordsOfTail = 1000;
     int pages = 0;
     int tails = 0;
 
@@ -113,6 +118,7 @@
     Topic topic{timers};
     std::map<std::string, std::string> seen;
     int changes = 0;
+    int reads = 0; ///< to the end
     JobService::RecordFollower<Topic> follower{topic,
                                                timers,
                                                "workers",
@@ -125,7 +131,8 @@
                                                        seen.erase(key);
                                                    }
                                                },
-                                               [] {
+                                               [this] {
+                                                   ++reads;
                                                }};
 };
 
@@ -182,3 +189,52 @@
     LONGS_EQUAL(21, seen.size());
     CHECK(topic.pages < 15);
 }
+
+// Red: a member that the store had turned away for nine seconds read the workers' records page by page with a
+// pause between, owned a cell for 2.6 s without knowing its workers, and leases ran out (AVAIL on
+// plaquewright-prod-large trouble-1).
+TEST(RecordFollower, OneThatIsBehindReadsToTheEndWithoutAPause)
+{
+    topic.isDown = true;
+    runFor(1s);
+    for (int n = 0; n < 200; ++n) {
+        topic.write("k" + std::to_string(n), "1");
+    }
+    topic.recordsOfTail = 10;
+    const int before = reads;
+    topic.isDown = false;
+    runFor(600ms);
+    LONGS_EQUAL(201, seen.size());
+    CHECK(reads - before <= 4); // nothing is said of a half-read topic
+}
+
+TEST(RecordFollower, OneThatIsFarBehindReadsTheNewestOfEachKey)
+{
+    topic.isDown = true;
+    runFor(1s);
+    for (int n = 0; n < 4000; ++n) {
+        topic.write("k" + std::to_string(n % 7), std::to_string(n));
+    }
+    topic.recordsOfTail = 10;
+    topic.tails = 0;
+    topic.isDown = false;
+    runFor(600ms);
+    LONGS_EQUAL(8, seen.size());
+    STRCMP_EQUAL("3999", seen["k2"].c_str());
+    CHECK(topic.tails < 10);
+}
+
+// Red: each configuration of a storm was decoded and put in force, one after the other.
+TEST(RecordFollower, OfSeveralValuesOfAKeyTheLastIsTold)
+{
+    topic.isDown = true;
+    runFor(1s);
+    for (int n = 0; n < 50; ++n) {
+        topic.write("config", std::to_string(n));
+    }
+    topic.isDown = false;
+    changes = 0;
+    runFor(1s);
+    STRCMP_EQUAL("49", seen["config"].c_str());
+    LONGS_EQUAL(1, changes);
+}
