Plan machines once a pass, and only order when workers become empty

It planned anew, over 1,100 machines, and asked all draining workers again whenever some had become empty, some 50 times a second in a turn; the load of each pool walked all machines once more. Change: workers that become empty only have their orders sent; loads are counted in one walk. What is left of walks: each event of an owner walks its cell's workers three times (nextDue, releaseLapsed, askWorkers), a fifth of its time; not mended here.

--- a/src/libs/jobservice/machineduty.h
+++ b/src/libs/jobservice/machineduty.h
@@ -126,19 +126,24 @@
         m_timer.arm(m_settings.period, [this] { tick(); });
     }
 
-    void runPlannerIfOwner()
+    void orderEmpty()
     {
         if (m_planner) {
-            runPlanner();
+            carryOutAll(m_planner->orderEmpty(m_timers.now()));
         }
     }
 
     void runPlanner()
     {
-        for (Machines::Command &it : m_planner->pass(m_timers.now())) {
+        carryOutAll(m_planner->pass(m_timers.now()));
+        sendEvacuations();
+    }
+
+    void carryOutAll(std::vector<Machines::Command> commands)
+    {
+        for (Machines::Command &it : commands) {
             std::visit([this](auto &order) { this->carryOut(order); }, it);
         }
-        sendEvacuations();
     }
 
     void logStatus()
@@ -295,7 +300,7 @@
             isNews = m_planner->evacuated(it, empty.count(it) > 0, m_timers.now()) || isNews;
         }
         if (isNews) {
-            m_soon.arm({}, [this] { runPlannerIfOwner(); });
+            m_soon.arm({}, [this] { orderEmpty(); });
         }
     }
 
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -181,15 +181,31 @@
     }
 }
 
+bool MachinePlanner::hasList(Base::Instant now) const
+{
+    return !m_machines.empty() && now - m_listedAt < ListLifetime;
+}
+
 std::vector<Command> MachinePlanner::pass(Base::Instant now)
 {
     settleWork(now);
-    if (!m_machines.empty() && now - m_listedAt < ListLifetime) {
+    if (hasList(now)) {
         planWaves(now);
         if (m_settings.movesMachines) {
             planMoves(now);
         }
-        advanceWork(now);
+        evacuate();
+        order(now);
+    }
+    return std::exchange(m_commands, {});
+}
+
+// Workers become empty many times a second while hundreds of machines move; planning anew each time would
+// take the owner's processor.
+std::vector<Command> MachinePlanner::orderEmpty(Base::Instant now)
+{
+    if (hasList(now)) {
+        order(now);
     }
     return std::exchange(m_commands, {});
 }
@@ -203,6 +219,7 @@
 
 std::vector<MachinePlanner::PoolStatus> MachinePlanner::status() const
 {
+    const std::map<std::string, double> loads = this->loads();
     std::vector<PoolStatus> list;
     for (const auto &[name, pool] : m_pools) {
         PoolStatus status;
@@ -217,7 +234,8 @@
         for (auto it = m_cells.lower_bound({name, 0}); it != m_cells.end() && it->first.pool == name; ++it) {
             status.needed += machinesNeeded(it->first, it->second);
         }
-        status.load = load(name);
+        const auto load = loads.find(name);
+        status.load = load != loads.end() ? load->second : 0;
         list.push_back(status);
     }
     return list;
@@ -264,24 +282,24 @@
     return down;
 }
 
-double MachinePlanner::load(const std::string &pool) const
+std::map<std::string, double> MachinePlanner::loads() const
 {
-    std::int64_t room = 0;
+    std::map<std::string, std::int64_t> rooms;
     for (const auto &[id, known] : m_machines) {
-        if (known.machine.pool == pool && known.machine.state == MachineState::Up) {
-            room += known.machine.capacity.milliCores;
-        }
+        std::int64_t &room = rooms[known.machine.pool];
+        room += known.machine.state == MachineState::Up ? known.machine.capacity.milliCores : 0;
     }
-    std::int64_t demand = 0;
-    bool isKnown = false;
-    for (auto it = m_cells.lower_bound({pool, 0}); it != m_cells.end() && it->first.pool == pool; ++it) {
-        demand += it->second.demand.milliCores;
-        isKnown = true;
+    std::map<std::string, std::int64_t> demands;
+    for (const auto &[key, cell] : m_cells) {
+        demands[key.pool] += cell.demand.milliCores;
     }
-    if (!isKnown || room == 0) {
-        return isStandby(pool) ? 0 : 1;
+    std::map<std::string, double> loads;
+    for (const auto &[pool, room] : rooms) {
+        const auto demand = demands.find(pool);
+        const bool isKnown = demand != demands.end() && room > 0;
+        loads[pool] = isKnown ? double(demand->second) / double(room) : isStandby(pool) ? 0 : 1;
     }
-    return double(demand) / double(room);
+    return loads;
 }
 
 // Demand varies by about the root of its size, so large pools get along with a smaller share to spare
@@ -344,10 +362,7 @@
 
 void MachinePlanner::planWaves(Base::Instant now)
 {
-    std::map<std::string, double> loads; ///< by pool
-    for (const auto &[pool, size] : m_sizes) {
-        loads[pool] = load(pool);
-    }
+    const std::map<std::string, double> loads = this->loads();
     for (auto &[number, progress] : m_waves) {
         const Wave &wave = progress.wave;
         if (wave.number == 0 || progress.isCompletedWritten) {
@@ -612,16 +627,24 @@
     }
 }
 
-void MachinePlanner::advanceWork(Base::Instant now)
+// While an order is under way, nothing may begin on the worker that it ends.
+void MachinePlanner::evacuate()
 {
-    for (auto &[id, work] : m_work) {
-        // While an order is under way, nothing may begin on the worker that it ends.
+    for (const auto &[id, work] : m_work) {
         if (!work.worker.empty() && (work.step != Step::Down || work.isUnknown)) {
             m_commands.emplace_back(EvacuateWorker{work.worker, work.from.pool, work.from.cell});
         }
+    }
+}
+
+void MachinePlanner::order(Base::Instant now)
+{
+    for (auto &[id, work] : m_work) {
+        if (work.step != Step::Evacuating || !isEmpty(work, now)) {
+            continue;
+        }
         const auto from = m_ordersFrom.find(id);
-        const bool mayOrder = from == m_ordersFrom.end() || from->second <= now;
-        if (work.step != Step::Evacuating || !isEmpty(work, now) || !mayOrder) {
+        if (from != m_ordersFrom.end() && from->second > now) {
             continue;
         }
         if (work.wave == 0) {
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -64,6 +64,8 @@
     void upkeepAnswered(const UpkeepMachine &order, OrderResult result, Base::Instant now);
 
     std::vector<Command> pass(Base::Instant now);
+    /// Only the orders for machines that have become empty since the last pass.
+    std::vector<Command> orderEmpty(Base::Instant now);
 
     struct PoolStatus {
         std::string pool;
@@ -124,7 +126,8 @@
     bool isStandby(const std::string &pool) const;
     static bool isEmpty(const Work &work, Base::Instant now);
     std::size_t downInWave(std::uint64_t wave, Base::Instant now) const;
-    double load(const std::string &pool) const;
+    /// Demand against the room of the machines that are up, by pool.
+    std::map<std::string, double> loads() const;
     std::size_t machinesNeeded(const CellKey &key, const Cell &cell) const;
     /// For late work, from what stands by.
     std::size_t machinesForLate(const CellKey &key, const Cell &cell) const;
@@ -134,7 +137,9 @@
     void planWaves(Base::Instant now);
     void planMoves(Base::Instant now);
     void takeBackMoves(std::map<CellKey, std::int64_t> &surplus);
-    void advanceWork(Base::Instant now);
+    void evacuate();
+    void order(Base::Instant now);
+    bool hasList(Base::Instant now) const;
     void beginMove(const Known &known, const CellKey &to, Base::Instant now);
     std::map<CellKey, std::int64_t> targets(Base::Instant now) const;
     Donors findDonors() const;
