Bound the whole machines that a cell gets for large tasks

Cause: read on review. Each pass added as many machines to those that were up as whole workers were asked for; a task that fits on none of the new ones either (fleets with machines of several sizes) would have drawn one after the other until none stood by. Change: the cell gets as many beside the machines that have long-running tasks, whether they help or not.

--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -320,9 +320,12 @@
     const double arriving = cell.forecast.cores(m_settings.foresight) * 1000;
     const std::int64_t milliCores =
         std::max(cell.demand.milliCores, cell.demand.lastingMilliCores + static_cast<std::int64_t>(arriving));
+    // Whole machines beside those with long-running tasks, as many as are asked for, whether they help or
+    // not.
+    const std::size_t occupied = upIn(key) - std::min(upIn(key), cell.demand.releasable.size());
     const std::size_t whole = cell.demand.wholeMachines;
     return std::max<std::size_t>(
-        {machinesFor(key.pool, milliCores), cell.demand.leastMachines, whole > 0 ? upIn(key) + whole : 0, 1});
+        {machinesFor(key.pool, milliCores), cell.demand.leastMachines, whole > 0 ? occupied + whole : 0, 1});
 }
 
 // Late work fills what is left of the machines that are there. A few more see to it that it ends, and that a
--- a/tests/auto/machines/tst_machineplanner.cpp
+++ b/tests/auto/machines/tst_machineplanner.cpp
@@ -111,6 +111,7 @@
     Machines::MachinePlanner planner;
     std::map<std::string, Machines::Machine> machines;
     std::map<std::string, Machines::PoolDemand> demands;
+    std::set<std::string> anchors; ///< machines with long-running tasks
     std::set<std::string> stuck; ///< workers that don't become empty
     bool losesAnswers = false; ///< of upkeep, before the effect
     bool holdsUpkeeps = false; ///< orders stay in heldUpkeeps
@@ -144,7 +145,7 @@
         for (auto &[pool, demand] : demands) {
             demand.releasable.clear();
             for (const auto &[id, machine] : machines) {
-                if (machine.pool == pool && machine.state == MachineState::Up) {
+                if (machine.pool == pool && machine.state == MachineState::Up && anchors.count(id) == 0) {
                     demand.releasable.push_back(machine.worker);
                 }
             }
@@ -323,10 +324,17 @@
 {
     fleet.add("sign", 6);
     fleet.add("spare", 4);
+    for (const auto &[id, machine] : fleet.machines) {
+        if (machine.pool == "sign") {
+            fleet.anchors.insert(id);
+        }
+    }
     fleet.demand("sign", MachineCores, 6);
     fleet.demands["sign"].wholeMachines = 1;
     fleet.run(3s);
-    CHECK(fleet.up("sign") >= 7);
+    LONGS_EQUAL(7, fleet.up("sign"));
+    fleet.run(10s); // it doesn't fit there either, so no more come
+    LONGS_EQUAL(7, fleet.up("sign"));
     fleet.demands["sign"].wholeMachines = 0;
     fleet.run(10s);
     LONGS_EQUAL(6, fleet.up("sign"));
