Take back that leases wait for the owner's record; note a finding

Change: leases are renewed as before; the names of earlier owners, the kept release and the second try of the owner's record stay.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -525,11 +525,7 @@
         refuseUnsent(now);
         return;
     }
-    if (!std::exchange(m_isOwnerKnown, true)) {
-        for (auto &[id, worker] : m_workers) {
-            worker.nextAsk = std::min(worker.nextAsk, now);
-        }
-    }
+    m_isOwnerKnown = true;
     for (const std::string &it : batch.newJobs) {
         const auto found = m_jobs.find(it);
         if (found == m_jobs.end()) {
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -213,7 +213,7 @@
         m_earlierOwners; ///< that haven't released the shard, and aren't known to have ended
     Base::Instant m_earlierRenewUntil; ///< from here on none of them renews a lease
     bool m_isOwnerStored = false; ///< or in the append under way
-    bool m_isOwnerKnown = false; ///< the record of this owner is stored; no lease is renewed before
+    bool m_isOwnerKnown = false; ///< its record is stored
     bool m_areEarlierStored = false; ///< in the record of the owner
     std::map<std::string, Job, std::less<>> m_jobs;
     // Jobs that have ended stay in m_jobs for minutes; what is done at every pass keeps to these.
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -529,9 +529,7 @@
         m_hasChanged = true;
     }
     takeRunList(worker, order.token, list, now, wall);
-    // Until this owner is stored nothing is renewed and workers answer at once.
-    const bool answersAtOnce = worker.processedCursor > worker.ackCursor || !m_isOwnerKnown;
-    worker.nextAsk = answersAtOnce ? now + UnstoredPause : now;
+    worker.nextAsk = worker.processedCursor > worker.ackCursor ? now + UnstoredPause : now;
 }
 
 Milliseconds Shard::longestLease() const
@@ -575,7 +573,7 @@
             RenewLease ask;
             ask.worker = worker.info.id;
             ask.token = worker.token;
-            const bool isSound = worker.hasAnswered && worker.failuresInRow == 0 && m_isOwnerKnown;
+            const bool isSound = worker.hasAnswered && worker.failuresInRow == 0;
             if (isSound) {
                 ask.leaseEnd = leaseEnd(worker, now);
                 ask.ackCursor = worker.ackCursor;
