Run late jobs while their results are still of use

Ruled out: the cube root of the work, the newest of the late first but for those about to become useless, jobs just late apart (queue simulation, equal or worse). Test: QueueOrder, InASurgeHardlyAnyCallerGetsNothing, red before.

--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -8,6 +8,15 @@
 namespace Jobs
 {
 
+namespace
+{
+
+// Callers count a result up to this multiple of the time until the objective as late, and nothing after it
+// (the users' rules).
+constexpr int LateFactor = 3;
+
+} // namespace
+
 std::string toString(const TaskId &task)
 {
     return fmt::format("{}.{}.{}.{}", task.job, task.occurrence, task.stage, task.index);
@@ -120,11 +129,21 @@
     return sum;
 }
 
+WallTime Job::due(std::uint32_t occurrence) const
+{
+    return spec.isTimed() ? spec.firstDue + spec.interval * occurrence : acceptedAt;
+}
+
 WallTime Job::objective(std::uint32_t occurrence) const
 {
-    const WallTime due = spec.isTimed() ? spec.firstDue + spec.interval * occurrence : acceptedAt;
-    return due + Milliseconds(static_cast<std::int64_t>(spec.queue.slackFactor * double(chain().count())))
+    return due(occurrence)
+        + Milliseconds(static_cast<std::int64_t>(spec.queue.slackFactor * double(chain().count())))
         + spec.queue.targetLatency;
 }
 
+WallTime Job::lateLimit(std::uint32_t occurrence) const
+{
+    return due(occurrence) + LateFactor * (objective(occurrence) - due(occurrence));
+}
+
 } // namespace Jobs
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -100,8 +100,12 @@
     Milliseconds chain() const;
     /// Core-seconds of one occurrence, without long-running tasks.
     double work() const;
+    /// When the occurrence may start.
+    WallTime due(std::uint32_t occurrence) const;
     /// When the occurrence has to end to meet its objective.
     WallTime objective(std::uint32_t occurrence) const;
+    /// When the result of the occurrence stops being of use to its caller.
+    WallTime lateLimit(std::uint32_t occurrence) const;
 };
 
 } // namespace Jobs
--- a/src/libs/jobs/queueorder.cpp
+++ b/src/libs/jobs/queueorder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 
 namespace Jobs
 {
@@ -18,10 +19,10 @@
 // A job that has begun is given up only when it is later than this share of what is left.
 constexpr double BegunMargin = 0.3;
 
-enum Group { Endless, Begun, InTime, Tight, Late };
+enum Group { Endless, Begun, InTime, Tight, Late, Useless };
 
 struct Rank {
-    Group group = Late;
+    Group group = Useless;
     std::uint32_t priority = 0;
     double order = 0;
 
@@ -40,7 +41,24 @@
     return work;
 }
 
-Rank rank(const ReadyOccurrence &it, WallTime now)
+// Work beyond this share of the mean doesn't count against a job: the largest would wait too often.
+constexpr double LargeShare = 0.75;
+
+// Core-seconds above which jobs count as equally large.
+double largeWork(std::span<const ReadyOccurrence> ready)
+{
+    double sum = 0;
+    int n = 0;
+    for (const ReadyOccurrence &it : ready) {
+        if (!it.job->spec.isLongRunning()) {
+            sum += remainingWork(it);
+            ++n;
+        }
+    }
+    return std::max(LeastWork, n > 0 ? LargeShare * sum / n : 0);
+}
+
+Rank rank(const ReadyOccurrence &it, WallTime now, double large)
 {
     const Job &job = *it.job;
     const std::uint32_t priority = job.spec.queue.priority;
@@ -51,7 +69,7 @@
     const double slack = double((job.objective(it.number) - now).count()) - chain;
     // Slack times the root of the work: the urgent before the large, without starving the large.
     const double spare = std::max(0.0, slack - EstimateMargin * chain);
-    const double order = spare * std::sqrt(std::max(LeastWork, remainingWork(it)));
+    const double order = spare * std::sqrt(std::clamp(remainingWork(it), LeastWork, large));
     if (job.hasStarted && slack >= -BegunMargin * chain) {
         return {Begun, priority, order};
     }
@@ -61,8 +79,12 @@
     if (slack >= 0) {
         return {Tight, priority, order};
     }
-    // The newest have the best chance of being only a little late.
-    return {Late, priority, -double(job.acceptedAt.time_since_epoch().count())};
+    const double lateSlack = double((job.lateLimit(it.number) - now).count()) - chain;
+    if (lateSlack >= EstimateMargin * chain) {
+        return {Late, priority, lateSlack};
+    }
+    // Estimates are rough: of those that seem past all use the newest may still be of some.
+    return {Useless, priority, -double(job.acceptedAt.time_since_epoch().count())};
 }
 
 } // namespace
@@ -77,8 +99,9 @@
 {
     std::vector<std::pair<Rank, ReadyOccurrence>> ranked;
     ranked.reserve(ready.size());
+    const double large = largeWork(ready);
     for (const ReadyOccurrence &it : ready) {
-        ranked.emplace_back(rank(it, now), it);
+        ranked.emplace_back(rank(it, now, large), it);
     }
     std::stable_sort(
         ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
--- a/tests/auto/jobs/tst_queueorder.cpp
+++ b/tests/auto/jobs/tst_queueorder.cpp
@@ -48,6 +48,7 @@
         const QueueOutcome it = playQueue(load, order);
         sum.asked += it.asked;
         sum.inTime += it.inTime;
+        sum.late += it.late;
         sum.worth += it.worth / Seeds;
         sum.largeAsked += it.largeAsked;
         sum.largeInTime += it.largeInTime;
@@ -85,6 +86,17 @@
     }
 }
 
+// Red: late jobs waited until the surge was over, the oldest longest, and were of no use by then (cmavc-rota,
+// 265 accepted jobs of 15 days in all).
+TEST(QueueOrder, InASurgeHardlyAnyCallerGetsNothing)
+{
+    for (const double overload : {1.6, 2.0, 2.5}) {
+        const auto ours = playSeeds(overload, Jobs::sortByUrgency);
+        const int none = ours.asked - ours.inTime - ours.late;
+        CHECK(none * 20 <= ours.asked);
+    }
+}
+
 // Large jobs are to be served at least half as often as all are.
 TEST(QueueOrder, LargeJobsAreNotStarvedInASurge)
 {
