End the membership of the process that this one takes the place of

Cause: the shards of a killed process had no owner until its membership lapsed 1.5 s after its last renewal, also when the next process on the same instance was there after half a second. Change: a process that finds an earlier life of its own place among the owners ends that membership in the store. Epochs and tokens shut out what the earlier one may have sent. Test: RequestRouter, AProcessThatTakesThePlaceOfAKilledOneEndsItsMembership, red before.

--- a/src/libs/jobservice/ports.h
+++ b/src/libs/jobservice/ports.h
@@ -65,6 +65,7 @@
                                  RunCallback answered,
                                  ListCallback listed,
                                  GrantCallback granted,
+                                 const std::string &member,
                                  std::function<void()> done)
 {
     // Refuses writes of earlier owners from now on, then hands out the newest record of each key.
@@ -77,6 +78,8 @@
     platform.askAdvice(question, advised);
     platform.renewMembership(number, granted);
     platform.leaveMembership(done);
+    // Of another member, which has ended.
+    platform.endMembership(member, done);
 };
 
 } // namespace JobService
--- a/src/libs/jobservice/requestrouter.h
+++ b/src/libs/jobservice/requestrouter.h
@@ -40,7 +40,7 @@
         , m_peers(peers)
         , m_host(host)
         , m_settings(settings)
-        , m_ownPlace(memberNameFrom(ownName).place)
+        , m_ownName(memberNameFrom(ownName))
         , m_ownersTimer(timers)
     {
     }
@@ -125,7 +125,7 @@
         std::size_t lost = 1;
         bool isMemberElsewhere = false;
         for (auto &[place, member] : m_members) {
-            if (member.place == m_ownPlace) {
+            if (member.place == m_ownName.place) {
                 continue;
             }
             if (now - member.answeredAt < AnswerLifetime) {
@@ -144,7 +144,7 @@
     {
         std::vector<std::string> ready;
         for (const auto &[place, member] : m_members) {
-            if (place == m_ownPlace || !isWanted(memberNameFrom(place + "/0"))) {
+            if (place == m_ownName.place || !isWanted(memberNameFrom(place + "/0"))) {
                 continue;
             }
             if (m_timers.now() - member.answeredAt < ReadyLifetime && !member.hasLostStore) {
@@ -337,6 +337,7 @@
         m_ownerNames.clear();
         for (const ShardOwner &it : owners) {
             noteMember(it.member);
+            endIfPredecessor(it.member);
             const auto endpoint = Ini::toEndpoint(std::string_view(it.member).substr(0, it.member.find('/')));
             if (endpoint) {
                 m_owners[it.shard] = *endpoint;
@@ -353,8 +354,8 @@
         if (it == m_members.end()) {
             it = m_members.begin();
         }
-        if (it == m_members.end() || it->first == m_ownPlace) {
-            m_askedForOwners = m_ownPlace;
+        if (it == m_members.end() || it->first == m_ownName.place) {
+            m_askedForOwners = m_ownName.place;
             return false;
         }
         m_askedForOwners = it->first;
@@ -385,6 +386,22 @@
         return owners;
     }
 
+    // The process that this one took the place of keeps its shards until its membership lapses, unless the
+    // store is told that it has ended.
+    void endIfPredecessor(const std::string &member)
+    {
+        const MemberName name = memberNameFrom(member);
+        if (name.place != m_ownName.place || name.start >= m_ownName.start || m_isEndingPredecessor) {
+            return;
+        }
+        m_isEndingPredecessor = true;
+        Base::LogLine(Base::LogLevel::Info, "predecessor-ended").with("member", member);
+        m_platform.endMembership(member, [this] {
+            m_isEndingPredecessor = false;
+            expectChange();
+        });
+    }
+
     void noteMember(const std::string &name)
     {
         const MemberName known = memberNameFrom(name);
@@ -404,7 +421,7 @@
     Http::Client &m_peers;
     ShardHost<Platform> &m_host;
     RouterSettings m_settings;
-    std::string m_ownPlace;
+    MemberName m_ownName;
     std::map<std::string, Member> m_members; ///< by place
     Base::OneShotTimer m_ownersTimer;
     std::map<ShardNumber, Ini::Endpoint> m_owners;
@@ -416,6 +433,7 @@
     Base::Instant m_lastOwnersRead;
     OwnersRead m_whenOwnersRead;
     bool m_isReading = false;
+    bool m_isEndingPredecessor = false;
 };
 
 } // namespace JobService
--- a/tests/auto/jobs/jobworld.cpp
+++ b/tests/auto/jobs/jobworld.cpp
@@ -734,13 +734,21 @@
 
 void JobWorld::Platform::leaveMembership(const std::function<void()> &done)
 {
-    m_world.timers.subscribeAfter(2 * StoreDelay, [this, done] {
+    endMembership(m_member, done);
+}
+
+void JobWorld::Platform::endMembership(const std::string &member, const std::function<void()> &done)
+{
+    m_world.timers.subscribeAfter(2 * StoreDelay, [this, member, done] {
+        if (m_world.m_memberships.count(member) > 0 && m_world.isLive(member) && member != m_member) {
+            m_world.broken.push_back("the membership of a live process was ended: " + member);
+        }
         for (Partition &it : m_world.m_partitions) {
-            if (it.holder == m_member) {
+            if (it.holder == member) {
                 it.holder.clear();
             }
         }
-        m_world.m_memberships.erase(m_member);
+        m_world.m_memberships.erase(member);
         m_world.deal();
         done();
     });
--- a/tests/auto/jobs/jobworld.h
+++ b/tests/auto/jobs/jobworld.h
@@ -86,6 +86,7 @@
         void askAdvice(const Jobs::AskAdvice &question, const JobService::AdviceCallback &done);
         void renewMembership(std::uint64_t generation, const JobService::GrantCallback &done);
         void leaveMembership(const std::function<void()> &done);
+        void endMembership(const std::string &member, const std::function<void()> &done);
         void readOwners(const JobService::OwnersCallback &done);
 
         bool isStoreDown = false; ///< for this member
--- a/tests/auto/jobs/tst_requestrouter.cpp
+++ b/tests/auto/jobs/tst_requestrouter.cpp
@@ -80,6 +80,26 @@
     CHECK(reply && reply->status == JobReply::Status::Refused);
 }
 
+// Red: the shard had no owner until the membership of the killed process lapsed, 1.5 s later. After all have
+// lost power at the same time, callers waited so long.
+TEST(RequestRouter, AProcessThatTakesThePlaceOfAKilledOneEndsItsMembership)
+{
+    const std::string place = "127.0.0.1:1/i1/250/";
+    world.members.at("m1")->host.setCandidate(false);
+    world.run(100ms);
+    world.addMember(place + "1");
+    world.run(500ms);
+    STRCMP_EQUAL((place + "1").c_str(), world.owner(0)->name.c_str());
+    world.kill(place + "1");
+    auto &next = world.addMember(place + "2");
+    JobService::RequestRouter<JobWorld::Platform> started(
+        next.platform, world.timers, peers, next.host, next.name, JobService::RouterSettings{});
+    started.start([](std::span<const JobService::ShardOwner>) {});
+    world.run(500ms);
+    CHECK(world.owner(0) && world.owner(0)->name == next.name);
+    CHECK(world.broken.empty());
+}
+
 TEST(RequestRouter, WithoutAnOwnerARequestIsRefusedSoon)
 {
     world.members.at("m1")->host.setCandidate(false);
