Let a new owner of the machines order them at once

Cause: after a hand-over the ownership was noticed at the next quarter of a second, list and demand were read with the one after and planned with at the third. Change: the duty is told of the ownership, reads and plans at once; records of orders name the owner, and one whose process is known to have ended is not waited for. A wave's limit still counts what it may have taken down. Test: MachineDuty (new), ANewOwnerOrdersMachinesAtOnce and ANewOwnerDoesNotWaitForOneWhose- ProcessHasEnded, red with these parts switched off.

--- a/src/libs/jobservice/machineduty.h
+++ b/src/libs/jobservice/machineduty.h
@@ -7,6 +7,7 @@
 
 #include <base/logline.h>
 #include <base/oneshottimer.h>
+#include <ini/values.h>
 #include <machines/machineplanner.h>
 
 #include <algorithm>
@@ -44,6 +45,8 @@
     using Route = std::function<void(JobRequest, Base::Duration limit, Reply)>;
     using OwnEpoch = std::function<std::optional<Jobs::Epoch>()>;
     using WallClock = std::function<Jobs::WallTime()>;
+    /// Whether a member's process is known to have ended.
+    using HasEnded = std::function<bool(const std::string &member)>;
     /// Called with every list of all machines.
     using Listed = std::function<void(std::span<const Machines::Machine>)>;
 
@@ -54,7 +57,9 @@
                 WallClock wallClock,
                 OwnEpoch ownEpoch,
                 Route route,
-                Listed listed)
+                Listed listed,
+                HasEnded hasEnded,
+                std::string member)
         : m_platform(platform)
         , m_timers(timers)
         , m_settings(settings)
@@ -63,8 +68,11 @@
         , m_ownEpoch(std::move(ownEpoch))
         , m_route(std::move(route))
         , m_listed(std::move(listed))
+        , m_hasEnded(std::move(hasEnded))
+        , m_member(std::move(member))
         , m_timer(timers)
         , m_soon(timers)
+        , m_firstPlan(timers)
     {
     }
 
@@ -73,6 +81,14 @@
         tick();
     }
 
+    /// This member may have become the owner of the machines.
+    void ownershipChanged()
+    {
+        if (m_ownEpoch() != m_epoch) {
+            tick();
+        }
+    }
+
     void setPools(std::vector<Machines::Pool> pools)
     {
         m_pools = std::move(pools);
@@ -112,6 +128,7 @@
         if (epoch && epoch != m_epoch) {
             m_epoch = epoch;
             m_planner.reset();
+            m_earlierOrders.clear();
             m_underWay.clear();
             m_waiting.clear();
             takeOver();
@@ -133,8 +150,36 @@
         }
     }
 
+    // The value holds when the order was given, in ms of wall time, and after a blank the owner that gave it.
+    void noteEarlierOrder(std::string machine, std::string_view value)
+    {
+        const auto blank = value.find(' ');
+        const auto at = Ini::toInteger(value.substr(0, blank));
+        if (!at) {
+            Base::LogLine(Base::LogLevel::Error, "record-unreadable").with("machine", machine);
+            return;
+        }
+        const std::string_view member =
+            blank != std::string_view::npos ? value.substr(blank + 1) : std::string_view();
+        m_earlierOrders.push_back(
+            {std::move(machine), Jobs::WallTime(Jobs::Milliseconds(*at)), std::string(member)});
+    }
+
+    // An owner whose process has ended gives no more orders.
+    void releaseOrdersOfEnded()
+    {
+        std::erase_if(m_earlierOrders, [this](const EarlierOrder &it) {
+            const bool hasEnded = m_hasEnded(it.member);
+            if (hasEnded) {
+                m_planner->releaseOrder(it.machine);
+            }
+            return hasEnded;
+        });
+    }
+
     void runPlanner()
     {
+        releaseOrdersOfEnded();
         carryOutAll(m_planner->pass(m_timers.now()));
         sendEvacuations();
     }
@@ -176,10 +221,7 @@
                 }
                 const auto slash = key.find('/');
                 if (key.substr(0, slash + 1) == OrderPrefix) {
-                    if (const auto at = Ini::toInteger(value)) {
-                        m_ordered.emplace_back(std::string(key.substr(slash + 1)),
-                                               Jobs::WallTime(Jobs::Milliseconds(*at)));
-                    }
+                    noteEarlierOrder(std::string(key.substr(slash + 1)), value);
                 } else if (const auto wave = Ini::toInteger(key.substr(0, slash));
                            wave && slash != std::string_view::npos) {
                     m_begun.emplace_back(*wave, std::string(key.substr(slash + 1)));
@@ -192,7 +234,7 @@
                 if (answer.status != StoreStatus::Done) {
                     m_epoch.reset(); // tried again with the next tick
                     m_begun.clear();
-                    m_ordered.clear();
+                    m_earlierOrders.clear();
                     return;
                 }
                 m_planner = std::make_unique<Machines::MachinePlanner>(
@@ -203,13 +245,16 @@
                 for (const auto &[number, wave] : m_waves) {
                     m_planner->setWave(wave);
                 }
-                for (const auto &[machine, at] : std::exchange(m_ordered, {})) {
-                    m_planner->loadOrder(machine, m_timers.now() - (m_wallClock() - at) + ClockMargin);
+                for (const EarlierOrder &it : m_earlierOrders) {
+                    m_planner->loadOrder(it.machine, m_timers.now() - (m_wallClock() - it.at) + ClockMargin);
                 }
                 for (const auto &[wave, machine] : std::exchange(m_begun, {})) {
                     m_planner->loadUpkeep(wave, machine);
                 }
                 Base::LogLine(Base::LogLevel::Info, "machines-taken-over").with("epoch", epoch);
+                m_takenOverAt = m_timers.now();
+                m_listedAt = {};
+                tick();
             });
     }
 
@@ -230,6 +275,7 @@
             m_listed(*machines);
             if (m_planner) {
                 m_planner->setMachines(*machines, now);
+                planSoon();
             }
         });
     }
@@ -268,9 +314,22 @@
                                               std::move(demand.releasable)},
                                              m_timers.now());
                     }
+                    planSoon();
                 });
     }
 
+    // A new owner plans as soon as it knows what there is and what is needed.
+    void planSoon()
+    {
+        if (m_timers.now() - m_takenOverAt < FirstPlans) {
+            m_firstPlan.arm(FirstPlanDelay, [this] {
+                if (m_planner && m_ownEpoch()) {
+                    runPlanner();
+                }
+            });
+        }
+    }
+
     void carryOut(Machines::EvacuateWorker &order)
     {
         const auto cells = m_layout.cellsOf(order.pool);
@@ -309,7 +368,8 @@
     template<typename Send, typename Refuse>
     void storeOrder(const std::string &machine, Send send, Refuse refuse)
     {
-        const std::string at = std::to_string(m_wallClock().time_since_epoch().count());
+        const std::string at =
+            std::to_string(m_wallClock().time_since_epoch().count()) + " " + m_member;
         m_waiting.push_back(
             {{std::string(OrderPrefix) + machine, at}, [this, machine, send, refuse](bool isStored) {
                  // Storing may have taken as long as the store was away.
@@ -449,10 +509,20 @@
         writeRecords();
     }
 
+    // For so long after a hand-over lists and demands are planned with as they come.
+    static constexpr Base::Duration FirstPlans = std::chrono::milliseconds{1000};
+    // Answers that come within this are planned with together.
+    static constexpr Base::Duration FirstPlanDelay = std::chrono::milliseconds{10};
     // Clocks of two instances differ by less than this.
     static constexpr Base::Duration ClockMargin = std::chrono::milliseconds{1000};
     static constexpr std::string_view OrderPrefix = "order/";
 
+    struct EarlierOrder {
+        std::string machine;
+        Jobs::WallTime at;
+        std::string member; ///< that gave it; empty when the record doesn't say
+    };
+
     /// A record to be written, and what waits for it.
     struct Entry {
         Jobs::Record record;
@@ -467,14 +537,18 @@
     OwnEpoch m_ownEpoch;
     Route m_route;
     Listed m_listed;
+    HasEnded m_hasEnded;
+    std::string m_member;
     Base::OneShotTimer m_timer;
     Base::OneShotTimer m_soon; ///< a pass as soon as a worker is empty
+    Base::OneShotTimer m_firstPlan; ///< a pass with the first answers after a hand-over
+    Base::Instant m_takenOverAt;
     std::vector<Machines::Pool> m_pools;
     std::map<std::uint64_t, Machines::Wave> m_waves;
     std::vector<std::pair<std::uint64_t, std::string>> m_begun; ///< while they are read
     std::optional<Jobs::Epoch> m_epoch;
     std::unique_ptr<Machines::MachinePlanner> m_planner;
-    std::vector<std::pair<std::string, Jobs::WallTime>> m_ordered; ///< machines, while they are read
+    std::vector<EarlierOrder> m_earlierOrders;
     std::map<ShardNumber, std::vector<std::string>> m_evacuations; ///< workers, during one pass
     std::vector<Entry> m_underWay; ///< in the append that has been sent
     std::vector<Entry> m_waiting; ///< for the next one
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -79,7 +79,7 @@
 
     /// `hasEnded` tells whether a member's process is known to have ended. `isStoreLostForMost` tells whether
     /// most members have said lately that they have lost the store, too; it is asked while this one has.
-    /// `gained` is called for each shard that this member becomes the owner of; `route` brings requests to
+    /// `gained` is called for each shard that this member becomes the owner of, and again when it serves it; `route` brings requests to
     /// the owners of others.
     void start(HasEnded hasEnded, AskPeers isStoreLostForMost, Notify gained, Route route)
     {
@@ -368,6 +368,7 @@
             serve(*hosted, std::move(it.request), std::move(it.reply));
         }
         pump(number);
+        m_whenGained();
     }
 
     void refuseEarly(Hosted &hosted)
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -131,6 +131,12 @@
     m_ordersFrom[machine] = at + m_settings.handOver;
 }
 
+// What it ordered may still be carried out, so a machine that it took down for upkeep goes on counting.
+void MachinePlanner::releaseOrder(const std::string &machine)
+{
+    m_released.insert(machine);
+}
+
 bool MachinePlanner::evacuated(const std::string &worker, bool isEmpty, Base::Instant now)
 {
     bool isNews = false;
@@ -662,7 +668,7 @@
             continue;
         }
         const auto from = m_ordersFrom.find(id);
-        if (from != m_ordersFrom.end() && from->second > now) {
+        if (from != m_ordersFrom.end() && from->second > now && m_released.count(id) == 0) {
             continue;
         }
         if (work.wave == 0) {
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -58,6 +58,8 @@
     void loadUpkeep(std::uint64_t wave, const std::string &machine);
     /// An earlier owner gave an order for the machine.
     void loadOrder(const std::string &machine, Base::Instant at);
+    /// That owner can't give another one.
+    void releaseOrder(const std::string &machine);
 
     /// Returns true when a pass has something to do with that.
     bool evacuated(const std::string &worker, bool isEmpty, Base::Instant now);
@@ -160,6 +162,7 @@
     PlannerSettings m_settings;
     CellOf m_cellOf;
     std::map<std::string, Base::Instant> m_ordersFrom; ///< of machines that an earlier owner gave orders for
+    std::set<std::string> m_released; ///< those of them whose owner has ended
     std::map<std::string, Pool> m_pools;
     std::map<std::string, Known> m_machines;
     std::map<std::string, std::int64_t> m_sizes; ///< cores of a pool's largest machine, thousandths
--- /dev/null
+++ b/tests/auto/jobs/tst_machineduty.cpp
@@ -0,0 +1,210 @@
+#include <base/logline.h>
+#include <base/timerservice.h>
+#include <jobservice/machineduty.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+
+using namespace std::chrono_literals;
+using JobService::JobReply;
+using JobService::JobRequest;
+
+namespace
+{
+
+constexpr std::int64_t MachineCores = 32'000;
+constexpr auto StoreDelay = 5ms;
+constexpr std::string_view EarlierOwner = "127.0.0.1:1/i1/250/1";
+
+// The store and the machines as their owner sees them: each answer comes after StoreDelay.
+class Cloud
+{
+public:
+    explicit Cloud(Base::TimerService &timers)
+        : m_timers(timers)
+    {
+    }
+
+    void takeMachines(Jobs::Epoch, const JobService::RecordSink &sink, const JobService::StoreCallback &done)
+    {
+        m_timers.subscribeAfter(StoreDelay, [this, sink, done] {
+            for (const auto &[key, value] : records) {
+                sink(key, value);
+            }
+            done({JobService::StoreStatus::Done});
+        });
+    }
+
+    void recordMachines(Jobs::Epoch,
+                        std::uint64_t,
+                        std::span<const Jobs::Record> stored,
+                        const JobService::StoreCallback &done)
+    {
+        for (const Jobs::Record &it : stored) {
+            records[it.key] = it.value;
+        }
+        m_timers.subscribeAfter(StoreDelay, [done] { done({JobService::StoreStatus::Done}); });
+    }
+
+    void listMachines(const std::function<void(std::optional<std::vector<Machines::Machine>>)> &done)
+    {
+        m_timers.subscribeAfter(StoreDelay, [this, done] { done(machines); });
+    }
+
+    void moveMachine(Jobs::Epoch,
+                     const Machines::MoveMachine &order,
+                     const std::function<void(Machines::OrderResult)> &done)
+    {
+        moved[order.machine] = m_timers.now();
+        m_timers.subscribeAfter(StoreDelay, [done] { done(Machines::OrderResult::Done); });
+    }
+
+    void upkeepMachine(Jobs::Epoch,
+                       const Machines::UpkeepMachine &,
+                       const std::function<void(Machines::OrderResult)> &done)
+    {
+        m_timers.subscribeAfter(StoreDelay, [done] { done(Machines::OrderResult::Done); });
+    }
+
+    void writeWaveStatus(Jobs::Epoch, const Machines::WriteWaveStatus &)
+    {
+    }
+
+    std::vector<Machines::Machine> machines;
+    std::map<std::string, std::string> records;
+    std::map<std::string, Base::Instant> moved;
+
+private:
+    Base::TimerService &m_timers;
+};
+
+} // namespace
+
+// A pool with one machine asks for three, and two stand by; this member becomes the owner of the machines.
+TEST_GROUP(MachineDuty)
+{
+    void setup() override
+    {
+        Base::LogLine::setThreshold(Base::LogLevel::Error);
+        layout.load("sign", "0");
+        add("m1", "sign", "w1");
+        add("m2", "spare", "");
+        add("m3", "spare", "");
+        duty = std::make_unique<JobService::MachineDuty<Cloud>>(
+            cloud,
+            timers,
+            JobService::MachineDutySettings{},
+            layout,
+            [this] {
+                return Jobs::WallTime(
+                    std::chrono::duration_cast<Jobs::Milliseconds>(timers.now().time_since_epoch()));
+            },
+            [this] { return epoch; },
+            [this](const JobRequest &request, Base::Duration, const std::function<void(JobReply)> &reply) {
+                answer(request, reply);
+            },
+            [](std::span<const Machines::Machine>) {},
+            [this](const std::string &member) { return hasEarlierEnded && member == EarlierOwner; },
+            "127.0.0.1:2/i2/250/1");
+        duty->setPools({{"sign", false}, {"spare", true}});
+        duty->start();
+        run(1s + 100ms); // the duty looks at every quarter of a second
+    }
+
+    void add(const std::string &id, const std::string &pool, const std::string &worker)
+    {
+        Machines::Machine machine;
+        machine.id = id;
+        machine.pool = pool;
+        machine.state = Machines::MachineState::Up;
+        machine.worker = worker;
+        machine.capacity = {MachineCores, 64'000, 0};
+        cloud.machines.push_back(machine);
+    }
+
+    void answer(const JobRequest &request, const std::function<void(JobReply)> &reply)
+    {
+        JobReply done{.status = JobReply::Status::Done};
+        if (request.operation == JobService::Operation::Demand) {
+            Jobs::ServiceDemand demand;
+            demand.service = "sign";
+            demand.milliCores = 3 * MachineCores / 2;
+            done.demand.push_back(demand);
+        }
+        timers.subscribeAfter(StoreDelay, [reply, done] { reply(done); });
+    }
+
+    void own()
+    {
+        epoch = 7;
+        duty->ownershipChanged();
+    }
+
+    void run(Base::Duration time)
+    {
+        const Base::Instant until = timers.now() + time;
+        while (timers.nextDue() && *timers.nextDue() <= until) {
+            timers.advanceTo(*timers.nextDue());
+        }
+        timers.advanceTo(until);
+    }
+
+    // An owner before this one has moved the machine just now.
+    void earlierOrder(const std::string &machine)
+    {
+        const auto at = std::chrono::duration_cast<Jobs::Milliseconds>(timers.now().time_since_epoch());
+        cloud.records["order/" + machine] = std::to_string(at.count()) + " " + std::string(EarlierOwner);
+    }
+
+    Base::TimerService timers{Base::Instant(1h)};
+    Cloud cloud{timers};
+    JobService::ServiceLayout layout{24};
+    std::unique_ptr<JobService::MachineDuty<Cloud>> duty;
+    std::optional<Jobs::Epoch> epoch;
+    bool hasEarlierEnded = false;
+};
+
+// Red: the ownership was noticed at the next quarter of a second, the list and the demand read with the one
+// after, and planned with at the third: 0.7 to 1.2 s (cmavc-rota trouble-1, after the store's outage).
+TEST(MachineDuty, ANewOwnerOrdersMachinesAtOnce)
+{
+    own();
+    run(100ms);
+    LONGS_EQUAL(2, cloud.moved.size());
+}
+
+TEST(MachineDuty, ANewOwnerWaitsWithMachinesThatALiveOneOrdered)
+{
+    earlierOrder("m2");
+    own();
+    run(2500ms);
+    LONGS_EQUAL(0, cloud.moved.count("m2"));
+    run(2s);
+    LONGS_EQUAL(1, cloud.moved.count("m2"));
+}
+
+// Red: the new owner waited for orders that nobody could give any more (cmavc-rota scale-2: six machines
+// stood by for three seconds after the final fault, while callers waited).
+TEST(MachineDuty, ANewOwnerDoesNotWaitForOneWhoseProcessHasEnded)
+{
+    earlierOrder("m2");
+    own();
+    run(500ms);
+    LONGS_EQUAL(0, cloud.moved.count("m2"));
+    hasEarlierEnded = true;
+    run(500ms);
+    LONGS_EQUAL(1, cloud.moved.count("m2"));
+}
+
+// Records of the version before name no owner.
+TEST(MachineDuty, AnOrderOfAnUnknownOwnerIsWaitedFor)
+{
+    earlierOrder("m2");
+    std::string &record = cloud.records["order/m2"];
+    record = record.substr(0, record.find(' '));
+    hasEarlierEnded = true;
+    own();
+    run(2500ms);
+    LONGS_EQUAL(0, cloud.moved.count("m2"));
+}
