Repeat unanswered requests at the next owner, and know when to send callers elsewhere

A caller with less time left than Retry-After was refused. A member that hears nobody stayed ready for 3 s, and one that heard only 'no store' from its peers counted as hearing nobody. Change: requests that carry a job's ID are repeated within their caller's time, the hop is given up after 1 s; a refusal after an attempt that may have been stored stays 'may have run'. A refused caller that can't come back in time is tried again here. Peers are asked for a sign after 0.6 s of silence; after 1.2 s without any the member isn't ready.

--- a/src/libs/jobservice/requestrouter.h
+++ b/src/libs/jobservice/requestrouter.h
@@ -2,6 +2,7 @@
 
 #include "candidacy.h"
 #include "fleetconfig.h"
+#include "repetition.h"
 #include "shardhost.h"
 
 #include <http/client.h>
@@ -19,7 +20,11 @@
     Base::Duration ownerRetryPause = std::chrono::milliseconds{100};
     Base::Duration answerReserve =
         std::chrono::milliseconds{100}; ///< kept for the answer's way to the caller
-    Base::Duration peerTimeout = std::chrono::milliseconds{3000};
+    Base::Duration repeatPause = std::chrono::milliseconds{150}; ///< before another attempt at an owner
+    Base::Duration peerTimeout = std::chrono::milliseconds{1000}; ///< an owner answers within tenths of a second
+    Base::Duration silenceNoticed =
+        std::chrono::milliseconds{600}; ///< without a sign of the store or a peer, before peers are asked
+    Base::Duration isolationPatience = std::chrono::milliseconds{1200}; ///< without any sign
 };
 
 /// Brings requests for jobs to the owner of their shard: this member, or another one over one hop.
@@ -52,6 +57,7 @@
     {
         m_whenOwnersRead = std::move(ownersRead);
         readOwners();
+        m_timers.subscribeEvery(SignPeriod, [this] { askForSign(); });
     }
 
     /// Answers within `limit`; Unknown when the owner was asked and said nothing.
@@ -92,10 +98,10 @@
         }
     }
 
-    /// The last time that a peer answered.
-    Base::Instant lastPeerAnswer() const
+    /// Neither the store nor a peer has answered for a while: other members can serve callers, this one can't.
+    bool isIsolated() const
     {
-        return m_lastPeerAnswer;
+        return m_timers.now() - lastSign() > m_settings.isolationPatience;
     }
 
     /// The last time that the store said who owns what.
@@ -176,6 +182,9 @@
     // The same for what readyMembers() tells; they are asked with every look at the owners.
     static constexpr Base::Duration ReadyLifetime = std::chrono::milliseconds{2500};
     static constexpr Base::Duration AskTimeout = std::chrono::milliseconds{500};
+    // Between two looks at how long there was no sign of others, and how many are asked for one at a time.
+    static constexpr Base::Duration SignPeriod = std::chrono::milliseconds{250};
+    static constexpr std::size_t PeersAskedForSign = 3;
 
     /// A request on its way to the owner of its shard.
     struct Routed {
@@ -183,6 +192,7 @@
         Base::Instant deadline;
         Base::Instant waitsUntil; ///< for an owner
         Reply reply;
+        bool mayHaveRun = false; ///< an attempt had no answer
     };
     using RoutedPtr = std::shared_ptr<Routed>;
 
@@ -195,6 +205,28 @@
         bool isAsked = false;
     };
 
+    Base::Instant lastSign() const
+    {
+        return std::max({m_host.lastGrant(), m_lastPeerAnswer, m_lastOwnersRead});
+    }
+
+    // A few peers in turn, so that a large fleet without the store doesn't talk of nothing else.
+    void askForSign()
+    {
+        if (m_timers.now() - lastSign() < m_settings.silenceNoticed) {
+            return;
+        }
+        auto it = m_members.upper_bound(m_lastAskedForSign);
+        for (std::size_t n = 0; n < std::min(PeersAskedForSign, m_members.size()); ++n) {
+            it = it == m_members.end() ? m_members.begin() : it;
+            m_lastAskedForSign = it->first;
+            if (it->first != m_ownName.place) {
+                ask(it->first);
+            }
+            ++it;
+        }
+    }
+
     void ask(const std::string &place)
     {
         Member &member = m_members[place];
@@ -209,6 +241,7 @@
             asked.isAsked = false;
             if (outcome.response) {
                 asked.answeredAt = m_timers.now();
+                m_lastPeerAnswer = m_timers.now();
                 asked.hasLostStore = outcome.response->status != 200;
             }
         });
@@ -247,21 +280,56 @@
             send(routed);
             return;
         }
+        if (reply.status == JobReply::Status::Unknown && isRepeatable(routed->request)) {
+            routed->mayHaveRun = true;
+        }
+        if (isToRepeat(*routed, reply)) {
+            m_timers.subscribeAfter(m_settings.repeatPause, [this, routed] { send(routed); });
+            return;
+        }
         if (reply.status != JobReply::Status::NotOwner) {
-            routed->reply(reply);
+            conclude(*routed, reply);
             return;
         }
         expectChange();
         const Base::Instant now = m_timers.now();
         // Without the store this member can't learn of the next owner.
         const bool learnsOwners = now - m_lastOwnersRead < 2 * m_settings.ownersPeriod;
-        if (now >= routed->waitsUntil || !learnsOwners) {
-            routed->reply(refusal());
+        if ((now >= routed->waitsUntil || !learnsOwners) && !isToRepeat(*routed, refusal())) {
+            conclude(*routed, refusal());
             return;
         }
         m_timers.subscribeAfter(m_settings.ownerRetryPause, [this, routed] { send(routed); });
     }
 
+    // The ID of a job makes a second attempt harmless: what the first one has stored decides.
+    static bool isRepeatable(const JobRequest &request)
+    {
+        return request.operation == Operation::Submit || request.operation == Operation::Cancel
+            || request.operation == Operation::State;
+    }
+
+    bool isToRepeat(const Routed &routed, const JobReply &reply) const
+    {
+        if (!isRepeatable(routed.request)) {
+            return false;
+        }
+        const Base::Duration left = routed.deadline - m_timers.now() - m_settings.answerReserve;
+        if (reply.status == JobReply::Status::Unknown) {
+            return repeatsUnanswered(left, m_settings.repeatPause);
+        }
+        return reply.status == JobReply::Status::Refused && !isIsolated()
+            && repeatsRefused(left, m_settings.repeatPause, reply.retryAfter);
+    }
+
+    // A later refusal doesn't take back what an earlier attempt may have done.
+    static void conclude(const Routed &routed, const JobReply &reply)
+    {
+        const bool isRefused =
+            reply.status == JobReply::Status::Refused || reply.status == JobReply::Status::NotOwner;
+        routed.reply(routed.mayHaveRun && isRefused ? JobReply{.status = JobReply::Status::Unknown} : reply);
+    }
+
     static JobReply refusal()
     {
         return {.status = JobReply::Status::Refused, .retryAfter = std::chrono::milliseconds{500}};
@@ -362,8 +430,8 @@
         Http::Request request;
         request.target = OwnersPath;
         m_peers.send(it->second.endpoint, std::move(request), AskTimeout, [this](Http::Outcome outcome) {
+            m_lastPeerAnswer = outcome.response ? m_timers.now() : m_lastPeerAnswer;
             if (outcome.response && outcome.response->status == 200) {
-                m_lastPeerAnswer = m_timers.now();
                 takeOwners(parseOwners(outcome.response->body));
             }
             ownersRead();
@@ -426,6 +494,7 @@
     Base::OneShotTimer m_ownersTimer;
     std::map<ShardNumber, Ini::Endpoint> m_owners;
     std::map<ShardNumber, std::string> m_ownerNames;
+    std::string m_lastAskedForSign; ///< the place of the member
     std::string m_askedForOwners; ///< the place of the member that was asked last
     Base::Instant m_ownersReadAt;
     Base::Instant m_nextRead;
--- a/tests/auto/jobs/tst_requestrouter.cpp
+++ b/tests/auto/jobs/tst_requestrouter.cpp
@@ -2,6 +2,7 @@
 
 #include <base/logline.h>
 #include <http/client.h>
+#include <jobservice/repetition.h>
 #include <jobservice/requestrouter.h>
 
 #include <CppUTest/TestHarness.h>
@@ -25,12 +26,12 @@
         world.run(2s);
     }
 
-    void submit(const std::string &id)
+    void submit(const std::string &id, Base::Duration limit = 3s)
     {
         reply.reset();
         sentAt = world.timers.now();
         router->route({0, JobService::Operation::Submit, JobWorld::makeJob(id, 1, 1), {}},
-                      3s,
+                      limit,
                       [this](const JobReply &answer) {
                           reply = answer;
                           answeredAt = world.timers.now();
@@ -110,3 +111,100 @@
     CHECK(reply->retryAfter > 0ms);
     CHECK(answeredAt - sentAt < 800ms);
 }
+
+// Red: the caller was told that its job may have run, and couldn't try again (22, 28 and 113 callers of
+// cmavc-rota trouble-1, trouble-2 and cmavc-rota-grown scale-2).
+TEST(RequestRouter, ARequestThatItsOwnerLeftUnansweredIsTakenToTheNextOne)
+{
+    auto &host = world.members.at("m1")->host;
+    submit("a");
+    world.run(3ms); // the record is on its way
+    host.setCandidate(false);
+    world.run(100ms);
+    CHECK(!reply);
+    host.setCandidate(true);
+    world.run(800ms);
+    CHECK(reply && reply->status == JobReply::Status::Done);
+    CHECK(world.state("a").has_value());
+}
+
+// What may have been stored is never said not to have been.
+TEST(RequestRouter, ARefusalAfterAnUnansweredAttemptIsNotShown)
+{
+    auto &host = world.members.at("m1")->host;
+    submit("a");
+    world.run(3ms);
+    host.setCandidate(false);
+    world.run(3s);
+    CHECK(reply && reply->status == JobReply::Status::Unknown);
+}
+
+// Red: it was refused with a second's wait, when its caller had less than that left.
+TEST(RequestRouter, ACallerThatCannotComeBackWaitsForTheStoreHere)
+{
+    auto &member = *world.members.at("m1");
+    member.platform.isStoreDown = true;
+    submit("a");
+    world.run(500ms);
+    submit("b", 900ms);
+    world.run(200ms);
+    CHECK(!reply);
+    member.platform.isStoreDown = false;
+    world.run(600ms);
+    CHECK(reply && reply->status == JobReply::Status::Done);
+}
+
+TEST(RequestRouter, ACallerThatCannotComeBackIsRefusedBeforeItsTimeIsOver)
+{
+    auto &member = *world.members.at("m1");
+    member.platform.isStoreDown = true;
+    submit("a");
+    world.run(500ms);
+    submit("b", 900ms);
+    world.run(800ms);
+    CHECK(reply && reply->status == JobReply::Status::Refused);
+}
+
+TEST(RequestRouter, ACallerThatCanComeBackIsRefusedAtOnceWhileTheStoreIsAway)
+{
+    auto &member = *world.members.at("m1");
+    member.platform.isStoreDown = true;
+    submit("a");
+    world.run(500ms);
+    submit("b");
+    world.run(10ms);
+    CHECK(reply && reply->status == JobReply::Status::Refused);
+}
+
+// Red: it took requests for three seconds that only others could serve (zone cut off: up to 67 callers
+// refused that their platform could have sent to another zone).
+TEST(RequestRouter, AMemberThatHearsNobodyIsIsolated)
+{
+    auto &member = *world.members.at("m1");
+    CHECK(!router->isIsolated());
+    member.platform.isStoreDown = true;
+    world.run(1s);
+    CHECK(!router->isIsolated());
+    world.run(600ms);
+    CHECK(router->isIsolated());
+    member.platform.isStoreDown = false;
+    world.run(1500ms);
+    CHECK(!router->isIsolated());
+}
+
+TEST_GROUP(Repetition){};
+
+TEST(Repetition, ARefusalIsRepeatedOnlyWhereItsCallerCannotComeBack)
+{
+    using JobService::repeatsRefused;
+    CHECK(!repeatsRefused(2s, 150ms, 500ms));
+    CHECK(repeatsRefused(1100ms, 150ms, 500ms));
+    CHECK(repeatsRefused(400ms, 150ms, 500ms));
+    CHECK(!repeatsRefused(300ms, 150ms, 500ms));
+}
+
+TEST(Repetition, AnUnansweredAttemptIsRepeatedWhileThereIsTime)
+{
+    CHECK(JobService::repeatsUnanswered(2s, 150ms));
+    CHECK(!JobService::repeatsUnanswered(300ms, 150ms));
+}
