Make memberships as short as the store's pace allows

Change: a membership of the store's least lifetime, renewed ten times in it; while answers are slow or lost it lasts half as long again and renewals are waited for longer. Tests: MembershipPace (3).

--- /dev/null
+++ b/src/libs/jobservice/membershippace.cpp
@@ -0,0 +1,59 @@
+#include "membershippace.h"
+
+#include <algorithm>
+
+namespace JobService
+{
+
+namespace
+{
+
+// A membership bears two renewals without an answer, and the store's answers take a few milliseconds.
+constexpr int RenewalsInLifetime = 10;
+constexpr double PatienceShare = 0.3;
+
+// Of the shortest lifetime, while the store is slow.
+constexpr double LongestLifetime = 1.5;
+constexpr double LongestPatience = 0.4;
+
+// A latency is remembered for some tens of renewals.
+constexpr double Memory = 0.95;
+
+Base::Duration scaled(Base::Duration time, double factor)
+{
+    return std::chrono::duration_cast<Base::Duration>(time * factor);
+}
+
+} // namespace
+
+MembershipPace::MembershipPace(Base::Duration shortest)
+    : m_shortest(shortest)
+{
+}
+
+void MembershipPace::answered(Base::Duration latency)
+{
+    m_latency = std::max(latency, scaled(m_latency, Memory));
+}
+
+void MembershipPace::missed()
+{
+    m_latency = std::max(m_latency, patience());
+}
+
+Base::Duration MembershipPace::lifetime() const
+{
+    return std::clamp(m_latency * RenewalsInLifetime, m_shortest, scaled(m_shortest, LongestLifetime));
+}
+
+Base::Duration MembershipPace::patience() const
+{
+    return scaled(lifetime(), lifetime() > m_shortest ? LongestPatience : PatienceShare);
+}
+
+Base::Duration MembershipPace::period() const
+{
+    return lifetime() / RenewalsInLifetime;
+}
+
+} // namespace JobService
--- a/src/libs/jobservice/ownership.cpp
+++ b/src/libs/jobservice/ownership.cpp
@@ -5,12 +5,8 @@
 namespace JobService
 {
 
-Ownership::Ownership(Base::Duration lifetime)
-    : m_lifetime(lifetime)
-{
-}
-
-Ownership::Change Ownership::granted(const MembershipGrant &grant, Base::Instant askedAt)
+Ownership::Change
+Ownership::granted(const MembershipGrant &grant, Base::Instant askedAt, Base::Duration lifetime)
 {
     Change change;
     const bool hasGap = askedAt > m_validUntil && grant.generation != m_generation;
@@ -30,7 +26,7 @@
         }
     }
     m_generation = grant.generation;
-    m_validUntil = askedAt + m_lifetime;
+    m_validUntil = askedAt + lifetime;
     return change;
 }
 
--- a/src/libs/jobservice/ownership.h
+++ b/src/libs/jobservice/ownership.h
@@ -19,6 +19,13 @@
     std::vector<ShardNumber> shards;
 };
 
+/// What this member asks of the platform.
+struct MembershipRenewal {
+    std::uint64_t generation = 0; ///< the newest one that it knows
+    Base::Duration lifetime{}; ///< of the membership, from the arrival of the renewal
+    Base::Duration patience{}; ///< for the answer
+};
+
 /// Which shards this member owns, and under which epoch, by the memberships it was granted.
 class Ownership
 {
@@ -28,11 +35,9 @@
         std::vector<ShardNumber> lost;
     };
 
-    explicit Ownership(Base::Duration lifetime);
-
-    /// `askedAt` is when the renewal was sent. A renewal that came too late may hide that a shard has been
+    /// `askedAt` is when the renewal was sent, `lifetime` what it asked for. A renewal that came too late may hide that a shard has been
     /// elsewhere in between; such shards are lost and gained again.
-    Change granted(const MembershipGrant &grant, Base::Instant askedAt);
+    Change granted(const MembershipGrant &grant, Base::Instant askedAt, Base::Duration lifetime);
     /// Everything is lost; the next grant counts from the beginning.
     std::vector<ShardNumber> drop();
 
@@ -49,7 +54,6 @@
     Jobs::Epoch epoch(ShardNumber shard) const;
 
 private:
-    Base::Duration m_lifetime;
     Base::Instant m_validUntil;
     std::uint64_t m_generation = 0;
     std::map<ShardNumber, Jobs::Epoch> m_epochs;
--- a/src/libs/jobservice/ports.h
+++ b/src/libs/jobservice/ports.h
@@ -64,6 +64,7 @@
                                  StoreCallback stored,
                                  RunCallback answered,
                                  ListCallback listed,
+                                 const MembershipRenewal &renewal,
                                  GrantCallback granted,
                                  const std::string &member,
                                  std::function<void()> done)
@@ -76,7 +77,7 @@
     platform.renewLease(worker, renew, listed);
     platform.paceRun(worker, pace, answered);
     platform.askAdvice(question, advised);
-    platform.renewMembership(number, granted);
+    platform.renewMembership(renewal, granted);
     platform.leaveMembership(done);
     // Of another member, which has ended.
     platform.endMembership(member, done);
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "membershippace.h"
 #include "peerprotocol.h"
 #include "ports.h"
 #include "servicelayout.h"
@@ -22,9 +23,7 @@
 
 struct HostSettings {
     Jobs::ShardSettings shard;
-    Base::Duration membershipLifetime = std::chrono::milliseconds{1500};
-    Base::Duration membershipPeriod =
-        std::chrono::milliseconds{200}; ///< a shard that is dealt anew waits for its next owner so long
+    Base::Duration leastMembership = std::chrono::milliseconds{1000}; ///< that the store allows
     Base::Duration retryPause = std::chrono::milliseconds{150}; ///< before a call of the store is repeated
     int appendAttempts = 3; ///< of one that is known not to have been done
 };
@@ -66,7 +65,7 @@
         , m_member(std::move(member))
         , m_settings(settings)
         , m_layout(layout)
-        , m_ownership(settings.membershipLifetime)
+        , m_pace(settings.leastMembership)
         , m_joinTimer(timers)
         , m_adriftTimer(timers)
     {
@@ -227,8 +226,9 @@
     {
         const Base::Instant askedAt = m_timers.now();
         m_joinTimer.disarm();
+        const MembershipRenewal renewal{m_ownership.generation(), m_pace.lifetime(), m_pace.patience()};
         m_platform.renewMembership(
-            m_ownership.generation(), [this, askedAt](std::optional<MembershipGrant> grant) {
+            renewal, [this, askedAt, lifetime = renewal.lifetime](std::optional<MembershipGrant> grant) {
                 if (m_isStopping) {
                     return;
                 }
@@ -238,7 +238,10 @@
                 }
                 std::vector<ShardNumber> lost;
                 if (grant) {
-                    lost = takeGrant(*grant, askedAt);
+                    m_pace.answered(m_timers.now() - askedAt);
+                    lost = takeGrant(*grant, askedAt, lifetime);
+                } else {
+                    m_pace.missed();
                 }
                 checkAdrift();
                 if (!lost.empty()) {
@@ -247,7 +250,7 @@
                     return;
                 }
                 m_joinTimer.armAt(
-                    std::max<Base::Instant>(askedAt + m_settings.membershipPeriod, m_timers.now()),
+                    std::max<Base::Instant>(askedAt + m_pace.period(), m_timers.now()),
                     [this] { join(); });
             });
     }
@@ -270,10 +273,11 @@
     }
 
     // A shard that is lost and gained in one grant is released before it is read again.
-    std::vector<ShardNumber> takeGrant(const MembershipGrant &grant, Base::Instant askedAt)
+    std::vector<ShardNumber>
+    takeGrant(const MembershipGrant &grant, Base::Instant askedAt, Base::Duration lifetime)
     {
         m_lastGrant = m_timers.now();
-        const auto change = m_ownership.granted(grant, askedAt);
+        const auto change = m_ownership.granted(grant, askedAt, lifetime);
         std::vector<ShardNumber> lost;
         for (const ShardNumber it : change.lost) {
             if (m_ownership.epoch(it) != 0) {
@@ -835,6 +839,7 @@
     HostSettings m_settings;
     const ServiceLayout &m_layout;
     Ownership m_ownership;
+    MembershipPace m_pace;
     Base::OneShotTimer m_joinTimer;
     Base::OneShotTimer m_adriftTimer;
     std::map<ShardNumber, HostedPtr> m_hosted;
--- a/tests/auto/jobs/jobworld.cpp
+++ b/tests/auto/jobs/jobworld.cpp
@@ -670,7 +670,7 @@
 void JobWorld::expireMembers()
 {
     for (auto it = m_memberships.begin(); it != m_memberships.end();) {
-        if (timers.now() - it->second.seenAt <= settings.membershipLifetime) {
+        if (timers.now() - it->second.seenAt <= it->second.lifetime) {
             ++it;
             continue;
         }
@@ -698,27 +698,29 @@
     }
 }
 
-void JobWorld::Platform::renewMembership(std::uint64_t generation, const JobService::GrantCallback &done)
+void JobWorld::Platform::renewMembership(const JobService::MembershipRenewal &renewal,
+                                         const JobService::GrantCallback &done)
 {
     if (!m_world.isLive(m_member)) {
         return;
     }
     if (m_world.isStoreDown || isStoreDown) {
-        m_world.timers.subscribeAfter(600ms, [done] { done(std::nullopt); });
+        m_world.timers.subscribeAfter(renewal.patience, [done] { done(std::nullopt); });
         return;
     }
-    m_world.timers.subscribeAfter(2 * StoreDelay, [this, generation, done] {
+    m_world.timers.subscribeAfter(2 * StoreDelay, [this, renewal, done] {
         m_world.expireMembers();
         const bool isNew = m_world.m_memberships.count(m_member) == 0;
         auto &membership = m_world.m_memberships[m_member];
         membership.seenAt = m_world.timers.now();
+        membership.lifetime = renewal.lifetime;
         if (isNew) {
             m_world.deal();
         }
         JobService::MembershipGrant grant{m_world.m_generation, {}};
         for (std::size_t n = 0; n < m_world.m_partitions.size(); ++n) {
             Partition &it = m_world.m_partitions[n];
-            if (it.holder == m_member && it.target != m_member && generation == m_world.m_generation) {
+            if (it.holder == m_member && it.target != m_member && renewal.generation == m_world.m_generation) {
                 it.holder.clear();
             }
             if (it.target == m_member && it.holder.empty()) {
--- a/tests/auto/jobs/jobworld.h
+++ b/tests/auto/jobs/jobworld.h
@@ -84,7 +84,8 @@
                      const Jobs::PaceRun &order,
                      const JobService::RunCallback &done);
         void askAdvice(const Jobs::AskAdvice &question, const JobService::AdviceCallback &done);
-        void renewMembership(std::uint64_t generation, const JobService::GrantCallback &done);
+        void renewMembership(const JobService::MembershipRenewal &renewal,
+                             const JobService::GrantCallback &done);
         void leaveMembership(const std::function<void()> &done);
         void endMembership(const std::string &member, const std::function<void()> &done);
         void readOwners(const JobService::OwnersCallback &done);
@@ -176,6 +177,7 @@
     };
     struct Membership {
         Base::Instant seenAt;
+        Base::Duration lifetime{};
         std::uint64_t generation = 0;
     };
 
--- a/tests/auto/jobs/tst_ownership.cpp
+++ b/tests/auto/jobs/tst_ownership.cpp
@@ -1,5 +1,6 @@
 #include <jobservice/candidacy.h>
 #include <jobservice/fleetconfig.h>
+#include <jobservice/membershippace.h>
 #include <jobservice/ownership.h>
 #include <jobservice/peerprotocol.h>
 #include <jobservice/servicelayout.h>
@@ -13,6 +14,7 @@
 {
 
 constexpr Base::Instant Start{1h};
+constexpr auto Lifetime = 1500ms;
 
 } // namespace
 
@@ -20,9 +22,9 @@
 
 TEST(Ownership, AShardKeepsTheEpochOfTheGenerationThatBroughtIt)
 {
-    Ownership ownership(1500ms);
-    CHECK(ownership.granted({3, {0, 1}}, Start).gained.size() == 2);
-    const auto change = ownership.granted({5, {1, 2}}, Start + 400ms);
+    Ownership ownership;
+    CHECK(ownership.granted({3, {0, 1}}, Start, Lifetime).gained.size() == 2);
+    const auto change = ownership.granted({5, {1, 2}}, Start + 400ms, Lifetime);
     CHECK(change.lost == std::vector<JobService::ShardNumber>{0});
     CHECK(change.gained == std::vector<JobService::ShardNumber>{2});
     LONGS_EQUAL(3, ownership.epoch(1));
@@ -33,9 +35,9 @@
 // In the gap another member may have owned the shard, with an epoch between the two.
 TEST(Ownership, AfterALapseAShardIsGainedAnew)
 {
-    Ownership ownership(1500ms);
-    ownership.granted({3, {0}}, Start);
-    const auto change = ownership.granted({5, {0}}, Start + 2s);
+    Ownership ownership;
+    ownership.granted({3, {0}}, Start, Lifetime);
+    const auto change = ownership.granted({5, {0}}, Start + 2s, Lifetime);
     LONGS_EQUAL(1, change.lost.size());
     LONGS_EQUAL(1, change.gained.size());
     LONGS_EQUAL(5, ownership.epoch(0));
@@ -43,17 +45,17 @@
 
 TEST(Ownership, ALapseWithoutAnyChangeKeepsTheShard)
 {
-    Ownership ownership(1500ms);
-    ownership.granted({3, {0}}, Start);
+    Ownership ownership;
+    ownership.granted({3, {0}}, Start, Lifetime);
     CHECK(!ownership.isValid(Start + 1500ms));
-    CHECK(ownership.granted({3, {0}}, Start + 2s).lost.empty());
+    CHECK(ownership.granted({3, {0}}, Start + 2s, Lifetime).lost.empty());
     CHECK(ownership.isValid(Start + 3s));
 }
 
 TEST(Ownership, TimeThatTheClockDidNotCountEndsAMembership)
 {
-    Ownership ownership(1500ms);
-    ownership.granted({3, {0}}, Start);
+    Ownership ownership;
+    ownership.granted({3, {0}}, Start, Lifetime);
     ownership.suspended(1s);
     CHECK(!ownership.isValid(Start + 600ms));
 }
@@ -297,3 +299,38 @@
     member.noteOwners(ownersNamed({"a:1/x/250/1", "b:1/y/300/1", "c:1/z/250/1"}), {}, 12, start + 5s);
     CHECK(member.isCandidate());
 }
+
+TEST_GROUP(MembershipPace){};
+
+// Red: memberships lasted 1.5 s at any pace of the store, so the shards of a killed owner waited that long
+// (cmavc-rota trouble-3: 50 callers that got nothing after the owner of a surge was killed).
+TEST(MembershipPace, AMembershipIsAsShortAsTheStoreAllowsWhileItAnswersSoon)
+{
+    JobService::MembershipPace pace(1s);
+    for (int n = 0; n < 20; ++n) {
+        pace.answered(9ms);
+    }
+    CHECK(pace.lifetime() == 1s);
+    CHECK(pace.period() == 100ms);
+    CHECK(pace.period() + 2 * pace.patience() < pace.lifetime()); // two answers may be lost
+}
+
+TEST(MembershipPace, ASlowStoreMakesMembershipsLonger)
+{
+    JobService::MembershipPace pace(1s);
+    pace.answered(240ms);
+    CHECK(pace.lifetime() == 1500ms);
+    CHECK(pace.patience() == 600ms);
+    for (int n = 0; n < 80; ++n) {
+        pace.answered(9ms);
+    }
+    CHECK(pace.lifetime() == 1s);
+}
+
+TEST(MembershipPace, LostAnswersMakeMembershipsLonger)
+{
+    JobService::MembershipPace pace(1s);
+    pace.answered(9ms);
+    pace.missed();
+    CHECK(pace.lifetime() == 1500ms);
+}
