Refuse at once what silent peers can't take, and let a cut zone send callers elsewhere

Cause: in a zone that is cut off by dropped packets each request waited a second for an owner that had left every other one unanswered, and its callers got no answer in their time. A request that an earlier attempt may have stored ended with the next refusal. Change: a silent peer gets a request each 0.3 s (PeerSilence). A peer of the own zone without the store is no sign of life of others (Isolation). What may have run is repeated while there is time, also after a refusal. Tests: Isolation (3), PeerSilence (2), RequestRouter, ARequestThatMayHaveRunIsRepeatedAlsoWhen- ItIsRefused.

--- a/src/libs/jobservice/requestrouter.h
+++ b/src/libs/jobservice/requestrouter.h
@@ -2,6 +2,8 @@
 
 #include "candidacy.h"
 #include "fleetconfig.h"
+#include "isolation.h"
+#include "peersilence.h"
 #include "repetition.h"
 #include "shardhost.h"
 
@@ -39,6 +41,7 @@
                   Http::Client &peers,
                   ShardHost<Platform> &host,
                   const std::string &ownName,
+                  std::string ownZone,
                   const RouterSettings &settings)
         : m_platform(platform)
         , m_timers(timers)
@@ -46,6 +49,7 @@
         , m_host(host)
         , m_settings(settings)
         , m_ownName(memberNameFrom(ownName))
+        , m_isolation(std::move(ownZone), settings.silenceNoticed, settings.isolationPatience)
         , m_ownersTimer(timers)
     {
     }
@@ -98,10 +102,11 @@
         }
     }
 
-    /// Neither the store nor a peer has answered for a while: other members can serve callers, this one can't.
+    /// Others may be able to serve callers, this member can't.
     bool isIsolated() const
     {
-        return m_timers.now() - lastSign() > m_settings.isolationPatience;
+        const Base::Instant now = m_timers.now();
+        return now - lastSignOfStore() > m_settings.isolationPatience && m_isolation.isIsolated(now);
     }
 
     /// The last time that the store said who owns what.
@@ -174,7 +179,8 @@
     /// The path under which members hand on what they know of the owners.
     static constexpr std::string_view OwnersPath = "/owners";
 
-    /// The path under which members ask each other whether they have lost the store.
+    /// The path under which members ask each other whether they have lost the store; the answer's body is the
+    /// zone of who answers.
     static constexpr std::string_view MembershipPath = "/membership";
 
 private:
@@ -205,15 +211,16 @@
         bool isAsked = false;
     };
 
-    Base::Instant lastSign() const
+    Base::Instant lastSignOfStore() const
     {
-        return std::max({m_host.lastGrant(), m_lastPeerAnswer, m_lastOwnersRead});
+        return std::max(m_host.lastGrant(), m_lastOwnersRead);
     }
 
     // A few peers in turn, so that a large fleet without the store doesn't talk of nothing else.
     void askForSign()
     {
-        if (m_timers.now() - lastSign() < m_settings.silenceNoticed) {
+        m_isolation.heardStore(lastSignOfStore());
+        if (!m_isolation.isInDoubt(m_timers.now())) {
             return;
         }
         auto it = m_members.upper_bound(m_lastAskedForSign);
@@ -241,8 +248,9 @@
             asked.isAsked = false;
             if (outcome.response) {
                 asked.answeredAt = m_timers.now();
-                m_lastPeerAnswer = m_timers.now();
+                m_silence.answered(asked.endpoint);
                 asked.hasLostStore = outcome.response->status != 200;
+                m_isolation.heardPeer(outcome.response->body, !asked.hasLostStore, m_timers.now());
             }
         });
     }
@@ -260,12 +268,22 @@
             finish(routed, {.status = JobReply::Status::NotOwner});
             return;
         }
+        const Ini::Endpoint owner = it->second;
+        if (isIsolated() || !m_silence.isToBeAsked(owner, m_timers.now())) {
+            expectChange();
+            finish(routed, refusal());
+            return;
+        }
+        m_silence.sent(owner, m_timers.now());
         Http::Request forwarded;
         forwarded.method = "POST";
         forwarded.target = "/jobs";
         forwarded.body = encode(routed->request);
         const auto timeout = std::min(limit - m_settings.answerReserve, m_settings.peerTimeout);
-        m_peers.send(it->second, std::move(forwarded), timeout, [this, routed](Http::Outcome outcome) {
+        m_peers.send(owner, std::move(forwarded), timeout, [this, routed, owner](Http::Outcome outcome) {
+            if (outcome.response) {
+                m_silence.answered(owner);
+            }
             finish(routed, fromPeer(outcome));
         });
     }
@@ -283,7 +301,7 @@
         if (reply.status == JobReply::Status::Unknown && isRepeatable(routed->request)) {
             routed->mayHaveRun = true;
         }
-        if (isToRepeat(*routed, reply)) {
+        if (reply.status != JobReply::Status::NotOwner && isToRepeat(*routed, reply)) {
             m_timers.subscribeAfter(m_settings.repeatPause, [this, routed] { send(routed); });
             return;
         }
@@ -314,12 +332,16 @@
         if (!isRepeatable(routed.request)) {
             return false;
         }
+        const bool isRefused =
+            reply.status == JobReply::Status::Refused || reply.status == JobReply::Status::NotOwner;
+        if (!isRefused && reply.status != JobReply::Status::Unknown) {
+            return false;
+        }
         const Base::Duration left = routed.deadline - m_timers.now() - m_settings.answerReserve;
-        if (reply.status == JobReply::Status::Unknown) {
+        if (routed.mayHaveRun) {
             return repeatsUnanswered(left, m_settings.repeatPause);
         }
-        return reply.status == JobReply::Status::Refused && !isIsolated()
-            && repeatsRefused(left, m_settings.repeatPause, reply.retryAfter);
+        return !isIsolated() && repeatsRefused(left, m_settings.repeatPause, reply.retryAfter);
     }
 
     // A later refusal doesn't take back what an earlier attempt may have done.
@@ -342,8 +364,10 @@
             return outcome.verdict == Base::Verdict::NotRun ? refusal()
                                                             : JobReply{.status = JobReply::Status::Unknown};
         }
-        m_lastPeerAnswer = m_timers.now();
         const auto reply = decodeReply(outcome.response->body);
+        if (reply && reply->status == JobReply::Status::Done) {
+            m_isolation.heardStore(m_timers.now());
+        }
         return reply ? *reply : JobReply{.status = JobReply::Status::Unknown};
     }
 
@@ -430,8 +454,8 @@
         Http::Request request;
         request.target = OwnersPath;
         m_peers.send(it->second.endpoint, std::move(request), AskTimeout, [this](Http::Outcome outcome) {
-            m_lastPeerAnswer = outcome.response ? m_timers.now() : m_lastPeerAnswer;
             if (outcome.response && outcome.response->status == 200) {
+                m_isolation.heardStore(m_timers.now()); // through that peer
                 takeOwners(parseOwners(outcome.response->body));
             }
             ownersRead();
@@ -490,15 +514,16 @@
     ShardHost<Platform> &m_host;
     RouterSettings m_settings;
     MemberName m_ownName;
+    Isolation m_isolation;
     std::map<std::string, Member> m_members; ///< by place
     Base::OneShotTimer m_ownersTimer;
     std::map<ShardNumber, Ini::Endpoint> m_owners;
+    PeerSilence m_silence;
     std::map<ShardNumber, std::string> m_ownerNames;
     std::string m_lastAskedForSign; ///< the place of the member
     std::string m_askedForOwners; ///< the place of the member that was asked last
     Base::Instant m_ownersReadAt;
     Base::Instant m_nextRead;
-    Base::Instant m_lastPeerAnswer;
     Base::Instant m_lastOwnersRead;
     OwnersRead m_whenOwnersRead;
     bool m_isReading = false;
--- a/tests/auto/jobs/tst_requestrouter.cpp
+++ b/tests/auto/jobs/tst_requestrouter.cpp
@@ -2,6 +2,8 @@
 
 #include <base/logline.h>
 #include <http/client.h>
+#include <jobservice/isolation.h>
+#include <jobservice/peersilence.h>
 #include <jobservice/repetition.h>
 #include <jobservice/requestrouter.h>
 
@@ -21,7 +23,7 @@
         world.addWorker("w1");
         auto &member = world.addMember("m1");
         router = std::make_unique<JobService::RequestRouter<JobWorld::Platform>>(
-            member.platform, world.timers, peers, member.host, member.name, JobService::RouterSettings{});
+            member.platform, world.timers, peers, member.host, member.name, "z1", JobService::RouterSettings{});
         router->start([](std::span<const JobService::ShardOwner>) {});
         world.run(2s);
     }
@@ -94,7 +96,7 @@
     world.kill(place + "1");
     auto &next = world.addMember(place + "2");
     JobService::RequestRouter<JobWorld::Platform> started(
-        next.platform, world.timers, peers, next.host, next.name, JobService::RouterSettings{});
+        next.platform, world.timers, peers, next.host, next.name, "z1", JobService::RouterSettings{});
     started.start([](std::span<const JobService::ShardOwner>) {});
     world.run(500ms);
     CHECK(world.owner(0) && world.owner(0)->name == next.name);
@@ -192,6 +194,84 @@
     CHECK(!router->isIsolated());
 }
 
+// Red: a refusal by the next owner ended the request, though the first one may have stored it.
+TEST(RequestRouter, ARequestThatMayHaveRunIsRepeatedAlsoWhenItIsRefused)
+{
+    auto &member = *world.members.at("m1");
+    submit("a");
+    world.run(3ms);
+    member.host.setCandidate(false);
+    world.run(1200ms); // longer than a request waits for an owner
+    member.host.setCandidate(true);
+    world.run(1s);
+    CHECK(reply && reply->status == JobReply::Status::Done);
+}
+
+TEST_GROUP(Isolation)
+{
+    const Base::Instant start{1h};
+    JobService::Isolation isolation{"z1", 600ms, 1200ms};
+};
+
+// Red: instances of a zone that was cut off stayed ready, since they heard each other, and took requests that
+// none of them could store (cmavc-rota-grown: 153 callers of that zone in 6 seconds).
+TEST(Isolation, AZoneThatIsCutOffHearsOnlyItself)
+{
+    isolation.heardStore(start);
+    isolation.heardPeer("z1", false, start + 700ms);
+    CHECK(isolation.isInDoubt(start + 700ms));
+    CHECK(!isolation.isIsolated(start + 1200ms));
+    CHECK(isolation.isIsolated(start + 1201ms));
+}
+
+// While the store is away for all, nobody could serve callers better.
+TEST(Isolation, AnotherZoneWithoutTheStoreIsASign)
+{
+    isolation.heardStore(start);
+    isolation.heardPeer("z2", false, start + 1s);
+    CHECK(!isolation.isIsolated(start + 2s));
+}
+
+TEST(Isolation, APeerOfTheOwnZoneWithTheStoreIsASign)
+{
+    isolation.heardStore(start);
+    isolation.heardPeer("z1", true, start + 1s);
+    CHECK(!isolation.isIsolated(start + 2s));
+}
+
+TEST_GROUP(PeerSilence)
+{
+    JobService::PeerSilence silence;
+    const Ini::Endpoint peer{"10.0.0.1", 1};
+    const Ini::Endpoint other{"10.0.0.2", 1};
+    const Base::Instant start{1h};
+};
+
+// Red: each request waited for its own timeout (cmavc-rota-grown scale-2: 95 callers of the zone that was cut
+// off got no answer in their time).
+TEST(PeerSilence, ASilentPeerGetsARequestNowAndThenOnly)
+{
+    silence.sent(peer, start);
+    CHECK(silence.isToBeAsked(peer, start + 500ms));
+    silence.sent(peer, start + 500ms);
+    CHECK(!silence.isToBeAsked(peer, start + 700ms));
+    CHECK(silence.isToBeAsked(peer, start + 800ms));
+    silence.sent(peer, start + 800ms);
+    CHECK(!silence.isToBeAsked(peer, start + 900ms));
+    CHECK(silence.isToBeAsked(other, start + 900ms));
+}
+
+TEST(PeerSilence, APeerThatAnswersAgainIsAskedAgain)
+{
+    silence.sent(peer, start);
+    silence.sent(peer, start + 600ms);
+    CHECK(!silence.isToBeAsked(peer, start + 700ms));
+    silence.answered(peer);
+    CHECK(silence.isToBeAsked(peer, start + 700ms));
+    silence.sent(peer, start + 700ms);
+    CHECK(silence.isToBeAsked(peer, start + 1200ms));
+}
+
 TEST_GROUP(Repetition){};
 
 TEST(Repetition, ARefusalIsRepeatedOnlyWhereItsCallerCannotComeBack)
