Keep a start that a restarted worker may still carry out

Cause: a start that reached a worker just after it had restarted under its ID got a lease by the clock of the life before, which the new life takes for the longest one. Change: when a new life is noticed, its unanswered starts are kept until the worker has been reached under the next token, or as long as late orders take. Ruled out: waiting so long with every unanswered start, which would make the tasks of each dark rack useless to their callers. This one costs nothing unless a worker restarts and is cut off at once. Test: ShardHost, AStartThatMayReachALaterLifeOfItsWorkerIsNotGivenUpWithItsLease, red before.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -44,6 +44,7 @@
     std::int64_t confirmedAt = 0; ///< worker's clock when it last said that the run is there, or is stopped
     bool isStopConfirmed = false;
     Base::Instant orderedAt; ///< of the start or the stop under way
+    Base::Instant mayBeginUntil; ///< a start without an answer may reach a later life of its worker so long
 
     bool isWaiting() const
     {
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -28,6 +28,7 @@
     Milliseconds renewal{800}; ///< a lease is renewed this often
     Milliseconds batchPeriod{25}; ///< between two appends
     Milliseconds storePatience{400}; ///< an append that takes longer makes new jobs be refused
+    Milliseconds lateStarts{13'000}; ///< a start without an answer may be carried out so much later
     Milliseconds answerPatience{300}; ///< before a run that isn't listed after an unanswered order is stopped
     Milliseconds retention{150'000}; ///< how long an ended job's state can be asked for
     Milliseconds evacuation{1500}; ///< a worker gets nothing new for so long after a call of evacuate()
--- a/src/libs/jobs/shardpass.cpp
+++ b/src/libs/jobs/shardpass.cpp
@@ -94,7 +94,8 @@
             due = std::min(due, worker.nextAsk);
         }
         if (worker.failuresInRow > 0 && !worker.runs.empty()) {
-            due = std::min(due, worker.leaseBound);
+            due = std::min<Base::Instant>(
+                due, worker.leaseBound > now ? worker.leaseBound : now + PlaceAgainPeriod);
         }
         const bool isLeft = worker.leavesAt || worker.evacuatedUntil > now;
         if ((isLeft && !worker.runs.empty()) || !m_stopping.empty()) {
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -105,6 +105,10 @@
         if (task.run == RunState::Stopping) {
             m_stopping.insert(it);
         }
+        // Its lease counts by the clock of the life before.
+        if (task.run == RunState::Starting || task.run == RunState::Unanswered) {
+            task.mayBeginUntil = now + m_settings.lateStarts;
+        }
     }
 }
 
@@ -116,6 +120,7 @@
     }
     task.run = RunState::None;
     task.worker.clear();
+    task.mayBeginUntil = {};
     task.percent = 0;
     task.isStopConfirmed = false;
     markChanged(job);
@@ -747,7 +752,8 @@
         for (const TaskId &it : runs) {
             Job &job = m_jobs[it.job];
             Task &task = *job.find(it);
-            if (task.run == RunState::Planned || task.run == RunState::Starting) {
+            const bool mayBegin = task.mayBeginUntil > now;
+            if (task.run == RunState::Planned || task.run == RunState::Starting || mayBegin) {
                 continue;
             }
             Base::LogLine(Base::LogLevel::Info, "lease-lapsed")
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -222,6 +222,35 @@
     checkKept(world);
 }
 
+// Red: the lease that the start was given counts by the clock of the life before, so the late start ran
+// beside, or after, the next one (Faults, seed 88, commit b7fdc50).
+TEST(ShardHost, AStartThatMayReachALaterLifeOfItsWorkerIsNotGivenUpWithItsLease)
+{
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        JobWorld world(seed);
+        auto &w1 = world.addWorker("w1", 1000);
+        world.addMember("m1");
+        world.run(2s);
+        const auto job = JobWorld::makeJob("a", 1, 1);
+        world.submitted["a"] = job;
+        world.ask({world.homeOf("a"), JobService::Operation::Submit, job, {}},
+                  [](const JobService::JobReply &) {});
+        world.run(1ms); // its record is on the way
+        world.crash("w1", 0ms);
+        w1.lateShare = 1;
+        world.run(10ms);
+        w1.cutFrom.insert("m1");
+        world.addWorker("w2", 1000);
+        world.publishWorkers();
+        world.run(20s);
+        w1.cutFrom.clear();
+        w1.lateShare = 0;
+        world.run(5s);
+        CHECK(world.broken.empty());
+        CHECK(world.state("a") == JobService::ShownState::Completed);
+    }
+}
+
 TEST(ShardHost, AJobThatNoWorkerCouldHoldIsRefusedAtOnce)
 {
     JobWorld world;
