--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -81,7 +81,7 @@
         .add(
             &WorkersSettings::lease,
             "lease_ms",
-            4s,
+            3s,
             range<Milliseconds>(500ms, 600s),
             "How long a worker goes on without hearing from its owner. Shorter: what ran on a lost worker is "
             "restarted sooner. Longer: more time for another owner to take over.")
