--- a/src/libs/jobs/queueorder.h
+++ b/src/libs/jobs/queueorder.h
@@ -25,8 +25,8 @@
 /// Sorts by who goes first: long-running tasks; jobs that have begun, so that work isn't left half done; jobs
 /// that can still meet their objective; those for which it is tight; those that are late but still of use,
 /// the soonest useless first; and last what is past help, which still finishes once the surge is over.
-/// Answers a queue that gets several times its workers' room for some seconds. Going by the deadline alone, such a queue starts each job just too late; see
-/// tests/auto/jobs/tst_queueorder.cpp.
+/// Answers a queue that gets several times its workers' room for some seconds. Going by the deadline alone,
+/// such a queue starts each job just too late; see tests/auto/jobs/tst_queueorder.cpp.
 void sortByUrgency(std::vector<ReadyOccurrence> &ready, WallTime now);
 
 } // namespace Jobs
--- a/src/libs/jobservice/isolation.h
+++ b/src/libs/jobservice/isolation.h
@@ -10,9 +10,9 @@
 
 /// Whether this member is cut off from all that could serve callers.
 ///
-/// Answers a zone that is cut off: its instances hear each other and none of them can store a job, so they say
-/// that they aren't ready, and callers are sent to other zones. While the store is away for all, members of other
-/// zones are heard still, and sending callers elsewhere would help nobody.
+/// Answers a zone that is cut off: its instances hear each other and none of them can store a job, so they
+/// say that they aren't ready, and callers are sent to other zones. While the store is away for all, members
+/// of other zones are heard still, and sending callers elsewhere would help nobody.
 class Isolation
 {
 public:
--- a/src/libs/jobservice/machineduty.h
+++ b/src/libs/jobservice/machineduty.h
@@ -368,8 +368,7 @@
     template<typename Send, typename Refuse>
     void storeOrder(const std::string &machine, Send send, Refuse refuse)
     {
-        const std::string at =
-            std::to_string(m_wallClock().time_since_epoch().count()) + " " + m_member;
+        const std::string at = std::to_string(m_wallClock().time_since_epoch().count()) + " " + m_member;
         m_waiting.push_back(
             {{std::string(OrderPrefix) + machine, at}, [this, machine, send, refuse](bool isStored) {
                  // Storing may have taken as long as the store was away.
--- a/src/libs/jobservice/membershippace.h
+++ b/src/libs/jobservice/membershippace.h
@@ -7,9 +7,9 @@
 
 /// How long a membership is asked for, and how long its renewal is waited for.
 ///
-/// Answers owners that are killed while callers wait: their shards go to others when the membership lapses, so it
-/// is as short as the store allows. While the store is slow or loses answers, a short one would lapse under
-/// members that live, and is made longer.
+/// Answers owners that are killed while callers wait: their shards go to others when the membership lapses,
+/// so it is as short as the store allows. While the store is slow or loses answers, a short one would lapse
+/// under members that live, and is made longer.
 class MembershipPace
 {
 public:
--- a/src/libs/jobservice/ownership.h
+++ b/src/libs/jobservice/ownership.h
@@ -35,8 +35,8 @@
         std::vector<ShardNumber> lost;
     };
 
-    /// `askedAt` is when the renewal was sent, `lifetime` what it asked for. A renewal that came too late may hide that a shard has been
-    /// elsewhere in between; such shards are lost and gained again.
+    /// `askedAt` is when the renewal was sent, `lifetime` what it asked for. A renewal that came too late may
+    /// hide that a shard has been elsewhere in between; such shards are lost and gained again.
     Change granted(const MembershipGrant &grant, Base::Instant askedAt, Base::Duration lifetime);
     /// Everything is lost; the next grant counts from the beginning.
     std::vector<ShardNumber> drop();
--- a/src/libs/jobservice/peersilence.h
+++ b/src/libs/jobservice/peersilence.h
@@ -10,9 +10,9 @@
 
 /// Which peers leave what they are sent unanswered.
 ///
-/// Answers a zone that is cut off: each request that is sent to an owner there, or from there, would wait for its
-/// own timeout, and its caller would have no time left to go elsewhere. A silent peer gets one request now and
-/// then; the others are refused at once.
+/// Answers a zone that is cut off: each request that is sent to an owner there, or from there, would wait for
+/// its own timeout, and its caller would have no time left to go elsewhere. A silent peer gets one request
+/// now and then; the others are refused at once.
 class PeerSilence
 {
 public:
--- a/src/libs/jobservice/repetition.cpp
+++ b/src/libs/jobservice/repetition.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-// An attempt that is given less has no chance: a hop to the owner and a stored record take a tenth of a second
-// when the store is slow.
+// An attempt that is given less has no chance: a hop to the owner and a stored record take a tenth of a
+// second when the store is slow.
 constexpr Base::Duration LeastAttempt = std::chrono::milliseconds{200};
 
 } // namespace
--- a/src/libs/jobservice/requestrouter.h
+++ b/src/libs/jobservice/requestrouter.h
@@ -23,7 +23,8 @@
     Base::Duration answerReserve =
         std::chrono::milliseconds{100}; ///< kept for the answer's way to the caller
     Base::Duration repeatPause = std::chrono::milliseconds{150}; ///< before another attempt at an owner
-    Base::Duration peerTimeout = std::chrono::milliseconds{1000}; ///< an owner answers within tenths of a second
+    Base::Duration peerTimeout =
+        std::chrono::milliseconds{1000}; ///< an owner answers within tenths of a second
     Base::Duration silenceNoticed =
         std::chrono::milliseconds{600}; ///< without a sign of the store or a peer, before peers are asked
     Base::Duration isolationPatience = std::chrono::milliseconds{1200}; ///< without any sign
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -78,8 +78,8 @@
 
     /// `hasEnded` tells whether a member's process is known to have ended. `isStoreLostForMost` tells whether
     /// most members have said lately that they have lost the store, too; it is asked while this one has.
-    /// `gained` is called for each shard that this member becomes the owner of, and again when it serves it; `route` brings requests to
-    /// the owners of others.
+    /// `gained` is called for each shard that this member becomes the owner of, and again when it serves it;
+    /// `route` brings requests to the owners of others.
     void start(HasEnded hasEnded, AskPeers isStoreLostForMost, Notify gained, Route route)
     {
         m_whenGained = std::move(gained);
@@ -249,9 +249,8 @@
                     release(lost, "reassigned", [this] { joinUnlessStopping(); });
                     return;
                 }
-                m_joinTimer.armAt(
-                    std::max<Base::Instant>(askedAt + m_pace.period(), m_timers.now()),
-                    [this] { join(); });
+                m_joinTimer.armAt(std::max<Base::Instant>(askedAt + m_pace.period(), m_timers.now()),
+                                  [this] { join(); });
             });
     }
 
--- a/src/libs/machines/arrivalforecast.h
+++ b/src/libs/machines/arrivalforecast.h
@@ -8,8 +8,8 @@
 {
 
 /// Foretells how much work a pool will be asked for when a machine that is moved to it now can begin.
-/// Answers a demand that rises over some seconds: the rate seen is extended by its trend, once enough has been
-/// seen for one. Before, as after a hand-over in the middle of a surge, the rate alone counts.
+/// Answers a demand that rises over some seconds: the rate seen is extended by its trend, once enough has
+/// been seen for one. Before, as after a hand-over in the middle of a surge, the rate alone counts.
 class ArrivalForecast
 {
 public:
--- a/tests/auto/jobs/jobworld.cpp
+++ b/tests/auto/jobs/jobworld.cpp
@@ -720,7 +720,8 @@
         JobService::MembershipGrant grant{m_world.m_generation, {}};
         for (std::size_t n = 0; n < m_world.m_partitions.size(); ++n) {
             Partition &it = m_world.m_partitions[n];
-            if (it.holder == m_member && it.target != m_member && renewal.generation == m_world.m_generation) {
+            if (it.holder == m_member && it.target != m_member
+                && renewal.generation == m_world.m_generation) {
                 it.holder.clear();
             }
             if (it.target == m_member && it.holder.empty()) {
--- a/tests/auto/jobs/tst_machineduty.cpp
+++ b/tests/auto/jobs/tst_machineduty.cpp
@@ -109,7 +109,7 @@
             "127.0.0.1:2/i2/250/1");
         duty->setPools({{"sign", false}, {"spare", true}});
         duty->start();
-        run(1s + 100ms); // the duty looks at every quarter of a second
+        advance(1s + 100ms); // the duty looks at every quarter of a second
     }
 
     void add(const std::string &id, const std::string &pool, const std::string &worker)
@@ -141,7 +141,7 @@
         duty->ownershipChanged();
     }
 
-    void run(Base::Duration time)
+    void advance(Base::Duration time)
     {
         const Base::Instant until = timers.now() + time;
         while (timers.nextDue() && *timers.nextDue() <= until) {
@@ -170,7 +170,7 @@
 TEST(MachineDuty, ANewOwnerOrdersMachinesAtOnce)
 {
     own();
-    run(100ms);
+    advance(100ms);
     LONGS_EQUAL(2, cloud.moved.size());
 }
 
@@ -178,9 +178,9 @@
 {
     earlierOrder("m2");
     own();
-    run(2500ms);
+    advance(2500ms);
     LONGS_EQUAL(0, cloud.moved.count("m2"));
-    run(2s);
+    advance(2s);
     LONGS_EQUAL(1, cloud.moved.count("m2"));
 }
 
@@ -190,10 +190,10 @@
 {
     earlierOrder("m2");
     own();
-    run(500ms);
+    advance(500ms);
     LONGS_EQUAL(0, cloud.moved.count("m2"));
     hasEarlierEnded = true;
-    run(500ms);
+    advance(500ms);
     LONGS_EQUAL(1, cloud.moved.count("m2"));
 }
 
@@ -205,6 +205,6 @@
     record = record.substr(0, record.find(' '));
     hasEarlierEnded = true;
     own();
-    run(2500ms);
+    advance(2500ms);
     LONGS_EQUAL(0, cloud.moved.count("m2"));
 }
--- a/tests/auto/jobs/tst_requestrouter.cpp
+++ b/tests/auto/jobs/tst_requestrouter.cpp
@@ -22,8 +22,14 @@
         Base::LogLine::setThreshold(Base::LogLevel::Error);
         world.addWorker("w1");
         auto &member = world.addMember("m1");
-        router = std::make_unique<JobService::RequestRouter<JobWorld::Platform>>(
-            member.platform, world.timers, peers, member.host, member.name, "z1", JobService::RouterSettings{});
+        router =
+            std::make_unique<JobService::RequestRouter<JobWorld::Platform>>(member.platform,
+                                                                            world.timers,
+                                                                            peers,
+                                                                            member.host,
+                                                                            member.name,
+                                                                            "z1",
+                                                                            JobService::RouterSettings{});
         router->start([](std::span<const JobService::ShardOwner>) {});
         world.run(2s);
     }
