Don't say of a job that may be stored that it never runs, hopeless or not

A request that an earlier attempt may have stored ended with 429 when the next owner's workers couldn't hold the job; only plain refusals were turned into 'may have run'. A late append of the first attempt could still run it. Change: all answers that say 'not run' are held back after an attempt without an answer.

--- a/src/libs/jobservice/requestrouter.h
+++ b/src/libs/jobservice/requestrouter.h
@@ -345,12 +345,12 @@
         return !isIsolated() && repeatsRefused(left, m_settings.repeatPause, reply.retryAfter);
     }
 
-    // A later refusal doesn't take back what an earlier attempt may have done.
+    // A later refusal, of whatever kind, doesn't take back what an earlier attempt may have done.
     static void conclude(const Routed &routed, const JobReply &reply)
     {
-        const bool isRefused =
-            reply.status == JobReply::Status::Refused || reply.status == JobReply::Status::NotOwner;
-        routed.reply(routed.mayHaveRun && isRefused ? JobReply{.status = JobReply::Status::Unknown} : reply);
+        const bool saysNotRun = reply.status == JobReply::Status::Refused
+            || reply.status == JobReply::Status::Hopeless || reply.status == JobReply::Status::NotOwner;
+        routed.reply(routed.mayHaveRun && saysNotRun ? JobReply{.status = JobReply::Status::Unknown} : reply);
     }
 
     static JobReply refusal()
--- a/tests/auto/jobs/tst_requestrouter.cpp
+++ b/tests/auto/jobs/tst_requestrouter.cpp
@@ -147,6 +147,24 @@
     CHECK(reply && reply->status == JobReply::Status::Unknown);
 }
 
+// Red: the next owner, to whose workers the job doesn't fit, said that it never runs; the first one's append
+// may still be carried out.
+TEST(RequestRouter, AHopelessJobThatMayHaveBeenStoredIsNotDenied)
+{
+    auto &member = *world.members.at("m1");
+    member.platform.isStoreDown = true;
+    submit("a");
+    world.run(3ms);
+    member.host.setCandidate(false);
+    world.workers.at("w1").info.capacity.milliCores = 1;
+    world.publishWorkers();
+    world.run(100ms);
+    member.platform.isStoreDown = false;
+    member.host.setCandidate(true);
+    world.run(2900ms);
+    CHECK(reply && reply->status == JobReply::Status::Unknown);
+}
+
 // Red: it was refused with a second's wait, when its caller had less than that left.
 TEST(RequestRouter, ACallerThatCannotComeBackWaitsForTheStoreHere)
 {
