--- a/src/libs/jobs/queueorder.cpp
+++ b/src/libs/jobs/queueorder.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <span>
+#include <vector>
 
 namespace Jobs
 {
@@ -44,21 +46,15 @@
 // Work beyond this share of the mean doesn't count against a job: the largest would wait too often.
 constexpr double LargeShare = 0.75;
 
-// Core-seconds above which jobs count as equally large.
-double largeWork(std::span<const ReadyOccurrence> ready)
+// Core-seconds above which jobs count as equally large, from the work of each that ends by itself.
+double largeWork(std::span<const double> works)
 {
-    double sum = 0;
-    int n = 0;
-    for (const ReadyOccurrence &it : ready) {
-        if (!it.job->spec.isLongRunning()) {
-            sum += remainingWork(it);
-            ++n;
-        }
-    }
-    return std::max(LeastWork, n > 0 ? LargeShare * sum / n : 0);
+    const double sum = std::accumulate(works.begin(), works.end(), 0.0);
+    return std::max(LeastWork, works.empty() ? 0 : LargeShare * sum / double(works.size()));
 }
 
-Rank rank(const ReadyOccurrence &it, WallTime now, double large)
+// `work` counts in the order; 0 for long-running jobs.
+Rank rank(const ReadyOccurrence &it, WallTime now, double work)
 {
     const Job &job = *it.job;
     const std::uint32_t priority = job.spec.queue.priority;
@@ -69,7 +65,7 @@
     const double slack = double((job.objective(it.number) - now).count()) - chain;
     // Slack times the root of the work: the urgent before the large, without starving the large.
     const double spare = std::max(0.0, slack - EstimateMargin * chain);
-    const double order = spare * std::sqrt(std::clamp(remainingWork(it), LeastWork, large));
+    const double order = spare * std::sqrt(work);
     if (job.hasStarted && slack >= -BegunMargin * chain) {
         return {Begun, priority, order};
     }
@@ -99,9 +95,18 @@
 {
     std::vector<std::pair<Rank, ReadyOccurrence>> ranked;
     ranked.reserve(ready.size());
-    const double large = largeWork(ready);
+    std::vector<double> works;
+    works.reserve(ready.size());
+    for (const ReadyOccurrence &it : ready) {
+        if (!it.job->spec.isLongRunning()) {
+            works.push_back(remainingWork(it));
+        }
+    }
+    const double large = largeWork(works);
+    auto work = works.begin();
     for (const ReadyOccurrence &it : ready) {
-        ranked.emplace_back(rank(it, now, large), it);
+        const bool isLasting = it.job->spec.isLongRunning();
+        ranked.emplace_back(rank(it, now, isLasting ? 0 : std::clamp(*work++, LeastWork, large)), it);
     }
     std::stable_sort(
         ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
--- a/src/libs/jobservice/requestrouter.h
+++ b/src/libs/jobservice/requestrouter.h
@@ -328,14 +328,18 @@
             || request.operation == Operation::State;
     }
 
+    // Another attempt may be taken.
+    static bool isRefusal(const JobReply &reply)
+    {
+        return reply.status == JobReply::Status::Refused || reply.status == JobReply::Status::NotOwner;
+    }
+
     bool isToRepeat(const Routed &routed, const JobReply &reply) const
     {
         if (!isRepeatable(routed.request)) {
             return false;
         }
-        const bool isRefused =
-            reply.status == JobReply::Status::Refused || reply.status == JobReply::Status::NotOwner;
-        if (!isRefused && reply.status != JobReply::Status::Unknown) {
+        if (!isRefusal(reply) && reply.status != JobReply::Status::Unknown) {
             return false;
         }
         const Base::Duration left = routed.deadline - m_timers.now() - m_settings.answerReserve;
@@ -348,8 +352,7 @@
     // A later refusal, of whatever kind, doesn't take back what an earlier attempt may have done.
     static void conclude(const Routed &routed, const JobReply &reply)
     {
-        const bool saysNotRun = reply.status == JobReply::Status::Refused
-            || reply.status == JobReply::Status::Hopeless || reply.status == JobReply::Status::NotOwner;
+        const bool saysNotRun = isRefusal(reply) || reply.status == JobReply::Status::Hopeless;
         routed.reply(routed.mayHaveRun && saysNotRun ? JobReply{.status = JobReply::Status::Unknown} : reply);
     }
 
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -93,12 +93,13 @@
     cell.demandAt = now;
     cell.demand = demand;
     cell.forecast.note(demand.arrivedWork, now);
-    cell.needs.push_back({now, machinesNeeded(key, cell)});
+    const std::size_t needed = machinesNeeded(key, cell);
+    cell.needs.push_back({now, needed});
     while (cell.needs.front().at + m_settings.needMemory < now) {
         cell.needs.pop_front();
     }
     const std::size_t wanted = machinesFor(demand.pool, demand.milliCores + demand.lateMilliCores);
-    if (std::max(wanted, machinesNeeded(key, cell)) >= upIn(key)) {
+    if (std::max(wanted, needed) >= upIn(key)) {
         cell.neededAt = now;
     }
 }
