Allocate quotas of workspaces to shards by a ledger in the store

Cause: no part of rhubarbcrank-jobs knows whose a job is, so a workspace's quota holds nowhere and one caller's load pushes back all others.

Change: a job keeps its workspace. ArrivalAllowance marks jobs beyond a workspace's accepted load, which wait behind those of others. State and cancel take who asks into account.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -22,11 +22,16 @@
 namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
 
+bool isNamed(const Field &field, std::string_view name)
+{
+    return beast::iequals(beast::string_view(field.name.data(), field.name.size()),
+                          beast::string_view(name.data(), name.size()));
+}
+
 std::string_view valueOf(const std::vector<Field> &fields, std::string_view name)
 {
     for (const Field &it : fields) {
-        if (beast::iequals(beast::string_view(it.name.data(), it.name.size()),
-                           beast::string_view(name.data(), name.size()))) {
+        if (isNamed(it, name)) {
             return it.value;
         }
     }
@@ -40,6 +45,12 @@
     return valueOf(fields, name);
 }
 
+std::size_t Request::fieldCount(std::string_view name) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        fields.begin(), fields.end(), [name](const Field &it) { return isNamed(it, name); }));
+}
+
 std::string_view Response::field(std::string_view name) const
 {
     return valueOf(fields, name);
--- a/src/libs/http/message.h
+++ b/src/libs/http/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,6 +23,8 @@
 
     /// The value of the first field of that name, without regard to case; empty when there is none.
     std::string_view field(std::string_view name) const;
+    /// The number of fields of that name.
+    std::size_t fieldCount(std::string_view name) const;
 };
 
 /// A whole response of HTTP/1.1; Content-Length is added when it is sent.
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -185,6 +185,12 @@
                      {"queue", encodeQueue(spec.queue)},
                      {"payload", spec.payload},
                      {"accepted", acceptedAt.time_since_epoch().count()}};
+    if (!spec.workspace.empty()) {
+        out["workspace"] = spec.workspace;
+    }
+    if (spec.isExcess) {
+        out["excess"] = true;
+    }
     json::array stages;
     for (const Stage &it : spec.stages) {
         stages.push_back(encodeStage(it));
@@ -234,6 +240,8 @@
         const json::object &from = parsed.as_object();
         Job job;
         job.spec.id = textOrEmpty(from, "id");
+        job.spec.workspace = textOrEmpty(from, "workspace");
+        job.spec.isExcess = flagOrFalse(from, "excess");
         job.spec.queue = decodeQueue(from.at("queue").as_object());
         job.spec.payload = textOrEmpty(from, "payload");
         job.acceptedAt = WallTime(Milliseconds(from.at("accepted").to_number<std::int64_t>()));
--- a/src/libs/jobs/jobspec.h
+++ b/src/libs/jobs/jobspec.h
@@ -88,6 +88,8 @@
 
 struct JobSpec {
     std::string id;
+    std::string workspace; ///< of the caller; empty on a public route
+    bool isExcess = false; ///< beyond the accepted load of the workspace when it was submitted
     QueuePolicy queue;
     std::string payload; ///< passed to the tasks unchanged
     std::vector<Stage> stages;
--- a/src/libs/jobs/queueorder.cpp
+++ b/src/libs/jobs/queueorder.cpp
@@ -23,7 +23,7 @@
 // path.
 constexpr double StartedMargin = 0.3;
 
-enum Group { LongRunning, Started, OnTime, AtRisk, Late, Expired };
+enum Group { LongRunning, Started, OnTime, AtRisk, Late, Excess, Expired };
 
 struct Rank {
     Group group = Expired;
@@ -73,14 +73,18 @@
     if (job.hasStarted && slack >= -StartedMargin * criticalPath) {
         return {Started, priority, order};
     }
+    const double lateSlack = double((job.lateLimit(it.number) - now).count()) - criticalPath;
+    const bool isUseful = lateSlack >= EstimateMargin * criticalPath;
+    if (job.spec.isExcess && isUseful) {
+        return {Excess, priority, lateSlack};
+    }
     if (slack >= EstimateMargin * criticalPath) {
         return {OnTime, priority, order};
     }
     if (slack >= 0) {
         return {AtRisk, priority, order};
     }
-    const double lateSlack = double((job.lateLimit(it.number) - now).count()) - criticalPath;
-    if (lateSlack >= EstimateMargin * criticalPath) {
+    if (isUseful) {
         return {Late, priority, lateSlack};
     }
     // Newest first: as estimates are rough, the newest of the seemingly expired jobs are the most likely to
--- /dev/null
+++ b/src/libs/jobs/quotaledger.cpp
@@ -0,0 +1,230 @@
+#include "quotaledger.h"
+
+#include "jsonfields.h"
+
+#include <base/logline.h>
+#include <ini/values.h>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <exception>
+
+namespace Jobs
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+// A shard that gets more than it needs takes this part of what is not allocated yet, so that most growth of
+// its load needs no append.
+constexpr std::int64_t SpareDivisor = 8;
+
+// An allocation that is not asked for shrinks once the shard needs less than this part of it.
+constexpr std::int64_t UnusedDivisor = 2;
+
+constexpr std::array Kinds{&Resources::milliCores, &Resources::memory, &Resources::accelerators};
+
+Resources decodeAmounts(const json::value &from)
+{
+    return {from.at(0).to_number<std::int64_t>(),
+            from.at(1).to_number<std::int64_t>(),
+            from.at(2).to_number<std::int64_t>()};
+}
+
+json::array encodeAmounts(const Resources &from)
+{
+    return {from.milliCores, from.memory, from.accelerators};
+}
+
+std::string shardKey(ShardNumber shard)
+{
+    return std::to_string(shard);
+}
+
+// The part of a shard if it and the waiting ones share equally what is not allocated to settled shards.
+std::int64_t equalPart(std::int64_t quota, std::int64_t settled, std::int64_t waiting)
+{
+    return std::max<std::int64_t>(0, quota - settled) / (waiting + 1);
+}
+
+json::value parse(std::string_view text)
+{
+    return json::parse(json::string_view(text.data(), text.size()));
+}
+
+} // namespace
+
+void QuotaLedger::load(std::string_view key, std::string_view value)
+{
+    const auto slash = key.find('/');
+    const auto number = Ini::toInteger(key.substr(0, slash));
+    try {
+        if (!number) {
+            throw std::invalid_argument("the key names no shard");
+        }
+        const auto shard = static_cast<ShardNumber>(*number);
+        if (slash == std::string_view::npos) {
+            m_owners[shard] = value.empty() ? 0 : parse(value).to_number<Epoch>();
+            return;
+        }
+        auto &entries = m_workspaces[std::string(key.substr(slash + 1))];
+        if (value.empty()) {
+            entries.erase(shard);
+            return;
+        }
+        const json::value parsed = parse(value);
+        entries[shard] = {decodeAmounts(parsed.at(0)), decodeAmounts(parsed.at(1))};
+    } catch (const std::exception &error) {
+        Base::LogLine(Base::LogLevel::Error, "record-unreadable")
+            .with("key", key)
+            .with("error", error.what());
+    }
+}
+
+bool QuotaLedger::isClaimed(ShardNumber shard, Epoch epoch) const
+{
+    const auto it = m_owners.find(shard);
+    return it != m_owners.end() && it->second == epoch;
+}
+
+bool QuotaLedger::hasNewerOwner(ShardNumber shard, Epoch epoch) const
+{
+    const auto it = m_owners.find(shard);
+    return it != m_owners.end() && it->second > epoch;
+}
+
+Record QuotaLedger::claim(ShardNumber shard, Epoch epoch)
+{
+    return {shardKey(shard), std::to_string(epoch)};
+}
+
+Resources QuotaLedger::allocation(ShardNumber shard, std::string_view workspace) const
+{
+    const Entry *entry = find(shard, workspace);
+    return entry ? entry->allocated : Resources{};
+}
+
+Resources QuotaLedger::allocationIn(const Record &record)
+{
+    return record.value.empty() ? Resources{} : decodeAmounts(parse(record.value).at(0));
+}
+
+const QuotaLedger::Entry *QuotaLedger::find(ShardNumber shard, std::string_view workspace) const
+{
+    const auto it = m_workspaces.find(workspace);
+    if (it == m_workspaces.end()) {
+        return nullptr;
+    }
+    const auto entry = it->second.find(shard);
+    return entry != it->second.end() ? &entry->second : nullptr;
+}
+
+QuotaLedger::OtherShards QuotaLedger::otherShards(ShardNumber shard, std::string_view workspace) const
+{
+    OtherShards others;
+    const auto it = m_workspaces.find(workspace);
+    if (it == m_workspaces.end()) {
+        return others;
+    }
+    for (const auto &[number, entry] : it->second) {
+        if (number == shard) {
+            continue;
+        }
+        others.allocated += entry.allocated;
+        if (entry.wanted == Resources{}) {
+            others.settled += entry.allocated;
+        } else {
+            ++others.waiting;
+        }
+    }
+    return others;
+}
+
+bool QuotaLedger::isOversized(const Resources &quota, const Resources &used, const Resources &task)
+{
+    bool isTooLarge = false;
+    for (const auto kind : Kinds) {
+        if (quota.*kind == 0) {
+            continue;
+        }
+        if (used.*kind * 2 >= quota.*kind) {
+            return false;
+        }
+        isTooLarge = isTooLarge || used.*kind + task.*kind > quota.*kind;
+    }
+    return isTooLarge;
+}
+
+// While others wait, a shard starts nothing beyond its equal part: what ends there is theirs.
+Resources QuotaLedger::limit(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use) const
+{
+    const OtherShards others = otherShards(shard, quota.workspace);
+    const Resources own = allocation(shard, quota.workspace);
+    Resources used = others.allocated;
+    used += use.running;
+    Resources withLargest = use.running;
+    withLargest += use.largestBlocked;
+    if (isOversized(quota.quota, used, use.largestBlocked) && own.contains(withLargest)) {
+        return withLargest;
+    }
+    Resources limit = Unlimited;
+    for (const auto kind : Kinds) {
+        if (quota.quota.*kind > 0) {
+            limit.*kind = std::min({own.*kind,
+                                    quota.quota.*kind - others.allocated.*kind,
+                                    equalPart(quota.quota.*kind, others.settled.*kind, others.waiting)});
+        }
+    }
+    return limit;
+}
+
+Record
+QuotaLedger::change(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use, bool mayShrink) const
+{
+    const OtherShards others = otherShards(shard, quota.workspace);
+    const Resources own = allocation(shard, quota.workspace);
+    Resources used = others.allocated;
+    used += use.running;
+    const bool isAlone = isOversized(quota.quota, used, use.largestBlocked);
+    const bool isBlocked = use.blocked != Resources{};
+    Resources allocated;
+    Resources wanted;
+    for (const auto kind : Kinds) {
+        const std::int64_t all = quota.quota.*kind;
+        if (all == 0) {
+            continue;
+        }
+        const std::int64_t running = use.running.*kind;
+        const std::int64_t need = running + use.blocked.*kind;
+        const std::int64_t left = std::max<std::int64_t>(0, all - others.allocated.*kind);
+        std::int64_t target = std::min(need, left);
+        if (others.waiting > 0) {
+            target = std::min(target, equalPart(all, others.settled.*kind, others.waiting));
+        } else {
+            target += (left - target) / SpareDivisor;
+        }
+        target = std::max(target, isAlone ? running + use.largestBlocked.*kind : running);
+        const std::int64_t now = own.*kind;
+        const bool isAsked = others.waiting > 0 || others.allocated.*kind + now > all;
+        const bool isLowered = target < now && (isAsked || (mayShrink && target * UnusedDivisor < now));
+        const bool isRaised = target > now && (isBlocked || running > now);
+        allocated.*kind = isLowered || isRaised ? target : now;
+        wanted.*kind = std::max<std::int64_t>(0, need - allocated.*kind);
+    }
+    const Entry *entry = find(shard, quota.workspace);
+    const bool wasWaiting = entry && entry->wanted != Resources{};
+    if (allocated == own && wasWaiting == (wanted != Resources{})) {
+        return {};
+    }
+    const std::string key = shardKey(shard) + "/" + quota.workspace;
+    if (allocated == Resources{} && wanted == Resources{}) {
+        return {key, {}};
+    }
+    return {key, json::serialize(json::array{encodeAmounts(allocated), encodeAmounts(wanted)})};
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/src/libs/jobs/quotaledger.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "quotausage.h"
+#include "shardcommands.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Jobs
+{
+
+/// A workspace's quota on all workers. An amount of 0 is not limited.
+struct WorkspaceQuota {
+    std::string workspace;
+    Resources quota;
+
+    bool operator==(const WorkspaceQuota &) const = default;
+};
+
+/// How the quotas of workspaces are allocated to shards. The ledger is a topic of the store that all owners
+/// read. An owner changes the allocations of its shard by an append that takes effect only if it has read all
+/// records before it, so the sum of the allocations never grows beyond the quota, whatever is lost, delayed
+/// or restarted. An allocation belongs to the shard rather than to its owner, and covers the shard's runs.
+///
+/// Answers a load whose centre moves between shards within a second while each workspace has room to spare:
+/// allocations are generous as long as little of the quota is allocated, unused ones are given back when
+/// another shard asks, and shards that ask at the same time end with equal parts.
+class QuotaLedger
+{
+public:
+    /// Applies a record of the topic. An empty value deletes the key.
+    void load(std::string_view key, std::string_view value);
+
+    /// Whether the owner with this epoch may use the shard's allocations: the ledger names it as the owner.
+    bool isClaimed(ShardNumber shard, Epoch epoch) const;
+    /// Whether the ledger names a later owner of the shard.
+    bool hasNewerOwner(ShardNumber shard, Epoch epoch) const;
+    /// The record by which a new owner takes over the allocations of its shard.
+    static Record claim(ShardNumber shard, Epoch epoch);
+
+    /// What the workspace may have running on the shard.
+    Resources limit(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use) const;
+
+    /// The record that changes the allocation of the shard to what it needs, or one without a key if there is
+    /// nothing to change. Only with `mayShrink` is an allocation lowered that no other shard asks for.
+    Record change(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use, bool mayShrink) const;
+
+    /// The allocation in a record from change().
+    static Resources allocationIn(const Record &record);
+    Resources allocation(ShardNumber shard, std::string_view workspace) const;
+
+private:
+    struct Entry {
+        Resources allocated;
+        Resources wanted; ///< in addition, if the quota had room
+    };
+    struct OtherShards {
+        Resources allocated;
+        Resources settled; ///< allocated to shards that want no more
+        std::int64_t waiting = 0; ///< number of shards that want more
+    };
+
+    const Entry *find(ShardNumber shard, std::string_view workspace) const;
+    OtherShards otherShards(ShardNumber shard, std::string_view workspace) const;
+    /// Whether a task can't start within the quota, although the workspace uses less than half of it. Such a
+    /// task may start alone, as it would never start otherwise.
+    static bool isOversized(const Resources &quota, const Resources &used, const Resources &task);
+
+    std::map<ShardNumber, Epoch> m_owners;
+    std::map<std::string, std::map<ShardNumber, Entry>, std::less<>> m_workspaces;
+};
+
+} // namespace Jobs
--- /dev/null
+++ b/src/libs/jobs/quotausage.cpp
@@ -0,0 +1,105 @@
+#include "quotausage.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Jobs
+{
+
+namespace
+{
+
+// Bounds the blocked amount, as a shard does not need more at once.
+constexpr std::uint32_t MaxBlockedTasks = 64;
+
+Resources times(const Resources &size, std::uint32_t count)
+{
+    return {size.milliCores * count, size.memory * count, size.accelerators * count};
+}
+
+} // namespace
+
+bool QuotaUsage::setLimits(Limits limits)
+{
+    if (m_limits == limits) {
+        return false;
+    }
+    m_limits = std::move(limits);
+    return true;
+}
+
+void QuotaUsage::add(std::string_view workspace, const Resources &size)
+{
+    if (!workspace.empty()) {
+        m_byWorkspace.try_emplace(std::string(workspace)).first->second.running += size;
+    }
+}
+
+void QuotaUsage::remove(std::string_view workspace, const Resources &size)
+{
+    if (!workspace.empty()) {
+        m_byWorkspace.try_emplace(std::string(workspace)).first->second.running -= size;
+    }
+}
+
+bool QuotaUsage::allows(std::string_view workspace, const Resources &size, std::uint32_t tasks) const
+{
+    if (workspace.empty()) {
+        return true;
+    }
+    if (!m_limits) {
+        return false;
+    }
+    const auto limit = m_limits->find(workspace);
+    if (limit == m_limits->end()) {
+        return true;
+    }
+    Resources after = times(size, tasks);
+    if (const auto it = m_byWorkspace.find(workspace); it != m_byWorkspace.end()) {
+        after += it->second.running;
+    }
+    return limit->second.contains(after);
+}
+
+void QuotaUsage::startRound()
+{
+    for (auto &[workspace, use] : m_byWorkspace) {
+        use.blocked = {};
+        use.largestBlocked = {};
+    }
+}
+
+void QuotaUsage::block(std::string_view workspace, const Resources &size, std::uint32_t tasks)
+{
+    QuotaUse &use = m_byWorkspace.try_emplace(std::string(workspace)).first->second;
+    use.blocked += times(size, std::min(tasks, MaxBlockedTasks));
+    use.largestBlocked = {std::max(use.largestBlocked.milliCores, size.milliCores),
+                          std::max(use.largestBlocked.memory, size.memory),
+                          std::max(use.largestBlocked.accelerators, size.accelerators)};
+}
+
+bool QuotaUsage::isBlocked(std::string_view workspace) const
+{
+    const auto it = m_byWorkspace.find(workspace);
+    return it != m_byWorkspace.end() && it->second.blocked != Resources{};
+}
+
+bool QuotaUsage::hasBlocked() const
+{
+    return std::any_of(m_byWorkspace.begin(), m_byWorkspace.end(), [](const auto &it) {
+        return it.second.blocked != Resources{};
+    });
+}
+
+QuotaUse QuotaUsage::of(std::string_view workspace) const
+{
+    const auto it = m_byWorkspace.find(workspace);
+    return it != m_byWorkspace.end() ? it->second : QuotaUse{};
+}
+
+const std::map<std::string, QuotaUse, std::less<>> &QuotaUsage::byWorkspace() const
+{
+    return m_byWorkspace;
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/src/libs/jobs/quotausage.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "jobspec.h"
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Jobs
+{
+
+/// An amount that no quota reaches.
+inline constexpr Resources Unlimited{std::numeric_limits<std::int64_t>::max(),
+                                     std::numeric_limits<std::int64_t>::max(),
+                                     std::numeric_limits<std::int64_t>::max()};
+
+/// What the jobs of a workspace use on one shard, and what they could use at once with a larger limit.
+struct QuotaUse {
+    Resources running; ///< of all runs that are not known to have ended
+    Resources blocked; ///< of waiting tasks that only the limit kept from being assigned
+    Resources largestBlocked; ///< largest task among them
+
+    bool operator==(const QuotaUse &) const = default;
+};
+
+/// Accounts for the quotas of the workspaces on one shard. Without limits no task of a workspace may start;
+/// once there are limits, a workspace without one is not limited. Tasks without a workspace never are.
+class QuotaUsage
+{
+public:
+    using Limits = std::map<std::string, Resources, std::less<>>;
+
+    /// Returns whether the limits have changed.
+    bool setLimits(Limits limits);
+
+    void add(std::string_view workspace, const Resources &size);
+    void remove(std::string_view workspace, const Resources &size);
+
+    /// Whether the tasks of `size` may start in addition to those that are running.
+    bool allows(std::string_view workspace, const Resources &size, std::uint32_t tasks = 1) const;
+
+    /// Forgets the blocked tasks. To be called before each placement round.
+    void startRound();
+    /// Records that the limit keeps `tasks` tasks from starting. The rest of the round need not look for
+    /// workers for the workspace, see isBlocked().
+    void block(std::string_view workspace, const Resources &size, std::uint32_t tasks);
+    bool isBlocked(std::string_view workspace) const;
+
+    bool hasBlocked() const;
+    QuotaUse of(std::string_view workspace) const;
+    const std::map<std::string, QuotaUse, std::less<>> &byWorkspace() const;
+
+private:
+    std::optional<Limits> m_limits;
+    std::map<std::string, QuotaUse, std::less<>> m_byWorkspace;
+};
+
+} // namespace Jobs
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -176,6 +176,7 @@
                     Worker &worker = workerFor(task.worker);
                     worker.runs.insert({id, number, stage, index});
                     worker.used += reservedResources(job.spec.stages[stage]);
+                    m_quotaUsage.add(job.spec.workspace, job.spec.stages[stage].size);
                 }
             }
         }
@@ -219,6 +220,23 @@
     m_hasChanged = true;
 }
 
+bool Shard::setQuotaLimits(QuotaUsage::Limits limits)
+{
+    const bool hasChanged = m_quotaUsage.setLimits(std::move(limits));
+    m_hasChanged = m_hasChanged || hasChanged;
+    return hasChanged;
+}
+
+const QuotaUsage &Shard::quotaUsage() const
+{
+    return m_quotaUsage;
+}
+
+void Shard::setArrivalRates(ArrivalAllowance::Rates rates)
+{
+    m_arrivalAllowance.setRates(std::move(rates));
+}
+
 void Shard::setMembershipLapsed(bool isLapsed)
 {
     if (m_isMembershipLapsed != isLapsed) {
@@ -337,6 +355,7 @@
     }
     Job accepted;
     accepted.spec = std::move(spec);
+    accepted.spec.isExcess = !m_arrivalAllowance.isWithin(accepted.spec.workspace, now);
     accepted.acceptedAt = wall;
     accepted.acceptanceReplies.push_back(replyId);
     Job &job = addJob(std::move(accepted));
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "advicecache.h"
+#include "arrivalallowance.h"
 #include "placement.h"
+#include "quotausage.h"
 #include "reservations.h"
 #include "shardcommands.h"
 #include "worker.h"
@@ -55,6 +57,12 @@
 
     /// Replaces the list of workers of this shard's services.
     void setWorkers(std::span<const WorkerInfo> workers, Base::Instant now);
+    /// Sets what each workspace may have running on this shard. Returns whether that has changed. Until the
+    /// first call no task of a workspace starts.
+    bool setQuotaLimits(QuotaUsage::Limits limits);
+    const QuotaUsage &quotaUsage() const;
+    /// Sets the accepted load of the workspaces on this shard; jobs beyond it are marked as excess.
+    void setArrivalRates(ArrivalAllowance::Rates rates);
     /// While the membership of this owner has lapsed, no job is accepted or started. Existing runs continue.
     void setMembershipLapsed(bool isLapsed);
     /// Answers all pending requests before the shard is handed over.
@@ -236,6 +244,8 @@
     Base::Instant m_lastBatchAt;
     std::map<std::string, double> m_arrivedWork; ///< by service, core-seconds without long-running tasks
     AdviceCache m_advice;
+    QuotaUsage m_quotaUsage;
+    ArrivalAllowance m_arrivalAllowance;
     std::vector<TaskId> m_plannedStarts;
     std::vector<std::string> m_deletedKeys; ///< keys of records that the next append deletes
     Base::Instant m_nextSweep;
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -110,6 +110,7 @@
 {
     m_candidates.clear();
     m_unplaceableSizes.clear();
+    m_quotaUsage.startRound();
     m_nextPlacementRetry = Base::Instant::max();
     std::vector<UnfinishedOccurrence> ready;
     for (Job *job : m_active) {
@@ -125,6 +126,9 @@
             if (it.occurrence->stages[stage].isDone() || !it.job->isReady(*it.occurrence, stage)) {
                 continue;
             }
+            if (m_quotaUsage.isBlocked(it.job->spec.workspace)) {
+                continue;
+            }
             if (it.job->spec.stages[stage].isGang) {
                 placeGang(*it.job, it.number, *it.occurrence, stage, now);
             } else {
@@ -233,6 +237,13 @@
             }
             return;
         }
+        if (!m_quotaUsage.allows(job.spec.workspace, wanted.size)) {
+            const auto waiting = std::count_if(progress.tasks.begin() + n,
+                                               progress.tasks.end(),
+                                               [](const Task &it) { return it.isWaiting(); });
+            m_quotaUsage.block(job.spec.workspace, wanted.size, static_cast<std::uint32_t>(waiting));
+            return;
+        }
         assign(job, {job.spec.id, number, stage, n}, task, *worker, task.attempt + 1);
         for (Candidate &it : candidates) {
             it.tasksOfStage += it.worker == worker ? 1 : 0;
@@ -292,6 +303,10 @@
         if (places.size() < progress.tasks.size()) {
             continue;
         }
+        if (!m_quotaUsage.allows(job.spec.workspace, wanted.size, wanted.count)) {
+            m_quotaUsage.block(job.spec.workspace, wanted.size, wanted.count);
+            return;
+        }
         for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
             progress.tasks[n].checkpoint = checkpoint;
             assign(job, {job.spec.id, number, stage, n}, progress.tasks[n], *places[n], attempt);
@@ -307,6 +322,7 @@
     task.worker = worker.info.id;
     worker.runs.insert(id);
     worker.used += reservedResources(job.spec.stages[id.stage]);
+    m_quotaUsage.add(job.spec.workspace, job.spec.stages[id.stage].size);
     markChanged(job);
     m_plannedStarts.push_back(id);
 }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -119,6 +119,7 @@
     const auto it = m_workers.find(task.worker);
     if (it != m_workers.end() && it->second.runs.erase(id) > 0) {
         it->second.used -= reservedResources(job.spec.stages[id.stage]);
+        m_quotaUsage.remove(job.spec.workspace, job.spec.stages[id.stage].size);
     }
     task.run = RunState::None;
     task.worker.clear();
--- a/src/libs/jobservice/fleetconfig.h
+++ b/src/libs/jobservice/fleetconfig.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "workspaces.h"
+
 #include <jobs/jobspec.h>
 
 #include <cstdint>
@@ -16,6 +18,7 @@
     std::string host;
     std::string prefix;
     Jobs::QueuePolicy queue;
+    bool isPublic = false; ///< needs no key
 };
 
 struct Service {
@@ -28,6 +31,7 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<Service> services;
+    WorkspaceDirectory workspaces;
 
     /// Builds the index for find(). To be called after `routes` has changed.
     void index();
--- a/src/libs/jobservice/peerprotocol.cpp
+++ b/src/libs/jobservice/peerprotocol.cpp
@@ -106,6 +106,10 @@
     } else {
         out["subject"] = request.subject;
     }
+    if (request.caller) {
+        out["workspace"] = request.caller->workspace;
+        out["public_queue"] = request.caller->publicQueue;
+    }
     if (!request.workers.empty()) {
         out["workers"] = encodeNames(request.workers);
     }
@@ -132,6 +136,10 @@
         } else {
             request.subject = std::string(from.at("subject").as_string());
         }
+        if (from.contains("workspace")) {
+            request.caller =
+                Caller{Jobs::textOrEmpty(from, "workspace"), Jobs::textOrEmpty(from, "public_queue")};
+        }
         if (const json::value *found = from.if_contains("workers")) {
             request.workers = decodeNames(*found);
         }
--- a/src/libs/jobservice/peerprotocol.h
+++ b/src/libs/jobservice/peerprotocol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ownership.h"
+#include "workspaces.h"
 
 #include <jobs/job.h>
 
@@ -20,6 +21,7 @@
     Operation operation = Operation::State;
     std::optional<Jobs::JobSpec> spec{}; ///< for Submit
     std::string subject{}; ///< job ID, or for Pending the queue
+    std::optional<Caller> caller{}; ///< nullopt: a member of the system, which may access all jobs
     std::vector<std::string> workers{}; ///< for Evacuate
     bool isForwardedByHome = false; ///< the job's home shard has recorded that it belongs to this shard
 };
--- a/src/libs/jobservice/recordfollower.h
+++ b/src/libs/jobservice/recordfollower.h
@@ -91,6 +91,19 @@
         }
     }
 
+    /// The offset up to which all records have been reported; nullopt until the snapshot has been read.
+    std::optional<std::uint64_t> end() const
+    {
+        return m_isReadingSnapshot ? std::nullopt : m_end;
+    }
+
+    /// The newest value of the key, or null.
+    const std::string *value(const std::string &key) const
+    {
+        const auto it = m_entries.find(key);
+        return it != m_entries.end() && it->second.value ? &*it->second.value : nullptr;
+    }
+
     Base::Instant lastRead() const
     {
         return m_lastRead;
--- a/src/libs/jobservice/servicelayout.cpp
+++ b/src/libs/jobservice/servicelayout.cpp
@@ -148,11 +148,17 @@
     return records;
 }
 
-bool ServiceLayout::hasService(ShardNumber shard) const
+std::size_t ServiceLayout::cellsBeside(ShardNumber shard) const
 {
-    return std::any_of(m_cells.begin(), m_cells.end(), [shard](const auto &it) {
-        return std::find(it.second.begin(), it.second.end(), shard) != it.second.end();
+    const auto it = std::find_if(m_cells.begin(), m_cells.end(), [shard](const auto &cells) {
+        return std::find(cells.second.begin(), cells.second.end(), shard) != cells.second.end();
     });
+    return it != m_cells.end() ? it->second.size() : 0;
+}
+
+bool ServiceLayout::hasService(ShardNumber shard) const
+{
+    return cellsBeside(shard) > 0;
 }
 
 std::size_t ServiceLayout::size() const
--- a/src/libs/jobservice/servicelayout.h
+++ b/src/libs/jobservice/servicelayout.h
@@ -46,6 +46,8 @@
     bool isComplete(std::span<const std::string> services) const;
     /// The records to be stored for those of `services` that have no shard yet.
     std::vector<Jobs::Record> missing(std::span<const ServiceSize> services) const;
+    /// The number of cells of the service that the shard belongs to, or 0.
+    std::size_t cellsBeside(ShardNumber shard) const;
     /// Whether the shard belongs to any service.
     bool hasService(ShardNumber shard) const;
     /// Number of cells of all services.
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -129,6 +129,7 @@
         for (auto &[number, hosted] : m_hosted) {
             if (hosted->isServing) {
                 hosted->shard->setWorkers(workersOf(number), m_timers.now());
+                hosted->shard->setArrivalRates(arrivalRates(number));
                 runPass(number);
             }
         }
@@ -168,6 +169,48 @@
         return m_lastGrant;
     }
 
+    bool hasService(ShardNumber shard) const
+    {
+        return m_layout.hasService(shard);
+    }
+
+    /// Calls `visit` with the number and the shard for each shard that is served.
+    template<typename Visit>
+    void forEachServingShard(Visit visit) const
+    {
+        const auto hosted = m_hosted;
+        for (const auto &[number, it] : hosted) {
+            if (it->isServing) {
+                visit(number, std::as_const(*it->shard));
+            }
+        }
+    }
+
+    /// Sets what the workspaces may have running on a shard.
+    void setQuotaLimits(ShardNumber number, Jobs::QuotaUsage::Limits limits)
+    {
+        const auto it = m_hosted.find(number);
+        if (it != m_hosted.end() && it->second->isServing
+            && it->second->shard->setQuotaLimits(std::move(limits))) {
+            runPass(number);
+        }
+    }
+
+    /// `callback` is called when a shard begins to be served, and whenever a limit keeps tasks from starting.
+    void setQuotaCallback(std::function<void()> callback)
+    {
+        m_onQuotaBlocked = std::move(callback);
+    }
+
+    /// Sets the accepted load of the workspaces.
+    void setWorkspaces(std::span<const Workspace> workspaces)
+    {
+        m_workspaces.assign(workspaces.begin(), workspaces.end());
+        for (auto &[number, hosted] : m_hosted) {
+            hosted->shard->setArrivalRates(arrivalRates(number));
+        }
+    }
+
     const HostCounts &counts() const
     {
         return m_counts;
@@ -372,6 +415,7 @@
     {
         const Base::Instant now = m_timers.now();
         hosted->isServing = true;
+        hosted->shard->setArrivalRates(arrivalRates(number));
         hosted->shard->begin(now, m_wallClock(), m_hasEnded);
         hosted->shard->setWorkers(workersOf(number), now);
         if (!hosted->shard->jobs().empty() || !workersOf(number).empty()) {
@@ -385,6 +429,20 @@
         }
         runPass(number);
         m_onShardGained();
+        m_onQuotaBlocked();
+    }
+
+    // A service's jobs are spread evenly over its cells, and so is the accepted load of its callers.
+    Jobs::ArrivalAllowance::Rates arrivalRates(ShardNumber number) const
+    {
+        Jobs::ArrivalAllowance::Rates rates;
+        const auto cells = static_cast<double>(std::max<std::size_t>(1, m_layout.cellsBeside(number)));
+        for (const Workspace &it : m_workspaces) {
+            if (it.weight > 0) {
+                rates[it.name] = it.weight / cells;
+            }
+        }
+        return rates;
     }
 
     void refusePendingRequests(Hosted &hosted)
@@ -501,9 +559,13 @@
         Jobs::Shard &shard = *hosted.shard;
         switch (request.operation) {
         case Operation::Submit: {
+            const Jobs::JobSpec &spec = *request.spec;
+            if (!isAccessible(shard, spec.id, request)) {
+                reply({.status = JobReply::Status::Unplaceable}); // the ID belongs to another job
+                return;
+            }
             const Jobs::ReplyId id = ++m_lastReply;
             m_replies[id] = std::move(reply);
-            const Jobs::JobSpec &spec = *request.spec;
             ShardNumber assignedShard = shard.redirectedTo(spec.id).value_or(request.shard);
             if (assignedShard == request.shard && !request.isForwardedByHome && !shard.contains(spec.id)) {
                 assignedShard = chooseShard(spec, request.shard, m_layout, m_workers);
@@ -520,7 +582,8 @@
                 reply({.status = JobReply::Status::Redirected, .redirectedTo = *assignedShard});
                 return;
             }
-            if (!shard.find(request.subject) && !isMember()) {
+            if ((!shard.find(request.subject) && !isMember())
+                || !isAccessible(shard, request.subject, request)) {
                 reply(unknownJob());
                 return;
             }
@@ -535,7 +598,7 @@
                 return;
             }
             const Jobs::Job *job = shard.find(request.subject);
-            if (!job) {
+            if (!job || !isAccessible(shard, request.subject, request)) {
                 reply(unknownJob());
                 return;
             }
@@ -561,6 +624,13 @@
         }
     }
 
+    // To a caller of another workspace the job does not exist.
+    static bool isAccessible(const Jobs::Shard &shard, std::string_view job, const JobRequest &request)
+    {
+        const auto it = shard.jobs().find(job);
+        return it == shard.jobs().end() || !request.caller || mayAccess(*request.caller, it->second.spec);
+    }
+
     // Once the membership has lapsed, a newer owner may have accepted the job, so "no such job" would be
     // wrong.
     JobReply unknownJob() const
@@ -605,6 +675,9 @@
             }
         }
         hosted->isRunningPass = false;
+        if (hosted->shard->quotaUsage().hasBlocked()) {
+            m_onQuotaBlocked();
+        }
         hosted->timer.armAt(hosted->shard->nextDue(now), [this, number] { runPass(number); });
     }
 
@@ -874,6 +947,9 @@
     HasEnded m_hasEnded;
     CheckStoreOutage m_isStoreUnreachableForMajority;
     ShardGainedCallback m_onShardGained;
+    std::function<void()> m_onQuotaBlocked = [] {
+    };
+    std::vector<Workspace> m_workspaces;
     Route m_route;
     HostCounts m_counts;
     bool m_isCandidate = false;
