--- a/src/libs/jobservice/requestrouter.h
+++ b/src/libs/jobservice/requestrouter.h
@@ -169,6 +169,21 @@
         return ready;
     }
 
+    /// The endpoints of the other members that this one knows, in a fixed order that begins behind its own.
+    std::vector<Ini::Endpoint> otherMembers() const
+    {
+        std::vector<Ini::Endpoint> endpoints;
+        auto it = m_members.upper_bound(m_ownName.identity);
+        for (std::size_t n = 0; n < m_members.size(); ++n) {
+            it = it == m_members.end() ? m_members.begin() : it;
+            if (it->first != m_ownName.identity) {
+                endpoints.push_back(it->second.endpoint);
+            }
+            ++it;
+        }
+        return endpoints;
+    }
+
     /// The owners known to this member, one line per shard, for a member that can't read them from the store.
     std::string ownersText() const
     {
