Ask for no keys where a deployment has no workspaces

Change: without a list of tenants all routes are public.

The test of the configuration failed first.

--- a/src/libs/jobservice/quotaallocator.h
+++ b/src/libs/jobservice/quotaallocator.h
@@ -66,7 +66,8 @@
     static constexpr Base::Duration ReviewInterval = std::chrono::milliseconds{200};
     // Unused allocations that no other shard asks for are reduced at this interval.
     static constexpr Base::Duration ShrinkInterval = std::chrono::milliseconds{1000};
-    // Between two appends that only lower allocations.
+    // Between two appends, and between two that only lower allocations.
+    static constexpr Base::Duration AppendInterval = std::chrono::milliseconds{25};
     static constexpr Base::Duration LowerInterval = std::chrono::milliseconds{100};
     static constexpr Base::Duration RetryDelay = std::chrono::milliseconds{100};
     static constexpr Base::Duration IdlePause = std::chrono::milliseconds{1000};
@@ -180,8 +181,9 @@
                 records.push_back(std::move(record));
             }
         });
-        if (!isUrgent && now < m_lastAppend + LowerInterval) {
-            scheduleUpdate(m_lastAppend + LowerInterval - now);
+        const Base::Instant earliest = m_lastAppend + (isUrgent ? AppendInterval : LowerInterval);
+        if (!records.empty() && now < earliest) {
+            scheduleUpdate(earliest - now);
             return;
         }
         if (mayShrink) {
--- a/tests/auto/adapter/tst_configuration.cpp
+++ b/tests/auto/adapter/tst_configuration.cpp
@@ -40,10 +40,16 @@
     CHECK(config->routes[0].isPublic);
 }
 
-TEST(Configuration, WithoutWorkspacesIsValid)
+// Regression test: a fleet without workspaces refused all its callers for want of a key.
+TEST(Configuration, WithoutWorkspacesAllRoutesArePublic)
 {
-    const auto config = Platform::decodeConfig(R"({"Version":7,"Routes":[],"Services":[]})");
-    CHECK(config && config->workspaces.all().empty());
+    const std::string routes =
+        R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/"}],"Services":[])";
+    const auto without = Platform::decodeConfig(routes + "}");
+    CHECK(without && without->workspaces.all().empty());
+    CHECK(without->routes.at(0).isPublic);
+    const auto with = Platform::decodeConfig(routes + R"(,"Tenants":[]})");
+    CHECK(with && !with->routes.at(0).isPublic);
 }
 
 // A rejected configuration leaves the one before it in force.
