Let owners give back quota in small steps and append at different times

Cause: in the program that plays three ways to divide quotas, a task waited for 7.2 s in a workspace under half of its quota (24 owners, and 3 owners with appends each 25 ms): shards kept up to a task's size each without using it, and owners that append in step reject one another.

Change: the step of a change shrinks with the number of shards that have a part; the time between two appends is drawn at random; a lowering that was rejected isn't delayed by 100 ms.

--- a/src/libs/jobs/quotaledger.cpp
+++ b/src/libs/jobs/quotaledger.cpp
@@ -23,6 +23,10 @@
 // its load needs no append.
 constexpr std::int64_t SpareDivisor = 8;
 
+// Changes by less than a task, and less than this part of a shard's equal part, are not worth an append. What
+// all shards keep of a quota without using it is at most the same part of the quota.
+constexpr std::int64_t StepDivisor = 8;
+
 // An allocation that is not asked for shrinks once the shard needs less than this part of it.
 constexpr std::int64_t UnusedDivisor = 2;
 
@@ -137,6 +141,7 @@
         if (number == shard) {
             continue;
         }
+        ++others.count;
         others.allocated += entry.allocated;
         if (entry.wanted == Resources{}) {
             others.settled += entry.allocated;
@@ -226,8 +231,11 @@
         const std::int64_t target = std::max(useful, isAlone ? running + use.largestBlocked.*kind : running);
         const std::int64_t now = own.*kind;
         const bool isAsked = others.waiting > 0 || others.allocated.*kind + now > all;
-        const bool isLowered = target < now && (isAsked || (mayShrink && target * UnusedDivisor < now));
-        const bool isRaised = target > now && (isBlocked || running > now);
+        const std::int64_t step = std::max<std::int64_t>(
+            1, std::min(use.largestTask.*kind, all / (others.count + 1) / StepDivisor));
+        const bool isLowered =
+            (isAsked && now - target >= step) || (mayShrink && target * UnusedDivisor < now);
+        const bool isRaised = (isBlocked && target - now >= step) || running > now;
         allocated.*kind = isLowered || isRaised ? target : now;
         wanted.*kind = std::max<std::int64_t>(0, need - allocated.*kind);
     }
--- a/src/libs/jobs/quotaledger.h
+++ b/src/libs/jobs/quotaledger.h
@@ -63,6 +63,7 @@
         Resources allocated;
         Resources settled; ///< allocated to shards that want no more
         std::int64_t waiting = 0; ///< number of shards that want more
+        std::int64_t count = 0; ///< number of shards that have or want a part
     };
 
     const Entry *find(ShardNumber shard, std::string_view workspace) const;
--- a/src/libs/jobservice/quotaallocator.h
+++ b/src/libs/jobservice/quotaallocator.h
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,10 +26,12 @@
 class QuotaAllocator
 {
 public:
+    /// `seed` differs between members, so that they don't keep appending at the same time.
     QuotaAllocator(Platform &platform,
                    Base::TimerService &timers,
                    std::string topic,
-                   ShardHost<Platform> &host)
+                   ShardHost<Platform> &host,
+                   std::uint32_t seed)
         : m_platform(platform)
         , m_timers(timers)
         , m_topic(std::move(topic))
@@ -46,6 +49,7 @@
                   scheduleUpdate({});
               })
         , m_timer(timers)
+        , m_random(seed)
     {
     }
 
@@ -62,12 +66,38 @@
         scheduleUpdate({});
     }
 
+    /// What a workspace uses of its quota on the shards of this member.
+    struct Share {
+        Jobs::WorkspaceQuota quota;
+        Jobs::QuotaUse use;
+        Jobs::Resources allocated;
+    };
+
+    /// For the metrics.
+    std::vector<Share> shares() const
+    {
+        std::vector<Share> shares;
+        for (const Jobs::WorkspaceQuota &it : m_quotas.value_or(std::vector<Jobs::WorkspaceQuota>{})) {
+            Share share{it, {}, {}};
+            m_host.forEachServingShard([&](ShardNumber number, const Jobs::Shard &shard) {
+                const Jobs::QuotaUse use = shard.quotaUsage().of(it.workspace);
+                share.use.running += use.running;
+                share.use.blocked += use.blocked;
+                share.allocated += m_ledger.allocation(number, it.workspace);
+            });
+            shares.push_back(std::move(share));
+        }
+        return shares;
+    }
+
 private:
     static constexpr Base::Duration ReviewInterval = std::chrono::milliseconds{200};
     // Unused allocations that no other shard asks for are reduced at this interval.
     static constexpr Base::Duration ShrinkInterval = std::chrono::milliseconds{1000};
-    // Between two appends, and between two that only lower allocations.
-    static constexpr Base::Duration AppendInterval = std::chrono::milliseconds{25};
+    // Between two appends, at least and at most.
+    static constexpr std::chrono::milliseconds MinAppendInterval{10};
+    static constexpr std::chrono::milliseconds MaxAppendInterval{40};
+    // Between two appends that only lower allocations.
     static constexpr Base::Duration LowerInterval = std::chrono::milliseconds{100};
     static constexpr Base::Duration RetryDelay = std::chrono::milliseconds{100};
     static constexpr Base::Duration IdlePause = std::chrono::milliseconds{1000};
@@ -181,7 +211,7 @@
                 records.push_back(std::move(record));
             }
         });
-        const Base::Instant earliest = m_lastAppend + (isUrgent ? AppendInterval : LowerInterval);
+        const Base::Instant earliest = isUrgent ? m_nextAppend : std::max(m_nextAppend, m_nextLowering);
         if (!records.empty() && now < earliest) {
             scheduleUpdate(earliest - now);
             return;
@@ -198,7 +228,9 @@
 
     void append(std::span<const Jobs::Record> records, const std::map<Allocation, Jobs::Resources> &allocated)
     {
-        m_lastAppend = m_timers.now();
+        m_nextAppend = m_timers.now()
+            + std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(
+                MinAppendInterval.count(), MaxAppendInterval.count())(m_random));
         m_appendedAt = *m_follower.end();
         m_isAppending = true;
         m_isStored = false;
@@ -220,6 +252,7 @@
         m_platform.appendAt(m_topic, m_appendedAt, records, [this](StoreAnswer answer) {
             m_isAppending = false;
             m_isStored = answer.status == StoreStatus::Done;
+            m_nextLowering = m_isStored ? m_timers.now() + LowerInterval : m_nextLowering;
             scheduleUpdate(m_isStored ? Base::Duration{} : RetryDelay);
         });
     }
@@ -235,7 +268,9 @@
     std::optional<std::vector<Jobs::WorkspaceQuota>> m_quotas;
     std::map<Allocation, Jobs::Resources> m_unresolved; ///< amounts of appends that have not been read back
     std::uint64_t m_appendedAt = 0; ///< position of the latest append
-    Base::Instant m_lastAppend;
+    std::minstd_rand m_random;
+    Base::Instant m_nextAppend;
+    Base::Instant m_nextLowering;
     Base::Instant m_nextShrink;
     bool m_isRead = false; ///< whether the topic has been read to its end once
     bool m_isAppending = false;
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -55,7 +55,7 @@
           memberName,
           world.settings,
           world.m_layout)
-    , quotas(platform, world.timers, "quotas", host)
+    , quotas(platform, world.timers, "quotas", host, static_cast<std::uint32_t>(world.random()))
 {
 }
 
--- a/tests/bench/quotas/schemes.h
+++ b/tests/bench/quotas/schemes.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -130,6 +131,7 @@
         if (owner.appendAt && step.now >= owner.arrivesAt) {
             if (*owner.appendAt == m_log.size()) {
                 m_log.insert(m_log.end(), owner.records.begin(), owner.records.end());
+                owner.nextLowering = step.now + LowerInterval;
             }
             owner.appendAt.reset();
             owner.readableAt = step.now + OneWay;
@@ -158,11 +160,12 @@
             }
         }
         if (owner.records.empty()
-            || step.now < owner.lastAppend + (isUrgent ? AppendInterval : LowerInterval)) {
+            || step.now < (isUrgent ? owner.nextAppend : std::max(owner.nextAppend, owner.nextLowering))) {
             return;
         }
         owner.shrinkAt = mayShrink ? step.now + ShrinkInterval : owner.shrinkAt;
-        owner.lastAppend = step.now;
+        owner.nextAppend = step.now
+            + std::uniform_int_distribution<Milliseconds>(MinAppendInterval, MaxAppendInterval)(m_random);
         owner.appendAt = m_log.size();
         owner.arrivesAt = step.now + OneWay;
         ++traffic.messages;
@@ -189,7 +192,8 @@
 
 private:
     static constexpr Milliseconds OneWay = 5;
-    static constexpr Milliseconds AppendInterval = 25;
+    static constexpr Milliseconds MinAppendInterval = 10;
+    static constexpr Milliseconds MaxAppendInterval = 40;
     static constexpr Milliseconds LowerInterval = 100;
     static constexpr Milliseconds ShrinkInterval = 1000;
 
@@ -201,7 +205,8 @@
         Milliseconds arrivesAt = 0;
         Milliseconds readableAt = 0;
         Milliseconds shrinkAt = 0;
-        Milliseconds lastAppend = -LowerInterval;
+        Milliseconds nextLowering = 0;
+        Milliseconds nextAppend = 0;
     };
 
     static Jobs::WorkspaceQuota quota(const Step &step, std::size_t workspace)
@@ -212,6 +217,7 @@
     std::vector<Owner> m_owners;
     std::vector<Jobs::Record> m_log;
     std::size_t m_workspaces;
+    std::minstd_rand m_random;
 };
 
 } // namespace Schemes
