Tell what a shard wants beside what it is allocated

Cause: from the log one could not tell a task that waits for quota from one that waits for a worker.

Change: QuotaLedger::change() returns the amounts with the record; the line quota-allocation has what the shard wants in addition.

--- a/src/libs/jobs/quotaledger.cpp
+++ b/src/libs/jobs/quotaledger.cpp
@@ -115,11 +115,6 @@
     return entry ? entry->allocated : Resources{};
 }
 
-Resources QuotaLedger::allocationIn(const Record &record)
-{
-    return record.value.empty() ? Resources{} : decodeAmounts(parse(record.value).at(0));
-}
-
 const QuotaLedger::Entry *QuotaLedger::find(ShardNumber shard, std::string_view workspace) const
 {
     const auto it = m_workspaces.find(workspace);
@@ -190,7 +185,7 @@
     return limit;
 }
 
-Record
+std::optional<QuotaLedger::Change>
 QuotaLedger::change(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use, bool mayShrink) const
 {
     const OtherShards others = otherShards(shard, quota.workspace);
@@ -242,17 +237,17 @@
     const Entry *entry = find(shard, quota.workspace);
     const bool wasWaiting = entry && entry->wanted != Resources{};
     if (allocated == own && wasWaiting == (wanted != Resources{})) {
-        return {};
+        return std::nullopt;
     }
     const std::string key = shardKey(shard) + "/" + quota.workspace;
     if (allocated == Resources{} && wanted == Resources{}) {
-        return {key, {}};
+        return Change{allocated, wanted, {key, {}}};
     }
-    json::array record{encodeAmounts(allocated), encodeAmounts(wanted)};
+    json::array value{encodeAmounts(allocated), encodeAmounts(wanted)};
     if (isAlone) {
-        record.emplace_back("oversized");
+        value.emplace_back("oversized");
     }
-    return {key, json::serialize(record)};
+    return Change{allocated, wanted, {key, json::serialize(value)}};
 }
 
 } // namespace Jobs
--- a/src/libs/jobs/quotaledger.h
+++ b/src/libs/jobs/quotaledger.h
@@ -4,7 +4,7 @@
 #include "shardcommands.h"
 
 #include <map>
-#include <span>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -45,12 +45,18 @@
     /// What the workspace may have running on the shard.
     Resources limit(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use) const;
 
-    /// The record that changes the allocation of the shard to what it needs, or one without a key if there is
-    /// nothing to change. Only with `mayShrink` is an allocation lowered that no other shard asks for.
-    Record change(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use, bool mayShrink) const;
+    /// A change of a shard's allocation, to be appended to the topic.
+    struct Change {
+        Resources allocated;
+        Resources wanted; ///< in addition, if the quota had room
+        Record record;
+    };
+
+    /// The change of the shard's allocation to what it needs; nullopt if there is nothing to change. Only
+    /// with `mayShrink` is an allocation lowered that no other shard asks for.
+    std::optional<Change>
+    change(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use, bool mayShrink) const;
 
-    /// The allocation in a record from change().
-    static Resources allocationIn(const Record &record);
     Resources allocation(ShardNumber shard, std::string_view workspace) const;
 
 private:
--- a/src/libs/jobservice/quotaallocator.h
+++ b/src/libs/jobservice/quotaallocator.h
@@ -91,6 +91,9 @@
     }
 
 private:
+    using Allocation = std::pair<ShardNumber, std::string>; ///< of a shard to a workspace
+    using Changes = std::map<Allocation, Jobs::QuotaLedger::Change>;
+
     static constexpr Base::Duration ReviewInterval = std::chrono::milliseconds{200};
     // Unused allocations that no other shard asks for are reduced at this interval.
     static constexpr Base::Duration ShrinkInterval = std::chrono::milliseconds{1000};
@@ -190,7 +193,7 @@
         const bool mayShrink = now >= m_nextShrink;
         bool isUrgent = false;
         std::vector<Jobs::Record> records;
-        std::map<Allocation, Jobs::Resources> allocated;
+        Changes changes;
         m_host.forEachServingShard([&](ShardNumber number, const Jobs::Shard &shard) {
             if (!m_host.hasService(number) || m_ledger.hasNewerOwner(number, shard.epoch())) {
                 return;
@@ -202,13 +205,13 @@
             }
             for (const Jobs::WorkspaceQuota &it : *m_quotas) {
                 const Jobs::QuotaUse use = shard.quotaUsage().of(it.workspace);
-                Jobs::Record record = m_ledger.change(number, it, use, mayShrink);
-                if (record.key.empty()) {
+                auto change = m_ledger.change(number, it, use, mayShrink);
+                if (!change) {
                     continue;
                 }
                 isUrgent = isUrgent || use.blocked != Jobs::Resources{};
-                allocated[{number, it.workspace}] = Jobs::QuotaLedger::allocationIn(record);
-                records.push_back(std::move(record));
+                records.push_back(std::move(change->record));
+                changes.emplace(Allocation{number, it.workspace}, std::move(*change));
             }
         });
         const Base::Instant earliest = isUrgent ? m_nextAppend : std::max(m_nextAppend, m_nextLowering);
@@ -220,13 +223,11 @@
             m_nextShrink = now + ShrinkInterval;
         }
         if (!records.empty()) {
-            append(records, allocated);
+            append(records, changes);
         }
     }
 
-    using Allocation = std::pair<ShardNumber, std::string>; ///< of a shard to a workspace
-
-    void append(std::span<const Jobs::Record> records, const std::map<Allocation, Jobs::Resources> &allocated)
+    void append(std::span<const Jobs::Record> records, const Changes &changes)
     {
         m_nextAppend = m_timers.now()
             + std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(
@@ -234,16 +235,18 @@
         m_appendedAt = *m_follower.end();
         m_isAppending = true;
         m_isStored = false;
-        for (const auto &[key, amount] : allocated) {
-            const auto [it, isNew] = m_unresolved.try_emplace(key, amount);
+        for (const auto &[key, change] : changes) {
+            const auto [it, isNew] = m_unresolved.try_emplace(key, change.allocated);
             if (!isNew) {
-                it->second = lowerOf(it->second, amount, Jobs::Unlimited);
+                it->second = lowerOf(it->second, change.allocated, Jobs::Unlimited);
             }
             Base::LogLine(Base::LogLevel::Info, "quota-allocation")
                 .with("shard", key.first)
                 .with("workspace", key.second)
-                .with("millicores", amount.milliCores)
-                .with("memory_mb", amount.memory)
+                .with("millicores", change.allocated.milliCores)
+                .with("memory_mb", change.allocated.memory)
+                .with("wanted_millicores", change.wanted.milliCores)
+                .with("wanted_memory_mb", change.wanted.memory)
                 .with("at", m_appendedAt);
         }
         m_host.forEachServingShard([this](ShardNumber number, const Jobs::Shard &shard) {
--- a/tests/bench/quotas/schemes.h
+++ b/tests/bench/quotas/schemes.h
@@ -130,7 +130,9 @@
         }
         if (owner.appendAt && step.now >= owner.arrivesAt) {
             if (*owner.appendAt == m_log.size()) {
-                m_log.insert(m_log.end(), owner.records.begin(), owner.records.end());
+                for (const Jobs::QuotaLedger::Change &it : owner.changes) {
+                    m_log.push_back(it.record);
+                }
                 owner.nextLowering = step.now + LowerInterval;
             }
             owner.appendAt.reset();
@@ -148,18 +150,18 @@
             return;
         }
         const bool mayShrink = step.now >= owner.shrinkAt;
-        owner.records.clear();
+        owner.changes.clear();
         bool isUrgent = false;
         for (std::size_t n = 0; n < m_workspaces; ++n) {
-            auto record = owner.ledger.change(
+            auto change = owner.ledger.change(
                 static_cast<Jobs::ShardNumber>(step.shard), quota(step, n), step.uses[n], mayShrink);
-            if (!record.key.empty()) {
+            if (change) {
                 isUrgent = isUrgent || step.uses[n].blocked != Jobs::Resources{};
-                traffic.bytes += record.key.size() + record.value.size();
-                owner.records.push_back(std::move(record));
+                traffic.bytes += change->record.key.size() + change->record.value.size();
+                owner.changes.push_back(std::move(*change));
             }
         }
-        if (owner.records.empty()
+        if (owner.changes.empty()
             || step.now < (isUrgent ? owner.nextAppend : std::max(owner.nextAppend, owner.nextLowering))) {
             return;
         }
@@ -182,9 +184,8 @@
         if (owner.appendAt) {
             // A lower amount may already be in the ledger.
             const std::string key = std::to_string(step.shard) + "/" + std::to_string(workspace);
-            for (const Jobs::Record &it : owner.records) {
-                limit =
-                    it.key == key ? std::min(limit, Jobs::QuotaLedger::allocationIn(it).milliCores) : limit;
+            for (const Jobs::QuotaLedger::Change &it : owner.changes) {
+                limit = it.record.key == key ? std::min(limit, it.allocated.milliCores) : limit;
             }
         }
         return limit;
@@ -201,7 +202,7 @@
         Jobs::QuotaLedger ledger;
         std::size_t read = 0; ///< records of the log that have been read
         std::optional<std::size_t> appendAt; ///< position of the append under way
-        std::vector<Jobs::Record> records;
+        std::vector<Jobs::QuotaLedger::Change> changes; ///< that the append contains
         Milliseconds arrivesAt = 0;
         Milliseconds readableAt = 0;
         Milliseconds shrinkAt = 0;
