Allow workspaces five seconds of load ahead of their rate

The queues' load comes by turns of some seconds in which a usual workspace sends about its accepted load, so with two seconds ahead ordinary jobs are marked.

Change: five seconds.

--- a/src/libs/jobs/arrivalallowance.cpp
+++ b/src/libs/jobs/arrivalallowance.cpp
@@ -10,7 +10,7 @@
 {
 
 // Load may be this far ahead of its rate.
-constexpr double BurstSeconds = 2;
+constexpr double BurstSeconds = 5;
 constexpr double MinBurst = 4; // jobs
 
 } // namespace
--- a/tests/auto/jobs/tst_configurationexchange.cpp
+++ b/tests/auto/jobs/tst_configurationexchange.cpp
@@ -25,8 +25,8 @@
     std::vector<Ini::Endpoint> list() const
     {
         std::vector<Ini::Endpoint> endpoints;
-        for (std::uint16_t n = 0; n < versions.size(); ++n) {
-            endpoints.push_back({"127.0.0.1", n});
+        for (std::size_t n = 0; n < versions.size(); ++n) {
+            endpoints.push_back({"127.0.0.1", static_cast<std::uint16_t>(n)});
         }
         return endpoints;
     }
@@ -66,7 +66,7 @@
         exchange.start([this] { return lastRead; }, [this] { return version; });
     }
 
-    void run(Base::Duration time)
+    void runFor(Base::Duration time)
     {
         const Base::Instant until = timers.now() + time;
         while (timers.nextDue() && *timers.nextDue() <= until) {
@@ -89,7 +89,7 @@
     peers.versions = {9, 9};
     for (int n = 0; n < 10; ++n) {
         lastRead = timers.now();
-        run(1s);
+        runFor(1s);
     }
     CHECK_EQUAL(0, peers.questions);
     CHECK(exchange.isCurrent());
@@ -99,25 +99,25 @@
 TEST(ConfigurationExchange, AMemberWithoutTheStoreLearnsOfAVersionWithinTwoSeconds)
 {
     peers.versions = {7, 0, 7, 0};
-    run(5s);
+    runFor(5s);
     peers.versions = {8, 0, 8, 0};
-    run(2s);
+    runFor(2s);
     CHECK_EQUAL(8, version);
-    run(1s);
+    runFor(1s);
     CHECK(timers.now() - exchange.confirmedAt() < 2s);
 }
 
 TEST(ConfigurationExchange, SilentPeersDelayItByTheQueryIntervalOnly)
 {
     peers.versions = {0, 0, 0, 8};
-    run(4s);
+    runFor(4s);
     CHECK_EQUAL(8, version);
 }
 
 TEST(ConfigurationExchange, WithoutPeersTheVersionAges)
 {
     peers.versions = {0, 0};
-    run(10s);
+    runFor(10s);
     CHECK_EQUAL(7, version);
     CHECK(timers.now() - exchange.confirmedAt() >= 10s);
 }
--- a/tests/auto/jobs/tst_quotas.cpp
+++ b/tests/auto/jobs/tst_quotas.cpp
@@ -84,7 +84,7 @@
             world.lateWriteShare = world.lateWriteShare > 0 ? 0 : 0.4;
             break;
         case 5:
-            world.setQuotas({{"small", {pick(2, 6) * 1000, 0, 0}}, {"large", {pick(4, 24) * 1000, 0, 0}}},
+            world.setQuotas({{"small", {1000L * pick(2, 6), 0, 0}}, {"large", {1000L * pick(4, 24), 0, 0}}},
                             1500ms);
             break;
         case 6:
