Show that a queue's jobs are unknown once its path goes to another service

The shard of a job is found by the service of the route in the newest configuration. Accepted jobs get 410, can't be cancelled, and run a second time when their request is repeated.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -26,6 +26,7 @@
 PARTS = 24
 HOLD_MAX_MS = 6000  # HoldMaxMs
 STOP_S = 0.05  # within StopTimeoutMs
+GANG_TIMEOUT_S = 3.0  # GangTimeoutMs
 
 
 class Record:
@@ -488,13 +489,29 @@
         left = self.room()
         if any(stage.get(it, 0) > left[it] for it in left):
             return 409, encoded({**answer, "Reason": "room"})
+        if self.world.advice and not self.world.is_allowed(task, self, call.get("Ticket")):
+            return 409, encoded({**answer, "Reason": "ticket"})
         self.running[task] = (run, stage)
         self.record(f"worker {self.id}: {task} run {run} starts")
         self.world.started(self, task, run)
-        if not stage.get("LongRunning"):
+        if stage.get("Gang"):
+            asyncio.create_task(self.wait_for_gang(task, run, stage))
+        elif not stage.get("LongRunning"):
             asyncio.create_task(self.finish(task, run, stage["EstimateMs"] / 1000))
         return 200, encoded(answer)
 
+    async def wait_for_gang(self, task, run, stage):
+        """The tasks work from the moment when all of the run are there, and end `done` together."""
+        step = task.rsplit(".", 1)[0]
+        for _ in range(int(GANG_TIMEOUT_S / 0.02)):
+            if task not in self.running or self.running[task][0] != run:
+                return
+            if self.world.present(step, run) == stage["Count"]:
+                await self.finish(task, run, stage["EstimateMs"] / 1000)
+                return
+            await asyncio.sleep(0.02)
+        self.end(task, "alone")
+
 
 def free_port():
     with socket.socket() as it:
@@ -521,7 +538,7 @@
                   "ListenAddrs.FrontendAddr": f"127.0.0.1:{self.ports['callers']}",
                   "ListenAddrs.ReadinessAddr": f"127.0.0.1:{self.ports['readiness']}",
                   "platform.Address": f"127.0.0.1:{self.store_port}", "platform.parts": PARTS,
-                  "platform.TtlMinMs": TTL_MIN_MS, "Advice": "",
+                  "platform.TtlMinMs": TTL_MIN_MS, "Advice": f"127.0.0.1:{self.world.advisor.port}",
                   "CloudApi.Address": f"127.0.0.1:{self.world.cloud.port}", "Bounds.LeaseMs": 3000,
                   "Bounds.MigrateS": 1.5, "Bounds.MaintenanceS": 2, "Bounds.HoldMaxMs": HOLD_MAX_MS,
                   "Bounds.GraceS": 6}
@@ -586,6 +603,7 @@
     prefix = "/rapu30/"
     zones = ["zone-salt", "zone-rajar", "zone-behala"]
     service = "pankha"
+    services = ["pankha"]  # the workers are shared out evenly
 
     def __init__(self, record_path):
         self.record = Record(record_path)
@@ -602,20 +620,19 @@
         self.runs = {}
         self.fenced = {}
         self.tasks = []
+        self.advice = None  # {"DecideMs", "PeriodMs", "ValidMs"} of the queue, if it has a policy
+        self.advisor = HttpServer(self.advise)
+        self.advisor_turn = asyncio.Lock()
+        self.tickets = {}
 
     async def start(self, daemons=3, workers=3):
         await self.store.server.start()
         await self.cloud.start()
-        self.store.put("keyed.op", "config", {
-            "Version": 3,
-            "Routes": [{"Name": "r-1", "Host": self.host, "PathPrefix": self.prefix, "Kind": "non_idempotent",
-                        "TimeoutMs": 3000, "TargetLatencyMs": 600, "Priority": 0, "Service": self.service,
-                        "MaxAttempts": 4, "SlackFactor": 1.6}],
-            "Services": [{"Name": self.service, "HealthPath": "/healthz", "MaxConnections": 64,
-                          "Protocol": "h1", "Tls": False, "EnforcesCapacity": True, "Standby": False}],
-            "Limits": {}})
+        await self.advisor.start()
+        self.configure(3, self.service, **({"Advice": self.advice} if self.advice else {}))
         for n in range(workers):
-            worker = Worker(self, f"i-{n + 1:05}", self.service, f"r1-{n % 8 + 1}")
+            service = self.services[n % len(self.services)]
+            worker = Worker(self, f"i-{n + 1:05}", service, f"r1-{n % 8 + 1}")
             self.workers.append(worker)
             await worker.start()
             await asyncio.sleep(HEARTBEAT_S / workers)
@@ -628,6 +645,17 @@
             raise RuntimeError("the system did not become ready")
         self.record("all machines are ready")
 
+    def configure(self, version, service, name="r-1", **fields):
+        """A version of the configuration: one route, to the service."""
+        route = {"Name": name, "Host": self.host, "PathPrefix": self.prefix, "Kind": "non_idempotent",
+                 "TimeoutMs": 3000, "TargetLatencyMs": 600, "Priority": 0, "Service": service,
+                 "MaxAttempts": 4, "SlackFactor": 1.6, **fields}
+        services = [{"Name": it, "HealthPath": "/healthz", "MaxConnections": 64, "Protocol": "h1", "Tls": False,
+                     "EnforcesCapacity": True, "Standby": False} for it in self.services]
+        self.store.put("keyed.op", "config",
+                       {"Version": version, "Routes": [route], "Services": services, "Limits": {}})
+        self.record(f"operator: version {version}: one route, {name}, to {service}", fields or "")
+
     async def all_ready(self):
         for it in self.daemons:
             if not await it.is_ready():
@@ -655,6 +683,7 @@
             await it.server.stop()
         await self.store.server.stop()
         await self.cloud.stop()
+        await self.advisor.stop()
         if os.environ.get("KEEP"):
             print("logs:", self.folder, file=sys.stderr)
         else:
@@ -678,11 +707,35 @@
     async def machines(self, method, path, query, headers, body):
         if path != "/machines":
             return 409, encoded({"Reason": "busy"})
-        rows = [{"Machine": "m-" + it.id, "Pool": self.service, "State": "up", "Zone": it.entry["Zone"],
+        rows = [{"Machine": "m-" + it.id, "Pool": it.entry["Service"], "State": "up", "Zone": it.entry["Zone"],
                  "Labels": it.entry["Labels"], "Capacity": it.entry["Capacity"], "Id": it.id}
                 for it in self.workers]
         return 200, encoded({"Machines": rows, "NextToken": None})
 
+    # The service at `Advice`: its policy allows every worker to run any step.
+
+    async def advise(self, method, path, query, headers, body):
+        call = json.loads(body)
+        async with self.advisor_turn:
+            await asyncio.sleep((self.advice["DecideMs"] + self.advice["PeriodMs"] * len(call["Workers"])) / 1000)
+        self.record(f"advice: {len(call['Workers'])} workers for {call['Step']}: all allowed")
+        valid_until = time.monotonic() + self.advice["ValidMs"] / 1000
+        rows = []
+        for it in call["Workers"]:
+            ticket = f"{call['Step']}-{it}-{len(self.tickets)}"
+            self.tickets[ticket] = (call["Step"], it, valid_until)
+            rows.append([it, ticket])
+        return 200, encoded({"Allowed": rows, "ValidMs": self.advice["ValidMs"]})
+
+    def is_allowed(self, task, worker, ticket):
+        step, identity, valid_until = self.tickets.get(ticket, (None, None, 0))
+        return task.rsplit(".", 1)[0] == step and worker.id == identity and time.monotonic() < valid_until
+
+    def present(self, step, run):
+        """How many tasks of the step have this run at a worker."""
+        return sum(1 for it in self.workers for task, (r, _) in it.running.items()
+                   if r == run and task.rsplit(".", 1)[0] == step)
+
     # What ran.
 
     def stage_of(self, task):
