--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -352,6 +352,7 @@
         self.server = HttpServer(self.handle)
         self.tasks = []
         self.is_cut = False
+        self.is_grey = False  # fails all that it starts, at once
 
     async def start(self, port=0):
         self.born = int(time.time() * 1000)
@@ -421,6 +422,8 @@
         self.world.ended(self, task, run, how)
         self.changed.set()
         self.changed = asyncio.Event()
+        if how not in ("done", "broken") and self.world.stage_of(task).get("Gang"):
+            self.world.break_gang(task.rsplit(".", 1)[0], run)
 
     def extend(self, call):
         if "DeadlineMs" in call:
@@ -494,7 +497,9 @@
         self.running[task] = (run, stage)
         self.record(f"worker {self.id}: {task} run {run} starts")
         self.world.started(self, task, run)
-        if stage.get("Gang"):
+        if self.is_grey:
+            self.end(task, "failed")
+        elif stage.get("Gang"):
             asyncio.create_task(self.wait_for_gang(task, run, stage))
         elif not stage.get("LongRunning"):
             asyncio.create_task(self.finish(task, run, stage["EstimateMs"] / 1000))
@@ -736,6 +741,13 @@
         return sum(1 for it in self.workers for task, (r, _) in it.running.items()
                    if r == run and task.rsplit(".", 1)[0] == step)
 
+    def break_gang(self, step, run):
+        """Another member has ended: the others that are at work end, too."""
+        for it in self.workers:
+            for task, (r, _) in list(it.running.items()):
+                if r == run and task.rsplit(".", 1)[0] == step:
+                    it.end(task, "broken")
+
     # What ran.
 
     def stage_of(self, task):
