Continue the appends of a shard regained under its epoch

Callers saw LOST and TWICE: jobs answered with 200 were unknown to the next owner of their shard (410), and tasks whose end had been acknowledged ran again.

While only answers of the store are lost, the membership goes on there and its generation stays. The owner drops its shards when its own view of the membership lapses, regains them under the same generation, hence the same epoch, and numbered its appends from 1 again. The store answers a number that it has seen with the first response and stores nothing.

ShardHost keeps the last number that it sent in each epoch, continues the series, and has the store answer an append without effect under that number before it reads the records, so that nothing sent earlier can take effect afterwards. A release record that waited for an earlier append is dropped if the shard has been regained.

Why it works: within an epoch each number is used once, and a number is passed only after the store has answered it.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -46,6 +46,9 @@
 class Shard
 {
 public:
+    /// Key of no record.
+    static constexpr std::string_view UnusedKey = "none";
+
     /// `member` identifies this owner in the owner record that later owners read.
     Shard(const ShardSettings &settings, Epoch epoch, std::string member);
 
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -274,6 +274,12 @@
     };
     using HostedPtr = std::shared_ptr<Hosted>;
 
+    /// The last append that this process has sent to a shard.
+    struct SentAppend {
+        Jobs::Epoch epoch = 0;
+        std::uint64_t sequence = 0;
+    };
+
     void join()
     {
         const Base::Instant askedAt = m_timers.now();
@@ -379,9 +385,57 @@
         m_hosted[number] = hosted;
         ++m_counts.shardsGained;
         m_onShardGained();
+        const auto sent = m_sentAppends.find(number);
+        if (sent != m_sentAppends.end() && sent->second.epoch == epoch) {
+            hosted->sequence = sent->second.sequence;
+            settleEarlierAppends(number, hosted);
+            return;
+        }
         loadShard(number, hosted);
     }
 
+    // The store does not end a membership while only its answers are lost, so a shard can be regained under
+    // the epoch under which this process has already appended. Each epoch has one series of sequence numbers,
+    // and the store takes a number that it has seen for a repeat. So the series is continued. The last append
+    // may still be under way; once the store has answered another one with the same number, it has either
+    // been carried out or never will be, and the records can be read.
+    void settleEarlierAppends(ShardNumber number, const HostedPtr &hosted)
+    {
+        const Jobs::Record record{std::string(Jobs::Shard::UnusedKey), {}};
+        append(number, hosted, std::span(&record, 1), [this, number, hosted](StoreAnswer answer) {
+            if (!isCurrent(number, hosted)) {
+                return;
+            }
+            switch (answer.status) {
+            case StoreStatus::Done:
+                Base::LogLine(Base::LogLevel::Info, "epoch-continued")
+                    .with("shard", number)
+                    .with("epoch", hosted->shard->epoch())
+                    .with("sequence", hosted->sequence);
+                ++hosted->sequence;
+                hosted->hasWritten = true;
+                loadShard(number, hosted);
+                return;
+            case StoreStatus::Fenced:
+                relinquish(number, "the store has a newer owner");
+                return;
+            case StoreStatus::OutOfSequence:
+                hosted->sequence = answer.expectedSequence;
+                break;
+            case StoreStatus::Unknown:
+            case StoreStatus::NotDone:
+            case StoreStatus::Full:
+                break;
+            }
+            refusePendingRequests(*hosted);
+            hosted->timer.arm(m_settings.retryDelay, [this, number, hosted] {
+                if (isCurrent(number, hosted)) {
+                    settleEarlierAppends(number, hosted);
+                }
+            });
+        });
+    }
+
     void loadShard(ShardNumber number, const HostedPtr &hosted)
     {
         const auto epoch = hosted->shard->epoch();
@@ -523,12 +577,11 @@
     template<typename Completion>
     void appendReleaseRecord(ShardNumber number, const HostedPtr &hosted, const Completion &completion)
     {
+        if (m_hosted.count(number) > 0) {
+            return; // the shard has been regained in the meantime
+        }
         const Jobs::Record record = hosted->shard->releaseRecord(m_timers.now());
-        m_platform.append(number,
-                          hosted->shard->epoch(),
-                          hosted->sequence,
-                          std::span(&record, 1),
-                          [completion](StoreAnswer) {});
+        append(number, hosted, std::span(&record, 1), [completion](StoreAnswer) {});
     }
 
     void relinquish(ShardNumber number, std::string_view reason)
@@ -708,21 +761,26 @@
     void append(ShardNumber number, const HostedPtr &hosted, std::shared_ptr<const Jobs::AppendBatch> batch)
     {
         hosted->isAppending = true;
-        m_platform.append(number,
-                          hosted->shard->epoch(),
-                          hosted->sequence,
-                          batch->records,
-                          [this, number, hosted, batch](StoreAnswer answer) {
-                              hosted->isAppending = false;
-                              if (isCurrent(number, hosted)) {
-                                  appended(number, hosted, batch, answer);
-                                  return;
-                              }
-                              hosted->sequence += answer.status == StoreStatus::Done ? 1 : 0;
-                              if (auto next = std::exchange(hosted->onAppendFinished, nullptr)) {
-                                  next();
-                              }
-                          });
+        append(number, hosted, batch->records, [this, number, hosted, batch](StoreAnswer answer) {
+            hosted->isAppending = false;
+            if (isCurrent(number, hosted)) {
+                appended(number, hosted, batch, answer);
+                return;
+            }
+            hosted->sequence += answer.status == StoreStatus::Done ? 1 : 0;
+            if (auto next = std::exchange(hosted->onAppendFinished, nullptr)) {
+                next();
+            }
+        });
+    }
+
+    void append(ShardNumber number,
+                const HostedPtr &hosted,
+                std::span<const Jobs::Record> records,
+                StoreCallback done)
+    {
+        m_sentAppends[number] = {hosted->shard->epoch(), hosted->sequence};
+        m_platform.append(number, hosted->shard->epoch(), hosted->sequence, records, std::move(done));
     }
 
     // An append that got no answer is sent again with the same sequence number until the store reports its
@@ -939,6 +997,7 @@
     Base::OneShotTimer m_joinTimer;
     Base::OneShotTimer m_membershipTimer;
     std::map<ShardNumber, HostedPtr> m_hosted;
+    std::map<ShardNumber, SentAppend> m_sentAppends;
     std::vector<Jobs::WorkerInfo> m_workers;
     std::unordered_map<Jobs::ReplyId, Reply> m_replies;
     Jobs::ReplyId m_lastReply = 0;
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t LeaseLimit = 10'000; // ms
 constexpr auto TailStep = 5ms; // between two looks for new records
 constexpr auto EarlyStart = 250ms; // an occurrence may start at most this early
+constexpr std::uint64_t RepeatableAppends = 5; // the store answers a repeat of one of these like the first
 
 } // namespace
 
@@ -714,8 +715,14 @@
         return;
     }
     const std::vector<Jobs::Record> copies(records.begin(), records.end());
-    const bool isLost = losesAnswers && std::uniform_int_distribution<>(0, 2)(m_world.random) == 0;
-    m_world.timers.subscribeAfter(StoreDelay, [this, shard, epoch, sequence, copies, done, isLost] {
+    const bool isLate = appendDelay > 0ms;
+    const bool isLost =
+        isLate || (losesAnswers && std::uniform_int_distribution<>(0, 2)(m_world.random) == 0);
+    const auto delay = isLate ? appendDelay : Milliseconds(StoreDelay);
+    if (isLost) {
+        m_world.timers.subscribeAfter(StoreTimeout, [done] { done({JobService::StoreStatus::Unknown}); });
+    }
+    m_world.timers.subscribeAfter(delay, [this, shard, epoch, sequence, copies, done, isLost] {
         Partition &partition = m_world.m_partitions[shard];
         JobService::StoreAnswer answer{JobService::StoreStatus::Done};
         if (epoch < partition.epoch) {
@@ -729,14 +736,12 @@
                     partition.records[it.key] = it.value;
                 }
             }
-        } else if (sequence != partition.sequence) {
+        } else if (sequence > partition.sequence || sequence + RepeatableAppends <= partition.sequence) {
             answer = {JobService::StoreStatus::OutOfSequence, partition.sequence + 1};
         }
-        if (isLost) {
-            m_world.timers.subscribeAfter(StoreTimeout, [done] { done({JobService::StoreStatus::Unknown}); });
-            return;
+        if (!isLost) {
+            m_world.timers.subscribeAfter(StoreDelay, [done, answer] { done(answer); });
         }
-        m_world.timers.subscribeAfter(StoreDelay, [done, answer] { done(answer); });
     });
 }
 
@@ -872,7 +877,10 @@
         m_world.timers.subscribeAfter(renewal.timeout, [done] { done(std::nullopt); });
         return;
     }
-    m_world.timers.subscribeAfter(2 * StoreDelay, [this, renewal, done] {
+    if (losesRenewalAnswers) {
+        m_world.timers.subscribeAfter(renewal.timeout, [done] { done(std::nullopt); });
+    }
+    m_world.timers.subscribeAfter(2 * StoreDelay, [this, renewal, done, losesAnswer = losesRenewalAnswers] {
         m_world.expireMembers();
         const bool isNew = m_world.m_memberships.count(m_member) == 0;
         auto &membership = m_world.m_memberships[m_member];
@@ -895,7 +903,9 @@
                 grant.shards.push_back(static_cast<JobService::ShardNumber>(n));
             }
         }
-        done(grant);
+        if (!losesAnswer) {
+            done(grant);
+        }
     });
 }
 
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -106,6 +106,8 @@
 
         bool isStoreDown = false; ///< unreachable for this member
         bool losesAnswers = false; ///< answers of the store are lost after the operation was done
+        Milliseconds appendDelay{}; ///< if not zero, appends are done after this time and not answered
+        bool losesRenewalAnswers = false; ///< the same for all renewals of the membership
 
     private:
         SimulatedPlatform &m_world;
--- a/tests/auto/jobs/tst_faults.cpp
+++ b/tests/auto/jobs/tst_faults.cpp
@@ -84,6 +84,8 @@
             break;
         case 8:
             member->second->platform.losesAnswers = !member->second->platform.losesAnswers;
+            member->second->platform.losesRenewalAnswers =
+                member->second->platform.losesAnswers && pick(0, 1) == 0;
             break;
         case 9:
             if (!accepted.empty()) {
@@ -107,6 +109,7 @@
     for (auto &[name, member] : world.members) {
         member->platform.isStoreDown = false;
         member->platform.losesAnswers = false;
+        member->platform.losesRenewalAnswers = false;
     }
     for (int n = 0; n < 60; ++n) {
         world.run(1s);
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -102,6 +102,59 @@
     checkInvariants(world);
 }
 
+// Guards against acknowledging jobs that are stored nowhere. While only the answers of the store are lost,
+// the membership does not end there, so a member regains its shard under the same epoch, and the store takes
+// appends that are numbered from one again for repeats (review/1).
+TEST(ShardHost, AJobAcceptedAfterTheShardWasRegainedUnderItsEpochIsStored)
+{
+    SimulatedPlatform world;
+    world.taskTime = 60s;
+    world.addWorker("w1");
+    auto &first = world.addMember("m1");
+    CHECK(world.submit(SimulatedPlatform::makeJob("a", 1, 1)));
+    world.run(1s);
+    first.platform.losesRenewalAnswers = true;
+    world.run(2500ms);
+    CHECK(!first.host.owns(0));
+    first.platform.losesRenewalAnswers = false;
+    world.run(1s);
+    CHECK(world.submit(SimulatedPlatform::makeJob("b", 1, 1)));
+    CHECK(world.holdsRecordOf("b"));
+    world.run(1s);
+    world.addMember("m2");
+    world.kill("m1");
+    world.run(4s);
+    CHECK(world.state("a") == ReportedState::Running);
+    CHECK(world.state("b") == ReportedState::Running);
+    checkInvariants(world);
+}
+
+// The same for an append that was still under way when the shard was regained.
+TEST(ShardHost, AnAppendFromBeforeTheShardWasRegainedDoesNotReplaceALaterOne)
+{
+    SimulatedPlatform world;
+    world.taskTime = 60s;
+    world.addWorker("w1");
+    auto &first = world.addMember("m1");
+    CHECK(world.submit(SimulatedPlatform::makeJob("a", 1, 1)));
+    world.run(1s);
+    first.platform.losesRenewalAnswers = true;
+    first.platform.appendDelay = 3s;
+    const auto late = SimulatedPlatform::makeJob("late", 1, 1);
+    world.submitted["late"] = late;
+    world.ask({0, JobService::Operation::Submit, late, {}}, [](const JobService::JobReply &) {});
+    world.run(2500ms);
+    CHECK(!first.host.owns(0));
+    first.platform.losesRenewalAnswers = false;
+    first.platform.appendDelay = 0ms;
+    world.run(300ms);
+    CHECK(world.submit(SimulatedPlatform::makeJob("b", 1, 1)));
+    world.run(1s);
+    CHECK(world.holdsRecordOf("b"));
+    CHECK(!world.holdsRecordOf("late") || world.state("late").has_value());
+    checkInvariants(world);
+}
+
 // Guards against waiting ten seconds for a previous owner that has handed its shard over in an orderly way.
 TEST(ShardHost, AfterAnOrderlyHandOverOnlyTheLeaseIsWaitedFor)
 {
