Count a failed attempt of a gang once

Callers saw LOST: a job with a gang was shown as failed after one run of the gang, with three of four attempts left.

Cause. recordTaskFailure() counts a gang's failures at its first task, one for each member. Ruled out: attempts by another owner (there was one) and ends listed twice (the cursor is checked).

The first task keeps the latest failed attempt, also in the record; members that fail in the same attempt add nothing. Builds without the field ignore the sixth element of a task, and what they write is read without it.

MaxAttempts counts runs of the gang, as PROTOCOL.md has it ("a task, or a gang, has failed").

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -37,7 +37,8 @@
     bool isDone = false;
     RunState run = RunState::None;
     std::uint32_t attempt = 0; ///< of the latest run
-    std::uint32_t failures = 0; ///< number of failed runs
+    std::uint32_t failures = 0; ///< number of failed runs; of a gang, at its first task
+    std::uint32_t failedAttempt = 0; ///< latest failed attempt of a gang, at its first task
     std::string worker; ///< worker of the run
     std::string failedOn; ///< worker on which the latest run failed
     std::string checkpoint; ///< checkpoint from which the next run resumes
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -112,17 +112,23 @@
     return queue;
 }
 
-// Encodes a task as [done, attempt, failures, worker, checkpoint]. Trailing empty parts are omitted.
+// Encodes a task as [done, attempt, failures, worker, checkpoint, failed attempt]. Trailing empty parts are
+// omitted.
 json::array encodeTask(const Task &task)
 {
     json::array out{task.isDone ? 1 : 0, task.attempt, task.failures};
+    const bool hasFailedAttempt = task.failedAttempt != 0 && !task.isDone;
+    const bool hasCheckpoint = !task.checkpoint.empty() && !task.isDone;
     const bool isAssigned = task.run != RunState::None;
-    if (isAssigned || (!task.checkpoint.empty() && !task.isDone)) {
+    if (isAssigned || hasCheckpoint || hasFailedAttempt) {
         out.emplace_back(isAssigned ? task.worker : std::string());
     }
-    if (!task.checkpoint.empty() && !task.isDone) {
+    if (hasCheckpoint || hasFailedAttempt) {
         out.emplace_back(task.checkpoint);
     }
+    if (hasFailedAttempt) {
+        out.emplace_back(task.failedAttempt);
+    }
     return out;
 }
 
@@ -138,6 +144,9 @@
     if (from.size() > 4) {
         task.checkpoint = std::string(from.at(4).as_string());
     }
+    if (from.size() > 5) {
+        task.failedAttempt = from.at(5).to_number<std::uint32_t>();
+    }
     if (!task.isDone && !task.worker.empty()) {
         task.run = RunState::Inherited;
     }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -170,8 +170,12 @@
     const Stage &stage = job.spec.stages[id.stage];
     task.failedOn = task.worker;
     endRun(job, id, task);
-    // The tasks of a gang fail together, so their failures are counted at the first task.
+    // The tasks of a gang share their attempt, which is counted at the first task, and once however many of
+    // them fail in it.
     Task &counted = stage.isGang ? job.occurrences[id.occurrence].stages[id.stage].tasks.front() : task;
+    if (stage.isGang && std::exchange(counted.failedAttempt, task.attempt) == task.attempt) {
+        return;
+    }
     ++counted.failures;
     if (!stage.isLongRunning && counted.failures >= job.spec.queue.maxAttempts) {
         Base::LogLine(Base::LogLevel::Info, "task-failed-for-good")
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -60,6 +60,42 @@
     CHECK(read.hasStarted);
 }
 
+// Guards against counting an attempt of a gang again after a change of owner.
+TEST(JobRecord, ProgressRoundTripKeepsTheFailedAttemptOfAGang)
+{
+    Jobs::Job job;
+    job.spec = SimulatedPlatform::makeJob("a", 1, 2);
+    job.spec.stages[0].isGang = true;
+    Jobs::Task &first = job.addOccurrence(0).stages[0].tasks[0];
+    first.attempt = 2;
+    first.failures = 1;
+    first.failedAttempt = 2;
+    Jobs::Job read;
+    read.spec = job.spec;
+    CHECK(Jobs::decodeProgress(Jobs::encodeProgress(job), read));
+    const Jobs::Task &copy = read.occurrences[0].stages[0].tasks[0];
+    LONGS_EQUAL(2, copy.failedAttempt);
+    LONGS_EQUAL(1, copy.failures);
+    CHECK(copy.isWaiting());
+    CHECK(copy.checkpoint.empty());
+}
+
+// Builds without the field read the first five elements of a task and ignore what follows; what they write
+// ends after those.
+TEST(JobRecord, TasksWrittenByBuildsWithoutTheFailedAttemptAreRead)
+{
+    Jobs::Job job;
+    job.spec = SimulatedPlatform::makeJob("a", 1, 2);
+    const char *written =
+        R"({"state":0,"done":0,"started":true,"next":1,"tasks":{"0":[[[0,2,1],[0,3,0,"w1","half"]]]}})";
+    CHECK(Jobs::decodeProgress(written, job));
+    const auto &tasks = job.occurrences[0].stages[0].tasks;
+    LONGS_EQUAL(1, tasks[0].failures);
+    LONGS_EQUAL(0, tasks[0].failedAttempt);
+    STRCMP_EQUAL("w1", tasks[1].worker.c_str());
+    STRCMP_EQUAL("half", tasks[1].checkpoint.c_str());
+}
+
 TEST(JobRecord, InvalidRecordsAreRejected)
 {
     CHECK(!Jobs::decodeSpec("{\"id\":7}"));
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -257,6 +257,42 @@
     LONGS_EQUAL(4, world.startedRuns.begin()->second);
 }
 
+// Guards against failing a job for good after one run of a gang. Each member of the gang that failed was
+// counted as an attempt (review/2).
+TEST(ShardHost, MembersOfAGangThatFailTogetherAreOneAttempt)
+{
+    SimulatedPlatform world;
+    auto &w1 = world.addWorker("w1");
+    w1.failsAll = true;
+    world.addMember("m1");
+    auto job = SimulatedPlatform::makeJob("a", 1, 6);
+    job.stages[0].isGang = true;
+    CHECK(world.submit(job));
+    world.run(500ms);
+    LONGS_EQUAL(6, world.runsOn("w1"));
+    world.run(600ms);
+    w1.failsAll = false;
+    world.run(3s);
+    CHECK(world.state("a") == ReportedState::Completed);
+    checkInvariants(world);
+}
+
+TEST(ShardHost, AGangThatFailsTooOftenFailsItsJob)
+{
+    SimulatedPlatform world;
+    world.addWorker("w1").failsAll = true;
+    world.addMember("m1");
+    auto job = SimulatedPlatform::makeJob("a", 1, 3);
+    job.stages[0].isGang = true;
+    CHECK(world.submit(job));
+    world.run(30s);
+    CHECK(world.state("a") == ReportedState::Failed);
+    for (const auto &[task, runs] : world.startedRuns) {
+        LONGS_EQUAL(4, runs);
+    }
+    checkInvariants(world);
+}
+
 TEST(ShardHost, AWorkerThatRestartsUnderItsIdLosesItsRunsAtOnce)
 {
     SimulatedPlatform world;
