Let a gang that failed try other workers first

Callers saw a job of a gang fail for good within 0.1 s, while a worker failed all that it started and the others were sound and empty: all its attempts went to that worker.

Single tasks avoid the worker on which they failed last (Task::failedOn), gangs didn't. Ruled out: the back-off for failing workers (it needs failures of three jobs).

Change. placeGang() leaves out the workers on which members failed as long as the gang fits on the others. The choice of workers is a function of its own now, with the same order of racks.

A gang meets a failing worker once, as long as there is room elsewhere.

--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace Jobs
 {
@@ -72,6 +73,44 @@
     return best;
 }
 
+std::vector<Worker *> chooseGangWorkers(const Stage &stage, std::span<const Candidate> all, Base::Instant now)
+{
+    std::vector<std::string> racks;
+    if (stage.isRackSensitive) {
+        for (const Candidate &it : all) {
+            if (std::find(racks.begin(), racks.end(), it.worker->info.rack) == racks.end()) {
+                racks.push_back(it.worker->info.rack);
+            }
+        }
+    }
+    racks.emplace_back();
+    for (const std::string &rack : racks) {
+        std::vector<Candidate> candidates;
+        std::copy_if(all.begin(), all.end(), std::back_inserter(candidates), [&](const Candidate &it) {
+            return rack.empty() || it.worker->info.rack == rack;
+        });
+        std::vector<Worker *> places;
+        while (places.size() < stage.count) {
+            Worker *worker = chooseWorker(stage, candidates, now);
+            if (!worker) {
+                break;
+            }
+            worker->used += reservedResources(stage);
+            places.push_back(worker);
+            for (Candidate &it : candidates) {
+                it.tasksOfStage += it.worker == worker ? 1 : 0;
+            }
+        }
+        for (Worker *it : places) {
+            it->used -= reservedResources(stage);
+        }
+        if (places.size() == stage.count) {
+            return places;
+        }
+    }
+    return {};
+}
+
 bool canBePlaced(const Stage &stage, std::span<const WorkerInfo *const> workers)
 {
     return std::any_of(workers.begin(), workers.end(), [&](const WorkerInfo *it) {
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Jobs
 {
@@ -24,6 +25,11 @@
                      Base::Instant now,
                      std::string_view excluded = {});
 
+/// Returns a worker for each task of the gang `stage`, or none if not all of them have room. If the stage is
+/// rack-sensitive, single racks are tried first.
+std::vector<Worker *>
+chooseGangWorkers(const Stage &stage, std::span<const Candidate> all, Base::Instant now);
+
 /// Whether a task of `stage` would fit on any of the workers if they were empty.
 bool canBePlaced(const Stage &stage, std::span<const WorkerInfo *const> workers);
 
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -251,8 +251,8 @@
     }
 }
 
-// Starts all tasks of the gang or none, and only once no run of an earlier attempt is left. If the stage is
-// rack-sensitive, single racks are tried first.
+// Starts all tasks of the gang or none, and only once no run of an earlier attempt is left. Workers on which
+// the gang has failed are used only if it doesn't fit on the others.
 void Shard::placeGang(
     Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now)
 {
@@ -271,48 +271,27 @@
     const Stage &wanted = job.spec.stages[stage];
     m_nextPlacementRetry = now + PlacementRetryPeriod;
     const auto all = allowedByAdvice(job, number, stage, candidatesFor(job, wanted, progress), now);
-    std::vector<std::string> racks;
-    if (wanted.isRackSensitive) {
-        for (const Candidate &it : all) {
-            if (std::find(racks.begin(), racks.end(), it.worker->info.rack) == racks.end()) {
-                racks.push_back(it.worker->info.rack);
-            }
-        }
-    }
-    racks.emplace_back();
-    for (const std::string &rack : racks) {
-        std::vector<Candidate> candidates;
-        std::copy_if(all.begin(), all.end(), std::back_inserter(candidates), [&](const Candidate &it) {
-            return rack.empty() || it.worker->info.rack == rack;
+    std::vector<Candidate> untried = all;
+    std::erase_if(untried, [&progress](const Candidate &it) {
+        return std::any_of(progress.tasks.begin(), progress.tasks.end(), [&it](const Task &task) {
+            return task.failedOn == it.worker->info.id;
         });
-        std::vector<Worker *> places;
-        for (std::size_t n = 0; n < progress.tasks.size(); ++n) {
-            Worker *worker = chooseWorker(wanted, candidates, now);
-            if (!worker) {
-                break;
-            }
-            worker->used += reservedResources(wanted);
-            places.push_back(worker);
-            for (Candidate &it : candidates) {
-                it.tasksOfStage += it.worker == worker ? 1 : 0;
-            }
-        }
-        for (Worker *it : places) {
-            it->used -= reservedResources(wanted);
-        }
-        if (places.size() < progress.tasks.size()) {
-            continue;
-        }
-        if (!m_quotaUsage.allows(job.spec.workspace, wanted.size, wanted.count)) {
-            m_quotaUsage.block(job.spec.workspace, wanted.size, wanted.count);
-            return;
-        }
-        for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
-            progress.tasks[n].checkpoint = checkpoint;
-            assign(job, {job.spec.id, number, stage, n}, progress.tasks[n], *places[n], attempt);
-        }
+    });
+    std::vector<Worker *> places = chooseGangWorkers(wanted, untried, now);
+    if (places.empty() && untried.size() < all.size()) {
+        places = chooseGangWorkers(wanted, all, now);
+    }
+    if (places.empty()) {
         return;
     }
+    if (!m_quotaUsage.allows(job.spec.workspace, wanted.size, wanted.count)) {
+        m_quotaUsage.block(job.spec.workspace, wanted.size, wanted.count);
+        return;
+    }
+    for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
+        progress.tasks[n].checkpoint = checkpoint;
+        assign(job, {job.spec.id, number, stage, n}, progress.tasks[n], *places[n], attempt);
+    }
 }
 
 void Shard::assign(Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt)
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -293,6 +293,27 @@
     checkInvariants(world);
 }
 
+// Guards against using up all attempts of a gang on one worker that fails all its runs (review/2).
+TEST(ShardHost, AGangThatFailedTriesOtherWorkersFirst)
+{
+    SimulatedPlatform world;
+    world.taskTime = 200ms;
+    for (const char *it : {"w1", "w2"}) {
+        world.addWorker(it);
+    }
+    world.addMember("m1");
+    auto job = SimulatedPlatform::makeJob("a", 1, 6);
+    job.stages[0].isGang = true;
+    CHECK(world.submit(job));
+    world.run(100ms);
+    const std::string first = world.runsOn("w1") > 0 ? "w1" : "w2";
+    LONGS_EQUAL(6, world.runsOn(first));
+    world.workers[first].failsAll = true;
+    world.run(3s);
+    CHECK(world.state("a") == ReportedState::Completed);
+    checkInvariants(world);
+}
+
 TEST(ShardHost, AWorkerThatRestartsUnderItsIdLosesItsRunsAtOnce)
 {
     SimulatedPlatform world;
