Keep raised tokens without the worker's entry

Callers saw LOST: 503 and jobs that stood still, as the owner of a service gave its shard up and regained it ten times a second.

The token that was raised for a restarted worker was forgotten with the worker's entry; the first token of the epoch was then refused with "fence", which an owner takes for a newer owner. Ruled out: a newer owner (the generation stays 4). By the same cause a shard that is regained under its epoch forgot the tokens it had raised.

A shard gives new entries the highest token that it has used; ShardHost passes it on, raised by one, to a shard that is regained under the same epoch.

A worker's refusal again means a newer owner only. The form of tokens is the same for older builds.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -50,10 +50,11 @@
 
 } // namespace
 
-Shard::Shard(const ShardSettings &settings, Epoch epoch, std::string member)
+Shard::Shard(const ShardSettings &settings, Epoch epoch, std::string member, OrderToken firstToken)
     : m_settings(settings)
     , m_epoch(epoch)
     , m_member(std::move(member))
+    , m_highestToken(std::clamp(firstToken, epoch * TokensPerEpoch, (epoch + 1) * TokensPerEpoch - 1))
 {
     m_settings.lease = std::min(m_settings.lease, m_settings.leaseLimit);
 }
@@ -63,6 +64,11 @@
     return m_epoch;
 }
 
+OrderToken Shard::highestToken() const
+{
+    return m_highestToken;
+}
+
 const std::map<std::string, Worker> &Shard::workers() const
 {
     return m_workers;
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -49,8 +49,9 @@
     /// Key of no record.
     static constexpr std::string_view UnusedKey = "none";
 
-    /// `member` identifies this owner in the owner record that later owners read.
-    Shard(const ShardSettings &settings, Epoch epoch, std::string member);
+    /// `member` identifies this owner in the owner record that later owners read. `firstToken` is the lowest
+    /// token of its orders if this member has already owned the shard in this epoch.
+    Shard(const ShardSettings &settings, Epoch epoch, std::string member, OrderToken firstToken = 0);
 
     // To take over a shard, call load() for every stored record, then begin().
     void load(std::string_view key, std::string_view value);
@@ -113,6 +114,8 @@
     std::vector<Command> takeCommands();
 
     Epoch epoch() const;
+    /// The highest token of any order so far.
+    OrderToken highestToken() const;
     const std::map<std::string, Worker> &workers() const;
     const std::map<std::string, Job, std::less<>> &jobs() const;
 
@@ -225,6 +228,7 @@
     ShardSettings m_settings;
     Epoch m_epoch;
     std::string m_member;
+    OrderToken m_highestToken = 0;
     std::vector<std::string> m_earlierOwners; ///< not released the shard, not known to have ended
     Base::Instant m_earlierOwnersRenewUntil; ///< from this time on no earlier owner renews a lease
     bool m_isOwnerRecordSent = false; ///< the owner record is stored or in the append under way
--- a/src/libs/jobs/shardcommands.h
+++ b/src/libs/jobs/shardcommands.h
@@ -18,6 +18,9 @@
 /// Number of an ownership. The store refuses appends with a lower epoch.
 using Epoch = std::uint64_t;
 
+/// Tokens of one owner of a shard: from its epoch multiplied by this on.
+constexpr OrderToken TokensPerEpoch = 65536;
+
 /// Number of a shard. A service has one shard, or one for each of its cells.
 using ShardNumber = std::uint32_t;
 
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -31,10 +31,6 @@
 // Longest wait of a query to a worker without runs. Workers hold a query for up to two seconds.
 constexpr Milliseconds IdleWait{1900};
 
-// A token is the owner's epoch multiplied by this, plus the number of restarts of the worker under that
-// owner.
-constexpr OrderToken TokensPerEpoch = 65536;
-
 // A long-running task counts as serving if it gets all of the processor time that it requests.
 constexpr int FullCpuPercent = 100;
 
@@ -69,12 +65,14 @@
 
 } // namespace
 
+// A worker that this owner has forgotten may have seen a raised token, so an entry begins with the highest
+// one.
 Worker &Shard::workerFor(const std::string &id)
 {
     const auto [it, isNew] = m_workers.try_emplace(id);
     if (isNew) {
         it->second.info.id = id;
-        it->second.token = m_epoch * TokensPerEpoch;
+        it->second.token = m_highestToken;
     }
     return it->second;
 }
@@ -92,6 +90,7 @@
         .with("born", startTime);
     worker.startTime = startTime;
     ++worker.token;
+    m_highestToken = std::max(m_highestToken, worker.token);
     worker.isFenced = false;
     const Base::Instant listedRunsEndBy = worker.leaseExpiresBy;
     worker.leaseExpiresBy = now + m_settings.maxOrderDelay + longestTime(m_settings.leaseLimit);
--- a/src/libs/jobservice/ownership.h
+++ b/src/libs/jobservice/ownership.h
@@ -42,7 +42,7 @@
     /// Gives up all shards and returns them. The next grant is treated like the first one.
     std::vector<ShardNumber> removeAll();
 
-    /// Removes a shard that has a newer owner. Only a later generation makes this member its owner again.
+    /// Removes a shard. The next grant that contains it makes this member its owner again.
     void remove(ShardNumber shard);
     /// Shortens the membership by a time for which the process was suspended and its clock did not advance.
     void shortenBy(Base::Duration time);
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -251,11 +251,8 @@
         Reply reply;
     };
     struct Hosted {
-        Hosted(const Jobs::ShardSettings &settings,
-               Jobs::Epoch epoch,
-               const std::string &member,
-               Base::TimerService &timers)
-            : shard(std::make_unique<Jobs::Shard>(settings, epoch, member))
+        Hosted(std::unique_ptr<Jobs::Shard> unloaded, Base::TimerService &timers)
+            : shard(std::move(unloaded))
             , timer(timers)
         {
         }
@@ -274,10 +271,11 @@
     };
     using HostedPtr = std::shared_ptr<Hosted>;
 
-    /// The last append that this process has sent to a shard.
-    struct SentAppend {
+    /// What this process has sent as the owner of a shard in its latest epoch there.
+    struct Sent {
         Jobs::Epoch epoch = 0;
-        std::uint64_t sequence = 0;
+        std::uint64_t lastSequence = 0; ///< of an append
+        Jobs::OrderToken highestToken = 0; ///< of orders while the shard was hosted earlier; 0: it wasn't
     };
 
     void join()
@@ -381,19 +379,30 @@
     {
         // Shards without a service have nothing to own; they are read when they get one.
         const auto epoch = m_ownership.epoch(number);
-        auto hosted = std::make_shared<Hosted>(m_settings.shard, epoch, m_member, m_timers);
+        Sent &sent = m_sent[number];
+        if (sent.epoch != epoch) {
+            sent = {epoch};
+        }
+        auto hosted = std::make_shared<Hosted>(makeShard(number), m_timers);
         m_hosted[number] = hosted;
         ++m_counts.shardsGained;
         m_onShardGained();
-        const auto sent = m_sentAppends.find(number);
-        if (sent != m_sentAppends.end() && sent->second.epoch == epoch) {
-            hosted->sequence = sent->second.sequence;
+        if (sent.lastSequence > 0) {
+            hosted->sequence = sent.lastSequence;
             settleEarlierAppends(number, hosted);
             return;
         }
         loadShard(number, hosted);
     }
 
+    // With a higher token than before, orders from the earlier time as the owner are fenced.
+    std::unique_ptr<Jobs::Shard> makeShard(ShardNumber number) const
+    {
+        const Sent &sent = m_sent.at(number);
+        return std::make_unique<Jobs::Shard>(
+            m_settings.shard, sent.epoch, m_member, sent.highestToken > 0 ? sent.highestToken + 1 : 0);
+    }
+
     // The store does not end a membership while only its answers are lost, so a shard can be regained under
     // the epoch under which this process has already appended. Each epoch has one series of sequence numbers,
     // and the store takes a number that it has seen for a repeat. So the series is continued. The last append
@@ -438,12 +447,11 @@
 
     void loadShard(ShardNumber number, const HostedPtr &hosted)
     {
-        const auto epoch = hosted->shard->epoch();
         m_platform.loadShard(
             number,
-            epoch,
+            hosted->shard->epoch(),
             [hosted](std::string_view key, std::string_view value) { hosted->shard->load(key, value); },
-            [this, number, hosted, epoch](StoreAnswer answer) {
+            [this, number, hosted](StoreAnswer answer) {
                 if (!isCurrent(number, hosted)) {
                     return;
                 }
@@ -455,7 +463,7 @@
                     relinquish(number, "the store has a newer owner");
                     return;
                 }
-                hosted->shard = std::make_unique<Jobs::Shard>(m_settings.shard, epoch, m_member);
+                hosted->shard = makeShard(number);
                 refusePendingRequests(*hosted);
                 hosted->timer.arm(m_settings.retryDelay, [this, number, hosted] {
                     if (isCurrent(number, hosted)) {
@@ -526,6 +534,7 @@
         if (!hosted->isServing) {
             return;
         }
+        m_sent[number].highestToken = hosted->shard->highestToken();
         hosted->shard->refusePendingRequests();
         for (Jobs::Command &command : hosted->shard->takeCommands()) {
             if (const auto *answer = std::get_if<Jobs::SendReply>(&command)) {
@@ -779,7 +788,9 @@
                 std::span<const Jobs::Record> records,
                 StoreCallback done)
     {
-        m_sentAppends[number] = {hosted->shard->epoch(), hosted->sequence};
+        if (Sent &sent = m_sent[number]; sent.epoch == hosted->shard->epoch()) {
+            sent.lastSequence = hosted->sequence;
+        }
         m_platform.append(number, hosted->shard->epoch(), hosted->sequence, records, std::move(done));
     }
 
@@ -997,7 +1008,7 @@
     Base::OneShotTimer m_joinTimer;
     Base::OneShotTimer m_membershipTimer;
     std::map<ShardNumber, HostedPtr> m_hosted;
-    std::map<ShardNumber, SentAppend> m_sentAppends;
+    std::map<ShardNumber, Sent> m_sent;
     std::vector<Jobs::WorkerInfo> m_workers;
     std::unordered_map<Jobs::ReplyId, Reply> m_replies;
     Jobs::ReplyId m_lastReply = 0;
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -143,7 +143,9 @@
 {
     std::vector<Jobs::WorkerInfo> list;
     for (const auto &[id, worker] : workers) {
-        list.push_back(worker.info);
+        if (worker.isListed) {
+            list.push_back(worker.info);
+        }
     }
     for (auto &[name, member] : members) {
         member->host.setWorkers(list);
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -34,6 +34,7 @@
     public:
         Jobs::WorkerInfo info;
         bool isUp = true;
+        bool isListed = true; ///< whether the list of workers contains it
         bool enforcesCapacity = true; ///< refuses runs that exceed its capacity
         double clockRate = 1; ///< speed of its clock relative to true time
         std::set<std::string> unreachableFrom; ///< members that cannot reach it
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -407,6 +407,57 @@
     }
 }
 
+// Guards against giving a shard up again and again. The token that was raised for a restarted worker was
+// forgotten with the worker's entry, so the worker refused the first token of the epoch, which the owner took
+// for the sign of a newer owner (review/3).
+TEST(ShardHost, ATokenRaisedForARestartedWorkerIsKeptWithoutItsEntry)
+{
+    SimulatedPlatform world;
+    auto &w1 = world.addWorker("w1");
+    auto &m1 = world.addMember("m1");
+    world.run(1s);
+    world.crash("w1", 300ms);
+    world.run(400ms);
+    world.publishWorkers();
+    world.run(1s);
+    w1.unreachableFrom.insert("m1");
+    w1.isListed = false;
+    world.publishWorkers();
+    world.run(15s);
+    w1.unreachableFrom.clear();
+    w1.isListed = true;
+    world.publishWorkers();
+    world.run(1s);
+    LONGS_EQUAL(1, m1.host.counts().shardsGained);
+    CHECK(world.submit(SimulatedPlatform::makeJob("a", 1, 1)));
+    world.run(2s);
+    CHECK(world.state("a") == ReportedState::Completed);
+    checkInvariants(world);
+}
+
+// The same when the shard is regained under its epoch.
+TEST(ShardHost, ATokenRaisedForARestartedWorkerIsKeptWhenTheShardIsRegained)
+{
+    SimulatedPlatform world;
+    world.addWorker("w1");
+    auto &m1 = world.addMember("m1");
+    world.run(1s);
+    world.crash("w1", 300ms);
+    world.run(400ms);
+    world.publishWorkers();
+    world.run(1s);
+    m1.platform.losesRenewalAnswers = true;
+    world.run(2500ms);
+    CHECK(!m1.host.owns(0));
+    m1.platform.losesRenewalAnswers = false;
+    world.run(2s);
+    LONGS_EQUAL(2, m1.host.counts().shardsGained);
+    CHECK(world.submit(SimulatedPlatform::makeJob("a", 1, 1)));
+    world.run(2s);
+    CHECK(world.state("a") == ReportedState::Completed);
+    checkInvariants(world);
+}
+
 TEST(ShardHost, AJobThatNoWorkerCouldHoldIsRefusedAtOnce)
 {
     SimulatedPlatform world;
