Let the worker decide on its start time

Callers could have met a worker that is lost until its owner changes, so less capacity, or none: its runs are given up when their leases expire, and it gets no new ones.

An entry of the workers' list with a later start time than the worker's counts as a restart, and all that the worker answers is then taken for older than that. Evidence: AnEntryWithAWrongStartTimeDoesNotLoseTheWorker failed on the old code (no run on the worker 10 s later). By the same cause a real restart after the worker's time of day was set back was never noticed: AWorkerThatStartedAgainWithAnEarlierStartTimeLosesItsRuns failed, its task was not started again.

A list that was asked for with the worker's current token names its start time, earlier or later; an entry's start time is acted on once.

An answer to the raised token can't be from before the restart for which it was raised.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -209,7 +209,9 @@
     for (const WorkerInfo &it : workers) {
         Worker &worker = workerFor(it.id);
         const bool wasKnown = !worker.info.address.empty();
-        if (it.startTime > worker.startTime && worker.startTime != 0) {
+        // Other writers may leave a wrong start time, so each one is acted on once, and the worker decides.
+        const bool isNewStart = it.startTime != worker.info.startTime;
+        if (isNewStart && it.startTime > worker.startTime && worker.startTime != 0) {
             handleWorkerRestart(worker, it.startTime, now);
         }
         if (!wasKnown || worker.info.address != it.address) {
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -238,8 +238,10 @@
 void Shard::processRunList(
     Worker &worker, OrderToken askedWith, const RunList &list, Base::Instant now, WallTime wall)
 {
-    if (list.startTime != 0 && list.startTime < worker.startTime) {
-        return; // sent before the latest restart
+    // Sent before the latest restart. A list that was asked for with the token raised for the restart is
+    // newer: the worker's entry was wrong, or the worker's time of day has been set back.
+    if (list.startTime != 0 && list.startTime < worker.startTime && askedWith != worker.token) {
+        return;
     }
     if (list.startTime != worker.startTime && worker.startTime != 0 && list.startTime != 0) {
         handleWorkerRestart(worker, list.startTime, now);
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -458,6 +458,49 @@
     checkInvariants(world);
 }
 
+// Guards against losing a worker for good. The entry of another writer named a later start of the worker, and
+// all that the worker itself answered was then taken for older than that.
+TEST(ShardHost, AnEntryWithAWrongStartTimeDoesNotLoseTheWorker)
+{
+    SimulatedPlatform world;
+    world.taskTime = 60s;
+    auto &w1 = world.addWorker("w1");
+    world.addMember("m1");
+    CHECK(world.submit(SimulatedPlatform::makeJob("a", 1, 1)));
+    world.run(1s);
+    const auto startTime = w1.info.startTime;
+    w1.info.startTime = 4'102'444'800'000; // the year 2100
+    world.publishWorkers();
+    w1.info.startTime = startTime;
+    world.run(5s);
+    world.publishWorkers();
+    world.run(5s);
+    CHECK(world.submit(SimulatedPlatform::makeJob("b", 1, 1)));
+    world.run(1s);
+    LONGS_EQUAL(2, world.runsOn("w1"));
+    LONGS_EQUAL(1, (world.startedRuns[{"a", 0, 0, 0}]));
+    checkInvariants(world);
+}
+
+TEST(ShardHost, AWorkerThatStartedAgainWithAnEarlierStartTimeLosesItsRuns)
+{
+    SimulatedPlatform world;
+    world.taskTime = 5s;
+    auto &w1 = world.addWorker("w1");
+    world.addMember("m1");
+    CHECK(world.submit(SimulatedPlatform::makeJob("a", 1, 2)));
+    world.run(1s);
+    world.crash("w1", 300ms);
+    world.run(400ms);
+    w1.info.startTime -= 3'600'000;
+    world.publishWorkers();
+    world.run(5s);
+    LONGS_EQUAL(2, world.startedRuns.begin()->second);
+    world.run(6s);
+    CHECK(world.state("a") == ReportedState::Completed);
+    checkInvariants(world);
+}
+
 TEST(ShardHost, AJobThatNoWorkerCouldHoldIsRefusedAtOnce)
 {
     SimulatedPlatform world;
