Store leases that outlast a renewal

An owner that takes over without a release didn't know that a worker may hold the longest lease since its restart.

Only the owner that noticed the restart counted on the longest lease.

The record of leases is appended when a lease becomes longer than a renewal would make it: one append for a noticed restart. The next owner counts at least the time in it. It is removed with a later append.

What remains is the time of one append after the restart has been noticed.

--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -306,6 +306,8 @@
     m_plannedStarts.push_back(id);
 }
 
+// A long lease is stored soon after it has been noticed, so that an owner that takes over without a release
+// counts on it. That it has ended is stored with the next append.
 std::optional<Record> Shard::changedLeases(Base::Instant now, bool hasOtherRecords)
 {
     const LeaseTimes leases = longLeases(now);
@@ -313,8 +315,11 @@
     for (const auto &[id, time] : leases) {
         workers.insert(id);
     }
+    const bool isComplete = m_recordedLeases
+        && std::includes(m_recordedLeases->begin(), m_recordedLeases->end(), workers.begin(), workers.end());
     const bool isUpToDate = m_recordedLeases && *m_recordedLeases == workers;
-    if (!hasOtherRecords || isUpToDate) {
+    const bool isNeeded = hasOtherRecords ? !isUpToDate : !isComplete && !workers.empty();
+    if (!isNeeded) {
         return std::nullopt;
     }
     m_recordedLeases = std::move(workers);
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -426,6 +426,30 @@
     LONGS_EQUAL(1, world.runsOn("w2"));
 }
 
+// The same if the owner ends without a release and the next one can't reach the worker.
+TEST(ShardHost, TheNextOwnerKnowsOfTheLongestLease)
+{
+    SimulatedPlatform world;
+    world.taskTime = 60s;
+    auto &w1 = world.addWorker("w1");
+    world.addMember("m1");
+    world.run(2s);
+    world.crash("w1", 0ms, SimulatedPlatform::CrashKind::Silent);
+    CHECK(world.submit(SimulatedPlatform::makeJob("a", 1, 1)));
+    world.run(20ms);
+    LONGS_EQUAL(1, world.runsOn("w1"));
+    world.publishWorkers();
+    world.run(100ms);
+    w1.unreachableFrom.insert("m1");
+    w1.unreachableFrom.insert("m2");
+    world.addWorker("w2");
+    world.addMember("m2");
+    world.kill("m1");
+    world.run(world.settings.shard.maxOrderDelay + world.settings.shard.leaseLimit + 3s);
+    checkInvariants(world);
+    LONGS_EQUAL(1, world.runsOn("w2"));
+}
+
 // The same for a start that is carried out seconds later.
 TEST(ShardHost, ALateStartByTheClockBeforeARestartIsTakenForTheLongestLease)
 {
