Ask for a worker for each long-running task without one

The new line task-waits shows usable_workers, with_room=0 and at_task_limit for such tasks.

Long-running stages count in busy pools and with their limit, and silent releasable workers are added.

Cores alone don't tell whether a task has a place.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -48,6 +48,24 @@
     return std::chrono::duration_cast<Milliseconds>(shortest);
 }
 
+std::uint32_t countTasksOn(std::span<const Task> tasks, std::string_view worker)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(tasks.begin(), tasks.end(), [worker](const Task &it) { return it.worker == worker; }));
+}
+
+// `tasks` are those of the stage.
+bool fitsOnAny(const Stage &stage, std::span<const Task> tasks, std::span<const Worker *const> workers)
+{
+    return std::any_of(workers.begin(), workers.end(), [&](const Worker *it) {
+        Resources room = it->info.capacity;
+        room -= it->used;
+        return room.contains(reservedResources(stage))
+            && (!stage.isLongRunning || stage.tasksPerWorker == 0
+                || countTasksOn(tasks, it->info.id) < stage.tasksPerWorker);
+    });
+}
+
 } // namespace
 
 Shard::Shard(const ShardSettings &settings, Epoch epoch, std::string member, OrderToken firstToken)
@@ -494,7 +512,6 @@
             }
         }
     }
-    addWholeWorkerDemand(demands, now);
     std::vector<std::tuple<std::int64_t, std::int64_t, const Worker *>> free;
     for (const auto &[id, worker] : m_workers) {
         if (worker.isListed && longRunningHosts.count(id) == 0 && !worker.info.isDraining
@@ -506,6 +523,7 @@
     for (const auto &[steps, used, worker] : free) {
         demands[worker->info.service].releasableWorkers.push_back(worker->info.id);
     }
+    addWholeWorkerDemand(demands, now);
     std::vector<ServiceDemand> list;
     for (auto &[service, demand] : demands) {
         const auto arrived = m_arrivedWork.find(service);
@@ -516,45 +534,91 @@
 }
 
 // Long-running tasks are spread over workers and may leave none of them empty, so a large task may find no
-// worker in a pool that is nearly idle.
+// worker in a pool that is nearly idle. A long-running task may not even find one in a busy pool: other tasks
+// make room as they end, but long-running ones don't, and memory or a limit of tasks per worker can be what
+// is missing.
 void Shard::addWholeWorkerDemand(std::map<std::string, ServiceDemand> &demands, Base::Instant now) const
 {
-    struct Room {
+    struct Pool {
         std::int64_t used = 0;
         std::int64_t all = 0;
-        std::vector<Resources> free;
+        std::vector<const Worker *> workers;
     };
-    std::map<std::string, Room> rooms;
+    std::map<std::string, Pool> pools;
     for (const auto &[id, worker] : m_workers) {
         if (!worker.isUsable(now)) {
             continue;
         }
-        Room &room = rooms[worker.info.service];
-        room.used += worker.used.milliCores;
-        room.all += worker.info.capacity.milliCores;
-        room.free.push_back(worker.info.capacity);
-        room.free.back() -= worker.used;
+        Pool &pool = pools[worker.info.service];
+        pool.used += worker.used.milliCores;
+        pool.all += worker.info.capacity.milliCores;
+        pool.workers.push_back(&worker);
     }
     for (const Job *job : m_active) {
-        const Room &room = rooms[job->spec.queue.service];
-        if (double(room.used) > double(room.all) * MaxUtilizationForWholeWorkers) {
-            continue;
-        }
+        const Pool &pool = pools[job->spec.queue.service];
+        const bool isBusy = double(pool.used) > double(pool.all) * MaxUtilizationForWholeWorkers;
         ServiceDemand &demand = demands[job->spec.queue.service];
         for (const auto &[number, occurrence] : job->occurrences) {
             for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
+                const Stage &stage = job->spec.stages[n];
                 const auto &tasks = occurrence.stages[n].tasks;
-                const bool isWaiting = job->isReady(occurrence, n)
+                const bool isWaiting = (stage.isLongRunning || !isBusy) && job->isReady(occurrence, n)
                     && std::any_of(tasks.begin(), tasks.end(), [](const Task &it) { return it.isWaiting(); });
-                const Resources size = reservedResources(job->spec.stages[n]);
-                const bool fits = std::any_of(room.free.begin(), room.free.end(), [&](const Resources &it) {
-                    return it.contains(size);
-                });
-                demand.emptyWorkers += isWaiting && !fits ? 1 : 0;
+                demand.emptyWorkers += isWaiting && !fitsOnAny(stage, tasks, pool.workers) ? 1 : 0;
             }
         }
         demand.emptyWorkers = std::min(demand.emptyWorkers, MaxWholeWorkers);
     }
+    // The planner takes releasable workers for empty ones that the waiting tasks can have.
+    for (auto &[service, demand] : demands) {
+        const auto silent =
+            std::count_if(demand.releasableWorkers.begin(),
+                          demand.releasableWorkers.end(),
+                          [this](const std::string &it) { return m_workers.at(it).isSilent(); });
+        demand.emptyWorkers += demand.emptyWorkers > 0 ? static_cast<std::uint32_t>(silent) : 0;
+    }
+}
+
+void Shard::logUnplaceableTasks(Base::Instant now) const
+{
+    for (const Job *job : m_active) {
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
+                const Stage &stage = job->spec.stages[n];
+                const auto &tasks = occurrence.stages[n].tasks;
+                const auto waiting =
+                    std::find_if(tasks.begin(), tasks.end(), [](const Task &it) { return it.isWaiting(); });
+                if (!stage.isLongRunning || !job->isReady(occurrence, n) || waiting == tasks.end()) {
+                    continue;
+                }
+                std::uint32_t usable = 0;
+                std::uint32_t roomy = 0;
+                std::uint32_t full = 0;
+                for (const auto &[id, worker] : m_workers) {
+                    if (worker.info.service != job->spec.queue.service || !worker.isUsable(now)) {
+                        continue;
+                    }
+                    Resources room = worker.info.capacity;
+                    room -= worker.used;
+                    const bool isFull =
+                        stage.tasksPerWorker > 0 && countTasksOn(tasks, id) >= stage.tasksPerWorker;
+                    ++usable;
+                    roomy += room.contains(reservedResources(stage)) ? 1 : 0;
+                    full += isFull ? 1 : 0;
+                }
+                Base::LogLine(Base::LogLevel::Info, "task-waits")
+                    .with("request", job->spec.id)
+                    .with("stage", n)
+                    .with("index", waiting - tasks.begin())
+                    .with("usable_workers", usable)
+                    .with("with_room", roomy)
+                    .with("at_task_limit", full)
+                    .with("per_worker", stage.tasksPerWorker)
+                    .with("millicores", stage.size.milliCores)
+                    .with("memory_mb", stage.size.memory);
+            }
+        }
+    }
 }
 
 bool Shard::evacuate(const std::string &id, Base::Instant now)
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -189,8 +189,10 @@
                               const Worker &worker,
                               Base::Instant now,
                               WallTime wall) const;
-    /// Sets ServiceDemand::emptyWorkers of each service.
+    /// Sets ServiceDemand::emptyWorkers of each service, given its releasable workers.
     void addWholeWorkerDemand(std::map<std::string, ServiceDemand> &demands, Base::Instant now) const;
+    /// Logs long-running tasks that no worker has room for, and why.
+    void logUnplaceableTasks(Base::Instant now) const;
     /// The estimated time until all runs on the worker have ended.
     Milliseconds timeToEmpty(const Worker &worker, Base::Instant now) const;
     bool isServing(const Task &task) const;
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -47,6 +47,7 @@
         m_nextSweep = now + SweepPeriod;
         removeEndedJobs(wall);
         checkRedirectedJobs(wall);
+        logUnplaceableTasks(now);
         m_hasChanged = true;
     }
     if (m_nextOccurrenceDue <= now) {
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -956,3 +956,57 @@
     CHECK(ask(Operation::Cancel, {"w", {}}) == Status::Done);
     checkInvariants(world);
 }
+
+namespace
+{
+
+std::uint32_t emptyWorkersWanted(SimulatedPlatform &world)
+{
+    std::uint32_t wanted = 0;
+    world.owner(0)->host.handle({.shard = 0, .operation = JobService::Operation::Demand},
+                                [&wanted](const JobService::JobReply &it) {
+                                    for (const Jobs::ServiceDemand &demand : it.demand) {
+                                        wanted += demand.emptyWorkers;
+                                    }
+                                });
+    return wanted;
+}
+
+} // namespace
+
+// Guards against a long-running task that never runs. With one task of its stage on a worker it needs as many
+// workers as tasks, but a worker that can't be used counted, and so did room on workers at their limit (LOST,
+// large deployment, scale-1 and scale-2 at 52.5 s).
+TEST(ShardHost, ALongRunningTaskWithoutAWorkerAsksForOne)
+{
+    SimulatedPlatform world;
+    world.taskTime = 600s;
+    for (const char *it : {"w1", "w2", "w3"}) {
+        world.addWorker(it);
+    }
+    world.addMember("m1");
+    CHECK(world.submit(makeLongRunningJob("a", 3)));
+    world.run(1s);
+    LONGS_EQUAL(3, world.runsOf("a"));
+    LONGS_EQUAL(0, emptyWorkersWanted(world));
+    world.crash("w3", 600s);
+    world.run(10s);
+    LONGS_EQUAL(2, world.runsOf("a"));
+    LONGS_EQUAL(2, emptyWorkersWanted(world)); // one besides the lost worker, which is empty
+}
+
+// The same if the pool is busy, and its memory is what is missing.
+TEST(ShardHost, ALongRunningTaskWithoutAWorkerAsksForOneInABusyPool)
+{
+    SimulatedPlatform world;
+    world.taskTime = 600s;
+    world.addWorker("w1", 4000);
+    world.addMember("m1");
+    auto job = makeLongRunningJob("a", 2);
+    job.stages[0].tasksPerWorker = 0;
+    job.stages[0].size = {2600, 40'000, 0};
+    CHECK(world.submit(job));
+    world.run(1s);
+    LONGS_EQUAL(1, world.runsOf("a"));
+    CHECK(emptyWorkersWanted(world) > 0);
+}
