Count only restarts as long leases, and save passes for workers that left

Cause, seen while reading the change. An owner that still waits for earlier owners counts a longer time for all workers, so the record of leases named all of them for 2 s. And a worker that has left was due for a query that is never sent, so its owner ran a pass each millisecond until the worker's lease had ended; as entries are kept until then now, also for workers that never answered.

A worker has a mark for a lease that may be longer than this owner's; the condition for queries is one function that nextDue() uses, too.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -182,7 +182,7 @@
 {
     LeaseTimes leases;
     for (const auto &[id, worker] : m_workers) {
-        if (worker.leaseExpiresBy > now + longestTime(m_settings.lease)) {
+        if (worker.mayHoldLongLease && worker.leaseExpiresBy > now + longestTime(m_settings.lease)) {
             leases[id] = std::chrono::ceil<Milliseconds>(worker.leaseExpiresBy - now);
         }
     }
@@ -262,7 +262,8 @@
         m_recordedLeases->insert(id);
         Worker &worker = workerFor(id);
         worker.isLeaseRecorded = m_areLoadedLeasesLast;
-        worker.isFenced = time <= longestTime(m_settings.lease);
+        worker.mayHoldLongLease = time > longestTime(m_settings.lease);
+        worker.isFenced = !worker.mayHoldLongLease;
         worker.leaseExpiresBy =
             m_areLoadedLeasesLast ? now + time : std::max<Base::Instant>(worker.leaseExpiresBy, now + time);
     }
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -92,7 +92,7 @@
             std::max<Base::Instant>(now + Milliseconds(100), m_batch->sentAt + m_settings.appendTimeout));
     }
     for (const auto &[id, worker] : m_workers) {
-        if (!worker.isRenewalPending && !worker.info.address.empty()) {
+        if (!worker.isRenewalPending && worker.isQueried()) {
             due = std::min(due, worker.nextRenewal);
         }
         if (worker.isSilent() && !worker.runs.empty()) {
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -94,6 +94,7 @@
     worker.isFenced = false;
     const Base::Instant listedRunsEndBy = worker.leaseExpiresBy;
     worker.leaseExpiresBy = now + m_settings.maxOrderDelay + longestTime(m_settings.leaseLimit);
+    worker.mayHoldLongLease = true;
     worker.hasAnswered = false;
     worker.clock = 0;
     worker.processedCursor = 0;
@@ -600,8 +601,7 @@
             it = m_workers.erase(it);
             continue;
         }
-        if (!worker.isRenewalPending && worker.nextRenewal <= now && !worker.info.address.empty()
-            && (worker.isListed || !worker.runs.empty())) {
+        if (!worker.isRenewalPending && worker.nextRenewal <= now && worker.isQueried()) {
             RenewLease ask;
             ask.worker = worker.info.id;
             ask.token = worker.token;
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -32,6 +32,7 @@
 
     /// By this time all current runs have ended, unless the lease is renewed.
     Base::Instant leaseExpiresBy;
+    bool mayHoldLongLease = false; ///< whether the worker may have granted a longer lease than this owner's
     /// Whether leaseExpiresBy is what the owner before has recorded at its release. Until the owner record is
     /// stored the worker gets no lease, because a later owner would read that record again.
     bool isLeaseRecorded = false;
@@ -49,6 +50,12 @@
     Base::Instant evacuatedUntil;
     std::optional<Base::Instant> drainDeadline; ///< while draining: the earliest time of the worker's end
 
+    /// Whether the worker may be queried for its runs.
+    bool isQueried() const
+    {
+        return !info.address.empty() && (isListed || !runs.empty());
+    }
+
     /// Whether only the end of its lease shows that its runs have ended.
     bool isSilent() const
     {
--- a/tests/auto/jobs/tst_shard.cpp
+++ b/tests/auto/jobs/tst_shard.cpp
@@ -166,3 +166,33 @@
     shard.appended(batch.value(), Jobs::AppendResult::Stored, now, Wall);
     CHECK(renewal().leaseEnd.has_value());
 }
+
+// Guards against a pass each millisecond while the lease of a worker that has left runs out.
+TEST(Shard, AWorkerThatHasLeftCausesNoPasses)
+{
+    const Base::Instant now{1h};
+    Jobs::Shard shard({}, 2, "m");
+    shard.begin(now, Wall, hasEnded);
+    Jobs::WorkerInfo info;
+    info.id = "w";
+    info.service = "s";
+    info.address = "10.0.0.1:1";
+    shard.setWorkers(std::span(&info, 1), now);
+    Jobs::RunList list;
+    list.clock = 5000;
+    for (int n = 0; n < 2; ++n) {
+        shard.processDue(now, Wall);
+        for (const Jobs::Command &it : shard.takeCommands()) {
+            if (const auto *append = std::get_if<Jobs::AppendBatch>(&it)) {
+                shard.appended(append->number, Jobs::AppendResult::Stored, now, Wall);
+            } else if (const auto *renew = std::get_if<Jobs::RenewLease>(&it)) {
+                shard.renewAnswered(*renew, Jobs::OrderResult::Done, list, now, Wall);
+            }
+        }
+    }
+    CHECK(leaseEnd(shard) > now);
+    shard.setWorkers({}, now);
+    shard.setMembershipLapsed(true); // no placement
+    shard.processDue(now, Wall);
+    CHECK(shard.nextDue(now) > now + 100ms);
+}
