--- a/tests/auto/jobs/tst_faults.cpp
+++ b/tests/auto/jobs/tst_faults.cpp
@@ -84,14 +84,6 @@
             world.kill(member->first);
             addMember();
             break;
-        case 10: {
-            const std::string name = member->first;
-            member->second->host.stop([] {});
-            addMember();
-            world.run(Milliseconds(pick(50, 500)));
-            world.kill(name);
-            break;
-        }
         case 6:
             member->second->platform.isStoreDown = !member->second->platform.isStoreDown;
             break;
@@ -112,6 +104,14 @@
                 accepted.pop_back();
             }
             break;
+        case 10: {
+            const std::string name = member->first;
+            member->second->host.stop([] {});
+            addMember();
+            world.run(Milliseconds(pick(50, 500)));
+            world.kill(name);
+            break;
+        }
         }
         world.publishWorkers();
         world.run(Milliseconds(pick(50, 1500)));
--- a/tests/auto/jobs/tst_shard.cpp
+++ b/tests/auto/jobs/tst_shard.cpp
@@ -76,9 +76,10 @@
 
 constexpr Jobs::WallTime Wall{1h};
 
-const auto hasEnded = [](const std::string &) {
+bool hasEnded(const std::string & /*member*/)
+{
     return true;
-};
+}
 
 // A job with one run on worker "w", as stored records.
 void loadRun(Jobs::Shard &shard)
