--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -92,7 +92,8 @@
     ++worker.token;
     m_highestToken = std::max(m_highestToken, worker.token);
     worker.isFenced = false;
-    const Base::Instant listedRunsEndBy = worker.leaseExpiresBy;
+    worker.listedRunsEndBy =
+        std::min(worker.leaseExpiresBy, worker.listedRunsEndBy.value_or(worker.leaseExpiresBy));
     worker.leaseExpiresBy = now + m_settings.maxOrderDelay + longestTime(m_settings.leaseLimit);
     worker.mayHoldLongLease = true;
     worker.hasAnswered = false;
@@ -114,7 +115,7 @@
             m_stopping.insert(it);
         }
         if (std::exchange(task.isListed, false) && !task.endsBy) {
-            task.endsBy = listedRunsEndBy;
+            task.endsBy = worker.listedRunsEndBy;
         }
     }
 }
@@ -254,6 +255,7 @@
     }
     m_hasChanged = m_hasChanged || !worker.hasAnswered || !list.ended.empty();
     worker.hasAnswered = true;
+    worker.listedRunsEndBy.reset();
     worker.clock = list.clock;
     worker.clockReadAt = now;
     worker.lastAnswer = now;
@@ -777,7 +779,11 @@
 void Shard::endExpiredRuns(Base::Instant now)
 {
     for (auto &[id, worker] : m_workers) {
-        if (!worker.isSilent() || worker.runs.empty()) {
+        // An owner that has just taken over has not heard of any worker yet, so most runs must not be
+        // visited.
+        const bool mayHaveExpired =
+            std::min(worker.leaseExpiresBy, worker.listedRunsEndBy.value_or(worker.leaseExpiresBy)) <= now;
+        if (!worker.isSilent() || worker.runs.empty() || !mayHaveExpired) {
             continue;
         }
         std::vector<TaskId> expired;
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -32,6 +32,7 @@
 
     /// By this time all current runs have ended, unless the lease is renewed.
     Base::Instant leaseExpiresBy;
+    std::optional<Base::Instant> listedRunsEndBy; ///< of the runs that it had listed before its restart
     bool mayHoldLongLease = false; ///< whether the worker may have granted a longer lease than this owner's
     /// Whether leaseExpiresBy is what the owner before has recorded at its release. Until the owner record is
     /// stored the worker gets no lease, because a later owner would read that record again.
