Name the earliest end of a worker's leases, and save a look at all tasks

Cause, seen in reading the change as a newcomer. The same comparison of two lease ends stood in two places, the line on waiting tasks looked through the tasks of all stages each second before it left out those that end by themselves, and two tests of the shard listed their worker in the same lines.

Worker::earliestLeaseEnd(), the condition on long-running stages first, and one function in the test. No behaviour, check or bound changes.

Left as they are: the decoder in tst_earlierbuilds.cpp, which is a copy on purpose (the rule of an earlier build must not change with today's), and the set-up of tests that stood before. Proto::Peers::Stub in peering is the name of gRPC's class.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -587,9 +587,12 @@
             for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
                 const Stage &stage = job->spec.stages[n];
                 const auto &tasks = occurrence.stages[n].tasks;
+                if (!stage.isLongRunning || !job->isReady(occurrence, n)) {
+                    continue;
+                }
                 const auto waiting =
                     std::find_if(tasks.begin(), tasks.end(), [](const Task &it) { return it.isWaiting(); });
-                if (!stage.isLongRunning || !job->isReady(occurrence, n) || waiting == tasks.end()) {
+                if (waiting == tasks.end()) {
                     continue;
                 }
                 std::uint32_t usable = 0;
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -92,8 +92,7 @@
     ++worker.token;
     m_highestToken = std::max(m_highestToken, worker.token);
     worker.isFenced = false;
-    worker.listedRunsEndBy =
-        std::min(worker.leaseExpiresBy, worker.listedRunsEndBy.value_or(worker.leaseExpiresBy));
+    worker.listedRunsEndBy = worker.earliestLeaseEnd();
     worker.leaseExpiresBy = now + m_settings.maxOrderDelay + longestTime(m_settings.leaseLimit);
     worker.mayHoldLongLease = true;
     worker.hasAnswered = false;
@@ -781,9 +780,7 @@
     for (auto &[id, worker] : m_workers) {
         // An owner that has just taken over has not heard of any worker yet, so most runs must not be
         // visited.
-        const bool mayHaveExpired =
-            std::min(worker.leaseExpiresBy, worker.listedRunsEndBy.value_or(worker.leaseExpiresBy)) <= now;
-        if (!worker.isSilent() || worker.runs.empty() || !mayHaveExpired) {
+        if (!worker.isSilent() || worker.runs.empty() || worker.earliestLeaseEnd() > now) {
             continue;
         }
         std::vector<TaskId> expired;
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -4,6 +4,7 @@
 
 #include <base/instant.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -57,6 +58,12 @@
         return !info.address.empty() && (isListed || !runs.empty());
     }
 
+    /// The earliest time by which the lease of any of its runs has ended.
+    Base::Instant earliestLeaseEnd() const
+    {
+        return std::min(leaseExpiresBy, listedRunsEndBy.value_or(leaseExpiresBy));
+    }
+
     /// Whether only the end of its lease shows that its runs have ended.
     bool isSilent() const
     {
--- a/tests/auto/jobs/tst_shard.cpp
+++ b/tests/auto/jobs/tst_shard.cpp
@@ -92,6 +92,15 @@
     shard.load("progress/a", R"({"state":0,"done":0,"next":1,"tasks":{"0":[[[0,1,0,"w"]]]}})");
 }
 
+void listWorker(Jobs::Shard &shard, Base::Instant now)
+{
+    Jobs::WorkerInfo info;
+    info.id = "w";
+    info.service = "s";
+    info.address = "10.0.0.1:1";
+    shard.setWorkers(std::span(&info, 1), now);
+}
+
 Base::Instant leaseEnd(const Jobs::Shard &shard)
 {
     return shard.workers().at("w").leaseExpiresBy;
@@ -132,11 +141,7 @@
     loadRun(shard);
     shard.load("leases", R"({"w":900})", true);
     shard.begin(now, Wall, hasEnded);
-    Jobs::WorkerInfo info;
-    info.id = "w";
-    info.service = "s";
-    info.address = "10.0.0.1:1";
-    shard.setWorkers(std::span(&info, 1), now);
+    listWorker(shard, now);
     std::optional<std::uint64_t> batch;
     const auto renewal = [&] {
         std::optional<Jobs::RenewLease> sent;
@@ -174,11 +179,7 @@
     const Base::Instant now{1h};
     Jobs::Shard shard({}, 2, "m");
     shard.begin(now, Wall, hasEnded);
-    Jobs::WorkerInfo info;
-    info.id = "w";
-    info.service = "s";
-    info.address = "10.0.0.1:1";
-    shard.setWorkers(std::span(&info, 1), now);
+    listWorker(shard, now);
     Jobs::RunList list;
     list.clock = 5000;
     for (int n = 0; n < 2; ++n) {
