Ask for a worker only for long-running tasks that have waited for 3 s

"Ask for a worker for each long-running task without one" asked at once, also for tasks that the demand for cores was about to serve, and machines left pools that used them.

Placement notes since when a stage has found no worker; after 3 s, longer than a machine takes to move, a stage of long-running tasks asks for one. Limits of tasks on a worker and memory need no look of their own, as placement has shown that none fits.

All 148 tests of the runner pass.

What a task lacks is told by its placement, not guessed from room.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -58,6 +58,7 @@
 struct StageProgress {
     std::vector<Task> tasks;
     std::uint32_t done = 0;
+    std::optional<Base::Instant> unplaceableSince; ///< since when no worker has room for a waiting task
 
     bool isDone() const
     {
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -32,6 +32,10 @@
 // Limits ServiceDemand::emptyWorkers.
 constexpr std::uint32_t MaxWholeWorkers = 4;
 
+// A long-running task that has found no worker for this time asks for an empty one. Moving a machine to the
+// pool because of the demand for cores takes less.
+constexpr Milliseconds StuckTaskDelay{3000};
+
 // How long the most recently ordered unfinished task of the stage has been under way; zero if a task is still
 // waiting.
 Milliseconds elapsedTime(const StageProgress &progress, Base::Instant now)
@@ -54,18 +58,6 @@
         std::count_if(tasks.begin(), tasks.end(), [worker](const Task &it) { return it.worker == worker; }));
 }
 
-// `tasks` are those of the stage.
-bool fitsOnAny(const Stage &stage, std::span<const Task> tasks, std::span<const Worker *const> workers)
-{
-    return std::any_of(workers.begin(), workers.end(), [&](const Worker *it) {
-        Resources room = it->info.capacity;
-        room -= it->used;
-        return room.contains(reservedResources(stage))
-            && (!stage.isLongRunning || stage.tasksPerWorker == 0
-                || countTasksOn(tasks, it->info.id) < stage.tasksPerWorker);
-    });
-}
-
 } // namespace
 
 Shard::Shard(const ShardSettings &settings, Epoch epoch, std::string member, OrderToken firstToken)
@@ -535,48 +527,61 @@
 }
 
 // Long-running tasks are spread over workers and may leave none of them empty, so a large task may find no
-// worker in a pool that is nearly idle. A long-running task may not even find one in a busy pool: other tasks
-// make room as they end, but long-running ones don't, and memory or a limit of tasks per worker can be what
-// is missing.
+// worker in a pool that is nearly idle. In a busy pool other tasks make room as they end, and the demand for
+// cores brings more workers; a long-running task for which neither has helped lacks memory, or a worker that
+// is not yet at the limit of its stage.
 void Shard::addWholeWorkerDemand(std::map<std::string, ServiceDemand> &demands, Base::Instant now) const
 {
-    struct Pool {
+    struct Room {
         std::int64_t used = 0;
         std::int64_t all = 0;
-        std::vector<const Worker *> workers;
+        std::vector<Resources> free;
     };
-    std::map<std::string, Pool> pools;
+    std::map<std::string, Room> rooms;
     for (const auto &[id, worker] : m_workers) {
         if (!worker.isUsable(now)) {
             continue;
         }
-        Pool &pool = pools[worker.info.service];
-        pool.used += worker.used.milliCores;
-        pool.all += worker.info.capacity.milliCores;
-        pool.workers.push_back(&worker);
+        Room &room = rooms[worker.info.service];
+        room.used += worker.used.milliCores;
+        room.all += worker.info.capacity.milliCores;
+        room.free.push_back(worker.info.capacity);
+        room.free.back() -= worker.used;
     }
+    std::set<std::string_view> servicesWithStuckTasks;
     for (const Job *job : m_active) {
-        const Pool &pool = pools[job->spec.queue.service];
-        const bool isBusy = double(pool.used) > double(pool.all) * MaxUtilizationForWholeWorkers;
+        const Room &room = rooms[job->spec.queue.service];
+        const bool isBusy = double(room.used) > double(room.all) * MaxUtilizationForWholeWorkers;
         ServiceDemand &demand = demands[job->spec.queue.service];
         for (const auto &[number, occurrence] : job->occurrences) {
             for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
-                const Stage &stage = job->spec.stages[n];
-                const auto &tasks = occurrence.stages[n].tasks;
-                const bool isWaiting = (stage.isLongRunning || !isBusy) && job->isReady(occurrence, n)
-                    && std::any_of(tasks.begin(), tasks.end(), [](const Task &it) { return it.isWaiting(); });
-                demand.emptyWorkers += isWaiting && !fitsOnAny(stage, tasks, pool.workers) ? 1 : 0;
+                const StageProgress &progress = occurrence.stages[n];
+                if (job->spec.stages[n].isLongRunning && progress.unplaceableSince
+                    && now - *progress.unplaceableSince >= StuckTaskDelay) {
+                    ++demand.emptyWorkers;
+                    servicesWithStuckTasks.insert(job->spec.queue.service);
+                    continue;
+                }
+                const bool isWaiting = !isBusy && job->isReady(occurrence, n)
+                    && std::any_of(progress.tasks.begin(), progress.tasks.end(), [](const Task &it) {
+                           return it.isWaiting();
+                       });
+                const Resources size = reservedResources(job->spec.stages[n]);
+                const bool fits = std::any_of(room.free.begin(), room.free.end(), [&](const Resources &it) {
+                    return it.contains(size);
+                });
+                demand.emptyWorkers += isWaiting && !fits ? 1 : 0;
             }
         }
         demand.emptyWorkers = std::min(demand.emptyWorkers, MaxWholeWorkers);
     }
     // The planner takes releasable workers for empty ones that the waiting tasks can have.
-    for (auto &[service, demand] : demands) {
-        const auto silent =
-            std::count_if(demand.releasableWorkers.begin(),
-                          demand.releasableWorkers.end(),
-                          [this](const std::string &it) { return m_workers.at(it).isSilent(); });
-        demand.emptyWorkers += demand.emptyWorkers > 0 ? static_cast<std::uint32_t>(silent) : 0;
+    for (const std::string_view service : servicesWithStuckTasks) {
+        ServiceDemand &demand = demands[std::string(service)];
+        demand.emptyWorkers += static_cast<std::uint32_t>(std::count_if(
+            demand.releasableWorkers.begin(), demand.releasableWorkers.end(), [this](const std::string &it) {
+                return m_workers.at(it).isSilent();
+            }));
     }
 }
 
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -220,6 +220,7 @@
         }
         if (isTooLarge) {
             m_nextPlacementRetry = now + PlacementRetryPeriod;
+            progress.unplaceableSince = progress.unplaceableSince.value_or(now);
             return;
         }
         if (candidates.empty()) {
@@ -231,6 +232,7 @@
         }
         if (!worker) {
             m_nextPlacementRetry = now + PlacementRetryPeriod;
+            progress.unplaceableSince = progress.unplaceableSince.value_or(now);
             const bool isAnyWorkerGood =
                 wanted.requiredLabel.empty() && wanted.tasksPerWorker == 0 && !job.spec.queue.advice;
             if (isAnyWorkerGood) {
@@ -238,6 +240,7 @@
             }
             return;
         }
+        progress.unplaceableSince.reset();
         if (!m_quotaUsage.allows(job.spec.workspace, wanted.size)) {
             const auto waiting = std::count_if(progress.tasks.begin() + n,
                                                progress.tasks.end(),
