Report why accepted jobs have no run

The hypotheses differ in why a ready task waits (quota, room, ledger not claimed), and no log or metric told that for tasks that end by themselves.

Change: each placement notes why a stage's tasks wait. Once a second an owner logs jobs-wait for each workspace, service and reason, with the size of the longest waiting task, the workers as that task sees them (listed, usable, with room, kept free for a move, silent) and what the workspace has running and may have. quota-unclaimed names a shard whose owner has not claimed it in the ledger for a second. The note of why a stage waits replaces the time since no worker had room; what it decides is the same.

--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -40,6 +40,33 @@
     return TaskId{std::string(text), numbers[0], numbers[1], numbers[2]};
 }
 
+std::string_view toString(WaitReason reason)
+{
+    switch (reason) {
+    case WaitReason::NoRoom:
+        return "no-room";
+    case WaitReason::Quota:
+        return "quota";
+    case WaitReason::UnknownQuota:
+        return "unknown-quota";
+    case WaitReason::Advice:
+        return "advice";
+    }
+    return "unknown";
+}
+
+void StageProgress::setWait(WaitReason reason, Base::Instant now)
+{
+    const Base::Instant since = wait ? wait->since : now;
+    const Base::Instant reasonSince = wait && wait->reason == reason ? wait->reasonSince : now;
+    wait = StageWait{reason, reasonSince, since};
+}
+
+bool StageProgress::hasWaitingTask() const
+{
+    return std::any_of(tasks.begin(), tasks.end(), [](const Task &it) { return it.isWaiting(); });
+}
+
 Occurrence &Job::addOccurrence(std::uint32_t number)
 {
     Occurrence &occurrence = occurrences[number];
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -55,15 +55,36 @@
     }
 };
 
+/// Why a ready task has not been assigned to a worker.
+enum class WaitReason {
+    NoRoom, ///< no usable worker has room for it
+    Quota, ///< the limit of its workspace, for this task or for one that goes first
+    UnknownQuota, ///< the limits of the workspaces are not known to the shard
+    Advice, ///< the advice service has allowed no worker that has room
+};
+
+/// For logs.
+std::string_view toString(WaitReason reason);
+
+struct StageWait {
+    WaitReason reason = WaitReason::NoRoom;
+    Base::Instant reasonSince; ///< since when that is the reason
+    Base::Instant since; ///< since when a ready task of the stage waits, whatever the reason
+};
+
 struct StageProgress {
     std::vector<Task> tasks;
     std::uint32_t done = 0;
-    std::optional<Base::Instant> unplaceableSince; ///< since when no worker has room for a waiting task
+    std::optional<StageWait> wait; ///< of its ready tasks as of the last placement
+
+    /// Sets why a ready task waits.
+    void setWait(WaitReason reason, Base::Instant now);
 
     bool isDone() const
     {
         return done == tasks.size();
     }
+    bool hasWaitingTask() const;
 };
 
 /// One execution of a job's graph of stages.
--- a/src/libs/jobs/quotausage.cpp
+++ b/src/libs/jobs/quotausage.cpp
@@ -35,6 +35,20 @@
     return true;
 }
 
+bool QuotaUsage::hasLimits() const
+{
+    return m_limits.has_value();
+}
+
+std::optional<Resources> QuotaUsage::limitOf(std::string_view workspace) const
+{
+    if (!m_limits) {
+        return std::nullopt;
+    }
+    const auto it = m_limits->find(workspace);
+    return it != m_limits->end() ? std::optional(it->second) : std::nullopt;
+}
+
 void QuotaUsage::add(std::string_view workspace, const Resources &size)
 {
     if (!workspace.empty()) {
--- a/src/libs/jobs/quotausage.h
+++ b/src/libs/jobs/quotausage.h
@@ -38,6 +38,11 @@
     /// Returns whether the limits have changed.
     bool setLimits(Limits limits);
 
+    /// Whether limits have been set.
+    bool hasLimits() const;
+    /// What the workspace may have running; nullopt if that is not known or not limited.
+    std::optional<Resources> limitOf(std::string_view workspace) const;
+
     void add(std::string_view workspace, const Resources &size);
     void remove(std::string_view workspace, const Resources &size);
 
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -556,8 +556,11 @@
         for (const auto &[number, occurrence] : job->occurrences) {
             for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
                 const StageProgress &progress = occurrence.stages[n];
-                if (job->spec.stages[n].isLongRunning && progress.unplaceableSince
-                    && now - *progress.unplaceableSince >= StuckTaskDelay) {
+                const bool hasNoWorker = progress.wait
+                    && (progress.wait->reason == WaitReason::NoRoom
+                        || progress.wait->reason == WaitReason::Advice)
+                    && now - progress.wait->reasonSince >= StuckTaskDelay;
+                if (job->spec.stages[n].isLongRunning && hasNoWorker) {
                     ++demand.emptyWorkers;
                     servicesWithStuckTasks.insert(job->spec.queue.service);
                     continue;
@@ -600,27 +603,22 @@
                 if (waiting == tasks.end()) {
                     continue;
                 }
-                std::uint32_t usable = 0;
-                std::uint32_t roomy = 0;
                 std::uint32_t full = 0;
                 for (const auto &[id, worker] : m_workers) {
-                    if (worker.info.service != job->spec.queue.service || !worker.isUsable(now)) {
-                        continue;
-                    }
-                    Resources room = worker.info.capacity;
-                    room -= worker.used;
-                    const bool isFull =
-                        stage.tasksPerWorker > 0 && countTasksOn(tasks, id) >= stage.tasksPerWorker;
-                    ++usable;
-                    roomy += room.contains(reservedResources(stage)) ? 1 : 0;
-                    full += isFull ? 1 : 0;
+                    const bool isCounted =
+                        worker.info.service == job->spec.queue.service && worker.isUsable(now);
+                    full += isCounted && stage.tasksPerWorker > 0
+                            && countTasksOn(tasks, id) >= stage.tasksPerWorker
+                        ? 1
+                        : 0;
                 }
+                const WorkerCounts counts = countWorkers(m_workers, job->spec.queue.service, stage, now);
                 Base::LogLine(Base::LogLevel::Info, "task-waits")
                     .with("request", job->spec.id)
                     .with("stage", n)
                     .with("index", waiting - tasks.begin())
-                    .with("usable_workers", usable)
-                    .with("with_room", roomy)
+                    .with("usable_workers", counts.usable)
+                    .with("with_room", counts.withRoom)
                     .with("at_task_limit", full)
                     .with("per_worker", stage.tasksPerWorker)
                     .with("millicores", stage.size.milliCores)
@@ -630,6 +628,41 @@
     }
 }
 
+std::vector<WaitReport> Shard::waitingJobs(Base::Instant now) const
+{
+    return waitReports(m_active, MinReportedWait, now);
+}
+
+void Shard::logWaitingJobs(Base::Instant now) const
+{
+    for (const WaitReport &it : waitingJobs(now)) {
+        const Stage &stage = it.longest->spec.stages[it.stage];
+        const QuotaUse use = m_quotaUsage.of(it.workspace);
+        const auto limit = m_quotaUsage.limitOf(it.workspace);
+        const WorkerCounts counts = countWorkers(m_workers, it.service, stage, now);
+        Base::LogLine(Base::LogLevel::Info, "jobs-wait")
+            .with("request", it.longest->spec.id)
+            .with("reason", toString(it.reason))
+            .with("workspace", it.workspace)
+            .with("service", it.service)
+            .with("jobs", it.jobs)
+            .with("tasks", it.tasks)
+            .with("longest_ms", it.longestWait.count())
+            .with("stage", it.stage)
+            .with("millicores", stage.size.milliCores)
+            .with("memory_mb", stage.size.memory)
+            .with("workers", counts.listed)
+            .with("usable_workers", counts.usable)
+            .with("with_room", counts.withRoom)
+            .with("evacuated", counts.evacuated)
+            .with("silent", counts.silent)
+            .with("running_millicores", use.running.milliCores)
+            .with("running_memory_mb", use.running.memory)
+            .with("limit_millicores", limit ? std::to_string(limit->milliCores) : "none")
+            .with("limit_memory_mb", limit ? std::to_string(limit->memory) : "none");
+    }
+}
+
 bool Shard::evacuate(const std::string &id, Base::Instant now)
 {
     const auto it = m_workers.find(id);
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -7,6 +7,7 @@
 #include "quotausage.h"
 #include "reservations.h"
 #include "shardcommands.h"
+#include "waitreport.h"
 #include "worker.h"
 
 #include <base/instant.h>
@@ -94,6 +95,9 @@
     std::size_t pending(std::string_view queue) const;
 
     std::vector<ServiceDemand> demand(Base::Instant now, WallTime wall) const;
+    /// Jobs that have had no run for MinReportedWait although tasks of them are ready. Valid until the shard
+    /// changes.
+    std::vector<WaitReport> waitingJobs(Base::Instant now) const;
     /// Starts nothing new on the worker for ShardSettings::evacuationHold and evicts the runs that may be
     /// moved. Returns whether the worker has no runs.
     bool evacuate(const std::string &worker, Base::Instant now);
@@ -123,6 +127,7 @@
 
 private:
     static constexpr std::string_view OwnerKey = "owner";
+    static constexpr Milliseconds MinReportedWait{1000};
     // Sent as retry delay to callers whose job was refused because the store did not answer.
     static constexpr Milliseconds StoreRetryAfter{1000};
 
@@ -193,6 +198,8 @@
     void addWholeWorkerDemand(std::map<std::string, ServiceDemand> &demands, Base::Instant now) const;
     /// Logs long-running tasks that no worker has room for, and why.
     void logUnplaceableTasks(Base::Instant now) const;
+    /// Logs jobs without a run whose tasks are ready, and why they wait.
+    void logWaitingJobs(Base::Instant now) const;
     /// The estimated time until all runs on the worker have ended.
     Milliseconds timeToEmpty(const Worker &worker, Base::Instant now) const;
     bool isServing(const Task &task) const;
@@ -217,6 +224,8 @@
                                            std::uint32_t stage,
                                            std::vector<Candidate> candidates,
                                            Base::Instant now);
+    /// Why tasks wait that the limits of their workspace don't allow.
+    WaitReason quotaWaitReason() const;
     const std::vector<Candidate> &candidatesOf(const std::string &service);
     std::vector<Candidate> candidatesFor(const Job &job, const Stage &stage, const StageProgress &progress);
     void placeStage(
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -47,6 +47,7 @@
         m_nextSweep = now + SweepPeriod;
         removeEndedJobs(wall);
         checkRedirectedJobs(wall);
+        logWaitingJobs(now);
         logUnplaceableTasks(now);
         m_hasChanged = true;
     }
@@ -128,6 +129,10 @@
                 continue;
             }
             if (m_quotaUsage.isBlocked(it.job->spec.workspace)) {
+                StageProgress &progress = it.occurrence->stages[stage];
+                if (progress.hasWaitingTask()) {
+                    progress.setWait(quotaWaitReason(), now);
+                }
                 continue;
             }
             if (it.job->spec.stages[stage].isGang) {
@@ -139,6 +144,11 @@
     }
 }
 
+WaitReason Shard::quotaWaitReason() const
+{
+    return m_quotaUsage.hasLimits() ? WaitReason::Quota : WaitReason::UnknownQuota;
+}
+
 const std::vector<Candidate> &Shard::candidatesOf(const std::string &service)
 {
     const auto [it, isNew] = m_candidates.try_emplace(service);
@@ -220,7 +230,7 @@
         }
         if (isTooLarge) {
             m_nextPlacementRetry = now + PlacementRetryPeriod;
-            progress.unplaceableSince = progress.unplaceableSince.value_or(now);
+            progress.setWait(WaitReason::NoRoom, now);
             return;
         }
         if (candidates.empty()) {
@@ -232,7 +242,7 @@
         }
         if (!worker) {
             m_nextPlacementRetry = now + PlacementRetryPeriod;
-            progress.unplaceableSince = progress.unplaceableSince.value_or(now);
+            progress.setWait(job.spec.queue.advice ? WaitReason::Advice : WaitReason::NoRoom, now);
             const bool isAnyWorkerGood =
                 wanted.requiredLabel.empty() && wanted.tasksPerWorker == 0 && !job.spec.queue.advice;
             if (isAnyWorkerGood) {
@@ -240,14 +250,15 @@
             }
             return;
         }
-        progress.unplaceableSince.reset();
         if (!m_quotaUsage.allows(job.spec.workspace, wanted.size)) {
+            progress.setWait(quotaWaitReason(), now);
             const auto waiting = std::count_if(progress.tasks.begin() + n,
                                                progress.tasks.end(),
                                                [](const Task &it) { return it.isWaiting(); });
             m_quotaUsage.block(job.spec.workspace, wanted.size, static_cast<std::uint32_t>(waiting));
             return;
         }
+        progress.wait.reset();
         assign(job, {job.spec.id, number, stage, n}, task, *worker, task.attempt + 1);
         for (Candidate &it : candidates) {
             it.tasksOfStage += it.worker == worker ? 1 : 0;
@@ -286,12 +297,15 @@
         places = chooseGangWorkers(wanted, all, now);
     }
     if (places.empty()) {
+        progress.setWait(job.spec.queue.advice ? WaitReason::Advice : WaitReason::NoRoom, now);
         return;
     }
     if (!m_quotaUsage.allows(job.spec.workspace, wanted.size, wanted.count)) {
+        progress.setWait(quotaWaitReason(), now);
         m_quotaUsage.block(job.spec.workspace, wanted.size, wanted.count);
         return;
     }
+    progress.wait.reset();
     for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
         progress.tasks[n].checkpoint = checkpoint;
         assign(job, {job.spec.id, number, stage, n}, progress.tasks[n], *places[n], attempt);
--- a/src/libs/jobservice/quotaallocator.h
+++ b/src/libs/jobservice/quotaallocator.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -57,6 +58,7 @@
     {
         m_host.setQuotaCallback([this] { scheduleUpdate({}); });
         m_timers.subscribeEvery(ReviewInterval, [this] { scheduleUpdate({}); });
+        m_timers.subscribeEvery(UnclaimedReportInterval, [this] { reportUnclaimedShards(); });
     }
 
     /// Sets the quotas of the current configuration. Workspaces without one are not limited.
@@ -104,6 +106,7 @@
     static constexpr Base::Duration LowerInterval = std::chrono::milliseconds{100};
     static constexpr Base::Duration RetryDelay = std::chrono::milliseconds{100};
     static constexpr Base::Duration IdlePause = std::chrono::milliseconds{1000};
+    static constexpr Base::Duration UnclaimedReportInterval = std::chrono::milliseconds{1000};
 
     void scheduleUpdate(Base::Duration delay)
     {
@@ -139,6 +142,30 @@
         appendChanges();
     }
 
+    // On such a shard no task of a workspace with a quota starts.
+    void reportUnclaimedShards()
+    {
+        if (!m_quotas || m_quotas->empty()) {
+            return;
+        }
+        std::set<ShardNumber> unclaimed;
+        m_host.forEachServingShard([&](ShardNumber number, const Jobs::Shard &shard) {
+            if (!m_host.hasService(number) || (m_isRead && m_ledger.isClaimed(number, shard.epoch()))) {
+                return;
+            }
+            unclaimed.insert(number);
+            if (m_unclaimedShards.count(number) > 0) {
+                Base::LogLine(Base::LogLevel::Warning, "quota-unclaimed")
+                    .with("shard", number)
+                    .with("epoch", shard.epoch())
+                    .with("ledger_read", m_isRead)
+                    .with("newer_owner", m_ledger.hasNewerOwner(number, shard.epoch()))
+                    .with("append_under_way", m_isAppending);
+            }
+        });
+        m_unclaimedShards = std::move(unclaimed);
+    }
+
     // Once any record follows the position of an append, the append has either been read or will never be
     // carried out.
     void resolveAppend()
@@ -275,6 +302,7 @@
     Base::Instant m_nextAppend;
     Base::Instant m_nextLowering;
     Base::Instant m_nextShrink;
+    std::set<ShardNumber> m_unclaimedShards; ///< as of the last report
     bool m_isRead = false; ///< whether the topic has been read to its end once
     bool m_isAppending = false;
     bool m_isStored = false; ///< whether the store has confirmed the latest append
