Plan the allocations of an append one after the other

Cause: an owner appends the changes of all its shards together, and decided on each as if the others had none. Shards that waited at the same time were all raised, more than the quota in sum, so none of them could start; the next append lowered all of them, some 30 times a second. With tasks larger than the quota several could even start beside each other.

Change: changes of one append are decided on a copy of the ledger that has the earlier ones.

Evidence: WaitingTasks.StartWhereAMemberOwnsAllShards failed before.

--- a/src/libs/jobservice/quotaallocator.h
+++ b/src/libs/jobservice/quotaallocator.h
@@ -224,6 +224,7 @@
         std::vector<Jobs::Record> records;
         Changes changes;
         std::optional<Jobs::Record> repeatedClaim;
+        std::optional<Jobs::QuotaLedger> changed; // with the changes so far, as all take effect together
         m_host.forEachServingShard([&](ShardNumber number, const Jobs::Shard &shard) {
             if (!m_host.hasService(number) || m_ledger.hasNewerOwner(number, shard.epoch())) {
                 return;
@@ -236,10 +237,13 @@
             }
             for (const Jobs::WorkspaceQuota &it : *m_quotas) {
                 const Jobs::QuotaUse use = shard.quotaUsage().of(it.workspace);
-                auto change = m_ledger.change(number, it, use, mayShrink);
+                const Jobs::QuotaLedger &ledger = changed ? *changed : m_ledger;
+                auto change = ledger.change(number, it, use, mayShrink);
                 if (!change) {
                     continue;
                 }
+                changed = changed ? std::move(changed) : m_ledger;
+                changed->load(change->record.key, change->record.value);
                 isUrgent = isUrgent || use.blocked != Jobs::Resources{};
                 records.push_back(std::move(change->record));
                 changes.emplace(Allocation{number, it.workspace}, std::move(*change));
--- a/tests/auto/quotas/tst_waitingtasks.cpp
+++ b/tests/auto/quotas/tst_waitingtasks.cpp
@@ -31,8 +31,8 @@
     return job;
 }
 
-/// `cells` cells of four workers each, and three members.
-void addFleet(SimulatedPlatform &world, std::uint32_t cells)
+/// `cells` cells of four workers each, and members that share them.
+void addFleet(SimulatedPlatform &world, std::uint32_t cells, int members = 3)
 {
     world.splitIntoCells(cells);
     for (std::uint32_t n = 0; n < 4 * cells; ++n) {
@@ -41,8 +41,8 @@
         worker.info.rack = "r" + std::to_string(n % cells);
         worker.info.labels = {"a", worker.info.rack};
     }
-    for (const char *it : {"m1", "m2", "m3"}) {
-        world.addMember(it);
+    for (int n = 0; n < members; ++n) {
+        world.addMember("m" + std::to_string(n));
     }
     world.run(2s);
 }
@@ -158,7 +158,12 @@
     }
 }
 
-TEST(WaitingTasks, StartUnderHalfOfTheQuota)
+namespace
+{
+
+/// Plays tasks of random sizes in three workspaces. Most need a sixtieth to a tenth of the quota, some up to
+/// one `leastDivisor`th of it.
+void playRandomTasks(int members, std::int64_t leastDivisor)
 {
     for (std::uint32_t seed = 1; seed <= 60; ++seed) {
         std::mt19937 random(seed);
@@ -175,20 +180,19 @@
         }
         SimulatedPlatform world(seed, cells);
         world.setQuotas(list);
-        addFleet(world, cells);
+        addFleet(world, cells, members);
         WaitCheck check(world, quotas);
         std::string late;
+        const auto divisor = [&] {
+            return pick(0, 9) == 0 ? pick(leastDivisor, 6) : pick(10, 60);
+        };
         for (int n = 0; n < 120 && late.empty(); ++n) {
             const std::string workspace = list[static_cast<std::size_t>(pick(0, 2))].workspace;
             const Jobs::Resources &quota = quotas[workspace];
-            // Mostly small tasks, some of up to 0.4 of the quota.
-            const std::int64_t divisor = pick(0, 9) == 0 ? pick(3, 6) : pick(10, 60);
-            const std::int64_t memoryDivisor = pick(0, 9) == 0 ? pick(3, 6) : pick(10, 60);
+            const Jobs::Resources size{quota.milliCores / divisor(), quota.memory / divisor(), 0};
             const std::string id = "j" + std::to_string(n);
             world.taskTime = Milliseconds(pick(300, 3000));
-            if (world.submit(
-                    makeJobOf(workspace, id, {quota.milliCores / divisor, quota.memory / memoryDivisor, 0}),
-                    400ms)) {
+            if (world.submit(makeJobOf(workspace, id, size), 400ms)) {
                 check.addJob(id);
             }
             late = check.run(Milliseconds(100 * pick(0, n % 40 < 20 ? 1 : 8)));
@@ -203,6 +207,34 @@
     }
 }
 
+} // namespace
+
+TEST(WaitingTasks, StartUnderHalfOfTheQuota)
+{
+    playRandomTasks(3, 3);
+}
+
+// Guards against allocations that one append raises for several shards, each as if the others had none.
+TEST(WaitingTasks, StartWhereAMemberOwnsAllShards)
+{
+    const Jobs::Resources quota{8000, 32'000, 0};
+    SimulatedPlatform world(1, 4);
+    world.setQuotas({{"a", quota}});
+    addFleet(world, 4, 1);
+    WaitCheck check(world, {{"a", quota}});
+    for (int n = 0; n < 24; ++n) {
+        const std::string id =
+            idOn(world, static_cast<JobService::ShardNumber>(n % 4), "j" + std::to_string(n));
+        CHECK(world.submit(makeJobOf("a", id, {4600 + 200 * (n % 4), 9000, 0})));
+        check.addJob(id);
+    }
+    STRCMP_EQUAL("", check.run(30s).c_str());
+    for (const auto &[id, job] : world.submitted) {
+        CHECK(world.state(id) == ReportedState::Completed);
+    }
+    CHECK(world.violations.empty());
+}
+
 // Guards against starts that are given up once stored, because another shard has begun to wait.
 TEST(WaitingTasks, KeepWhatHasBeenAssignedWhileOthersWait)
 {
