Keep the mark of allocations beyond the quota

Callers saw: nothing of a workspace runs on any shard, for good, after it has had a task that is larger than its quota (LOST; found by tests/soak with quotas of one to three tasks).

Cause: such a task may start alone, by an allocation beyond the quota that is marked in the ledger. The mark was written only together with a change of the amounts, and dropped whenever the record was written again while the task was assigned. Without it the limit is the quota, which the task does not fit in, and to all other shards nothing is left.

Change: the mark stays while more than the quota is in use, and is written if only it is missing.

Evidence: two tests on the ledger that failed before.

--- a/src/libs/jobs/quotaledger.cpp
+++ b/src/libs/jobs/quotaledger.cpp
@@ -55,6 +55,14 @@
 constexpr std::int64_t LightUse = 5;
 constexpr std::int64_t LightUseDivisor = 8;
 
+/// Whether any limited amount is above its quota.
+bool exceeds(const Resources &used, const Resources &quota)
+{
+    return std::any_of(Kinds.begin(), Kinds.end(), [&](const auto kind) {
+        return quota.*kind > 0 && used.*kind > quota.*kind;
+    });
+}
+
 json::value parse(std::string_view text)
 {
     return json::parse(json::string_view(text.data(), text.size()));
@@ -154,9 +162,9 @@
 
 bool QuotaLedger::isOversized(const Resources &quota, const Resources &used, const Resources &next)
 {
-    return isLightlyUsed(quota, used) && std::any_of(Kinds.begin(), Kinds.end(), [&](const auto kind) {
-               return quota.*kind > 0 && used.*kind + next.*kind > quota.*kind;
-           });
+    Resources after = used;
+    after += next;
+    return isLightlyUsed(quota, used) && exceeds(after, quota);
 }
 
 // While others wait, a shard may have an equal part of what settled shards leave, so that what ends beyond it
@@ -249,7 +257,11 @@
     }
     const Entry *entry = find(shard, quota.workspace);
     const bool wasWaiting = entry && entry->wanted != Resources{};
-    if (allocated == own && wasWaiting == (wanted != Resources{})) {
+    const bool wasOversized = entry && entry->isOversized;
+    // What has been assigned beyond the quota stays allowed until it ends.
+    const bool isOversizedUse = isAlone || (wasOversized && exceeds(used, quota.quota));
+    const bool needsMark = isOversizedUse && !wasOversized;
+    if (allocated == own && wasWaiting == (wanted != Resources{}) && !needsMark) {
         return std::nullopt;
     }
     const std::string key = shardKey(shard) + "/" + quota.workspace;
@@ -257,7 +269,7 @@
         return Change{allocated, wanted, {key, {}}};
     }
     json::array value{encodeAmounts(allocated), encodeAmounts(wanted)};
-    if (isAlone) {
+    if (isOversizedUse) {
         value.emplace_back("oversized");
     }
     return Change{allocated, wanted, {key, json::serialize(value)}};
--- a/tests/auto/quotas/tst_waitingtasks.cpp
+++ b/tests/auto/quotas/tst_waitingtasks.cpp
@@ -276,3 +276,37 @@
     world.run(4s);
     CHECK(world.state("second") == ReportedState::Completed);
 }
+
+// Guards against an allocation beyond the quota that is no longer marked as such and blocks all shards.
+TEST(WaitingTasks, ATaskBeyondTheQuotaStartsWithAnUnmarkedAllocation)
+{
+    const Jobs::WorkspaceQuota quota{"a", {8000, 0, 0}};
+    Jobs::QuotaUse use;
+    use.next = {10'000, 0, 0};
+    use.blocked = {20'000, 0, 0};
+    use.largestTask = use.next;
+    Jobs::QuotaLedger ledger;
+    ledger.load("0/a", "[[10000,0,0],[10000,0,0]]");
+    ledger.load("1/a", "[[0,0,0],[2000,0,0]]");
+    const auto change = ledger.change(0, quota, use, false);
+    CHECK(change.has_value());
+    ledger.load(change->record.key, change->record.value);
+    CHECK_EQUAL(10'000, ledger.limit(0, quota, use).milliCores);
+}
+
+// Guards against a start beyond the quota that is given up because the allocation is written again meanwhile.
+TEST(WaitingTasks, ATaskBeyondTheQuotaKeepsItsAllocationUntilItEnds)
+{
+    const Jobs::WorkspaceQuota quota{"a", {8000, 0, 0}};
+    Jobs::QuotaLedger ledger;
+    ledger.load("0/a", R"([[10000,0,0],[0,0,0],"oversized"])");
+    Jobs::QuotaUse use;
+    use.running = {10'000, 0, 0};
+    use.next = {3000, 0, 0};
+    use.blocked = {3000, 0, 0};
+    use.largestTask = use.running;
+    const auto change = ledger.change(0, quota, use, false);
+    CHECK(change.has_value()); // it wants more
+    ledger.load(change->record.key, change->record.value);
+    CHECK_EQUAL(10'000, ledger.limit(0, quota, use).milliCores);
+}
