Let one task at a time use an allocation beyond the quota

Cause: a task that is larger than the quota gets an allocation of its size, and the whole of it was the shard's limit. When the next stage had smaller tasks, several of them fitted.

Change: the limit of a shard has two amounts: up to the first, tasks start as before; up to the second one task may start if what runs is within the first.

Evidence: WaitingTasks.TheAllocationOfATaskBeyondTheQuotaIsForOneTask failed before; all tests of jobs and quotas pass.

Conclusion: an exception for one task has to name that it is one.

--- a/src/libs/jobs/quotaledger.cpp
+++ b/src/libs/jobs/quotaledger.cpp
@@ -186,22 +186,21 @@
     return share;
 }
 
-Resources QuotaLedger::limit(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use) const
+// An allocation beyond the quota is for one task.
+QuotaLimit QuotaLedger::limit(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use) const
 {
     const Entry *entry = find(shard, quota.workspace);
     const Resources own = entry ? entry->allocated : Resources{};
     const OtherShards others = otherShards(shard, quota.workspace);
     const Resources most = share(quota, others, use);
-    Resources limit = Unlimited;
+    QuotaLimit limit{Unlimited, Unlimited};
     for (const auto kind : Kinds) {
         const std::int64_t all = quota.quota.*kind;
         if (all == 0) {
             continue;
         }
-        limit.*kind = own.*kind;
-        if (!entry || !entry->isOversized) {
-            limit.*kind = std::min({own.*kind, all - others.allocated.*kind, most.*kind});
-        }
+        limit.amount.*kind = std::min({own.*kind, all - others.allocated.*kind, most.*kind});
+        limit.withOneTask.*kind = entry && entry->isOversized ? own.*kind : limit.amount.*kind;
     }
     return limit;
 }
--- a/src/libs/jobs/quotaledger.h
+++ b/src/libs/jobs/quotaledger.h
@@ -44,7 +44,7 @@
     static Record claim(ShardNumber shard, Epoch epoch);
 
     /// What the workspace may have running on the shard.
-    Resources limit(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use) const;
+    QuotaLimit limit(ShardNumber shard, const WorkspaceQuota &quota, const QuotaUse &use) const;
 
     /// A change of a shard's allocation, to be appended to the topic.
     struct Change {
--- a/src/libs/jobs/quotausage.cpp
+++ b/src/libs/jobs/quotausage.cpp
@@ -40,7 +40,7 @@
     return m_limits.has_value();
 }
 
-std::optional<Resources> QuotaUsage::limitOf(std::string_view workspace) const
+std::optional<QuotaLimit> QuotaUsage::limitOf(std::string_view workspace) const
 {
     if (!m_limits) {
         return std::nullopt;
@@ -77,11 +77,21 @@
     if (limit == m_limits->end()) {
         return true;
     }
+    const Resources running = of(workspace).running;
     Resources after = times(size, tasks);
-    if (const auto it = m_byWorkspace.find(workspace); it != m_byWorkspace.end()) {
-        after += it->second.running;
+    after += running;
+    return limit->second.amount.contains(after)
+        || (limit->second.amount.contains(running) && limit->second.withOneTask.contains(after));
+}
+
+bool QuotaUsage::isWithinLimit(std::string_view workspace) const
+{
+    if (workspace.empty()) {
+        return true;
     }
-    return limit->second.contains(after);
+    const auto limit = limitOf(workspace);
+    const Resources running = of(workspace).running;
+    return m_limits && (!limit || limit->amount.contains(running) || limit->withOneTask.contains(running));
 }
 
 void QuotaUsage::startRound()
--- a/src/libs/jobs/quotausage.h
+++ b/src/libs/jobs/quotausage.h
@@ -28,12 +28,21 @@
     bool operator==(const QuotaUse &) const = default;
 };
 
+/// What a workspace may have running on a shard.
+struct QuotaLimit {
+    Resources amount;
+    /// Up to this amount one task, or one gang, may start beyond `amount` if what runs is within that.
+    Resources withOneTask;
+
+    bool operator==(const QuotaLimit &) const = default;
+};
+
 /// Accounts for the quotas of the workspaces on one shard. Without limits no task of a workspace may start;
 /// once there are limits, a workspace without one is not limited. Tasks without a workspace never are.
 class QuotaUsage
 {
 public:
-    using Limits = std::map<std::string, Resources, std::less<>>;
+    using Limits = std::map<std::string, QuotaLimit, std::less<>>;
 
     /// Returns whether the limits have changed.
     bool setLimits(Limits limits);
@@ -41,11 +50,13 @@
     /// Whether limits have been set.
     bool hasLimits() const;
     /// What the workspace may have running; nullopt if that is not known or not limited.
-    std::optional<Resources> limitOf(std::string_view workspace) const;
+    std::optional<QuotaLimit> limitOf(std::string_view workspace) const;
 
     void add(std::string_view workspace, const Resources &size);
     void remove(std::string_view workspace, const Resources &size);
 
+    /// Whether what is assigned may be started.
+    bool isWithinLimit(std::string_view workspace) const;
     /// Whether the tasks of `size` may start in addition to those that are running.
     bool allows(std::string_view workspace, const Resources &size, std::uint32_t tasks = 1) const;
 
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -658,8 +658,8 @@
             .with("silent", counts.silent)
             .with("running_millicores", use.running.milliCores)
             .with("running_memory_mb", use.running.memory)
-            .with("limit_millicores", limit ? std::to_string(limit->milliCores) : "none")
-            .with("limit_memory_mb", limit ? std::to_string(limit->memory) : "none");
+            .with("limit_millicores", limit ? std::to_string(limit->amount.milliCores) : "none")
+            .with("limit_memory_mb", limit ? std::to_string(limit->amount.memory) : "none");
     }
 }
 
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -437,7 +437,7 @@
     }
     Job &job = it->second;
     Worker &worker = workerFor(task->worker);
-    const bool isWithinQuota = m_quotaUsage.allows(job.spec.workspace, {});
+    const bool isWithinQuota = m_quotaUsage.isWithinLimit(job.spec.workspace);
     if (!worker.isListed || !worker.hasAnswered || worker.info.isDraining || m_isMembershipLapsed
         || !isWithinQuota) {
         endRun(job, id, *task);
--- a/src/libs/jobservice/quotaallocator.h
+++ b/src/libs/jobservice/quotaallocator.h
@@ -187,14 +187,15 @@
         Jobs::QuotaUsage::Limits limits;
         const bool isClaimed = m_isRead && m_ledger.isClaimed(number, shard.epoch());
         for (const Jobs::WorkspaceQuota &it : *m_quotas) {
-            Jobs::Resources &limit = limits[it.workspace];
+            Jobs::QuotaLimit &limit = limits[it.workspace];
             if (!isClaimed) {
                 continue;
             }
             limit = m_ledger.limit(number, it, shard.quotaUsage().of(it.workspace));
             const auto unresolved = m_unresolved.find({number, it.workspace});
             if (unresolved != m_unresolved.end()) {
-                limit = lowerOf(limit, unresolved->second, it.quota);
+                limit.amount = lowerOf(limit.amount, unresolved->second, it.quota);
+                limit.withOneTask = lowerOf(limit.withOneTask, unresolved->second, it.quota);
             }
         }
         return limits;
--- a/tests/auto/quotas/tst_waitingtasks.cpp
+++ b/tests/auto/quotas/tst_waitingtasks.cpp
@@ -245,9 +245,9 @@
     const Jobs::WorkspaceQuota quota{"a", {10'000, 0, 0}};
     Jobs::QuotaUse use;
     use.running = {9000, 500, 0};
-    CHECK_EQUAL(9000, ledger.limit(0, quota, use).milliCores);
+    CHECK_EQUAL(9000, ledger.limit(0, quota, use).amount.milliCores);
     use.running = {6000, 500, 0};
-    CHECK_EQUAL(6000, ledger.limit(0, quota, use).milliCores);
+    CHECK_EQUAL(6000, ledger.limit(0, quota, use).amount.milliCores);
 }
 
 // Guards against a reduction that the store has rejected, and that limits the shard until anyone appends.
@@ -291,7 +291,7 @@
     const auto change = ledger.change(0, quota, use, false);
     CHECK(change.has_value());
     ledger.load(change->record.key, change->record.value);
-    CHECK_EQUAL(10'000, ledger.limit(0, quota, use).milliCores);
+    CHECK_EQUAL(10'000, ledger.limit(0, quota, use).withOneTask.milliCores);
 }
 
 // Guards against a start beyond the quota that is given up because the allocation is written again meanwhile.
@@ -308,5 +308,24 @@
     const auto change = ledger.change(0, quota, use, false);
     CHECK(change.has_value()); // it wants more
     ledger.load(change->record.key, change->record.value);
-    CHECK_EQUAL(10'000, ledger.limit(0, quota, use).milliCores);
+    CHECK_EQUAL(10'000, ledger.limit(0, quota, use).withOneTask.milliCores);
+}
+
+// Guards against several tasks that start within an allocation that one larger task has got beyond the quota.
+TEST(WaitingTasks, TheAllocationOfATaskBeyondTheQuotaIsForOneTask)
+{
+    SimulatedPlatform world(1, 1);
+    world.setQuotas({{"a", {2000, 0, 0}}});
+    addFleet(world, 1);
+    Jobs::JobSpec job = SimulatedPlatform::makeJob("j", 2, 4);
+    job.workspace = "a";
+    job.stages[0].count = 1;
+    job.stages[0].size.milliCores = 9000;
+    job.stages[1].size.milliCores = 4000;
+    CHECK(world.submit(job));
+    world.run(10s);
+    CHECK(world.state("j") == ReportedState::Completed);
+    for (const std::string &it : world.violations) {
+        FAIL(it.c_str());
+    }
 }
--- a/tests/bench/quotas/schemes.h
+++ b/tests/bench/quotas/schemes.h
@@ -180,7 +180,7 @@
                                  .limit(static_cast<Jobs::ShardNumber>(step.shard),
                                         quota(step, workspace),
                                         step.uses[workspace])
-                                 .milliCores;
+                                 .withOneTask.milliCores;
         if (owner.appendAt) {
             // A lower amount may already be in the ledger.
             const std::string key = std::to_string(step.shard) + "/" + std::to_string(workspace);
