Show tasks that crash their workers again and again

Change: the simulated platform has deadly tasks, whose workers come back under their ID or another one, and records a third start after three crashes. Tests: deadly tasks are given up, also where their owners end and in long-running jobs; other jobs are not; losing unreachable workers or a worker now and then is no crash of a task.

--- /dev/null
+++ b/tests/auto/deadlytasks/tst_deadlytasks.cpp
@@ -0,0 +1,200 @@
+#include "simulatedplatform.h"
+
+#include <base/logline.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+using namespace std::chrono_literals;
+using JobService::ReportedState;
+
+// Deadly tasks crash each worker that starts them. They are given up, and those beside them are not.
+
+namespace
+{
+
+using Milliseconds = std::chrono::milliseconds;
+
+void addFleet(SimulatedPlatform &world, int workers)
+{
+    for (int n = 0; n < workers; ++n) {
+        world.addWorker("w" + std::to_string(n));
+    }
+    world.addMember("m1");
+    world.addMember("m2");
+    world.run(2s);
+}
+
+/// Submits a job of one stage whose first task is deadly.
+void submitDeadlyJob(SimulatedPlatform &world, const std::string &id, std::uint32_t width)
+{
+    world.deadlyTasks.insert({id, 0, 0, 0});
+    CHECK(world.submit(SimulatedPlatform::makeJob(id, 1, width)));
+}
+
+void checkNoViolations(const SimulatedPlatform &world, const std::string &context = {})
+{
+    for (const std::string &it : world.violations) {
+        FAIL((context + it).c_str());
+    }
+}
+
+void runAndPublish(SimulatedPlatform &world, int seconds)
+{
+    for (int n = 0; n < seconds; ++n) {
+        world.run(1s);
+        world.publishWorkers();
+    }
+}
+
+void checkGivenUp(bool replacesCrashedWorkers)
+{
+    SimulatedPlatform world;
+    world.replacesCrashedWorkers = replacesCrashedWorkers;
+    addFleet(world, 6);
+    submitDeadlyJob(world, "deadly", 4);
+    std::vector<std::string> innocent;
+    for (int n = 0; n < 20; ++n) {
+        innocent.push_back("j" + std::to_string(n));
+        CHECK(world.submit(SimulatedPlatform::makeJob(innocent.back(), 2, 4)));
+        world.run(300ms);
+    }
+    runAndPublish(world, 60);
+    checkNoViolations(world);
+    CHECK(world.state("deadly") == ReportedState::Failed);
+    for (const std::string &it : innocent) {
+        CHECK(world.state(it) == ReportedState::Completed);
+    }
+}
+
+} // namespace
+
+TEST_GROUP(DeadlyTasks){void setup() override{Base::LogLine::setThreshold(Base::LogLevel::Error);
+}
+}
+;
+
+TEST(DeadlyTasks, AreGivenUpWhereWorkersRestart)
+{
+    checkGivenUp(false);
+}
+
+TEST(DeadlyTasks, AreGivenUpWhereWorkersAreReplaced)
+{
+    checkGivenUp(true);
+}
+
+TEST(DeadlyTasks, AreGivenUpAlthoughTheirOwnersEnd)
+{
+    SimulatedPlatform world;
+    addFleet(world, 6);
+    submitDeadlyJob(world, "deadly", 1);
+    int lastMember = 2;
+    for (int n = 0; n < 60; ++n) {
+        const int crashes = world.crashesUnder[{"deadly", 0, 0, 0}];
+        world.run(1s);
+        world.publishWorkers();
+        if (world.crashesUnder[{"deadly", 0, 0, 0}] > crashes) {
+            world.kill(world.owner(0)->name);
+            world.addMember("m" + std::to_string(++lastMember));
+        }
+    }
+    checkNoViolations(world);
+    CHECK(world.state("deadly") == ReportedState::Failed);
+}
+
+TEST(DeadlyTasks, OfLongRunningJobsAreGivenUp)
+{
+    SimulatedPlatform world;
+    addFleet(world, 6);
+    Jobs::JobSpec job = SimulatedPlatform::makeJob("deadly", 1, 3);
+    job.stages[0].isLongRunning = true;
+    world.deadlyTasks.insert({"deadly", 0, 0, 0});
+    world.taskTime = 24h;
+    CHECK(world.submit(job));
+    runAndPublish(world, 60);
+    checkNoViolations(world);
+    CHECK(world.state("deadly") == ReportedState::Failed);
+}
+
+// A tenth of the jobs are deadly for a while, so most other tasks lose a worker to one of them.
+TEST(DeadlyTasks, DoNotTakeOtherJobsWithThem)
+{
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        SimulatedPlatform world(seed);
+        world.replacesCrashedWorkers = seed % 2 == 0;
+        addFleet(world, 12);
+        std::mt19937 random(seed);
+        std::vector<std::string> innocent;
+        for (int n = 0; n < 80; ++n) {
+            const std::string id = "j" + std::to_string(n);
+            if (std::uniform_int_distribution<>(0, 9)(random) == 0) {
+                submitDeadlyJob(world, id, 3);
+            } else if (world.submit(SimulatedPlatform::makeJob(id, 2, 4))) {
+                innocent.push_back(id);
+            }
+            world.run(150ms);
+        }
+        runAndPublish(world, 90);
+        const std::string context = "seed " + std::to_string(seed) + ": ";
+        checkNoViolations(world, context);
+        for (const std::string &it : innocent) {
+            CHECK_TRUE_TEXT(world.state(it) == ReportedState::Completed,
+                            (context + it + world.describe(it)).c_str());
+        }
+        for (const Jobs::TaskId &it : world.deadlyTasks) {
+            CHECK_TRUE_TEXT(world.state(it.job) == ReportedState::Failed, (context + it.job).c_str());
+        }
+    }
+}
+
+// Workers that can't be reached for a while have not crashed.
+TEST(DeadlyTasks, AreNotThoseThatLoseUnreachableWorkers)
+{
+    SimulatedPlatform world;
+    addFleet(world, 4);
+    Jobs::JobSpec job = SimulatedPlatform::makeJob("j", 1, 2);
+    world.taskTime = 4s;
+    CHECK(world.submit(job));
+    for (int n = 0; n < 6; ++n) {
+        world.run(500ms);
+        for (auto &[id, worker] : world.workers) {
+            if (world.runsOn(id) > 0) {
+                worker.unreachableFrom = {"m1", "m2"};
+            }
+        }
+        runAndPublish(world, 5);
+        for (auto &[id, worker] : world.workers) {
+            worker.unreachableFrom.clear();
+        }
+        CHECK(world.state("j") != ReportedState::Failed);
+    }
+    runAndPublish(world, 20);
+    checkNoViolations(world);
+    CHECK(world.state("j") == ReportedState::Completed);
+}
+
+// Long-running tasks outlive many workers over time.
+TEST(DeadlyTasks, AreNotLongRunningOnesThatLoseWorkersNowAndThen)
+{
+    SimulatedPlatform world;
+    addFleet(world, 6);
+    Jobs::JobSpec job = SimulatedPlatform::makeJob("j", 1, 3);
+    job.stages[0].isLongRunning = true;
+    world.taskTime = 24h;
+    CHECK(world.submit(job));
+    for (int n = 0; n < 8; ++n) {
+        runAndPublish(world, 20);
+        for (auto &[id, worker] : world.workers) {
+            if (world.runsOn(id) > 0) {
+                world.crash(id, 2s);
+            }
+        }
+        runAndPublish(world, 10);
+        CHECK_EQUAL(3, world.runsOf("j"));
+    }
+    checkNoViolations(world);
+    CHECK(world.state("j") == ReportedState::Running);
+}
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -21,6 +21,9 @@
 constexpr std::int64_t LeaseLimit = 10'000; // ms
 constexpr auto TailStep = 5ms; // between two looks for new records
 constexpr auto EarlyStart = 250ms; // an occurrence may start at most this early
+constexpr auto EntryLifetime = 4500ms; // of a worker that no longer writes its entry
+constexpr int CrashesBeforeBudget = 3;
+constexpr int MaxStartsAfterCrashes = 2;
 constexpr std::uint64_t RepeatableAppends = 5; // the store answers a repeat of one of these like the first
 
 // Elements of a task in a progress record that builds before the failed attempt read and write.
@@ -137,6 +140,41 @@
     });
 }
 
+void SimulatedPlatform::crashUnder(const Jobs::TaskId &task, std::uint32_t attempt, const std::string &id)
+{
+    const Worker &worker = workers[id];
+    const bool isThere =
+        worker.isUp && std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const Run &it) {
+            return it.task == task && it.attempt == attempt;
+        });
+    if (!isThere) {
+        return;
+    }
+    ++crashesUnder[task];
+    addToHistory(worker, task, attempt, "crashes its worker");
+    if (!replacesCrashedWorkers) {
+        crash(id, crashPause);
+        timers.subscribeAfter(crashPause, [this] { publishWorkers(); });
+        return;
+    }
+    crash(id, Milliseconds(24h));
+    timers.subscribeAfter(EntryLifetime, [this, id] {
+        workers[id].isListed = false;
+        publishWorkers();
+    });
+    timers.subscribeAfter(crashPause, [this, info = worker.info] {
+        Worker &next = addWorker(info.id + "'", info.capacity.milliCores);
+        const Jobs::WorkerInfo fresh = next.info;
+        next.info = info;
+        next.info.id = fresh.id;
+        next.info.address = fresh.address;
+        next.m_startedAt = timers.now();
+        next.info.startTime =
+            std::chrono::duration_cast<Milliseconds>(next.m_startedAt.time_since_epoch()).count();
+        publishWorkers();
+    });
+}
+
 SimulatedPlatform::Member &SimulatedPlatform::addMember(const std::string &name)
 {
     auto &member = members[name];
@@ -520,6 +558,18 @@
     worker.m_runs.push_back({order.task, order.attempt, timers.now() + time, fails});
     const std::string id = worker.info.id;
     timers.subscribeAfter(time, [this, id] { advance(workers[id]); });
+    if (deadlyTasks.count(order.task) > 0) {
+        if (crashesUnder[order.task] >= CrashesBeforeBudget
+            && ++m_startsAfterCrashes[order.task] > MaxStartsAfterCrashes) {
+            recordViolation(order.task,
+                            fmt::format("start of {} after {} workers have crashed under it",
+                                        Jobs::toString(order.task),
+                                        crashesUnder[order.task]));
+        }
+        timers.subscribeAfter(deadlyDelay, [this, task = order.task, attempt = order.attempt, id] {
+            crashUnder(task, attempt, id);
+        });
+    }
     return {OrderResult::Done, clock};
 }
 
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -136,6 +136,8 @@
     enum class CrashKind { Reset, Silent };
     /// Crashes a worker, which ends all its runs. It restarts after `pause` with the same ID.
     void crash(const std::string &id, Milliseconds pause, CrashKind kind = CrashKind::Reset);
+    /// Crashes the worker on which a deadly task runs.
+    void crashUnder(const Jobs::TaskId &task, std::uint32_t attempt, const std::string &id);
     Member &addMember(const std::string &name);
     /// Ends the process of a member without a clean shutdown.
     void kill(const std::string &name);
@@ -191,6 +193,11 @@
     std::map<Jobs::TaskId, int> pacePercents; ///< last ordered pace, in percent
     bool losesPaceOrders = false; ///< pace orders have no effect and get no answer
     std::map<Jobs::TaskId, std::int64_t> tails; ///< tail latencies of long-running tasks, ms
+    std::set<Jobs::TaskId> deadlyTasks; ///< crash each worker that starts them
+    Milliseconds deadlyDelay{10}; ///< from the start of such a task until the worker crashes
+    Milliseconds crashPause{3000}; ///< until the machine of that worker has a worker again
+    bool replacesCrashedWorkers = false; ///< that worker has another ID
+    std::map<Jobs::TaskId, int> crashesUnder; ///< workers that deadly tasks have crashed
     Milliseconds taskTime{700};
     double failureShare = 0; ///< share of runs that fail
     std::mt19937 random;
@@ -243,6 +250,7 @@
     std::vector<Jobs::WorkspaceQuota> m_quotas;
     std::vector<std::pair<Base::Instant, std::vector<Jobs::WorkspaceQuota>>>
         m_earlierQuotas; ///< with the time until which they may be in force
+    std::map<Jobs::TaskId, int> m_startsAfterCrashes; ///< of deadly tasks, after three crashes
     std::set<Jobs::TaskId> m_ended; ///< tasks that ended as done at least once
     JobService::ServiceLayout m_layout;
     std::vector<Partition> m_partitions;
