--- a/tests/soak/worker.h
+++ b/tests/soak/worker.h
@@ -99,7 +99,7 @@
     std::vector<Jobs::ListedEnd> m_ends;
     std::uint64_t m_lastEnd = 0;
     std::uint64_t m_listedEnd = 0; ///< the last one that an owner was told
-    std::uint64_t m_lapsedEnd = 0; ///< the last one when the lease ended; if acknowledged later, it may run again
+    std::uint64_t m_lapsedEnd = 0; ///< the last one when the lease ended; tasks up to it may run again
     std::vector<Waiter> m_waiters;
     std::uint64_t m_lastWaiter = 0;
     std::uint64_t m_beats = 0;
