Count the workers that crash under a task, and give it up after three

Cause: only ends listed as failed counted as attempts.

Change: the loss of a worker counts for the tasks on it, in the job's record, unless the worker drained or answers again in the same life. Suspects are started apart from each other, with two crashes alone on an empty worker; with three, the job fails, and the answer about its state says why.

--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -51,6 +51,10 @@
         return "unknown-quota";
     case WaitReason::Advice:
         return "advice";
+    case WaitReason::EmptyWorker:
+        return "empty-worker";
+    case WaitReason::OpenLoss:
+        return "open-loss";
     }
     return "unknown";
 }
@@ -100,6 +104,25 @@
         needed.begin(), needed.end(), [&](std::uint32_t it) { return occurrence.stages[it].isDone(); });
 }
 
+std::string_view Job::failureReason() const
+{
+    if (storedState != JobState::Failed) {
+        return {};
+    }
+    std::uint32_t crashes = 0;
+    std::uint32_t failures = 0;
+    for (const auto &[number, occurrence] : occurrences) {
+        for (const StageProgress &stage : occurrence.stages) {
+            for (const Task &it : stage.tasks) {
+                crashes = std::max(crashes, it.crashes);
+                failures = std::max(failures, it.failures);
+            }
+        }
+    }
+    return failures >= spec.queue.maxAttempts || crashes == 0 ? "a task failed too often"
+                                                              : "workers crashed under a task";
+}
+
 bool Job::hasRuns() const
 {
     for (const auto &[number, occurrence] : occurrences) {
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -39,7 +39,11 @@
     std::uint32_t attempt = 0; ///< of the latest run
     std::uint32_t failures = 0; ///< number of failed runs; of a gang, at its first task
     std::uint32_t failedAttempt = 0; ///< latest failed attempt of a gang, at its first task
+    std::uint32_t crashes = 0; ///< workers that crashed while they ran it, known or assumed; of a gang, at
+                               ///< its first task
+    std::uint32_t crashedAttempt = 0; ///< latest attempt of a gang that counts in crashes, at its first task
     std::string worker; ///< worker of the run
+    std::int64_t workerStart = 0; ///< start time of the worker when the run was assigned, ms; 0: unknown
     std::string failedOn; ///< worker on which the latest run failed
     std::string checkpoint; ///< checkpoint from which the next run resumes
     int percent = 0; ///< share that the run gets of the processor time that it requests
@@ -61,6 +65,8 @@
     Quota, ///< the limit of its workspace, for this task or for one that goes first
     UnknownQuota, ///< the limits of the workspaces are not known to the shard
     Advice, ///< the advice service has allowed no worker that has room
+    EmptyWorker, ///< workers have crashed under it, so it needs one for itself
+    OpenLoss, ///< whether a worker has crashed under it once more is not known yet
 };
 
 /// For logs.
@@ -120,6 +126,9 @@
     bool isReady(const Occurrence &occurrence, std::uint32_t stage) const;
     bool hasRuns() const;
 
+    /// Why the job has failed; empty if it has not.
+    std::string_view failureReason() const;
+
     /// The estimated time until the end of an occurrence if its tasks need not wait for workers.
     Milliseconds remainingCriticalPath(const Occurrence &occurrence) const;
     /// The length of the critical path through the graph, by the estimates.
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -115,23 +115,31 @@
     return queue;
 }
 
-// Encodes a task as [done, attempt, failures, worker, checkpoint, failed attempt]. Trailing empty parts are
-// omitted.
+// Encodes a task as [done, attempt, failures, worker, checkpoint, failed attempt, crashes, start of the
+// worker]. Trailing empty parts are omitted.
 json::array encodeTask(const Task &task)
 {
     json::array out{task.isDone ? 1 : 0, task.attempt, task.failures};
-    const bool hasFailedAttempt = task.failedAttempt != 0 && !task.isDone;
-    const bool hasCheckpoint = !task.checkpoint.empty() && !task.isDone;
     const bool isAssigned = task.run != RunState::None;
-    if (isAssigned || hasCheckpoint || hasFailedAttempt) {
+    const bool hasStart = isAssigned && task.workerStart != 0;
+    const bool hasCrashes = hasStart || (task.crashes != 0 && !task.isDone);
+    const bool hasFailedAttempt = hasCrashes || (task.failedAttempt != 0 && !task.isDone);
+    const bool hasCheckpoint = hasFailedAttempt || (!task.checkpoint.empty() && !task.isDone);
+    if (isAssigned || hasCheckpoint) {
         out.emplace_back(isAssigned ? task.worker : std::string());
     }
-    if (hasCheckpoint || hasFailedAttempt) {
+    if (hasCheckpoint) {
         out.emplace_back(task.checkpoint);
     }
     if (hasFailedAttempt) {
         out.emplace_back(task.failedAttempt);
     }
+    if (hasCrashes) {
+        out.emplace_back(task.crashes);
+    }
+    if (hasStart) {
+        out.emplace_back(task.workerStart);
+    }
     return out;
 }
 
@@ -150,6 +158,12 @@
     if (from.size() > 5) {
         task.failedAttempt = from.at(5).to_number<std::uint32_t>();
     }
+    if (from.size() > 6) {
+        task.crashes = from.at(6).to_number<std::uint32_t>();
+    }
+    if (from.size() > 7) {
+        task.workerStart = from.at(7).to_number<std::int64_t>();
+    }
     if (!task.isDone && !task.worker.empty()) {
         task.run = RunState::Inherited;
     }
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -15,7 +15,8 @@
         || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
 }
 
-bool fits(const Stage &stage, const Candidate &candidate, Base::Instant now)
+// Without regard to what else is kept from the worker.
+bool hasRoom(const Stage &stage, const Candidate &candidate, Base::Instant now)
 {
     const Worker &worker = *candidate.worker;
     if (!worker.isUsable(now) || !hasLabel(worker.info, stage.requiredLabel)) {
@@ -29,12 +30,22 @@
     return room.contains(reservedResources(stage));
 }
 
+bool fits(const Stage &stage, const Candidate &candidate, Base::Instant now)
+{
+    return candidate.worker->emptiedUntil <= now && hasRoom(stage, candidate, now);
+}
+
+std::int64_t freeCores(const Worker &worker)
+{
+    return worker.info.capacity.milliCores - worker.used.milliCores;
+}
+
 // Lower is better. The penalty for remote data outweighs any difference in free cores.
 std::int64_t cost(const Stage &stage, const Candidate &candidate)
 {
     constexpr std::int64_t RemoteDataPenalty = 1'000'000'000;
     const Worker &worker = *candidate.worker;
-    const std::int64_t left = worker.info.capacity.milliCores - worker.used.milliCores;
+    const std::int64_t left = freeCores(worker);
     std::int64_t sum = 0;
     if (!stage.dataRack.empty() && worker.info.rack != stage.dataRack) {
         sum += RemoteDataPenalty;
@@ -73,6 +84,30 @@
     return best;
 }
 
+Worker *chooseWorkerApart(const Stage &stage, std::span<const Candidate> candidates, Base::Instant now)
+{
+    Worker *best = nullptr;
+    for (const Candidate &it : candidates) {
+        const bool isBetter = !best || freeCores(*it.worker) > freeCores(*best);
+        if (isBetter && it.worker->suspects.empty() && fits(stage, it, now)) {
+            best = it.worker;
+        }
+    }
+    return best;
+}
+
+Worker *chooseEmptyWorker(const Stage &stage, std::span<const Candidate> candidates, Base::Instant now)
+{
+    Worker *best = nullptr;
+    for (const Candidate &it : candidates) {
+        const bool isBetter = !best || it.worker->info.capacity.milliCores < best->info.capacity.milliCores;
+        if (isBetter && it.worker->runs.empty() && hasRoom(stage, it, now)) {
+            best = it.worker;
+        }
+    }
+    return best;
+}
+
 std::vector<Worker *> chooseGangWorkers(const Stage &stage, std::span<const Candidate> all, Base::Instant now)
 {
     std::vector<std::string> racks;
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -25,6 +25,14 @@
                      Base::Instant now,
                      std::string_view excluded = {});
 
+/// Returns the best worker for a task under which a worker has crashed: the emptiest one without another such
+/// task, or null if there is none.
+Worker *chooseWorkerApart(const Stage &stage, std::span<const Candidate> candidates, Base::Instant now);
+
+/// Returns the smallest worker that a task of `stage` fits on and that runs nothing, or null if there is
+/// none.
+Worker *chooseEmptyWorker(const Stage &stage, std::span<const Candidate> candidates, Base::Instant now);
+
 /// Returns a worker for each task of the gang `stage`, or none if not all of them have room. If the stage is
 /// rack-sensitive, single racks are tried first.
 std::vector<Worker *>
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -224,6 +224,7 @@
                     }
                     Worker &worker = workerFor(task.worker);
                     worker.runs.insert({id, number, stage, index});
+                    markSuspect(worker, {id, number, stage, index}, task);
                     worker.used += reservedResources(job.spec.stages[stage]);
                     m_quotaUsage.add(job.spec.workspace, job.spec.stages[stage].size);
                 }
@@ -284,6 +285,7 @@
         }
         worker.info = it;
         worker.isListed = true;
+        m_lostRuns.settleMachine(it.machine, it.startTime);
     }
     m_hasChanged = true;
 }
@@ -556,6 +558,10 @@
         for (const auto &[number, occurrence] : job->occurrences) {
             for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
                 const StageProgress &progress = occurrence.stages[n];
+                if (progress.wait && progress.wait->reason == WaitReason::EmptyWorker) {
+                    ++demand.emptyWorkers;
+                    continue;
+                }
                 const bool hasNoWorker = progress.wait
                     && (progress.wait->reason == WaitReason::NoRoom
                         || progress.wait->reason == WaitReason::Advice)
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -3,6 +3,7 @@
 #include "advicecache.h"
 #include "arrivalallowance.h"
 #include "jobrecord.h"
+#include "lostruns.h"
 #include "placement.h"
 #include "quotausage.h"
 #include "reservations.h"
@@ -128,6 +129,10 @@
 private:
     static constexpr std::string_view OwnerKey = "owner";
     static constexpr Milliseconds MinReportedWait{1000};
+    // Crashes of workers under a task from which on it is given up, and from which on it gets a worker for
+    // itself.
+    static constexpr std::uint32_t MaxCrashes = 3;
+    static constexpr std::uint32_t IsolatedCrashes = 2;
     // Sent as retry delay to callers whose job was refused because the store did not answer.
     static constexpr Milliseconds StoreRetryAfter{1000};
 
@@ -178,6 +183,18 @@
                              const std::vector<TaskId> &listed,
                              Base::Instant now);
     void endRun(Job &job, const TaskId &id, Task &task);
+    /// Ends a run that its worker took with it. `lostTogether` runs were lost at the same time.
+    void endLostRun(Job &job, const TaskId &id, Task &task, std::size_t lostTogether, Base::Instant now);
+    /// Ends a run that its worker does not list; it is lost if the worker has restarted since its assignment.
+    void endUnlistedRun(Job &job, const TaskId &id, Task &task, Base::Instant now);
+    /// Forgets the crashes of workers under the task, which runs.
+    void clearSuspicion(Job &job, const TaskId &id, Task &task);
+    /// The task at which the failures and crashes of a gang are counted, otherwise the task itself.
+    static Task &countedTask(Job &job, const TaskId &id, Task &task);
+    /// The worker has answered in the life in which it lost runs, so it has not crashed.
+    void withdrawCrashes(const Worker &worker);
+    /// Marks the run on its worker if workers have crashed under the task.
+    static void markSuspect(Worker &worker, const TaskId &id, const Task &task);
     void completeTask(Job &job, const TaskId &id, WallTime wall, Base::Instant now);
     void recordTaskFailure(Job &job, const TaskId &id, Task &task, Base::Instant now, WallTime wall);
     void orderStop(const TaskId &id, Task &task, Base::Instant now);
@@ -232,6 +249,15 @@
         Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now);
     void
     placeGang(Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now);
+    /// A worker for a task under which workers have crashed; null if it has to wait.
+    Worker *placeForSuspect(const Stage &stage,
+                            const Task &task,
+                            std::span<const Candidate> candidates,
+                            Base::Instant now);
+    /// Fails the jobs with a task under which too many workers have crashed.
+    void giveUpDeadlyJobs(WallTime wall, Base::Instant now);
+    /// Such a task of the job, unless one of its workers may still answer.
+    std::optional<TaskId> deadlyTask(const Job &job) const;
     void assign(Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt);
     void sendBatch(Base::Instant now);
     /// The record of leases for the next append, if that needs one.
@@ -273,6 +299,9 @@
     std::uint64_t m_lastBatch = 0;
     Base::Instant m_lastBatchAt;
     std::map<std::string, double> m_arrivedWork; ///< by service, core-seconds without long-running tasks
+    LostRuns m_lostRuns;
+    bool m_hasDeadlyTask = false; ///< too many workers have crashed under some task since the last pass
+    std::uint32_t m_emptiedWorkers = 0; ///< in this placement
     AdviceCache m_advice;
     QuotaUsage m_quotaUsage;
     ArrivalAllowance m_arrivalAllowance;
--- a/src/libs/jobs/shardcommands.h
+++ b/src/libs/jobs/shardcommands.h
@@ -204,6 +204,7 @@
     std::string availabilityZone;
     std::vector<std::string> labels;
     std::string rack;
+    std::string machine; ///< ID; empty: unknown
     Resources capacity;
     bool isDraining = false;
     Milliseconds drainTimeLeft{}; ///< while draining: the minimum time left until the worker ends
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -25,6 +25,11 @@
 // Keeps an append well below the size limit of the store for one call.
 constexpr std::size_t MaxBatchBytes = 1U << 20U;
 
+// A worker that a task waits to have for itself gets no new runs for this long, renewed by each placement. At
+// most one of this many workers is emptied at the same time.
+constexpr Milliseconds EmptyingHold{300};
+constexpr std::size_t EmptiedDivisor = 8;
+
 // Limits the queries to other shards in one sweep.
 constexpr std::size_t MaxRedirectQueries = 20;
 
@@ -43,8 +48,12 @@
 void Shard::processDue(Base::Instant now, WallTime wall)
 {
     endExpiredRuns(now);
+    if (m_nextSweep <= now || std::exchange(m_hasDeadlyTask, false)) {
+        giveUpDeadlyJobs(wall, now);
+    }
     if (m_nextSweep <= now) {
         m_nextSweep = now + SweepPeriod;
+        m_lostRuns.expire(now);
         removeEndedJobs(wall);
         checkRedirectedJobs(wall);
         logWaitingJobs(now);
@@ -112,6 +121,7 @@
 {
     m_candidates.clear();
     m_unplaceableSizes.clear();
+    m_emptiedWorkers = 0;
     m_quotaUsage.startRound();
     m_nextPlacementRetry = Base::Instant::max();
     std::vector<UnfinishedOccurrence> ready;
@@ -236,7 +246,23 @@
         if (candidates.empty()) {
             candidates = allowedByAdvice(job, number, stage, candidatesFor(job, wanted, progress), now);
         }
-        Worker *worker = chooseWorker(wanted, candidates, now, task.failedOn);
+        if (task.crashes >= MaxCrashes) {
+            progress.setWait(WaitReason::OpenLoss, now);
+            m_nextPlacementRetry = now + PlacementRetryPeriod;
+            continue;
+        }
+        Worker *worker = nullptr;
+        if (task.crashes > 0) {
+            worker = placeForSuspect(wanted, task, candidates, now);
+            if (!worker && task.crashes >= IsolatedCrashes) {
+                progress.setWait(WaitReason::EmptyWorker, now);
+                m_nextPlacementRetry = now + PlacementRetryPeriod;
+                continue;
+            }
+        }
+        if (!worker) {
+            worker = chooseWorker(wanted, candidates, now, task.failedOn);
+        }
         if (!worker && !task.failedOn.empty()) {
             worker = chooseWorker(wanted, candidates, now);
         }
@@ -266,6 +292,75 @@
     }
 }
 
+// The first crash makes suspects of all runs of a worker. They are started apart from each other, so that the
+// next crash hits one of them only. Under which two workers have crashed is started alone.
+Worker *Shard::placeForSuspect(const Stage &stage,
+                               const Task &task,
+                               std::span<const Candidate> candidates,
+                               Base::Instant now)
+{
+    if (task.crashes < IsolatedCrashes) {
+        return chooseWorkerApart(stage, candidates, now);
+    }
+    if (Worker *empty = chooseEmptyWorker(stage, candidates, now)) {
+        return empty;
+    }
+    if (m_emptiedWorkers * EmptiedDivisor >= candidates.size()) {
+        return nullptr;
+    }
+    Worker *fewestRuns = nullptr;
+    for (const Candidate &it : candidates) {
+        Worker &worker = *it.worker;
+        const bool isCandidate = worker.isUsable(now)
+            && worker.info.capacity.contains(reservedResources(stage))
+            && (!fewestRuns || worker.runs.size() < fewestRuns->runs.size());
+        const bool hasLongRuns =
+            std::any_of(worker.runs.begin(), worker.runs.end(), [this](const TaskId &run) {
+                return m_jobs.find(run.job)->second.spec.stages[run.stage].isLongRunning;
+            });
+        if (isCandidate && !hasLongRuns) {
+            fewestRuns = &worker;
+        }
+    }
+    if (fewestRuns) {
+        fewestRuns->emptiedUntil = now + EmptyingHold;
+        ++m_emptiedWorkers;
+    }
+    return nullptr;
+}
+
+void Shard::giveUpDeadlyJobs(WallTime wall, Base::Instant now)
+{
+    const auto active = m_active;
+    for (Job *job : active) {
+        if (const auto task = deadlyTask(*job)) {
+            Base::LogLine(Base::LogLevel::Warning, "task-given-up")
+                .with("request", job->spec.id)
+                .with("task", toString(*task))
+                .with("crashes", job->find(*task)->crashes)
+                .with("reason", "workers crashed under it");
+            endJob(*job, JobState::Failed, wall, now);
+        }
+    }
+}
+
+std::optional<TaskId> Shard::deadlyTask(const Job &job) const
+{
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::uint32_t stage = 0; stage < occurrence.stages.size(); ++stage) {
+            const auto &tasks = occurrence.stages[stage].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                const TaskId id{job.spec.id, number, stage, index};
+                if (tasks[index].crashes >= MaxCrashes && tasks[index].isWaiting()
+                    && !m_lostRuns.isOpen(id)) {
+                    return id;
+                }
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 // Starts all tasks of the gang or none, and only once no run of an earlier attempt is left. Workers on which
 // the gang has failed are used only if it doesn't fit on the others.
 void Shard::placeGang(
@@ -285,6 +380,10 @@
     }
     const Stage &wanted = job.spec.stages[stage];
     m_nextPlacementRetry = now + PlacementRetryPeriod;
+    if (progress.tasks.front().crashes >= MaxCrashes) {
+        progress.setWait(WaitReason::OpenLoss, now);
+        return;
+    }
     const auto all = allowedByAdvice(job, number, stage, candidatesFor(job, wanted, progress), now);
     std::vector<Candidate> untried = all;
     std::erase_if(untried, [&progress](const Candidate &it) {
@@ -317,7 +416,9 @@
     task.run = RunState::Planned;
     task.attempt = attempt;
     task.worker = worker.info.id;
+    task.workerStart = worker.startTime;
     worker.runs.insert(id);
+    markSuspect(worker, id, task);
     worker.used += reservedResources(job.spec.stages[id.stage]);
     m_quotaUsage.add(job.spec.workspace, job.spec.stages[id.stage].size);
     markChanged(job);
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -41,6 +41,9 @@
 constexpr int FullPace = 100;
 constexpr int PaceStep = 10;
 
+// A long-running task that has run for this long does not crash its workers.
+constexpr Milliseconds ProvenRunTime{10'000};
+
 constexpr Milliseconds StopRetryDelay{250};
 constexpr Milliseconds NoRoomBackoff{150};
 constexpr Milliseconds UnhealthyBackoff{500};
@@ -123,11 +126,16 @@
 {
     const auto it = m_workers.find(task.worker);
     if (it != m_workers.end() && it->second.runs.erase(id) > 0) {
+        it->second.suspects.erase(id);
+        if (it->second.isolatedRun == id) {
+            it->second.isolatedRun.reset();
+        }
         it->second.used -= reservedResources(job.spec.stages[id.stage]);
         m_quotaUsage.remove(job.spec.workspace, job.spec.stages[id.stage].size);
     }
     task.run = RunState::None;
     task.worker.clear();
+    task.workerStart = 0;
     task.isListed = false;
     task.endsBy.reset();
     task.percent = 0;
@@ -135,6 +143,65 @@
     markChanged(job);
 }
 
+Task &Shard::countedTask(Job &job, const TaskId &id, Task &task)
+{
+    return job.spec.stages[id.stage].isGang ? job.occurrences[id.occurrence].stages[id.stage].tasks.front()
+                                            : task;
+}
+
+void Shard::markSuspect(Worker &worker, const TaskId &id, const Task &task)
+{
+    if (task.crashes > 0) {
+        worker.suspects.insert(id);
+    }
+    if (task.crashes >= IsolatedCrashes) {
+        worker.isolatedRun = id;
+    }
+}
+
+// The worker has crashed, or can't be reached. As a task that crashes its workers must not be started too
+// often, the loss counts as a crash until the worker answers again. One that drained has ended as announced.
+void Shard::endLostRun(Job &job, const TaskId &id, Task &task, std::size_t lostTogether, Base::Instant now)
+{
+    const Worker &worker = m_workers.at(task.worker);
+    const bool hasRestarted =
+        task.workerStart != 0 && worker.startTime != 0 && task.workerStart != worker.startTime;
+    Task &counted = countedTask(job, id, task);
+    const bool isGang = job.spec.stages[id.stage].isGang;
+    const bool isFirstOfAttempt =
+        !isGang || std::exchange(counted.crashedAttempt, task.attempt) != task.attempt;
+    if (isFirstOfAttempt && !worker.info.isDraining) {
+        ++counted.crashes;
+        m_hasDeadlyTask = m_hasDeadlyTask || counted.crashes >= MaxCrashes;
+        TaskId countedId = id;
+        countedId.index = isGang ? 0 : id.index;
+        if (!hasRestarted) {
+            m_lostRuns.add(task.worker, worker.info.machine, task.workerStart, countedId, now);
+        }
+    }
+    Base::LogLine(Base::LogLevel::Info, "run-lost")
+        .with("request", id.job)
+        .with("task", toString(id))
+        .with("attempt", task.attempt)
+        .with("worker", task.worker)
+        .with("worker_restarted", hasRestarted)
+        .with("lost_together", lostTogether)
+        .with("crashes", counted.crashes);
+    endRun(job, id, task);
+}
+
+void Shard::withdrawCrashes(const Worker &worker)
+{
+    for (const TaskId &it : m_lostRuns.takeRefuted(worker.info.id, worker.startTime)) {
+        const auto job = m_jobs.find(it.job);
+        Task *task = job != m_jobs.end() ? job->second.find(it) : nullptr;
+        if (task && task->crashes > 0) {
+            --task->crashes;
+            markChanged(job->second);
+        }
+    }
+}
+
 void Shard::completeTask(Job &job, const TaskId &id, WallTime wall, Base::Instant now)
 {
     Occurrence &occurrence = job.occurrences[id.occurrence];
@@ -172,7 +239,7 @@
     endRun(job, id, task);
     // The tasks of a gang share their attempt, which is counted at the first task, and once however many of
     // them fail in it.
-    Task &counted = stage.isGang ? job.occurrences[id.occurrence].stages[id.stage].tasks.front() : task;
+    Task &counted = countedTask(job, id, task);
     if (stage.isGang && std::exchange(counted.failedAttempt, task.attempt) == task.attempt) {
         return;
     }
@@ -252,6 +319,7 @@
         worker.isFenced = true;
         worker.leaseExpiresBy = now + longestTime(m_settings.leaseLimit);
     }
+    withdrawCrashes(worker);
     m_hasChanged = m_hasChanged || !worker.hasAnswered || !list.ended.empty();
     worker.hasAnswered = true;
     worker.listedRunsEndBy.reset();
@@ -293,6 +361,10 @@
             task->run = RunState::Running;
             task->confirmedAt = list.clock;
             found->second.hasStarted = true;
+            const bool isProven = task->crashes > 0 && now - task->orderedAt >= ProvenRunTime;
+            if (isProven && found->second.spec.stages[it.task.stage].isLongRunning) {
+                clearSuspicion(found->second, it.task, *task);
+            }
         }
     }
     throttleBestEffortRuns(worker, list);
@@ -392,7 +464,7 @@
             break;
         case RunState::Inherited:
             if (askedWith == worker.token) {
-                endRun(job, it, task);
+                endUnlistedRun(job, it, task, now);
             }
             break;
         case RunState::Unanswered:
@@ -402,13 +474,36 @@
             break;
         case RunState::Stopping:
             if (task.isStopConfirmed && list.clock > task.confirmedAt) {
-                endRun(job, it, task);
+                endUnlistedRun(job, it, task, now);
             }
             break;
         }
     }
 }
 
+// The worker runs it no more, either because it has restarted or because it never did.
+void Shard::endUnlistedRun(Job &job, const TaskId &id, Task &task, Base::Instant now)
+{
+    const Worker &worker = m_workers.at(task.worker);
+    if (task.workerStart != 0 && task.workerStart != worker.startTime) {
+        endLostRun(job, id, task, worker.runs.size(), now);
+    } else {
+        endRun(job, id, task);
+    }
+}
+
+// A long-running task may outlive any number of workers, so what counts is whether it crashes them soon.
+void Shard::clearSuspicion(Job &job, const TaskId &id, Task &task)
+{
+    Worker &worker = workerFor(task.worker);
+    task.crashes = 0;
+    worker.suspects.erase(id);
+    if (worker.isolatedRun == id) {
+        worker.isolatedRun.reset();
+    }
+    markChanged(job);
+}
+
 void Shard::orderStop(const TaskId &id, Task &task, Base::Instant now)
 {
     task.run = RunState::Stopping;
@@ -798,7 +893,7 @@
                 .with("request", it.job)
                 .with("task", toString(it))
                 .with("worker", id);
-            endRun(job, it, *job.find(it));
+            endLostRun(job, it, *job.find(it), expired.size(), now);
         }
     }
 }
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -42,6 +42,9 @@
     std::uint64_t ackCursor = 0; ///< run ends up to this number are stored
 
     std::set<TaskId> runs; ///< runs assigned to the worker and not known to have ended
+    std::set<TaskId> suspects; ///< of these, tasks under which a worker has crashed
+    std::optional<TaskId> isolatedRun; ///< of a task that gets the worker for itself
+    Base::Instant emptiedUntil; ///< gets no new runs, so that a task can have the worker for itself
     Resources used;
     Base::Instant backoffUntil; ///< set after a refused start, failed runs or an unknown run
     int consecutiveFailedJobs = 0; ///< jobs with a failed run since the last successful run
@@ -73,7 +76,7 @@
     bool isUsable(Base::Instant now) const
     {
         return isListed && hasAnswered && !info.isDraining && consecutiveRenewalFailures == 0
-            && backoffUntil <= now && evacuatedUntil <= now;
+            && backoffUntil <= now && evacuatedUntil <= now && !isolatedRun;
     }
 };
 
--- a/src/libs/jobservice/peerprotocol.cpp
+++ b/src/libs/jobservice/peerprotocol.cpp
@@ -166,6 +166,9 @@
     if (!reply.emptyWorkers.empty()) {
         out["empty"] = encodeNames(reply.emptyWorkers);
     }
+    if (!reply.failureReason.empty()) {
+        out["reason"] = reply.failureReason;
+    }
     if (reply.status == JobReply::Status::Redirected) {
         out["elsewhere"] = reply.redirectedTo;
     }
@@ -190,6 +193,7 @@
         if (const json::value *found = from.if_contains("empty")) {
             reply.emptyWorkers = decodeNames(*found);
         }
+        reply.failureReason = Jobs::textOrEmpty(from, "reason");
         reply.redirectedTo = Jobs::numberOr<ShardNumber>(from, "elsewhere", 0);
         return reply;
     } catch (const std::exception &) {
--- a/src/libs/jobservice/peerprotocol.h
+++ b/src/libs/jobservice/peerprotocol.h
@@ -45,6 +45,7 @@
     std::vector<Jobs::ServiceDemand> demand{};
     std::vector<std::string> emptyWorkers{}; ///< for Evacuate: workers on which nothing runs
     ShardNumber redirectedTo = 0;
+    std::string failureReason{}; ///< for ReportedState::Failed; empty: unknown
 };
 
 /// Name for logs.
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -666,7 +666,9 @@
                 reply(unknownJob());
                 return;
             }
-            reply({.status = JobReply::Status::Done, .state = reportedState(*job)});
+            reply({.status = JobReply::Status::Done,
+                   .state = reportedState(*job),
+                   .failureReason = std::string(job->failureReason())});
             return;
         }
         case Operation::Pending:
--- a/tests/auto/adapter/tst_frontend.cpp
+++ b/tests/auto/adapter/tst_frontend.cpp
@@ -1,3 +1,4 @@
+#include <platform/codec.h>
 #include <platform/frontend.h>
 
 #include <base/logline.h>
@@ -120,3 +121,12 @@
     CHECK(routed.empty());
     CHECK_EQUAL(200, send("POST", JobPath, {"key-b"}, GangBody));
 }
+
+TEST(Frontend, AFailedJobIsShownWithItsReason)
+{
+    const std::string text =
+        Platform::encodeState(JobService::ReportedState::Failed, "a task failed too often");
+    STRCMP_EQUAL(R"({"State":"failed","Reason":"a task failed too often"})", text.c_str());
+    STRCMP_EQUAL(R"({"State":"running"})",
+                 Platform::encodeState(JobService::ReportedState::Running, {}).c_str());
+}
--- a/tests/auto/deadlytasks/tst_deadlytasks.cpp
+++ b/tests/auto/deadlytasks/tst_deadlytasks.cpp
@@ -1,6 +1,7 @@
 #include "simulatedplatform.h"
 
 #include <base/logline.h>
+#include <jobs/lostruns.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -126,6 +127,7 @@
         SimulatedPlatform world(seed);
         world.replacesCrashedWorkers = seed % 2 == 0;
         addFleet(world, 12);
+        world.members.at("m2")->platform.isEarlierBuild = seed % 3 == 0;
         std::mt19937 random(seed);
         std::vector<std::string> innocent;
         for (int n = 0; n < 80; ++n) {
@@ -198,3 +200,64 @@
     checkNoViolations(world);
     CHECK(world.state("j") == ReportedState::Running);
 }
+
+// A worker that leaves as announced takes its runs with it, which is no crash.
+TEST(DeadlyTasks, AreNotThoseOnWorkersThatDrain)
+{
+    SimulatedPlatform world;
+    addFleet(world, 8);
+    world.taskTime = 5s;
+    CHECK(world.submit(SimulatedPlatform::makeJob("j", 1, 1)));
+    for (int n = 0; n < 5; ++n) {
+        world.run(500ms);
+        for (auto &[id, worker] : world.workers) {
+            if (world.runsOn(id) > 0) {
+                worker.info.isDraining = true;
+                worker.info.drainTimeLeft = 300ms;
+                world.publishWorkers();
+                world.run(200ms);
+                world.crash(id, 24h);
+            }
+        }
+        runAndPublish(world, 6);
+        CHECK(world.state("j") != ReportedState::Failed);
+    }
+    checkNoViolations(world);
+}
+
+TEST(DeadlyTasks, SayWhyTheirJobsHaveFailed)
+{
+    SimulatedPlatform world;
+    addFleet(world, 6);
+    submitDeadlyJob(world, "deadly", 1);
+    runAndPublish(world, 40);
+    std::string reason;
+    world.ask({world.homeShardOf("deadly"), JobService::Operation::State, std::nullopt, "deadly"},
+              [&reason](const JobService::JobReply &reply) { reason = reply.failureReason; });
+    STRCMP_EQUAL("workers crashed under a task", reason.c_str());
+}
+
+TEST(DeadlyTasks, LossesAreSettledByTheWorkerItsMachineOrTime)
+{
+    const Base::Instant now{1h};
+    const Jobs::TaskId a{"a", 0, 0, 0};
+    const Jobs::TaskId b{"b", 0, 0, 0};
+    Jobs::LostRuns lost;
+    lost.add("w1", "m1", 1000, a, now);
+    lost.add("w2", "m2", 1000, b, now);
+    CHECK(lost.isOpen(a));
+    CHECK(lost.takeRefuted("w1", 2000).empty()); // it has restarted
+    CHECK(!lost.isOpen(a));
+    lost.add("w1", "m1", 2000, a, now);
+    CHECK(lost.takeRefuted("w1", 2000) == std::vector<Jobs::TaskId>{a});
+    lost.settleMachine("m2", 1000); // the same life
+    lost.settleMachine("", 9000);
+    CHECK(lost.isOpen(b));
+    lost.settleMachine("m2", 3000);
+    CHECK(!lost.isOpen(b));
+    lost.add("w2", "", 3000, b, now);
+    lost.expire(now + 15s);
+    CHECK(lost.isOpen(b));
+    lost.expire(now + 15'001ms);
+    CHECK(!lost.isOpen(b));
+}
--- a/tests/auto/jobs/tst_earlierbuilds.cpp
+++ b/tests/auto/jobs/tst_earlierbuilds.cpp
@@ -208,6 +208,27 @@
     }
 }
 
+// The seventh and eighth element of a task.
+TEST(EarlierBuilds, TheyReadTodaysCrashes)
+{
+    Jobs::Job job;
+    job.spec = SimulatedPlatform::makeJob("a", 1, 1);
+    Jobs::Task &task = job.addOccurrence(0).stages[0].tasks[0];
+    task.attempt = 3;
+    task.crashes = 2;
+    task.run = Jobs::RunState::Running;
+    task.worker = "w1";
+    task.workerStart = 1'796'442'164'100;
+    const json::value parsed = json::parse(Jobs::encodeProgress(job));
+    const json::array &row = parsed.at("tasks").at("0").at(0).at(0).as_array();
+    LONGS_EQUAL(8, row.size());
+    const EarlierTask read = readAsBefore(row);
+    LONGS_EQUAL(3, read.attempt);
+    LONGS_EQUAL(0, read.failures);
+    STRCMP_EQUAL("w1", read.worker.c_str());
+    CHECK(read.checkpoint.empty());
+}
+
 // An earlier build ignores a key that is neither "owner" nor begins with the prefix of a job's record.
 TEST(EarlierBuilds, TheyIgnoreTheRecordOfLeases)
 {
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -80,6 +80,31 @@
     CHECK(copy.checkpoint.empty());
 }
 
+// Guards against starting a task that crashes its workers again and again, once by each owner.
+TEST(JobRecord, ProgressRoundTripKeepsCrashes)
+{
+    Jobs::Job job;
+    job.spec = SimulatedPlatform::makeJob("a", 1, 3);
+    auto &tasks = job.addOccurrence(0).stages[0].tasks;
+    tasks[0].crashes = 2;
+    tasks[1].crashes = 1;
+    tasks[1].run = Jobs::RunState::Running;
+    tasks[1].worker = "w1";
+    tasks[1].workerStart = 1'796'442'164'100;
+    tasks[2].crashes = 1;
+    tasks[2].isDone = true;
+    Jobs::Job read;
+    read.spec = job.spec;
+    CHECK(Jobs::decodeProgress(Jobs::encodeProgress(job), read));
+    const auto &copies = read.occurrences[0].stages[0].tasks;
+    LONGS_EQUAL(2, copies[0].crashes);
+    CHECK(copies[0].isWaiting());
+    LONGS_EQUAL(1, copies[1].crashes);
+    CHECK_EQUAL(1'796'442'164'100, copies[1].workerStart);
+    CHECK(copies[1].run == Jobs::RunState::Inherited);
+    LONGS_EQUAL(0, copies[2].crashes);
+}
+
 // Builds without the field read the first five elements of a task and ignore what follows; what they write
 // ends after those.
 TEST(JobRecord, TasksWrittenByBuildsWithoutTheFailedAttemptAreRead)
