Show what workers with a changing capacity break

SimulatedPlatform checks starts against the largest capacity of the last 5.5 s, before against the present one.

--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -48,6 +48,8 @@
         Base::Instant m_startedAt;
         Jobs::OrderToken m_token = 0;
         std::int64_t m_leaseEnd = 0;
+        std::vector<std::pair<Base::Instant, Jobs::Resources>>
+            m_earlierCapacities; ///< until when starts may use them
         std::vector<Run> m_runs;
         std::vector<Jobs::ListedEnd> m_ends;
         std::uint64_t m_lastEnd = 0;
@@ -138,6 +140,9 @@
     void crash(const std::string &id, Milliseconds pause, CrashKind kind = CrashKind::Reset);
     /// Crashes the worker on which a deadly task runs.
     void crashUnder(const Jobs::TaskId &task, std::uint32_t attempt, const std::string &id);
+    /// Changes the capacity of a worker. Members learn of it after `lag`; starts are checked against the
+    /// largest one of the last seconds.
+    void resize(const std::string &id, const Jobs::Resources &capacity, Milliseconds lag);
     Member &addMember(const std::string &name);
     /// Ends the process of a member without a clean shutdown.
     void kill(const std::string &name);
@@ -229,6 +234,8 @@
     void checkPlacement(const Worker &worker, const Jobs::StartRun &order, const Jobs::Stage &stage);
     const Jobs::Stage *stageOf(const Jobs::TaskId &task) const;
     Jobs::Resources usedOn(const Worker &worker) const;
+    /// The capacity that starts may use: of each kind the largest of the last seconds.
+    Jobs::Resources boundOf(const Worker &worker) const;
     void addToHistory(const Worker &worker,
                       const Jobs::TaskId &task,
                       std::uint32_t attempt,
