Check a worker's capacity again before a start is sent

Cause: between the choice of a worker and the start the assignment is appended to the store. If that takes long, the worker may have shrunk in the meantime, and one that doesn't refuse starts was taken over its capacity; only its other properties were looked at again (tst_capacities AnAssignmentStoredLateIsNotStartedOverTheCapacity).

Change: an assignment to a worker whose runs exceed its capacity by now is withdrawn before its start, and placed anew.

Conclusion: LIMIT holds in the tests; a start that a worker carries out seconds after it was sent can't be taken back.

--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -527,8 +527,8 @@
     m_commands.emplace_back(std::move(append));
 }
 
-// The worker may have started to drain or disappeared while the assignment was being stored, and the limit of
-// the workspace may have been lowered.
+// While the assignment was being stored, the worker may have started to drain, shrunk or disappeared, and the
+// limit of the workspace may have been lowered.
 void Shard::sendStart(const TaskId &id, Base::Instant now)
 {
     const auto it = m_jobs.find(id.job);
@@ -539,8 +539,9 @@
     Job &job = it->second;
     Worker &worker = workerFor(task->worker);
     const bool isWithinQuota = m_quotaUsage.isWithinLimit(job.spec.workspace);
+    const bool isWithinCapacity = worker.info.capacity.contains(worker.used);
     if (!worker.isListed || !worker.hasAnswered || worker.info.isDraining || m_isMembershipLapsed
-        || !isWithinQuota) {
+        || !isWithinQuota || !isWithinCapacity) {
         endRun(job, id, *task);
         return;
     }
