Admit jobs that fit workers at their full size

Cause: a job that no listed worker could hold was refused for good, by the workers' capacity of the moment. While they have shrunk, that is said of jobs that fit again soon (tst_capacities AJobIsAcceptedWhileWorkersHaveShrunk).

Change: what counts is the largest capacity that a worker has had since it started; one that has never held the job is still refused at once.

Conclusion: an owner that has only seen workers that had shrunk already still refuses for good; it knows no other size.

--- a/src/libs/jobs/jobspec.h
+++ b/src/libs/jobs/jobspec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -42,6 +43,14 @@
     }
 };
 
+/// The larger amount of each resource.
+inline Resources larger(const Resources &a, const Resources &b)
+{
+    return {std::max(a.milliCores, b.milliCores),
+            std::max(a.memory, b.memory),
+            std::max(a.accelerators, b.accelerators)};
+}
+
 /// A node of a job's graph, consisting of `count` identical tasks.
 struct Stage {
     std::uint32_t count = 0;
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -146,10 +146,15 @@
     return {};
 }
 
+bool canHold(const WorkerInfo &worker, const Resources &capacity, const Stage &stage)
+{
+    return hasLabel(worker, stage.requiredLabel) && capacity.contains(reservedResources(stage));
+}
+
 bool canBePlaced(const Stage &stage, std::span<const WorkerInfo *const> workers)
 {
-    return std::any_of(workers.begin(), workers.end(), [&](const WorkerInfo *it) {
-        return hasLabel(*it, stage.requiredLabel) && it->capacity.contains(reservedResources(stage));
+    return std::any_of(workers.begin(), workers.end(), [&stage](const WorkerInfo *it) {
+        return canHold(*it, it->capacity, stage);
     });
 }
 
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -38,6 +38,9 @@
 std::vector<Worker *>
 chooseGangWorkers(const Stage &stage, std::span<const Candidate> all, Base::Instant now);
 
+/// Whether a task of `stage` would fit on the worker if it had this capacity and were empty.
+bool canHold(const WorkerInfo &worker, const Resources &capacity, const Stage &stage);
+
 /// Whether a task of `stage` would fit on any of the workers if they were empty.
 bool canBePlaced(const Stage &stage, std::span<const WorkerInfo *const> workers);
 
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -283,6 +283,7 @@
         } else if (!it.isDraining) {
             worker.drainDeadline.reset();
         }
+        worker.fullCapacity = isNewStart ? it.capacity : larger(worker.fullCapacity, it.capacity);
         worker.info = it;
         worker.isListed = true;
         m_lostRuns.settleMachine(it.machine, it.startTime);
@@ -405,15 +406,18 @@
         refuse(spec.id, reason, replyId);
         return;
     }
-    std::vector<const WorkerInfo *> listed;
+    std::vector<const Worker *> listed;
     for (const auto &[id, worker] : m_workers) {
         if (worker.isListed && worker.info.service == spec.queue.service) {
-            listed.push_back(&worker.info);
+            listed.push_back(&worker);
         }
     }
+    // Workers that have shrunk may grow again.
     const bool isHopeless =
-        !listed.empty() && std::any_of(spec.stages.begin(), spec.stages.end(), [&](const Stage &it) {
-            return !canBePlaced(it, listed);
+        !listed.empty() && std::any_of(spec.stages.begin(), spec.stages.end(), [&](const Stage &stage) {
+            return std::none_of(listed.begin(), listed.end(), [&stage](const Worker *it) {
+                return canHold(it->info, it->fullCapacity, stage);
+            });
         });
     if (isHopeless) {
         Base::LogLine(Base::LogLevel::Info, "job-refused")
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -46,6 +46,7 @@
     std::optional<TaskId> isolatedRun; ///< of a task that gets the worker for itself
     Base::Instant emptiedUntil; ///< gets no new runs, so that a task can have the worker for itself
     Resources used;
+    Resources fullCapacity; ///< the largest since its latest restart, of each kind
     Base::Instant backoffUntil; ///< set after a refused start, failed runs or an unknown run
     int consecutiveFailedJobs = 0; ///< jobs with a failed run since the last successful run
     std::string lastFailedJob;
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -429,9 +429,7 @@
     Jobs::Resources bound = worker.info.capacity;
     for (const auto &[until, capacity] : worker.m_earlierCapacities) {
         if (until > timers.now()) {
-            bound = {std::max(bound.milliCores, capacity.milliCores),
-                     std::max(bound.memory, capacity.memory),
-                     std::max(bound.accelerators, capacity.accelerators)};
+            bound = Jobs::larger(bound, capacity);
         }
     }
     return bound;
--- a/tests/soak/observer.cpp
+++ b/tests/soak/observer.cpp
@@ -29,13 +29,6 @@
 constexpr std::array Kinds{
     &Jobs::Resources::milliCores, &Jobs::Resources::memory, &Jobs::Resources::accelerators};
 
-Jobs::Resources larger(const Jobs::Resources &a, const Jobs::Resources &b)
-{
-    return {std::max(a.milliCores, b.milliCores),
-            std::max(a.memory, b.memory),
-            std::max(a.accelerators, b.accelerators)};
-}
-
 } // namespace
 
 Observer::Observer(Base::TimerService &timers, const Shape &shape)
