Raise the demand of services whose workers have shrunk

Cause: the planner counts a pool's machines by the size of its largest, so a pool whose workers have shrunk asked for as many as before (tst_capacities APoolOfShrunkWorkersAsksForMore).

Change: the owner of a shard raises the demand of a service by the share of cores that its listed workers lack, compared with the largest that each has had since it started; to four times at most, as workers may have nothing left.

Where no worker has shrunk the demand is what it was.

Memory that has shrunk does not count.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -32,6 +32,9 @@
 // Limits ServiceDemand::emptyWorkers.
 constexpr std::uint32_t MaxWholeWorkers = 4;
 
+// Limits the demand of a service whose workers have shrunk, as a multiple of what it would be otherwise.
+constexpr double MaxDemandGrowth = 4;
+
 // A long-running task that has found no worker for this time asks for an empty one. Moving a machine to the
 // pool because of the demand for cores takes less.
 constexpr Milliseconds StuckTaskDelay{3000};
@@ -523,6 +526,7 @@
         demands[worker->info.service].releasableWorkers.push_back(worker->info.id);
     }
     addWholeWorkerDemand(demands, now);
+    scaleDemandToShrunkWorkers(demands);
     std::vector<ServiceDemand> list;
     for (auto &[service, demand] : demands) {
         const auto arrived = m_arrivedWork.find(service);
@@ -532,6 +536,35 @@
     return list;
 }
 
+// The planner counts machines of full size, so a service whose workers have shrunk needs more of them.
+void Shard::scaleDemandToShrunkWorkers(std::map<std::string, ServiceDemand> &demands) const
+{
+    struct Cores {
+        double now = 0;
+        double full = 0;
+    };
+    std::map<std::string_view, Cores> services;
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.isListed) {
+            Cores &cores = services[worker.info.service];
+            cores.now += double(worker.info.capacity.milliCores);
+            cores.full += double(worker.fullCapacity.milliCores);
+        }
+    }
+    for (auto &[service, demand] : demands) {
+        const Cores &cores = services[service];
+        if (cores.now >= cores.full) {
+            continue;
+        }
+        const double growth = cores.full / std::max(cores.now, cores.full / MaxDemandGrowth);
+        for (const auto amount : {&ServiceDemand::milliCores,
+                                  &ServiceDemand::lateMilliCores,
+                                  &ServiceDemand::longRunningMilliCores}) {
+            demand.*amount = static_cast<std::int64_t>(double(demand.*amount) * growth);
+        }
+    }
+}
+
 // Long-running tasks are spread over workers and may leave none of them empty, so a large task may find no
 // worker in a pool that is nearly idle. In a busy pool other tasks make room as they end, and the demand for
 // cores brings more workers; a long-running task for which neither has helped lacks memory, or a worker that
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -211,6 +211,8 @@
                               const Worker &worker,
                               Base::Instant now,
                               WallTime wall) const;
+    /// Raises the demand for cores where workers have shrunk.
+    void scaleDemandToShrunkWorkers(std::map<std::string, ServiceDemand> &demands) const;
     /// Sets ServiceDemand::emptyWorkers of each service, given its releasable workers.
     void addWholeWorkerDemand(std::map<std::string, ServiceDemand> &demands, Base::Instant now) const;
     /// Logs long-running tasks that no worker has room for, and why.
--- a/src/libs/jobs/shardcommands.h
+++ b/src/libs/jobs/shardcommands.h
@@ -177,7 +177,7 @@
     std::vector<ListedEnd> ended;
 };
 
-/// The demand of the jobs of one service for workers.
+/// The demand of the jobs of one service for workers, in cores of workers at their full size.
 struct ServiceDemand {
     std::string service;
     std::int64_t milliCores = 0; ///< of running and ready tasks whose occurrence can meet its objective
