--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -37,6 +37,7 @@
 
 Options:
   --program=PATH     The members' program.
+  --second=PATH      Another one, which half of the members run; they change when they start again.
   --seed=N           Of the load and the troubles; timing is real. [default: 1]
   --members=N        [default: 42]
   --scale=X          Of load and fleet, against 350 machines. [default: 1]
@@ -86,12 +87,7 @@
         , m_store(m_eventLoop.context(), timers(), m_random())
         , m_observer(timers(), m_shape)
         , m_fleet({m_eventLoop.context(), timers(), m_store, m_observer, m_random}, guarded(m_shape))
-        , m_members(timers(),
-                    m_shape,
-                    m_arguments["--program"].asString(),
-                    std::move(folder),
-                    m_store.port(),
-                    m_fleet.port())
+        , m_members(timers(), m_shape, programs(), std::move(folder), m_store.port(), m_fleet.port())
         , m_callers(m_eventLoop.context(), timers(), m_observer, m_shape, m_members.entries(), m_random())
         , m_deployment{timers(), m_store, m_fleet, m_members, m_callers, m_observer, m_shape, m_random}
     {
@@ -132,6 +128,15 @@
         return m_eventLoop.timers();
     }
 
+    std::vector<std::string> programs()
+    {
+        std::vector<std::string> list{m_arguments["--program"].asString()};
+        if (const docopt::value &second = m_arguments["--second"]) {
+            list.push_back(second.asString());
+        }
+        return list;
+    }
+
     Shape &guarded(Shape &shape)
     {
         for (Service &it : shape.services) {
--- a/tests/soak/members.cpp
+++ b/tests/soak/members.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <cstdlib>
 #include <fstream>
+#include <utility>
 
 using namespace std::chrono_literals;
 
@@ -35,13 +36,13 @@
 
 Members::Members(Base::TimerService &timers,
                  const Shape &shape,
-                 const std::string &program,
+                 std::vector<std::string> programs,
                  std::filesystem::path folder,
                  std::uint16_t storePort,
                  std::uint16_t machinesPort)
     : m_timers(timers)
     , m_address(ownAddress())
-    , m_program(program)
+    , m_programs(std::move(programs))
     , m_folder(std::move(folder))
     , m_storePort(storePort)
     , m_machinesPort(machinesPort)
@@ -52,6 +53,7 @@
         member.name = fmt::format("member-{}-{}", member.zone, n / shape.zones.size() + 1);
         member.isStrong = n < shape.strongMembers;
         member.firstPort = static_cast<std::uint16_t>(FirstPort + PortsPerMember * n);
+        member.nextProgram = n % m_programs.size();
         m_members.push_back(std::move(member));
     }
 }
@@ -91,7 +93,8 @@
         "[store]\naddress = 127.0.0.1:{}\n[machines]\naddress = 127.0.0.1:{}\n", m_storePort, m_machinesPort);
     text.close();
     ::setenv(SettingsVariable, settings.c_str(), 1);
-    member.process = std::make_unique<Process>(std::vector<std::string>{m_program}, m_folder / member.name);
+    const std::string &program = m_programs[member.nextProgram++ % m_programs.size()];
+    member.process = std::make_unique<Process>(std::vector<std::string>{program}, m_folder / member.name);
     member.wasSignalled = false;
     member.isRestarting = false;
 }
--- a/tests/soak/members.h
+++ b/tests/soak/members.h
@@ -16,13 +16,14 @@
 namespace Soak
 {
 
-/// The members of the system as processes of their own. One that ends is started again.
+/// The members of the system as processes of their own. One that ends is started again. With several
+/// programs, members next to each other run different ones, and each runs the next one when it starts again.
 class Members
 {
 public:
     Members(Base::TimerService &timers,
             const Shape &shape,
-            const std::string &program,
+            std::vector<std::string> programs,
             std::filesystem::path folder,
             std::uint16_t storePort,
             std::uint16_t machinesPort);
@@ -46,6 +47,7 @@
         std::string zone;
         std::uint16_t firstPort = 0; ///< for callers; then readiness, peers, operators
         bool isStrong = false;
+        std::size_t nextProgram = 0;
         std::unique_ptr<Process> process;
         bool wasSignalled = false;
         bool isRestarting = false;
@@ -57,7 +59,7 @@
 
     Base::TimerService &m_timers;
     std::string m_address;
-    std::string m_program;
+    std::vector<std::string> m_programs;
     std::filesystem::path m_folder;
     std::uint16_t m_storePort;
     std::uint16_t m_machinesPort;
