Keep suspects from waiting for silent workers

Cause: a task under which a worker may have crashed gets the emptiest worker, or an empty one. Those were workers whose machine had just been moved away, which nothing showed yet; each counted as the next crash. With three, the task waited until one of them answered or 15 s were over. With two, it waited for as long as no worker became empty.

Change: suspects get no worker whose answer is overdue. Losses that are in doubt don't keep a task from being started until there are five. The wait for an empty worker ends 1.5 s after the loss; then the task shares one, apart from other suspects.

Conclusion: three that are certain end a task, with at most two starts more than that while some are in doubt.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -42,6 +42,7 @@
     std::uint32_t crashes = 0; ///< workers that crashed while they ran it, known or assumed; of a gang, at
                                ///< its first task
     std::uint32_t crashedAttempt = 0; ///< latest attempt of a gang that counts in crashes, at its first task
+    Base::Instant lostAt; ///< when it has last lost a worker to this owner
     std::string worker; ///< worker of the run
     std::int64_t workerStart = 0; ///< start time of the worker when the run was assigned, ms; 0: unknown
     std::string failedOn; ///< worker on which the latest run failed
--- a/src/libs/jobs/lostruns.cpp
+++ b/src/libs/jobs/lostruns.cpp
@@ -50,10 +50,10 @@
     std::erase_if(m_entries, [now](const Entry &it) { return now - it.lostAt > MaxOpenTime; });
 }
 
-bool LostRuns::isOpen(const TaskId &task) const
+std::uint32_t LostRuns::openLosses(const TaskId &task) const
 {
-    return std::any_of(
-        m_entries.begin(), m_entries.end(), [&task](const Entry &it) { return it.task == task; });
+    return static_cast<std::uint32_t>(std::count_if(
+        m_entries.begin(), m_entries.end(), [&task](const Entry &it) { return it.task == task; }));
 }
 
 } // namespace Jobs
--- a/src/libs/jobs/lostruns.h
+++ b/src/libs/jobs/lostruns.h
@@ -32,8 +32,8 @@
     /// Settles what has been open for too long.
     void expire(Base::Instant now);
 
-    /// Whether the worker of one of the task's runs may still answer.
-    bool isOpen(const TaskId &task) const;
+    /// How many workers of the task's runs may still answer.
+    std::uint32_t openLosses(const TaskId &task) const;
 
 private:
     struct Entry {
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -89,7 +89,8 @@
     Worker *best = nullptr;
     for (const Candidate &it : candidates) {
         const bool isBetter = !best || freeCores(*it.worker) > freeCores(*best);
-        if (isBetter && it.worker->suspects.empty() && fits(stage, it, now)) {
+        const bool isApart = it.worker->suspects.empty() && !it.worker->isAnswerOverdue(now);
+        if (isBetter && isApart && fits(stage, it, now)) {
             best = it.worker;
         }
     }
@@ -101,7 +102,8 @@
     Worker *best = nullptr;
     for (const Candidate &it : candidates) {
         const bool isBetter = !best || it.worker->info.capacity.milliCores < best->info.capacity.milliCores;
-        if (isBetter && it.worker->runs.empty() && hasRoom(stage, it, now)) {
+        const bool isEmpty = it.worker->runs.empty() && !it.worker->isAnswerOverdue(now);
+        if (isBetter && isEmpty && hasRoom(stage, it, now)) {
             best = it.worker;
         }
     }
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -129,9 +129,11 @@
 private:
     static constexpr std::string_view OwnerKey = "owner";
     static constexpr Milliseconds MinReportedWait{1000};
-    // Crashes of workers under a task from which on it is given up, and from which on it gets a worker for
-    // itself.
+    // Crashes of workers under a task from which on it is given up.
     static constexpr std::uint32_t MaxCrashes = 3;
+    // With crashes that are in doubt, it is started until there are this many.
+    static constexpr std::uint32_t MaxLosses = 5;
+    // Crashes from which on a task gets a worker for itself.
     static constexpr std::uint32_t IsolatedCrashes = 2;
     // Sent as retry delay to callers whose job was refused because the store did not answer.
     static constexpr Milliseconds StoreRetryAfter{1000};
@@ -258,8 +260,11 @@
                             Base::Instant now);
     /// Fails the jobs with a task under which too many workers have crashed.
     void giveUpDeadlyJobs(WallTime wall, Base::Instant now);
-    /// Such a task of the job, unless one of its workers may still answer.
+    /// Such a task of the job.
     std::optional<TaskId> deadlyTask(const Job &job) const;
+    /// Whether too many workers have crashed under the task, without those that may still answer.
+    bool isDeadly(const TaskId &id, const Task &task) const;
+    bool mayNotStart(const TaskId &id, const Task &task) const;
     void assign(Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt);
     void sendBatch(Base::Instant now);
     /// The record of leases for the next append, if that needs one.
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -30,6 +30,9 @@
 constexpr Milliseconds EmptyingHold{300};
 constexpr std::size_t EmptiedDivisor = 8;
 
+// For how long after its last loss a task waits for a worker to itself.
+constexpr Milliseconds MaxEmptyingTime{1500};
+
 // Limits the queries to other shards in one sweep.
 constexpr std::size_t MaxRedirectQueries = 20;
 
@@ -246,7 +249,7 @@
         if (candidates.empty()) {
             candidates = allowedByAdvice(job, number, stage, candidatesFor(job, wanted, progress), now);
         }
-        if (task.crashes >= MaxCrashes) {
+        if (mayNotStart({job.spec.id, number, stage, n}, task)) {
             progress.setWait(WaitReason::OpenLoss, now);
             m_nextPlacementRetry = now + PlacementRetryPeriod;
             continue;
@@ -293,7 +296,8 @@
 }
 
 // The first crash makes suspects of all runs of a worker. They are started apart from each other, so that the
-// next crash hits one of them only. Under which two workers have crashed is started alone.
+// next crash hits one of them only. Under which two workers have crashed is started alone, unless it takes
+// too long to empty a worker.
 Worker *Shard::placeForSuspect(const Stage &stage,
                                const Task &task,
                                std::span<const Candidate> candidates,
@@ -305,13 +309,16 @@
     if (Worker *empty = chooseEmptyWorker(stage, candidates, now)) {
         return empty;
     }
+    if (now - task.lostAt > MaxEmptyingTime) {
+        return chooseWorkerApart(stage, candidates, now);
+    }
     if (m_emptiedWorkers * EmptiedDivisor >= candidates.size()) {
         return nullptr;
     }
     Worker *fewestRuns = nullptr;
     for (const Candidate &it : candidates) {
         Worker &worker = *it.worker;
-        const bool isCandidate = worker.isUsable(now)
+        const bool isCandidate = worker.isUsable(now) && !worker.isAnswerOverdue(now)
             && worker.info.capacity.contains(reservedResources(stage))
             && (!fewestRuns || worker.runs.size() < fewestRuns->runs.size());
         const bool hasLongRuns =
@@ -344,6 +351,16 @@
     }
 }
 
+bool Shard::isDeadly(const TaskId &id, const Task &task) const
+{
+    return task.crashes >= MaxCrashes && task.crashes >= MaxCrashes + m_lostRuns.openLosses(id);
+}
+
+bool Shard::mayNotStart(const TaskId &id, const Task &task) const
+{
+    return task.crashes >= MaxLosses || isDeadly(id, task);
+}
+
 std::optional<TaskId> Shard::deadlyTask(const Job &job) const
 {
     for (const auto &[number, occurrence] : job.occurrences) {
@@ -351,8 +368,7 @@
             const auto &tasks = occurrence.stages[stage].tasks;
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                 const TaskId id{job.spec.id, number, stage, index};
-                if (tasks[index].crashes >= MaxCrashes && tasks[index].isWaiting()
-                    && !m_lostRuns.isOpen(id)) {
+                if (tasks[index].isWaiting() && isDeadly(id, tasks[index])) {
                     return id;
                 }
             }
@@ -380,7 +396,7 @@
     }
     const Stage &wanted = job.spec.stages[stage];
     m_nextPlacementRetry = now + PlacementRetryPeriod;
-    if (progress.tasks.front().crashes >= MaxCrashes) {
+    if (mayNotStart({job.spec.id, number, stage, 0}, progress.tasks.front())) {
         progress.setWait(WaitReason::OpenLoss, now);
         return;
     }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -28,9 +28,6 @@
 // A worker with ends that are not stored yet lists them again at once, so it is queried at this interval.
 constexpr Milliseconds UnstoredEndsDelay{300};
 
-// Longest wait of a query to a worker without runs. Workers hold a query for up to two seconds.
-constexpr Milliseconds IdleWait{1900};
-
 // A long-running task counts as serving if it gets all of the processor time that it requests.
 constexpr int FullCpuPercent = 100;
 
@@ -172,6 +169,7 @@
         !isGang || std::exchange(counted.crashedAttempt, task.attempt) != task.attempt;
     if (isFirstOfAttempt && !worker.info.isDraining) {
         ++counted.crashes;
+        counted.lostAt = now;
         m_hasDeadlyTask = m_hasDeadlyTask || counted.crashes >= MaxCrashes;
         TaskId countedId = id;
         countedId.index = isGang ? 0 : id.index;
@@ -706,7 +704,7 @@
             if (mayRenew) {
                 ask.leaseEnd = leaseEnd(worker, now);
                 ask.ackCursor = worker.ackCursor;
-                ask.longPollTime = worker.runs.empty() ? IdleWait : m_settings.renewal;
+                ask.longPollTime = worker.runs.empty() ? Worker::LongestQuery : m_settings.renewal;
             }
             worker.isRenewalPending = true;
             m_commands.emplace_back(std::move(ask));
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -15,6 +15,10 @@
 
 /// The state of a worker as known to the owner of a shard.
 struct Worker {
+    /// Longest wait of a query to a worker without runs. Workers hold a query for up to two seconds.
+    static constexpr Milliseconds LongestQuery{1900};
+    static constexpr Milliseconds AnswerMargin{100}; ///< for the way there and back
+
     WorkerInfo info;
     bool isListed = false; ///< whether the latest list of the platform contains the worker
     bool hasAnswered = false; ///< whether the worker has answered since its latest restart, to this owner
@@ -68,6 +72,12 @@
         return std::min(leaseExpiresBy, listedRunsEndBy.value_or(leaseExpiresBy));
     }
 
+    /// Whether it would have answered a query by now even if it runs nothing.
+    bool isAnswerOverdue(Base::Instant now) const
+    {
+        return now - lastAnswer > LongestQuery + AnswerMargin;
+    }
+
     /// Whether only the end of its lease shows that its runs have ended.
     bool isSilent() const
     {
--- a/tests/auto/deadlytasks/tst_deadlytasks.cpp
+++ b/tests/auto/deadlytasks/tst_deadlytasks.cpp
@@ -2,6 +2,7 @@
 
 #include <base/logline.h>
 #include <jobs/lostruns.h>
+#include <jobs/placement.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -50,6 +51,17 @@
     }
 }
 
+/// The first worker with this number of runs; empty if there is none.
+std::string workerOf(const SimulatedPlatform &world, std::size_t runs)
+{
+    for (const auto &[id, worker] : world.workers) {
+        if (worker.isUp && world.runsOn(id) == runs) {
+            return id;
+        }
+    }
+    return {};
+}
+
 void checkGivenUp(bool replacesCrashedWorkers)
 {
     SimulatedPlatform world;
@@ -120,6 +132,70 @@
     CHECK(world.state("deadly") == ReportedState::Failed);
 }
 
+// Workers that fall silent may have crashed under the task or not; it must neither wait to learn it nor be
+// given up.
+TEST(DeadlyTasks, AreNotSeenInTasksWhoseWorkersFallSilent)
+{
+    SimulatedPlatform world;
+    addFleet(world, 8);
+    world.taskTime = 2s;
+    CHECK(world.submit(SimulatedPlatform::makeJob("innocent", 1, 1)));
+    const Jobs::TaskId task{"innocent", 0, 0, 0};
+    for (int losses = 0; losses < 3; ++losses) {
+        const std::string id = workerOf(world, 1);
+        CHECK(!id.empty());
+        world.crash(id, 24h, SimulatedPlatform::CrashKind::Silent);
+        const int starts = world.startedRuns[task];
+        runAndPublish(world, 5); // the lease, and less than what callers may see a job without a run
+        LONGS_EQUAL(starts + 1, world.startedRuns[task]);
+    }
+    runAndPublish(world, 5);
+    checkNoViolations(world);
+    CHECK(world.state("innocent") == ReportedState::Completed);
+}
+
+TEST(DeadlyTasks, DoNotWaitLongForAWorkerToThemselves)
+{
+    SimulatedPlatform world;
+    addFleet(world, 6);
+    world.taskTime = 60s;
+    CHECK(world.submit(SimulatedPlatform::makeJob("suspect", 1, 1)));
+    Jobs::JobSpec other = SimulatedPlatform::makeJob("other", 1, 6);
+    other.stages[0].tasksPerWorker = 1;
+    CHECK(world.submit(other));
+    const Jobs::TaskId task{"suspect", 0, 0, 0};
+    for (int losses = 0; losses < 2; ++losses) {
+        const std::string id = workerOf(world, 2);
+        CHECK(!id.empty());
+        world.crash(id, 24h);
+        const int starts = world.startedRuns[task];
+        runAndPublish(world, 6);
+        LONGS_EQUAL(starts + 1, world.startedRuns[task]);
+    }
+    checkNoViolations(world);
+}
+
+// Starts that would meet a worker which has gone unnoticed count against the task.
+TEST(DeadlyTasks, GetWorkersThatHaveAnsweredLately)
+{
+    const Base::Instant now = Base::Instant{} + 1h;
+    Jobs::Worker lively;
+    Jobs::Worker quiet;
+    for (Jobs::Worker *it : {&lively, &quiet}) {
+        it->info.capacity = {8000, 64'000, 0};
+        it->isListed = true;
+        it->hasAnswered = true;
+        it->lastAnswer = now - 1900ms;
+    }
+    quiet.info.capacity.milliCores = 4000; // a smaller one would be chosen
+    quiet.lastAnswer = now - 2100ms;
+    const std::vector<Jobs::Candidate> candidates{{&quiet, 0}, {&lively, 0}};
+    const Jobs::Stage stage = SimulatedPlatform::makeJob("a", 1, 1).stages[0];
+    POINTERS_EQUAL(&lively, Jobs::chooseEmptyWorker(stage, candidates, now));
+    lively.used.milliCores = 6000; // an emptier one would be chosen
+    POINTERS_EQUAL(&lively, Jobs::chooseWorkerApart(stage, candidates, now));
+}
+
 // A tenth of the jobs are deadly for a while, so most other tasks lose a worker to one of them.
 TEST(DeadlyTasks, DoNotTakeOtherJobsWithThem)
 {
@@ -245,19 +321,22 @@
     Jobs::LostRuns lost;
     lost.add("w1", "m1", 1000, a, now);
     lost.add("w2", "m2", 1000, b, now);
-    CHECK(lost.isOpen(a));
+    LONGS_EQUAL(1, lost.openLosses(a));
     CHECK(lost.takeRefuted("w1", 2000).empty()); // it has restarted
-    CHECK(!lost.isOpen(a));
+    LONGS_EQUAL(0, lost.openLosses(a));
     lost.add("w1", "m1", 2000, a, now);
     CHECK(lost.takeRefuted("w1", 2000) == std::vector<Jobs::TaskId>{a});
     lost.settleMachine("m2", 1000); // the same life
     lost.settleMachine("", 9000);
-    CHECK(lost.isOpen(b));
+    LONGS_EQUAL(1, lost.openLosses(b));
     lost.settleMachine("m2", 3000);
-    CHECK(!lost.isOpen(b));
+    LONGS_EQUAL(0, lost.openLosses(b));
     lost.add("w2", "", 3000, b, now);
     lost.expire(now + 15s);
-    CHECK(lost.isOpen(b));
+    LONGS_EQUAL(1, lost.openLosses(b));
+    lost.add("w3", "m3", 1000, b, now + 1s);
+    LONGS_EQUAL(2, lost.openLosses(b));
+    lost.takeRefuted("w3", 1000);
     lost.expire(now + 15'001ms);
-    CHECK(!lost.isOpen(b));
+    LONGS_EQUAL(0, lost.openLosses(b));
 }
