Count crashed workers for each member of a gang

Callers would see: the job of a gang failed after three of its members had lost a worker each, although no task has crashed three workers.

Cause: the crashes of a gang were counted together at its first task, like its failed attempts. But what makes a task deadly is that its own workers crash.

Change: each member has its own count, and the gang's job fails by the highest. SimulatedPlatform ends the other members of a gang that has lost one, so that gangs are started anew there. The two functions that take the larger of each resource are one.

Conclusion: gangs with a deadly member are given up like other jobs (OfGangsAreGivenUp), and others are not.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -39,9 +39,7 @@
     std::uint32_t attempt = 0; ///< of the latest run
     std::uint32_t failures = 0; ///< number of failed runs; of a gang, at its first task
     std::uint32_t failedAttempt = 0; ///< latest failed attempt of a gang, at its first task
-    std::uint32_t crashes = 0; ///< workers that crashed while they ran it, known or assumed; of a gang, at
-                               ///< its first task
-    std::uint32_t crashedAttempt = 0; ///< latest attempt of a gang that counts in crashes, at its first task
+    std::uint32_t crashes = 0; ///< workers that crashed while they ran it, known or assumed
     Base::Instant lostAt; ///< when it has last lost a worker to this owner
     std::string worker; ///< worker of the run
     std::int64_t workerStart = 0; ///< start time of the worker when the run was assigned, ms; 0: unknown
--- a/src/libs/jobs/quotausage.cpp
+++ b/src/libs/jobs/quotausage.cpp
@@ -12,13 +12,6 @@
 // Bounds the blocked amount, as a shard does not need more at once.
 constexpr std::uint32_t MaxBlockedTasks = 64;
 
-Resources largerOf(const Resources &a, const Resources &b)
-{
-    return {std::max(a.milliCores, b.milliCores),
-            std::max(a.memory, b.memory),
-            std::max(a.accelerators, b.accelerators)};
-}
-
 Resources times(const Resources &size, std::uint32_t count)
 {
     return {size.milliCores * count, size.memory * count, size.accelerators * count};
@@ -54,7 +47,7 @@
     if (!workspace.empty()) {
         QuotaUse &use = m_byWorkspace.try_emplace(std::string(workspace)).first->second;
         use.running += size;
-        use.largestTask = largerOf(use.largestTask, size);
+        use.largestTask = larger(use.largestTask, size);
     }
 }
 
@@ -110,7 +103,7 @@
     QuotaUse &use = m_byWorkspace.try_emplace(std::string(workspace)).first->second;
     use.blocked += times(size, std::max(atOnce, std::min(tasks, MaxBlockedTasks)));
     use.next = use.next == Resources{} ? times(size, atOnce) : use.next;
-    use.largestTask = largerOf(use.largestTask, size);
+    use.largestTask = larger(use.largestTask, size);
 }
 
 bool QuotaUsage::isBlocked(std::string_view workspace) const
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -191,8 +191,6 @@
     void endUnlistedRun(Job &job, const TaskId &id, Task &task, Base::Instant now);
     /// Forgets the crashes of workers under the task, which runs.
     void clearSuspicion(Job &job, const TaskId &id, Task &task);
-    /// The task at which the failures and crashes of a gang are counted, otherwise the task itself.
-    static Task &countedTask(Job &job, const TaskId &id, Task &task);
     /// The worker has answered in the life in which it lost runs, so it has not crashed.
     void withdrawCrashes(const Worker &worker);
     /// Marks the run on its worker if workers have crashed under the task.
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -320,12 +320,11 @@
         Worker &worker = *it.worker;
         const bool isCandidate = worker.isUsable(now) && !worker.isAnswerOverdue(now)
             && worker.info.capacity.contains(reservedResources(stage))
-            && (!fewestRuns || worker.runs.size() < fewestRuns->runs.size());
-        const bool hasLongRuns =
-            std::any_of(worker.runs.begin(), worker.runs.end(), [this](const TaskId &run) {
-                return m_jobs.find(run.job)->second.spec.stages[run.stage].isLongRunning;
-            });
-        if (isCandidate && !hasLongRuns) {
+            && (!fewestRuns || worker.runs.size() < fewestRuns->runs.size())
+            && std::none_of(worker.runs.begin(), worker.runs.end(), [this](const TaskId &run) {
+                                     return m_jobs.find(run.job)->second.spec.stages[run.stage].isLongRunning;
+                                 });
+        if (isCandidate) {
             fewestRuns = &worker;
         }
     }
@@ -396,9 +395,11 @@
     }
     const Stage &wanted = job.spec.stages[stage];
     m_nextPlacementRetry = now + PlacementRetryPeriod;
-    if (mayNotStart({job.spec.id, number, stage, 0}, progress.tasks.front())) {
-        progress.setWait(WaitReason::OpenLoss, now);
-        return;
+    for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
+        if (mayNotStart({job.spec.id, number, stage, n}, progress.tasks[n])) {
+            progress.setWait(WaitReason::OpenLoss, now);
+            return;
+        }
     }
     const auto all = allowedByAdvice(job, number, stage, candidatesFor(job, wanted, progress), now);
     std::vector<Candidate> untried = all;
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -140,12 +140,6 @@
     markChanged(job);
 }
 
-Task &Shard::countedTask(Job &job, const TaskId &id, Task &task)
-{
-    return job.spec.stages[id.stage].isGang ? job.occurrences[id.occurrence].stages[id.stage].tasks.front()
-                                            : task;
-}
-
 void Shard::markSuspect(Worker &worker, const TaskId &id, const Task &task)
 {
     if (task.crashes > 0) {
@@ -163,18 +157,12 @@
     const Worker &worker = m_workers.at(task.worker);
     const bool hasRestarted =
         task.workerStart != 0 && worker.startTime != 0 && task.workerStart != worker.startTime;
-    Task &counted = countedTask(job, id, task);
-    const bool isGang = job.spec.stages[id.stage].isGang;
-    const bool isFirstOfAttempt =
-        !isGang || std::exchange(counted.crashedAttempt, task.attempt) != task.attempt;
-    if (isFirstOfAttempt && !worker.info.isDraining) {
-        ++counted.crashes;
-        counted.lostAt = now;
-        m_hasDeadlyTask = m_hasDeadlyTask || counted.crashes >= MaxCrashes;
-        TaskId countedId = id;
-        countedId.index = isGang ? 0 : id.index;
+    if (!worker.info.isDraining) {
+        ++task.crashes;
+        task.lostAt = now;
+        m_hasDeadlyTask = m_hasDeadlyTask || task.crashes >= MaxCrashes;
         if (!hasRestarted) {
-            m_lostRuns.add(task.worker, worker.info.machine, task.workerStart, countedId, now);
+            m_lostRuns.add(task.worker, worker.info.machine, task.workerStart, id, now);
         }
     }
     Base::LogLine(Base::LogLevel::Info, "run-lost")
@@ -184,7 +172,7 @@
         .with("worker", task.worker)
         .with("worker_restarted", hasRestarted)
         .with("lost_together", lostTogether)
-        .with("crashes", counted.crashes);
+        .with("crashes", task.crashes);
     endRun(job, id, task);
 }
 
@@ -237,7 +225,7 @@
     endRun(job, id, task);
     // The tasks of a gang share their attempt, which is counted at the first task, and once however many of
     // them fail in it.
-    Task &counted = countedTask(job, id, task);
+    Task &counted = stage.isGang ? job.occurrences[id.occurrence].stages[id.stage].tasks.front() : task;
     if (stage.isGang && std::exchange(counted.failedAttempt, task.attempt) == task.attempt) {
         return;
     }
--- a/tests/auto/deadlytasks/tst_deadlytasks.cpp
+++ b/tests/auto/deadlytasks/tst_deadlytasks.cpp
@@ -132,6 +132,45 @@
     CHECK(world.state("deadly") == ReportedState::Failed);
 }
 
+TEST(DeadlyTasks, OfGangsAreGivenUp)
+{
+    SimulatedPlatform world;
+    addFleet(world, 8);
+    Jobs::JobSpec job = SimulatedPlatform::makeJob("deadly", 1, 4);
+    job.stages[0].isGang = true;
+    job.stages[0].tasksPerWorker = 1;
+    world.deadlyTasks.insert({"deadly", 0, 0, 2});
+    CHECK(world.submit(job));
+    runAndPublish(world, 40);
+    checkNoViolations(world);
+    CHECK(world.state("deadly") == ReportedState::Failed);
+}
+
+TEST(DeadlyTasks, AreNotSeenInGangsThatLoseWorkersUnderDifferentTasks)
+{
+    SimulatedPlatform world;
+    addFleet(world, 8);
+    world.taskTime = 3s;
+    Jobs::JobSpec job = SimulatedPlatform::makeJob("gang", 1, 4);
+    job.stages[0].isGang = true;
+    job.stages[0].tasksPerWorker = 1;
+    CHECK(world.submit(job));
+    for (std::uint32_t n = 0; n < 4; ++n) {
+        const Jobs::TaskId task{"gang", 0, 0, n};
+        for (const auto &[id, worker] : world.workers) {
+            world.crashUnder(task, n + 1, id);
+        }
+        LONGS_EQUAL(1, world.crashesUnder[task]);
+        const int starts = world.startedRuns[task];
+        for (int wait = 0; wait < 20 && world.startedRuns[task] == starts; ++wait) {
+            runAndPublish(world, 1);
+        }
+    }
+    runAndPublish(world, 10);
+    checkNoViolations(world);
+    CHECK(world.state("gang") == ReportedState::Completed);
+}
+
 // Workers that fall silent may have crashed under the task or not; it must neither wait to learn it nor be
 // given up.
 TEST(DeadlyTasks, AreNotSeenInTasksWhoseWorkersFallSilent)
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -153,6 +153,7 @@
     }
     ++crashesUnder[task];
     addToHistory(worker, task, attempt, "crashes its worker");
+    breakGang(task, attempt, id);
     if (!replacesCrashedWorkers) {
         crash(id, crashPause);
         timers.subscribeAfter(crashPause, [this] { publishWorkers(); });
@@ -326,6 +327,23 @@
     }
 }
 
+void SimulatedPlatform::breakGang(const Jobs::TaskId &task, std::uint32_t attempt, const std::string &lost)
+{
+    const Jobs::Stage *stage = stageOf(task);
+    if (!stage || !stage->isGang) {
+        return;
+    }
+    for (auto &[id, worker] : workers) {
+        for (std::size_t n = worker.m_runs.size(); n-- > 0 && id != lost;) {
+            const Run &it = worker.m_runs[n];
+            if (it.task.job == task.job && it.task.occurrence == task.occurrence
+                && it.task.stage == task.stage && it.attempt == attempt) {
+                end(worker, n, Jobs::RunEnd::Broken);
+            }
+        }
+    }
+}
+
 void SimulatedPlatform::advance(Worker &worker)
 {
     if (!worker.isUp) {
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -229,6 +229,8 @@
     std::int64_t clockOf(const Worker &worker) const;
     void advance(Worker &worker);
     void end(Worker &worker, std::size_t run, Jobs::RunEnd how);
+    /// Ends the gang's runs on other workers than the one that was lost.
+    void breakGang(const Jobs::TaskId &task, std::uint32_t attempt, const std::string &lost);
     void checkStop(const Worker &worker, const Jobs::StopRun &order);
     void checkStart(const Worker &worker, const Jobs::StartRun &order);
     void checkPlacement(const Worker &worker, const Jobs::StartRun &order, const Jobs::Stage &stage);
