Restore the soak's single question for a job's state at the end

The message of the violation names the failure of the connection, so that the next case can be traced.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -24,7 +24,6 @@
 constexpr Base::Duration ReadinessTimeout = 800ms;
 constexpr Base::Duration PollPeriod = 1s;
 constexpr Base::Duration RetryPause = 200ms;
-constexpr Base::Duration AskAgainTime = 1s; // for connections that end without an answer
 constexpr int MaxRetries = 4;
 constexpr std::size_t ConnectionsPerMember = 32;
 constexpr double UnevenWork = 0.3; ///< durations of tasks differ by up to this share
@@ -110,11 +109,6 @@
     return m_submitted;
 }
 
-std::uint64_t Callers::askedAgain() const
-{
-    return m_askedAgain;
-}
-
 std::uint64_t Callers::refused() const
 {
     return m_refused;
@@ -343,38 +337,23 @@
     if (open.empty()) {
         done();
     }
-    const auto oneLess = [left, done] {
-        if (--*left == 0) {
-            done();
-        }
-    };
     for (const SubmittedJob *job : open) {
-        askAtEnd(*job, m_timers.now() + AskAgainTime, oneLess);
+        call("GET",
+             *job,
+             m_shape.zones[0],
+             {},
+             [this, job, left, done](unsigned status, const Http::Outcome &outcome) {
+                 std::string state;
+                 if (status == 200) {
+                     const json::value parsed = json::parse(outcome.response->body);
+                     state = Jobs::textOrEmpty(parsed.as_object(), "State");
+                 }
+                 m_observer.shownAtEnd(job->id, status, state, outcome.failure);
+                 if (--*left == 0) {
+                     done();
+                 }
+             });
     }
 }
 
-// A member may close a kept connection while a request is under way on it, so the caller asks again.
-void Callers::askAtEnd(const SubmittedJob &job, Base::Instant until, std::function<void()> done)
-{
-    call("GET",
-         job,
-         m_shape.zones[0],
-         {},
-         [this, &job, until, done = std::move(done)](unsigned status, const Http::Outcome &outcome) {
-             if (status == 0 && m_timers.now() + RetryPause < until) {
-                 ++m_askedAgain;
-                 m_timers.subscribeAfter(RetryPause,
-                                         [this, &job, until, done] { askAtEnd(job, until, done); });
-                 return;
-             }
-             std::string state;
-             if (status == 200) {
-                 const json::value parsed = json::parse(outcome.response->body);
-                 state = Jobs::textOrEmpty(parsed.as_object(), "State");
-             }
-             m_observer.shownAtEnd(job.id, status, state);
-             done();
-         });
-}
-
 } // namespace Soak
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -47,8 +47,6 @@
 
     std::uint64_t submitted() const;
     std::uint64_t refused() const;
-    /// Questions at the end that were repeated because the connection ended without an answer.
-    std::uint64_t askedAgain() const;
 
 private:
     struct Member {
@@ -70,7 +68,6 @@
     void submit(const SubmittedJob &job, const std::string &zone, int attempt);
     void poll(const std::string &job, const std::string &zone);
     void cancel(const std::string &job, const std::string &zone, int attempt);
-    void askAtEnd(const SubmittedJob &job, Base::Instant until, std::function<void()> done);
     void call(std::string method,
               const SubmittedJob &job,
               const std::string &zone,
@@ -91,7 +88,6 @@
     double m_deadlyShare = 0;
     std::uint64_t m_submitted = 0;
     std::uint64_t m_refused = 0;
-    std::uint64_t m_askedAgain = 0;
 };
 
 } // namespace Soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -108,12 +108,10 @@
         }
         fmt::print("{}\n", m_observer.summary());
         fmt::print(
-            "{} submitted, {} given up, {} asked for again; {} machines moved; store: {} writes, {} reads, "
-            "{} rejected; "
+            "{} submitted, {} given up; {} machines moved; store: {} writes, {} reads, {} rejected; "
             "{} members ended by themselves; stand-ins late by {:.0f} ms at most, {:.1f} ms in the mean\n",
             m_callers.submitted(),
             m_callers.refused(),
-            m_callers.askedAgain(),
             m_fleet.moves(),
             m_store.writes(),
             m_store.reads(),
--- a/tests/soak/observer.cpp
+++ b/tests/soak/observer.cpp
@@ -124,11 +124,14 @@
     }
 }
 
-void Observer::shownAtEnd(const std::string &id, unsigned status, std::string_view state)
+void Observer::shownAtEnd(const std::string &id,
+                          unsigned status,
+                          std::string_view state,
+                          std::string_view failure)
 {
     shown(id, status, state);
     if (status != 200 && status != 410) {
-        record("LOST", fmt::format("no member tells the state of job {}: status {}", id, status));
+        record("LOST", fmt::format("no member tells the state of job {}: status {} {}", id, status, failure));
     }
 }
 
--- a/tests/soak/observer.h
+++ b/tests/soak/observer.h
@@ -42,7 +42,7 @@
     /// A caller was told the state of the job; `status` is 0 without an answer.
     void shown(const std::string &job, unsigned status, std::string_view state);
     /// The same at the end of the run, when every accepted job has to be known.
-    void shownAtEnd(const std::string &job, unsigned status, std::string_view state);
+    void shownAtEnd(const std::string &id, unsigned status, std::string_view state, std::string_view failure);
 
     /// A worker that is up has this capacity now.
     void setWorker(const std::string &worker,
