Log why a read of the store failed, with its bytes and times

Change: a read reports its failure, status, bytes, time to the first byte and duration. topic-read-failed is logged once a second at most; layout and shard reads say the same. What is read, when and for how long is unchanged.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -111,6 +111,9 @@
     void run(Exchange exchange)
     {
         m_exchange = std::move(exchange);
+        m_startedAt = m_owner->timers.now();
+        m_firstByteAt.reset();
+        m_parser.reset();
         m_wasSent = false;
         if (m_socket.is_open()) {
             armDeadline();
@@ -141,7 +144,7 @@
 private:
     void armDeadline()
     {
-        m_timer.armAt(m_exchange->deadline, [self = shared_from_this()] { self->fail("timeout"); });
+        m_timer.armAt(m_exchange->deadline, [self = shared_from_this()] { self->fail("timeout", true); });
     }
 
     void connect()
@@ -155,7 +158,7 @@
         ++m_owner->opened;
         const auto limit =
             std::min(m_exchange->deadline, m_owner->timers.now() + m_owner->limits.connectTimeout);
-        m_timer.armAt(limit, [self = shared_from_this()] { self->fail("connect: timeout"); });
+        m_timer.armAt(limit, [self = shared_from_this()] { self->fail("connect: timeout", true); });
         m_socket.async_connect(
             {address, m_server.endpoint.port},
             [self = shared_from_this()](boost::system::error_code error) { self->connected(error); });
@@ -209,11 +212,17 @@
         }
         m_parser.emplace();
         m_parser->body_limit(m_owner->limits.responseLimit);
-        beast::http::async_read(
+        m_parser->eager(true);
+        readSome();
+    }
+
+    void readSome()
+    {
+        beast::http::async_read_some(
             m_socket,
             m_buffer,
             *m_parser,
-            [self = shared_from_this()](boost::system::error_code error, std::size_t) { self->read(error); });
+            [self = shared_from_this()](boost::system::error_code ec, std::size_t) { self->read(ec); });
     }
 
     void read(boost::system::error_code ec)
@@ -225,8 +234,15 @@
             fail("receive: " + ec.message());
             return;
         }
+        if (!m_firstByteAt) {
+            m_firstByteAt = m_owner->timers.now();
+        }
+        if (!m_parser->is_done()) {
+            readSome();
+            return;
+        }
+        Outcome outcome = received();
         auto message = m_parser->release();
-        Outcome outcome;
         outcome.verdict = Base::Verdict::Ran;
         outcome.response.emplace();
         outcome.response->status = message.result_int();
@@ -247,21 +263,33 @@
         done(std::move(outcome));
     }
 
-    void fail(std::string failure)
+    void fail(std::string failure, bool isTimeout = false)
     {
         if (!m_exchange) {
             return;
         }
         auto done = std::move(m_exchange->done);
         m_exchange.reset();
+        Outcome outcome = received();
         close();
         m_owner->dropped(m_server);
-        Outcome outcome;
         outcome.verdict = m_wasSent ? Base::Verdict::MayHaveRun : Base::Verdict::NotRun;
         outcome.failure = std::move(failure);
+        outcome.isTimeout = isTimeout;
         done(std::move(outcome));
     }
 
+    /// An outcome with what has been received so far.
+    Outcome received() const
+    {
+        Outcome outcome;
+        outcome.bytes = m_parser ? m_parser->get().body().size() : 0;
+        if (m_firstByteAt) {
+            outcome.firstByteAfter = *m_firstByteAt - m_startedAt;
+        }
+        return outcome;
+    }
+
     std::shared_ptr<Private> m_owner;
     Server &m_server;
     tcp::socket m_socket;
@@ -270,6 +298,8 @@
     beast::http::request<beast::http::string_body> m_request;
     std::optional<beast::http::response_parser<beast::http::string_body>> m_parser;
     std::optional<Exchange> m_exchange;
+    Base::Instant m_startedAt;
+    std::optional<Base::Instant> m_firstByteAt;
     Base::Instant m_idleSince;
     bool m_wasSent = false;
 };
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -28,6 +28,9 @@
     std::optional<Response> response{};
     Base::Verdict verdict = Base::Verdict::NotRun;
     std::string failure{};
+    bool isTimeout = false; ///< whether the failure is the end of a time limit
+    std::size_t bytes = 0; ///< received of the body, also of a response that is not whole
+    std::optional<Base::Duration> firstByteAfter{}; ///< from the start of the exchange
 };
 
 /// Sends requests over kept connections. A connection on which a request timed out is never used again.
--- a/src/libs/jobservice/layoutpublisher.h
+++ b/src/libs/jobservice/layoutpublisher.h
@@ -71,8 +71,14 @@
 
     void readPage(std::optional<std::string> from, std::optional<std::uint64_t> end)
     {
-        m_platform.readSnapshot(m_topic, from, [this, end](std::optional<SnapshotPage> page) {
+        m_platform.readSnapshot(m_topic, from, [this, end](const ReadResult<SnapshotPage> &read) {
+            const auto &page = read.page;
             if (!page) {
+                Base::LogLine(Base::LogLevel::Warning, "layout-read-failed")
+                    .with("reason", toString(read.report.failure))
+                    .with("detail", read.report.detail)
+                    .with("status", read.report.status)
+                    .with("bytes", read.report.bytes);
                 retry();
                 return;
             }
--- a/src/libs/jobservice/quotaallocator.h
+++ b/src/libs/jobservice/quotaallocator.h
@@ -92,6 +92,11 @@
         return shares;
     }
 
+    const RecordFollower<Platform> &follower() const
+    {
+        return m_follower;
+    }
+
 private:
     using Allocation = std::pair<ShardNumber, std::string>; ///< of a shard to a workspace
     using Changes = std::map<Allocation, Jobs::QuotaLedger::Change>;
--- a/src/libs/jobservice/recordfollower.h
+++ b/src/libs/jobservice/recordfollower.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "readstatistics.h"
+
 #include <base/logline.h>
 #include <base/oneshottimer.h>
 
@@ -39,6 +41,26 @@
     std::uint64_t end = 0; ///< end offset of the topic when it was read
 };
 
+/// A page, or none, and how it was read.
+template<typename Page>
+struct ReadResult {
+    ReadResult(std::optional<Page> readPage, ReadReport readReport = {})
+        : page(std::move(readPage))
+        , report(std::move(readReport))
+    {
+    }
+    ReadResult(Page readPage)
+        : page(std::move(readPage))
+    {
+    }
+    ReadResult(std::nullopt_t)
+    {
+    }
+
+    std::optional<Page> page{};
+    ReadReport report{};
+};
+
 struct FollowerSettings {
     Base::Duration wait =
         std::chrono::milliseconds{1000}; ///< how long the store holds a read without records
@@ -109,9 +131,20 @@
         return m_lastRead;
     }
 
+    const std::string &topic() const
+    {
+        return m_topic;
+    }
+
+    const ReadStatistics &statistics() const
+    {
+        return m_statistics;
+    }
+
 private:
     // In records. From here on the snapshot is less to read than all missed records.
     static constexpr std::uint64_t MaxTailLag = 3000;
+    static constexpr Base::Duration FailureLogInterval = std::chrono::seconds{1};
 
     void readSnapshot()
     {
@@ -124,9 +157,12 @@
     {
         m_isReadingSnapshot = true;
         m_requestedPage = from;
-        m_platform.readSnapshot(m_topic, from, [this](std::optional<SnapshotPage> page) {
+        m_readAt = m_timers.now();
+        m_platform.readSnapshot(m_topic, from, [this](ReadResult<SnapshotPage> read) {
+            auto &page = read.page;
+            count(read.report, page.has_value());
             if (!page) {
-                handleFailure();
+                handleFailure(read.report);
                 return;
             }
             if (!m_end) {
@@ -181,9 +217,12 @@
     void readTail()
     {
         m_isPaused = false;
-        m_platform.readTail(m_topic, *m_end, m_settings.wait, [this](std::optional<TailPage> page) {
+        m_readAt = m_timers.now();
+        m_platform.readTail(m_topic, *m_end, m_settings.wait, [this](ReadResult<TailPage> read) {
+            auto &page = read.page;
+            count(read.report, page.has_value());
             if (!page) {
-                handleFailure();
+                handleFailure(read.report);
                 return;
             }
             if (page->isExpired) {
@@ -228,19 +267,28 @@
             m_isFailing = false;
             Base::LogLine(Base::LogLevel::Info, "topic-regained")
                 .with("topic", m_topic)
-                .with("offset", *m_end);
+                .with("offset", *m_end)
+                .with("tries", m_failedReads);
+            m_failedReads = 0;
         }
         m_upToDate();
         m_isPaused = true;
         m_timer.arm(m_settings.pause, [this] { readTail(); });
     }
 
-    void handleFailure()
+    void count(const ReadReport &report, bool isPage)
     {
+        m_statistics.add(report, m_timers.now() - m_readAt, isPage);
+    }
+
+    void handleFailure(const ReadReport &report)
+    {
+        ++m_failedReads;
         if (!m_isFailing) {
             m_isFailing = true;
             Base::LogLine(Base::LogLevel::Warning, "topic-lost").with("topic", m_topic);
         }
+        logFailure(report);
         m_timer.arm(m_settings.retryDelay, [this] {
             // The failed page is requested again. Starting over with the first page would make all members
             // that the store rejects under load request every page again and again.
@@ -252,6 +300,34 @@
         });
     }
 
+    void logFailure(const ReadReport &report)
+    {
+        const Base::Instant now = m_timers.now();
+        if (now < m_nextFailureLog) {
+            return;
+        }
+        m_nextFailureLog = now + FailureLogInterval;
+        Base::LogLine line(Base::LogLevel::Warning, "topic-read-failed");
+        line.with("topic", m_topic)
+            .with("reason", toString(report.failure))
+            .with("detail", report.detail)
+            .with("status", report.status)
+            .with("bytes", report.bytes);
+        if (report.firstByteAfter) {
+            line.with("first_byte_ms", milliseconds(*report.firstByteAfter));
+        }
+        line.with("duration_ms", milliseconds(now - m_readAt))
+            .with("tries", m_failedReads)
+            .with("from", m_end.value_or(0))
+            .with("snapshot", m_isReadingSnapshot)
+            .with("age_ms", milliseconds(now - m_lastRead));
+    }
+
+    static std::int64_t milliseconds(Base::Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
+
     struct Entry {
         std::optional<std::string> value;
         std::uint64_t offset = 0;
@@ -268,6 +344,10 @@
     std::set<std::string> m_snapshotKeys; ///< keys of the snapshot pages read so far
     std::optional<std::uint64_t> m_end;
     Base::Instant m_lastRead;
+    Base::Instant m_readAt; ///< start of the latest read
+    ReadStatistics m_statistics;
+    std::uint64_t m_failedReads = 0; ///< since the last one that succeeded
+    Base::Instant m_nextFailureLog;
     bool m_isFailing = false;
     std::optional<std::string> m_requestedPage; ///< last page requested; nullopt for the first
     bool m_isStarted = false;
