Read bodies of HTTP messages in large steps

Cause: a new Beast buffer has room for nothing, so each read of a body asks for 512 bytes and then waits for its turn in the event loop. The loop of a busy owner needs 10 to 20 ms for a turn (220 of 250 ms busy, 3,700 handlers), so a configuration of 364 KB needs 711 turns: 35 to 75 KB/s, of up to 80 KB ready in the socket. Each read was given up after 2 s.

Change: client and server read in steps of 4 KB, and of up to 64 KB once the length of a body is known; the room is freed afterwards. The same cause slowed every answer of a worker or of the store that is larger than 512 bytes.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -1,5 +1,7 @@
 #include "client.h"
 
+#include "readsteps.h"
+
 #include <base/oneshottimer.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -106,6 +108,7 @@
         , m_socket(m_owner->context)
         , m_timer(m_owner->timers)
     {
+        m_buffer.reserve(MinReadStep);
     }
 
     void run(Exchange exchange)
@@ -238,11 +241,13 @@
             m_firstByteAt = m_owner->timers.now();
         }
         if (!m_parser->is_done()) {
+            growForBody(m_buffer, *m_parser);
             readSome();
             return;
         }
         Outcome outcome = received();
         auto message = m_parser->release();
+        shrinkAfterBody(m_buffer);
         outcome.verdict = Base::Verdict::Ran;
         outcome.response.emplace();
         outcome.response->status = message.result_int();
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -1,5 +1,7 @@
 #include "server.h"
 
+#include "readsteps.h"
+
 #include <base/logline.h>
 #include <base/oneshottimer.h>
 
@@ -75,6 +77,7 @@
         , m_socket(std::move(socket))
         , m_timer(m_server->timers)
     {
+        m_buffer.reserve(MinReadStep);
         m_server->sessions.insert(this);
     }
 
@@ -146,6 +149,7 @@
             m_hasStarted = true;
             m_timer.arm(m_server->limits.headerTimeout, [weak = weak_from_this()] { closeIfAlive(weak); });
         }
+        growForBody(m_buffer, *m_parser);
         beast::http::async_read(m_socket,
                                 m_buffer,
                                 *m_parser,
@@ -189,6 +193,7 @@
     {
         m_timer.disarm();
         auto message = m_parser->release();
+        shrinkAfterBody(m_buffer);
         Request request;
         request.method = std::string(message.method_string());
         request.target = std::string(message.target());
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -202,3 +202,31 @@
         CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
     }
 }
+
+TEST(Http, ALargeBodyIsNotReadInManySmallSteps)
+{
+    constexpr std::size_t BodyBytes = 128U << 10U;
+    constexpr std::size_t LeastStep = 4U << 10U;
+    Loop loop;
+    tcp::acceptor acceptor(loop.context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    std::optional<Http::Outcome> outcome;
+    loop.client.send(Ini::Endpoint{"127.0.0.1", acceptor.local_endpoint().port()},
+                     {},
+                     2s,
+                     [&](Http::Outcome it) { outcome = std::move(it); });
+    tcp::socket socket = acceptor.accept();
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes)
+        + "\r\n\r\n" + std::string(BodyBytes, 'x');
+    std::size_t handlers = 0;
+    for (std::size_t sent = 0; !outcome;) {
+        if (sent < response.size()) {
+            sent += socket.send(boost::asio::buffer(response.data() + sent,
+                                                    std::min(response.size() - sent, std::size_t{32768})));
+        }
+        loop.context.restart();
+        handlers += loop.context.poll();
+    }
+    CHECK(outcome->response.has_value());
+    LONGS_EQUAL(BodyBytes, outcome->response->body.size());
+    CHECK_COMPARE(handlers, <, BodyBytes / LeastStep);
+}
