Let reads go on while bytes arrive, one large transfer at a time

Cause: a read of the store had to be whole within 2 s, of which up to one passes while the store holds it, and a question to another member within 1.5 s. What had arrived by then was dropped and asked for again from its first byte. A member that had not read the store for 1.2 s asked up to three members beside, each of which sent the whole configuration, over the same link. So 862 KB, which a link of 10 Mbit/s carries in 0.7 s, never arrived once a first read had missed its limit. The class: a time limit for the whole of a transfer of any size, and retries and hedges that share the bottleneck of what they retry (congestion collapse).

Change: the HTTP client has two limits, for silence and for the whole, and tells its caller of progress. While records arrive from the store, or a configuration from a member, no other member is asked.

Older builds: messages between members and stored records are unchanged.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -64,6 +64,8 @@
 struct Exchange {
     Request request;
     Base::Instant deadline;
+    Base::Duration silence;
+    Client::Progress progress;
     Client::Callback done;
 };
 
@@ -147,7 +149,11 @@
 private:
     void armDeadline()
     {
-        m_timer.armAt(m_exchange->deadline, [self = shared_from_this()] { self->fail("timeout", true); });
+        const Base::Instant now = m_owner->timers.now();
+        const bool isSilence = m_exchange->silence < m_exchange->deadline - now;
+        m_timer.armAt(
+            isSilence ? now + m_exchange->silence : m_exchange->deadline,
+            [self = shared_from_this(), isSilence] { self->fail(isSilence ? "silence" : "timeout", true); });
     }
 
     void connect()
@@ -241,6 +247,10 @@
             m_firstByteAt = m_owner->timers.now();
         }
         if (!m_parser->is_done()) {
+            if (m_exchange->progress) {
+                m_exchange->progress(m_parser->get().body().size());
+            }
+            armDeadline();
             growForBody(m_buffer, *m_parser);
             readSome();
             return;
@@ -384,12 +394,23 @@
 }
 
 void Client::send(const Ini::Endpoint &server, Request request, Base::Duration timeout, Callback done)
+{
+    send(server, std::move(request), {timeout, timeout}, {}, std::move(done));
+}
+
+void Client::send(
+    const Ini::Endpoint &server, Request request, const TimeLimits &limits, Progress progress, Callback done)
 {
     auto [it, isNew] = d->servers.try_emplace(server);
     if (isNew) {
         it->second.endpoint = server;
     }
-    d->send(it->second, {std::move(request), d->timers.now() + timeout, std::move(done)});
+    d->send(it->second,
+            {std::move(request),
+             d->timers.now() + limits.whole,
+             limits.silence,
+             std::move(progress),
+             std::move(done)});
 }
 
 void Client::closeIdle()
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -23,6 +23,12 @@
     Base::Duration idleTimeout = std::chrono::seconds{20}; ///< a connection unused for so long is closed
 };
 
+/// How long an exchange may take.
+struct TimeLimits {
+    Base::Duration whole; ///< until the response is whole
+    Base::Duration silence; ///< without a byte of the response
+};
+
 /// A response, or why there is none and whether the server may have handled the request.
 struct Outcome {
     std::optional<Response> response{};
@@ -38,6 +44,8 @@
 {
 public:
     using Callback = std::function<void(Outcome)>;
+    /// Gets the number of bytes of the response's body received so far.
+    using Progress = std::function<void(std::size_t bytes)>;
 
     Client(boost::asio::io_context &context, Base::TimerService &timers, const ClientLimits &limits);
     ~Client();
@@ -45,6 +53,14 @@
     /// Calls `done` once; with a failure when there is no whole response within `timeout`.
     void send(const Ini::Endpoint &server, Request request, Base::Duration timeout, Callback done);
 
+    /// Calls `progress` whenever a part of the response arrives, and `done` once; with a failure when a
+    /// limit is exceeded.
+    void send(const Ini::Endpoint &server,
+              Request request,
+              const TimeLimits &limits,
+              Progress progress,
+              Callback done);
+
     /// Closes the connections that have been idle for too long; those in use are kept.
     void closeIdle();
 
--- a/src/libs/jobservice/layoutpublisher.h
+++ b/src/libs/jobservice/layoutpublisher.h
@@ -71,7 +71,7 @@
 
     void readPage(std::optional<std::string> from, std::optional<std::uint64_t> end)
     {
-        m_platform.readSnapshot(m_topic, from, [this, end](const ReadResult<SnapshotPage> &read) {
+        m_platform.readSnapshot(m_topic, from, {}, [this, end](const ReadResult<SnapshotPage> &read) {
             const auto &page = read.page;
             if (!page) {
                 Base::LogLine(Base::LogLevel::Warning, "layout-read-failed")
--- a/src/libs/jobservice/recordfollower.h
+++ b/src/libs/jobservice/recordfollower.h
@@ -61,6 +61,9 @@
     ReadReport report{};
 };
 
+/// Gets the bytes received so far of an answer that is not whole.
+using ReadProgress = std::function<void(std::size_t bytes)>;
+
 struct FollowerSettings {
     Base::Duration wait =
         std::chrono::milliseconds{1000}; ///< how long the store holds a read without records
@@ -131,6 +134,12 @@
         return m_lastRead;
     }
 
+    /// Whether an answer with records is arriving, so that the newest records are not known yet.
+    bool isReceiving() const
+    {
+        return m_receivedAt && m_timers.now() - *m_receivedAt < MaxReceivingPause;
+    }
+
     const std::string &topic() const
     {
         return m_topic;
@@ -144,6 +153,7 @@
 private:
     // In records. From here on the snapshot is less to read than all missed records.
     static constexpr std::uint64_t MaxTailLag = 3000;
+    static constexpr Base::Duration MaxReceivingPause = std::chrono::milliseconds{1000};
     static constexpr Base::Duration FailureLogInterval = std::chrono::seconds{1};
 
     void readSnapshot()
@@ -158,9 +168,9 @@
         m_isReadingSnapshot = true;
         m_requestedPage = from;
         m_readAt = m_timers.now();
-        m_platform.readSnapshot(m_topic, from, [this](ReadResult<SnapshotPage> read) {
+        m_platform.readSnapshot(m_topic, from, progress(), [this](ReadResult<SnapshotPage> read) {
             auto &page = read.page;
-            count(read.report, page.has_value());
+            endRead(read.report, page.has_value());
             if (!page) {
                 handleFailure(read.report);
                 return;
@@ -218,9 +228,9 @@
     {
         m_isPaused = false;
         m_readAt = m_timers.now();
-        m_platform.readTail(m_topic, *m_end, m_settings.wait, [this](ReadResult<TailPage> read) {
+        m_platform.readTail(m_topic, *m_end, m_settings.wait, progress(), [this](ReadResult<TailPage> read) {
             auto &page = read.page;
-            count(read.report, page.has_value());
+            endRead(read.report, page.has_value());
             if (!page) {
                 handleFailure(read.report);
                 return;
@@ -276,8 +286,16 @@
         m_timer.arm(m_settings.pause, [this] { readTail(); });
     }
 
-    void count(const ReadReport &report, bool isPage)
+    ReadProgress progress()
+    {
+        return [this](std::size_t) {
+            m_receivedAt = m_timers.now();
+        };
+    }
+
+    void endRead(const ReadReport &report, bool isPage)
     {
+        m_receivedAt.reset();
         m_statistics.add(report, m_timers.now() - m_readAt, isPage);
     }
 
@@ -344,6 +362,7 @@
     std::set<std::string> m_snapshotKeys; ///< keys of the snapshot pages read so far
     std::optional<std::uint64_t> m_end;
     Base::Instant m_lastRead;
+    std::optional<Base::Instant> m_receivedAt; ///< latest part of an answer that is not whole
     Base::Instant m_readAt; ///< start of the latest read
     ReadStatistics m_statistics;
     std::uint64_t m_failedReads = 0; ///< since the last one that succeeded
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -919,6 +919,7 @@
 void SimulatedPlatform::Platform::readSnapshot(
     const std::string &topic,
     const std::optional<std::string> &,
+    const JobService::ReadProgress &,
     const std::function<void(std::optional<JobService::SnapshotPage>)> &done)
 {
     if (m_world.isStoreDown || isStoreDown) {
@@ -947,16 +948,17 @@
     const std::string &topic,
     std::uint64_t from,
     Base::Duration wait,
+    const JobService::ReadProgress &progress,
     const std::function<void(std::optional<JobService::TailPage>)> &done)
 {
     if (m_world.isStoreDown || isStoreDown) {
         m_world.timers.subscribeAfter(StoreTimeout, [done] { done(std::nullopt); });
         return;
     }
-    m_world.timers.subscribeAfter(TailStep, [this, topic, from, wait, done] {
+    m_world.timers.subscribeAfter(TailStep, [this, topic, from, wait, progress, done] {
         const auto &log = m_world.m_topics[topic];
         if (log.size() <= from && wait > TailStep && m_world.isLive(m_member)) {
-            readTail(topic, from, wait - TailStep, done);
+            readTail(topic, from, wait - TailStep, progress, done);
             return;
         }
         JobService::TailPage page;
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -101,10 +101,12 @@
                       const JobService::StoreCallback &done);
         void readSnapshot(const std::string &topic,
                           const std::optional<std::string> &after,
+                          const JobService::ReadProgress &progress,
                           const std::function<void(std::optional<JobService::SnapshotPage>)> &done);
         void readTail(const std::string &topic,
                       std::uint64_t from,
                       Base::Duration wait,
+                      const JobService::ReadProgress &progress,
                       const std::function<void(std::optional<JobService::TailPage>)> &done);
 
         /// Reads and writes records like the build of commit 8045e32: without the record of leases and
--- a/tests/auto/jobs/tst_configurationexchange.cpp
+++ b/tests/auto/jobs/tst_configurationexchange.cpp
@@ -33,6 +33,7 @@
 
     void ask(const Ini::Endpoint &peer,
              std::uint64_t version,
+             const std::function<void(std::size_t)> &,
              std::function<void(std::optional<ConfigurationReply>)> done)
     {
         ++questions;
@@ -63,7 +64,7 @@
 {
     void setup() override
     {
-        exchange.start([this] { return lastRead; }, [this] { return version; });
+        exchange.start([this] { return lastRead; }, [] { return false; }, [this] { return version; });
     }
 
     void runFor(Base::Duration time)
--- a/tests/auto/jobs/tst_recordfollower.cpp
+++ b/tests/auto/jobs/tst_recordfollower.cpp
@@ -32,6 +32,7 @@
 
     void readSnapshot(const std::string &,
                       const std::optional<std::string> &from,
+                      const JobService::ReadProgress &,
                       std::function<void(std::optional<JobService::SnapshotPage>)> done)
     {
         ++pages;
@@ -63,6 +64,7 @@
     void readTail(const std::string &,
                   std::uint64_t from,
                   Base::Duration,
+                  const JobService::ReadProgress &,
                   std::function<void(std::optional<JobService::TailPage>)> done)
     {
         ++tails;
--- a/tests/auto/largetopics/tst_largetopics.cpp
+++ b/tests/auto/largetopics/tst_largetopics.cpp
@@ -56,7 +56,9 @@
     void start()
     {
         m_follower.start();
-        m_exchange.start([this] { return m_follower.lastRead(); }, [this] { return version; });
+        m_exchange.start([this] { return m_follower.lastRead(); },
+                         [this] { return m_follower.isReceiving(); },
+                         [this] { return version; });
     }
 
     std::uint64_t version = 0;
