Keep what has arrived of a broken read, and read only the newest versions

A read of many records that broke off at its last one began again with the first, and a member that had missed ten versions of a configuration read all ten.

The stand-in closed a connection on which the next request came early; it looks for the end of a client only while an answer is under way.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -286,6 +286,9 @@
         auto done = std::move(m_exchange->done);
         m_exchange.reset();
         Outcome outcome = received();
+        if (m_parser && m_parser->is_header_done() && m_parser->get().result_int() == 200) {
+            outcome.partialBody = std::move(m_parser->get().body());
+        }
         close();
         m_owner->dropped(m_server);
         outcome.verdict = m_wasSent ? Base::Verdict::MayHaveRun : Base::Verdict::NotRun;
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -37,6 +37,7 @@
     bool isTimeout = false; ///< whether the failure is the end of a time limit
     std::size_t bytes = 0; ///< received of the body, also of a response that is not whole
     std::optional<Base::Duration> firstByteAfter{}; ///< from the start of the exchange
+    std::string partialBody{}; ///< of a response with status 200 that is not whole
 };
 
 /// Sends requests over kept connections. A connection on which a request timed out is never used again.
@@ -53,8 +54,8 @@
     /// Calls `done` once; with a failure when there is no whole response within `timeout`.
     void send(const Ini::Endpoint &server, Request request, Base::Duration timeout, Callback done);
 
-    /// Calls `progress` whenever a part of the response arrives, and `done` once; with a failure when a
-    /// limit is exceeded.
+    /// Calls `progress` whenever a part of the response arrives, and `done` once; with a failure, and what
+    /// has arrived of a response with status 200, when a limit is exceeded.
     void send(const Ini::Endpoint &server,
               Request request,
               const TimeLimits &limits,
--- a/src/libs/jobservice/recordfollower.h
+++ b/src/libs/jobservice/recordfollower.h
@@ -239,12 +239,13 @@
                 readSnapshot();
                 return;
             }
+            const std::uint64_t missedBytes = missedBytesAfter(*page);
             applyNewest(page->records);
             const bool hasAdvanced = page->next > *m_end;
             m_end = page->next;
             if (page->next >= page->end || !hasAdvanced) {
                 finishRead();
-            } else if (page->end - page->next > MaxTailLag) {
+            } else if (page->end - page->next > MaxTailLag || missedBytes > snapshotBytes()) {
                 readSnapshot();
             } else {
                 readTail();
@@ -293,6 +294,26 @@
         };
     }
 
+    // An estimate from the records of the page.
+    static std::uint64_t missedBytesAfter(const TailPage &page)
+    {
+        std::uint64_t bytes = 0;
+        for (const KeyedRecord &it : page.records) {
+            bytes += it.key.size() + (it.value ? it.value->size() : 0);
+        }
+        return page.records.empty() ? 0 : bytes * (page.end - page.next) / page.records.size();
+    }
+
+    // Base64 makes four bytes of three (RFC 4648).
+    std::uint64_t snapshotBytes() const
+    {
+        std::uint64_t bytes = 0;
+        for (const auto &[key, entry] : m_entries) {
+            bytes += key.size() + (entry.value ? entry.value->size() * 4 / 3 : 0);
+        }
+        return bytes;
+    }
+
     void endRead(const ReadReport &report, bool isPage)
     {
         m_receivedAt.reset();
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -230,3 +230,37 @@
     LONGS_EQUAL(BodyBytes, outcome->response->body.size());
     CHECK_COMPARE(handlers, <, BodyBytes / LeastStep);
 }
+
+TEST(Http, OnlySilenceEndsAResponseThatKeepsArriving)
+{
+    constexpr auto Silence = 300ms;
+    boost::asio::io_context context;
+    Base::TimerService timers{Base::Instant{1h}};
+    Http::Client client(context, timers, {});
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    std::optional<Http::Outcome> outcome;
+    std::size_t progress = 0;
+    client.send(
+        Ini::Endpoint{"127.0.0.1", acceptor.local_endpoint().port()},
+        {},
+        {10s, Silence},
+        [&](std::size_t bytes) { progress = bytes; },
+        [&](Http::Outcome it) { outcome = std::move(it); });
+    tcp::socket socket = acceptor.accept();
+    std::string part = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nxx";
+    for (std::size_t sent = 2; sent < 20; sent += 2) {
+        boost::asio::write(socket, boost::asio::buffer(part));
+        while (progress < sent && !outcome) {
+            context.restart();
+            context.poll();
+        }
+        timers.advanceTo(timers.now() + Silence * 9 / 10);
+        CHECK_FALSE(outcome.has_value());
+        part = "xx";
+    }
+    timers.advanceTo(timers.now() + Silence);
+    CHECK(outcome.has_value());
+    CHECK(outcome->isTimeout);
+    STRCMP_EQUAL("silence", outcome->failure.c_str());
+    STRCMP_EQUAL(std::string(18, 'x').c_str(), outcome->partialBody.c_str());
+}
--- a/tests/auto/largetopics/slownetwork.cpp
+++ b/tests/auto/largetopics/slownetwork.cpp
@@ -189,13 +189,13 @@
         });
     }
 
-    // A client that gives up closes its connection.
+    // A client that gives up closes its connection. What it sends after the answer is the next request.
     void watch()
     {
         m_socket.async_wait(tcp::socket::wait_read,
-                            [self = shared_from_this()](boost::system::error_code ec) {
-                                boost::system::error_code error;
-                                if (!ec && self->m_isOpen && self->m_socket.available(error) == 0) {
+                            [self = shared_from_this(), number = ++m_watches](boost::system::error_code ec) {
+                                const bool isAnswered = !self->m_isWaiting && !self->isSending();
+                                if (!ec && number == self->m_watches && !isAnswered) {
                                     self->close();
                                 }
                             });
@@ -245,6 +245,7 @@
     std::string m_out;
     std::size_t m_sent = 0;
     std::uint64_t m_waits = 0;
+    std::uint64_t m_watches = 0;
     bool m_isWaiting = false;
     bool m_isOfStore = true;
     bool m_isOpen = true;
--- a/tests/auto/largetopics/tst_largetopics.cpp
+++ b/tests/auto/largetopics/tst_largetopics.cpp
@@ -11,6 +11,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 
 using namespace std::chrono_literals;
@@ -32,6 +33,13 @@
     return std::to_string(version) + ":" + std::string(routes * RouteBytes, 'r');
 }
 
+Platform::CallSettings settingsWith(const Ini::Endpoint &store)
+{
+    Platform::CallSettings settings;
+    settings.store = store;
+    return settings;
+}
+
 /// A member that follows the configuration from the store and from others, as the daemon does.
 class Member
 {
@@ -40,7 +48,7 @@
         : m_endpoint(network.addLink(linkRate))
         , m_timers(network.timers)
         , m_client(network.context, network.timers, {})
-        , m_calls(m_client, m_client, settings())
+        , m_calls(m_client, m_client, settingsWith(m_endpoint))
         , m_follower(
               m_calls,
               network.timers,
@@ -65,13 +73,6 @@
     std::string text;
 
 private:
-    Platform::CallSettings settings() const
-    {
-        Platform::CallSettings calls;
-        calls.store = m_endpoint;
-        return calls;
-    }
-
     void take(const std::string &configuration)
     {
         const std::uint64_t number = std::stoull(configuration);
@@ -90,6 +91,32 @@
     JobService::ConfigurationExchange<Platform::ConfigurationPeers> m_exchange;
 };
 
+/// Follows a topic of many records.
+class Reader
+{
+public:
+    Reader(SlowNetwork &network, double linkRate)
+        : m_client(network.context, network.timers, {})
+        , m_calls(m_client, m_client, settingsWith(network.addLink(linkRate)))
+        , m_follower(
+              m_calls,
+              network.timers,
+              "keyed.servers",
+              {},
+              [this](const std::string &key, const std::string *value) { values[key] = *value; },
+              [] {})
+    {
+        m_follower.start();
+    }
+
+    std::map<std::string, std::string> values;
+
+private:
+    Http::Client m_client;
+    Platform::Calls m_calls;
+    JobService::RecordFollower<Platform::Calls> m_follower;
+};
+
 } // namespace
 
 TEST_GROUP(LargeTopics)
@@ -165,3 +192,33 @@
     startMembers();
     CHECK(isInForce(1, MaxApplyTime));
 }
+
+TEST(LargeTopics, AMemberThatFellBehindReadsOnlyTheNewestVersion)
+{
+    constexpr std::size_t Routes = 4000;
+    addMembers(1, 0);
+    network.write("config", configuration(1, Routes));
+    startMembers();
+    const std::uint64_t before = network.storeBytes();
+    for (std::uint64_t version = 2; version < 12; ++version) {
+        network.write("config", configuration(version, Routes));
+    }
+    CHECK(isInForce(11, MaxApplyTime));
+    // The version being read, one more that shows how many there are, and the newest one in base64.
+    CHECK_COMPARE(network.storeBytes() - before, <, 3.5 * Routes * RouteBytes);
+}
+
+TEST(LargeTopics, WhatHasArrivedOfABrokenReadIsKept)
+{
+    constexpr std::size_t Records = 20;
+    constexpr std::size_t RecordBytes = 50000;
+    Reader reader(network, SlowLink);
+    network.runFor(500ms);
+    for (std::size_t n = 0; n < Records; ++n) {
+        network.write("worker-" + std::to_string(n), std::string(RecordBytes, 'w'));
+    }
+    network.runFor(600ms);
+    network.resetTransfers();
+    CHECK(network.runUntil([&] { return reader.values.size() == Records; }, 3s));
+    CHECK_COMPARE(network.storeBytes(), <, (Records + 3) * RecordBytes);
+}
