Answer 503 for unknown routes and keys while a newer version may have them

What callers saw: 404 for a route that had been confirmed, from a member whose configuration was older; a 404 is final, so the caller does not try again.

Change: while that is so, an unknown route or key is refused with 503 and Retry-After. With no key, several keys or one that is too long the answer stays 401, and known routes are served as before.

Evidence: Frontend WhatANewerVersionMayAllowIsNotRefusedForGood (404 before).

--- a/tests/auto/adapter/tst_frontend.cpp
+++ b/tests/auto/adapter/tst_frontend.cpp
@@ -44,7 +44,10 @@
             request.fields.push_back({"x-api-key", it});
         }
         unsigned status = 0;
-        frontend.handle(request, [&status](const Http::Response &response) { status = response.status; });
+        frontend.handle(request, [&](const Http::Response &response) {
+            status = response.status;
+            retryAfter = std::string(response.field("Retry-After"));
+        });
         return status;
     }
 
@@ -68,7 +71,12 @@
                const Platform::Frontend::Reply &reply) {
             routed.push_back(request);
             reply({.status = JobReply::Status::Done});
+        },
+        [this] {
+            return isCurrent;
         }};
+    bool isCurrent = true;
+    std::string retryAfter;
 };
 
 TEST(Frontend, RequestsWithoutAValidKeyAreRefusedAndGoNowhere)
@@ -130,3 +138,17 @@
     STRCMP_EQUAL(R"({"State":"running"})",
                  Platform::encodeState(JobService::ReportedState::Running, {}).c_str());
 }
+
+TEST(Frontend, WhatANewerVersionMayAllowIsNotRefusedForGood)
+{
+    CHECK_EQUAL(404, send("GET", "/new/00c0ffee00c0ffee", {"key-a"}));
+    CHECK_EQUAL(401, send("GET", JobPath, {"key-new"}));
+    isCurrent = false;
+    CHECK_EQUAL(503, send("GET", "/new/00c0ffee00c0ffee", {"key-a"}));
+    STRCMP_EQUAL("1", retryAfter.c_str());
+    CHECK_EQUAL(503, send("GET", JobPath, {"key-new"}));
+    STRCMP_EQUAL("1", retryAfter.c_str());
+    CHECK_EQUAL(401, send("GET", JobPath, {}));
+    CHECK_EQUAL(401, send("GET", JobPath, {"key-new", "key-a"}));
+    CHECK_EQUAL(200, send("GET", JobPath, {"key-a"}));
+}
