Start tasks that have lost two workers where each worker has a suspect

Cause: a task under which two workers have crashed waits for an empty worker, after 1.5 s for one without a suspect, and then for as long as there is none. Where hundreds of runs were lost with their workers each worker has a suspect.

Change: after 1.5 s such a task is placed as any other, on a worker with room. The third crash may then hit others again; the task is given up with it.

--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -257,7 +257,8 @@
         Worker *worker = nullptr;
         if (task.crashes > 0) {
             worker = placeForSuspect(wanted, task, candidates, now);
-            if (!worker && task.crashes >= IsolatedCrashes) {
+            const bool mayWait = now - task.lostAt <= MaxEmptyingTime;
+            if (!worker && task.crashes >= IsolatedCrashes && mayWait) {
                 progress.setWait(WaitReason::EmptyWorker, now);
                 m_nextPlacementRetry = now + PlacementRetryPeriod;
                 continue;
@@ -297,7 +298,7 @@
 
 // The first crash makes suspects of all runs of a worker. They are started apart from each other, so that the
 // next crash hits one of them only. Under which two workers have crashed is started alone, unless it takes
-// too long to empty a worker.
+// too long to empty a worker. Then one without suspects is chosen, and any worker if each has a suspect.
 Worker *Shard::placeForSuspect(const Stage &stage,
                                const Task &task,
                                std::span<const Candidate> candidates,
--- a/tests/auto/deadlytasks/tst_deadlytasks.cpp
+++ b/tests/auto/deadlytasks/tst_deadlytasks.cpp
@@ -214,6 +214,31 @@
     checkNoViolations(world);
 }
 
+TEST(DeadlyTasks, DoNotWaitForeverWhereEachWorkerHasASuspect)
+{
+    constexpr int Workers = 4;
+    SimulatedPlatform world;
+    addFleet(world, Workers);
+    world.taskTime = 60s;
+    Jobs::JobSpec other = SimulatedPlatform::makeJob("other", 1, Workers);
+    other.stages[0].tasksPerWorker = 1;
+    CHECK(world.submit(other));
+    runAndPublish(world, 1);
+    for (int n = 0; n < Workers; ++n) {
+        world.crash("w" + std::to_string(n), 200ms);
+        runAndPublish(world, 6);
+    }
+    CHECK(world.submit(SimulatedPlatform::makeJob("suspect", 1, 1)));
+    runAndPublish(world, 1);
+    const std::string id = workerOf(world, 2);
+    CHECK(!id.empty());
+    world.crash(id, 200ms);
+    runAndPublish(world, 6);
+    CHECK_EQUAL(1, world.runsOf("suspect"));
+    CHECK_EQUAL(Workers, world.runsOf("other"));
+    checkNoViolations(world);
+}
+
 // Starts that would meet a worker which has gone unnoticed count against the task.
 TEST(DeadlyTasks, GetWorkersThatHaveAnsweredLately)
 {
