--- a/tests/auto/largetopics/slownetwork.cpp
+++ b/tests/auto/largetopics/slownetwork.cpp
@@ -12,6 +12,7 @@
 #include <sys/ioctl.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -71,8 +72,10 @@
 
 struct SlowNetwork::State {
     double bytesPerSecond = 0;
+    double peerBytesPerSecond = std::numeric_limits<double>::infinity();
     std::vector<std::unique_ptr<Link>> links;
     std::vector<Record> records;
+    std::string machines;
     std::function<std::optional<std::string>(std::uint64_t)> peerAnswer;
     std::uint64_t storeBytes = 0;
     std::uint64_t peerBytes = 0;
@@ -170,6 +173,15 @@
             m_out = newer ? response(200, *newer) : "HTTP/1.1 204 -\r\n\r\n";
             return;
         }
+        if (m_target.rfind("/machines", 0) == 0) {
+            m_out = response(200, m_network.d->machines);
+            return;
+        }
+        if (m_target.rfind("/log-append", 0) == 0) {
+            const std::size_t end = m_network.d->records.size();
+            m_out = response(200, fmt::format(R"({{"Offset":{},"End":{}}})", end, end));
+            return;
+        }
         if (m_target.rfind("/log-newest", 0) == 0) {
             answerNewest();
             return;
@@ -338,6 +350,16 @@
     d->peerAnswer = std::move(answer);
 }
 
+void SlowNetwork::setMachines(std::string list)
+{
+    d->machines = std::move(list);
+}
+
+void SlowNetwork::setPeerRate(double bytesPerSecond)
+{
+    d->peerBytesPerSecond = bytesPerSecond;
+}
+
 void SlowNetwork::resetTransfers()
 {
     for (const auto &link : d->links) {
@@ -351,19 +373,21 @@
 void SlowNetwork::step()
 {
     const double seconds = std::chrono::duration<double>(Step).count();
-    double demand = 0;
+    double storeDemand = 0;
+    double peerDemand = 0;
     for (const auto &link : d->links) {
         const auto sending = link->sending();
-        const auto ofStore =
-            std::count_if(sending.begin(), sending.end(), [](const auto &it) { return it->isOfStore(); });
-        demand += ofStore == 0 ? 0 : link->bytesPerSecond * double(ofStore) / double(sending.size());
+        for (const auto &it : sending) {
+            (it->isOfStore() ? storeDemand : peerDemand) += link->bytesPerSecond / double(sending.size());
+        }
     }
-    const double storeShare = demand > d->bytesPerSecond ? d->bytesPerSecond / demand : 1;
+    const double storeShare = std::min(1.0, d->bytesPerSecond / std::max(storeDemand, 1.0));
+    const double peerShare = std::min(1.0, d->peerBytesPerSecond / std::max(peerDemand, 1.0));
     for (const auto &link : d->links) {
         const auto sending = link->sending();
         for (const auto &it : sending) {
-            const double share =
-                link->bytesPerSecond * seconds / double(sending.size()) * (it->isOfStore() ? storeShare : 1);
+            const double share = link->bytesPerSecond * seconds / double(sending.size())
+                * (it->isOfStore() ? storeShare : peerShare);
             const std::size_t n = it->send(static_cast<std::size_t>(share) + 1);
             (it->isOfStore() ? d->storeBytes : d->peerBytes) += n;
         }
--- a/tests/auto/largetopics/slownetwork.h
+++ b/tests/auto/largetopics/slownetwork.h
@@ -34,6 +34,12 @@
     /// none has a newer one.
     void setPeerAnswer(std::function<std::optional<std::string>(std::uint64_t version)> answer);
 
+    /// Sets the list of machines, as the platform sends it.
+    void setMachines(std::string list);
+
+    /// Sets what all answers of other members share; without a limit at start.
+    void setPeerRate(double bytesPerSecond);
+
     /// Breaks the connections that are receiving an answer.
     void resetTransfers();
 
--- a/tests/auto/largetopics/tst_largetopics.cpp
+++ b/tests/auto/largetopics/tst_largetopics.cpp
@@ -1,12 +1,6 @@
-#include "slownetwork.h"
+#include "member.h"
 
 #include <base/logline.h>
-#include <http/client.h>
-#include <jobservice/configurationexchange.h>
-#include <jobservice/recordfollower.h>
-
-#include <platform/calls.h>
-#include <platform/configurationpeers.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -15,6 +9,10 @@
 #include <memory>
 
 using namespace std::chrono_literals;
+using LargeTopics::configuration;
+using LargeTopics::Member;
+using LargeTopics::RouteBytes;
+using LargeTopics::settingsWith;
 using LargeTopics::SlowNetwork;
 
 namespace
@@ -23,97 +21,40 @@
 constexpr double StoreRate = 80e6; // bytes a second
 constexpr double SlowLink = 10e6 / 8;
 constexpr double FastLink = 200e6 / 8;
-constexpr std::size_t RouteBytes = 212;
-
 // What the operators expect, from the acknowledgement of a version until it is in force everywhere.
 constexpr Base::Duration MaxApplyTime = 3000ms;
 
-std::string configuration(std::uint64_t version, std::size_t routes)
-{
-    return std::to_string(version) + ":" + std::string(routes * RouteBytes, 'r');
-}
-
-Platform::CallSettings settingsWith(const Ini::Endpoint &store)
-{
-    Platform::CallSettings settings;
-    settings.store = store;
-    return settings;
-}
-
-/// A member that follows the configuration from the store and from others, as the daemon does.
-class Member
+/// Follows a topic of many records.
+class Reader
 {
 public:
-    Member(SlowNetwork &network, double linkRate)
-        : m_endpoint(network.addLink(linkRate))
-        , m_timers(network.timers)
-        , m_client(network.context, network.timers, {})
-        , m_calls(m_client, m_client, settingsWith(m_endpoint))
+    Reader(SlowNetwork &network, double linkRate)
+        : m_client(network.context, network.timers, {})
+        , calls(m_client, m_client, settingsWith(network.addLink(linkRate)))
         , m_follower(
-              m_calls,
+              calls,
               network.timers,
-              "keyed.op",
+              "keyed.servers",
               {},
-              [this](const std::string &, const std::string *value) { take(*value); },
+              [this](const std::string &key, const std::string *value) { values[key] = *value; },
               [] {})
-        , m_peers(m_client, [this] { return std::vector<Ini::Endpoint>(3, m_endpoint); })
-        , m_exchange(m_peers, network.timers, [this](const std::string &newer) { take(newer); })
     {
     }
 
     void start()
     {
         m_follower.start();
-        m_exchange.start([this] { return m_follower.lastRead(); },
-                         [this] { return m_follower.isReceiving(); },
-                         [this] { return version; });
     }
 
-    std::uint64_t version = 0;
-    std::string text;
+    std::map<std::string, std::string> values;
 
 private:
-    void take(const std::string &configuration)
-    {
-        const std::uint64_t number = std::stoull(configuration);
-        if (number > version) {
-            version = number;
-            text = configuration;
-        }
-    }
-
-    Ini::Endpoint m_endpoint;
-    Base::TimerService &m_timers;
     Http::Client m_client;
-    Platform::Calls m_calls;
-    JobService::RecordFollower<Platform::Calls> m_follower;
-    Platform::ConfigurationPeers m_peers;
-    JobService::ConfigurationExchange<Platform::ConfigurationPeers> m_exchange;
-};
 
-/// Follows a topic of many records.
-class Reader
-{
 public:
-    Reader(SlowNetwork &network, double linkRate)
-        : m_client(network.context, network.timers, {})
-        , m_calls(m_client, m_client, settingsWith(network.addLink(linkRate)))
-        , m_follower(
-              m_calls,
-              network.timers,
-              "keyed.servers",
-              {},
-              [this](const std::string &key, const std::string *value) { values[key] = *value; },
-              [] {})
-    {
-        m_follower.start();
-    }
-
-    std::map<std::string, std::string> values;
+    Platform::Calls calls;
 
 private:
-    Http::Client m_client;
-    Platform::Calls m_calls;
     JobService::RecordFollower<Platform::Calls> m_follower;
 };
 
@@ -213,6 +154,7 @@
     constexpr std::size_t Records = 20;
     constexpr std::size_t RecordBytes = 50000;
     Reader reader(network, SlowLink);
+    reader.start();
     network.runFor(500ms);
     for (std::size_t n = 0; n < Records; ++n) {
         network.write("worker-" + std::to_string(n), std::string(RecordBytes, 'w'));
@@ -222,3 +164,51 @@
     CHECK(network.runUntil([&] { return reader.values.size() == Records; }, 3s));
     CHECK_COMPARE(network.storeBytes(), <, (Records + 3) * RecordBytes);
 }
+
+TEST(LargeTopics, AListOfManyWorkersArrives)
+{
+    constexpr std::size_t Records = 8000;
+    for (std::size_t n = 0; n < Records; ++n) {
+        network.write("worker-" + std::to_string(n), std::string(RouteBytes, 'w'));
+    }
+    Reader reader(network, SlowLink);
+    reader.start();
+    CHECK(network.runUntil([&] { return reader.values.size() == Records; }, 3s));
+}
+
+TEST(LargeTopics, TheJobsOfALargeShardArriveAtATakeover)
+{
+    constexpr std::size_t Records = 8000;
+    for (std::size_t n = 0; n < Records; ++n) {
+        network.write("spec/" + std::to_string(n), std::string(RouteBytes, 'j'));
+    }
+    Reader reader(network, SlowLink);
+    std::size_t records = 0;
+    std::optional<JobService::StoreAnswer> answer;
+    reader.calls.loadShard(
+        3,
+        7,
+        [&](std::string_view, std::string_view, bool) { ++records; },
+        [&](JobService::StoreAnswer it) { answer = it; });
+    CHECK(network.runUntil([&] { return answer.has_value(); }, 5s));
+    CHECK(answer->status == JobService::StoreStatus::Done);
+    LONGS_EQUAL(Records, records);
+}
+
+TEST(LargeTopics, AListOfManyMachinesArrives)
+{
+    constexpr std::size_t Count = 20000;
+    std::string rows;
+    for (std::size_t n = 0; n < Count; ++n) {
+        rows += std::string(rows.empty() ? "" : ",") + R"({"Machine":"m)" + std::to_string(n)
+            + R"(","Pool":"pool","State":"up","Zone":"zone","Labels":["rack-1"],"Capacity":{"Cpu":32000,)"
+              R"("MemMb":128000},"Id":"i-00000000"})";
+    }
+    network.setMachines(R"({"Machines":[)" + rows + "]}");
+    Reader reader(network, SlowLink);
+    std::optional<std::vector<Machines::Machine>> machines;
+    reader.calls.listMachines(
+        [&](std::optional<std::vector<Machines::Machine>> it) { machines = std::move(it); });
+    CHECK(network.runUntil([&] { return machines.has_value(); }, 5s));
+    LONGS_EQUAL(Count, machines->size());
+}
