--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -78,7 +78,7 @@
 {
     constexpr std::uint32_t WideCount = 7000;
     constexpr std::uint32_t UsualCount = 700;
-    constexpr std::int64_t PoolMilliCores = 288'000;
+    constexpr std::int64_t PoolMilliCores = 144'000;
     constexpr Milliseconds TrafficTime{10'000};
     Deployment deployment(program, world, 3);
     addMachines(deployment, "alpha", 9);
@@ -87,7 +87,7 @@
     const Job wide{"5c0e7a21d94b36f8",
                    {Step{.work = 1500ms},
                     Step{.count = hasTrouble ? WideCount : UsualCount,
-                         .milliCores = 30,
+                         .milliCores = 16,
                          .memory = 20,
                          .work = 2000ms,
                          .dependsOn = {0}}}};
@@ -167,7 +167,7 @@
     std::thread load([&] {
         for (int n = 0; !isOver; ++n) {
             const Job job{fmt::format("{:016x}", 4096 + n),
-                          {Step{.count = 6, .milliCores = 2000, .work = 700ms}}};
+                          {Step{.count = 6, .milliCores = 1000, .work = 700ms}}};
             deployment.submit(hasTurned ? Prefix : betaPrefix, job);
             pause(300ms);
         }
--- a/review/standins-2/cloud.cpp
+++ b/review/standins-2/cloud.cpp
@@ -152,7 +152,7 @@
                          {"State", it->state},
                          {"Zone", "zone-a"},
                          {"Labels", json::array{"a", it->rack}},
-                         {"Capacity", json::object{{"Cpu", 32'000}, {"MemMb", 65'536}, {"Gpu", 0}}},
+                         {"Capacity", json::object{{"Cpu", 16'000}, {"MemMb", 32'768}, {"Gpu", 0}}},
                          {"Id", it->worker ? it->worker->place().id : std::string()}});
     }
     return json::serialize(json::object{{"Machines", std::move(rows)}, {"NextToken", nullptr}});
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -212,7 +212,7 @@
     text << fmt::format(
         "[machines]\naddress = 127.0.0.1:{}\nhand_over_ms = 3000\nmove_s = 1.5\nupkeep_s = 2\n",
         m_cloud->port());
-    text << "[workers]\nlease_limit_ms = 10000\n[shutdown]\ngrace_s = 6\n";
+    text << "[workers]\nlease_limit_ms = 6000\n[shutdown]\ngrace_s = 6\n";
     text.close();
     ::setenv(SettingsVariable, settings.c_str(), 1);
     member.process = std::make_unique<Process>(std::vector<std::string>{m_program}, m_folder / member.name);
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -19,7 +19,7 @@
 namespace json = boost::json;
 
 constexpr std::int64_t FirstClock = 1000;
-constexpr std::int64_t MaxLease = 10'000; // HoldMaxMs
+constexpr std::int64_t MaxLease = 6'000; // HoldMaxMs
 constexpr std::int64_t MaxWait = 2000;
 constexpr Base::Duration HeartbeatTime = 1500ms;
 constexpr Base::Duration StopTime = 100ms; // at most StopTimeoutMs
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -24,8 +24,8 @@
         std::string machine;
         std::string service;
         std::string rack;
-        std::int64_t milliCores = 32'000;
-        std::int64_t memory = 65'536;
+        std::int64_t milliCores = 16'000;
+        std::int64_t memory = 32'768;
     };
 
     Worker(boost::asio::io_context &context,
