--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -88,6 +88,9 @@
         if (it.isLongRunning) {
             phase["LongRunning"] = true;
         }
+        if (it.isGang) {
+            phase["Gang"] = true;
+        }
         if (it.maxUnavailable > 0) {
             phase["MaxUnavailable"] = it.maxUnavailable;
         }
@@ -112,6 +115,11 @@
                                       {"Service", it.service},
                                       {"MaxAttempts", 4},
                                       {"SlackFactor", 1.6}});
+        if (it.hasAdvice) {
+            routes.back().as_object()["Advice"] = json::object{{"DecideMs", DecideTime.count()},
+                                                               {"PeriodMs", PeriodTime.count()},
+                                                               {"ValidMs", TicketTime.count()}};
+        }
     }
     json::array list;
     for (const std::string &it : services) {
@@ -136,6 +144,7 @@
     m_store = std::make_unique<Soak::Store>(context, timers, 1);
     m_front = std::make_unique<StoreFront>(context, timers, m_store->port(), world);
     m_cloud = std::make_unique<Cloud>(context, timers, *m_store, world);
+    m_advice = std::make_unique<Advice>(context, timers, world);
     m_client = std::make_unique<Http::Client>(context, timers, Http::ClientLimits{});
     std::uint16_t port = FirstPort;
     for (std::size_t n = 0; n < members; ++n) {
@@ -212,6 +221,7 @@
     text << fmt::format(
         "[machines]\naddress = 127.0.0.1:{}\nhand_over_ms = 3000\nmove_s = 1.5\nupkeep_s = 2\n",
         m_cloud->port());
+    text << fmt::format("[advice]\naddress = 127.0.0.1:{}\n", m_advice->port());
     text << "[workers]\nlease_limit_ms = 6000\n[shutdown]\ngrace_s = 6\n";
     text.close();
     ::setenv(SettingsVariable, settings.c_str(), 1);
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../../tests/auto/processes/process.h"
+#include "advice.h"
 #include "cloud.h"
 #include "storefront.h"
 
@@ -75,6 +76,7 @@
     std::unique_ptr<Soak::Store> m_store;
     std::unique_ptr<StoreFront> m_front;
     std::unique_ptr<Cloud> m_cloud;
+    std::unique_ptr<Advice> m_advice;
     std::unique_ptr<Http::Client> m_client;
     std::vector<Member> m_members;
     std::size_t m_next = 0;
@@ -91,6 +93,7 @@
     std::string name;
     std::string prefix;
     std::string service;
+    bool hasAdvice = false;
 };
 
 /// A configuration as the operator writes it.
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -25,8 +25,8 @@
     static const std::map<std::string, Case> All{{"move-queue", &Review::moveQueue},
                                                  {"wide-job", &Review::submitWideJob},
                                                  {"late-upkeep", &Review::delayUpkeep},
-                                                 {"worker-crashes", &Review::crashWorkers},
-                                                 {"new-machine", &Review::maintainNewMachine}};
+                                                 {"new-machine", &Review::maintainNewMachine},
+                                                 {"advised-gang", &Review::submitAdvisedGang}};
     return All;
 }
 
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -62,6 +62,8 @@
     void extendLease(std::int64_t deadline);
     void checkLease();
     void end(const std::string &task, const std::string &how);
+    /// Lets a member of a gang work once all are there.
+    void awaitGang(const std::string &task);
     void answer(const Http::Responder &respond, unsigned status, std::string_view reason = {}) const;
     std::string lists() const;
     std::int64_t clock() const;
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -25,6 +25,7 @@
     std::int64_t memory = 64; ///< MB
     Milliseconds work{1000};
     bool isLongRunning = false;
+    bool isGang = false;
     std::vector<std::uint32_t> dependsOn{};
     std::uint32_t maxUnavailable = 0;
 };
@@ -32,8 +33,14 @@
 struct Job {
     std::string id;
     std::vector<Step> steps;
+    bool needsTickets = false; ///< whether its queue has a policy of its own
 };
 
+// Of the service that knows the policies of queues.
+constexpr Milliseconds DecideTime{50};
+constexpr Milliseconds PeriodTime{5}; ///< for each worker
+constexpr Milliseconds TicketTime{3000};
+
 /// What clients, workers and the platform have sent and seen. Written to the record of the case, and checked
 /// against the rules. May be used from any thread.
 class World
@@ -52,14 +59,18 @@
     /// The step of a task that a client has submitted, if there is one.
     std::optional<Step> stepOf(std::string_view task) const;
 
+    std::string issueTicket(const std::string &step, const std::string &worker);
+    /// Whether the worker may start the task with this ticket.
+    bool isTicketValid(const std::string &task, const std::string &worker, const std::string &ticket) const;
+
     void started(const std::string &worker, const std::string &task, std::uint32_t attempt);
     void
     ended(const std::string &worker, const std::string &task, std::uint32_t attempt, std::string_view how);
     /// The worker was told that this end is taken note of.
     void acknowledged(const std::string &task, std::string_view how);
 
-    /// The worker that runs the task; empty if none does.
-    std::string workerOf(const std::string &task) const;
+    /// The number of tasks that are at work of the step that the task belongs to.
+    std::size_t runningBeside(const std::string &task) const;
     /// The number of tasks of the job that are at work.
     std::size_t running(std::string_view job) const;
     /// The number of tasks of the job that have ended done.
@@ -81,6 +92,7 @@
     std::map<std::string, std::size_t> m_done; ///< ends by task
     std::map<std::string, bool> m_isAcknowledged; ///< tasks whose end `done` has been acknowledged
     std::map<std::pair<std::string, std::string>, std::size_t> m_ends; ///< by job and kind
+    std::map<std::string, double> m_tickets; ///< the time until which each is valid, in seconds
     bool m_isBroken = false;
 };
 
