Add a review case: long-running tasks hold all workers after crashes

A task that has lost two workers gets the next one for itself, a long-running one for ten seconds, and nothing limits how many workers are held like that. After two racks have crashed in turn, twice each, no other task of the service starts.

--- a/review/10/run.sh
+++ b/review/9/run.sh
@@ -5,7 +5,7 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
 [ -x target/bin/rhubarbcrank-jobs ] && [ -x target/review-2/bin/review-case ] || exit 2
-timeout --kill-after=2 115 target/review-2/bin/review-case advised-gang target/bin/rhubarbcrank-jobs "$folder/record.txt"
+timeout --kill-after=2 115 target/review-2/bin/review-case rack-crashes target/bin/rhubarbcrank-jobs "$folder/record.txt"
 status=$?
 [ $status -le 2 ] || status=2
 exit $status
--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -255,4 +255,57 @@
     }
 }
 
+void crashRacks(const std::string &program, World &world, bool hasTrouble)
+{
+    constexpr int Workers = 8; // four a rack
+    constexpr std::int64_t PoolMilliCores = 128'000;
+    constexpr int LongRunningJobs = 3;
+    constexpr int Crashes = 4;
+    constexpr Milliseconds DownTime{3000};
+    constexpr int LastJobs = 10;
+    Deployment deployment(program, world, 3);
+    addMachines(deployment, "alpha", Workers);
+    deployment.operate("config", configuration(1, {{"sheets", Prefix, "alpha"}}, {"alpha"}));
+    require(deployment.start(), "the members do not become ready");
+    for (int n = 0; n < LongRunningJobs; ++n) {
+        const Step step{.count = 8, .isLongRunning = true, .perWorker = 1};
+        require(deployment.submit(Prefix, {fmt::format("{:016x}", 256 + n), {step}}),
+                "a job is not accepted");
+    }
+    pause(3000ms);
+    for (int n = 0; hasTrouble && n < Crashes; ++n) {
+        deployment.perform([&](Cloud &cloud) { cloud.crashRack(fmt::format("r1-{}", n % 2 + 1), DownTime); });
+        pause(DownTime + 500ms);
+    }
+    std::vector<std::string> accepted;
+    for (int n = 0; n < LastJobs; ++n) {
+        const Job job{fmt::format("{:016x}", 4096 + n), {Step{.count = 2, .work = 300ms}}};
+        require(deployment.submit(Prefix, job), "a job is not accepted");
+        accepted.push_back(job.id);
+        pause(100ms);
+    }
+    world.note("the traffic ends");
+    pause(FinishTime);
+    std::vector<std::string> stalled;
+    for (const std::string &it : accepted) {
+        if (deployment.stateOf(Prefix, it).body.find("completed") == std::string::npos) {
+            stalled.push_back(it);
+        }
+    }
+    const auto until = std::chrono::steady_clock::now() + CalmTime;
+    while (!stalled.empty() && std::chrono::steady_clock::now() < until) {
+        std::erase_if(stalled, [&](const std::string &it) {
+            return world.running(it) > 0 || world.usedMilliCores() * 2 >= PoolMilliCores;
+        });
+        pause(20ms);
+    }
+    for (const std::string &it : stalled) {
+        world.broken("LOST",
+                     fmt::format("job {}: nothing of it runs for 3 s, and {} of {} millicores are in use",
+                                 it,
+                                 world.usedMilliCores(),
+                                 PoolMilliCores));
+    }
+}
+
 } // namespace Review
--- a/review/standins-2/cases.h
+++ b/review/standins-2/cases.h
@@ -21,4 +21,7 @@
 /// A gang needs more than twelve workers, on a queue with a policy of its own.
 void submitAdvisedGang(const std::string &program, World &world, bool hasTrouble);
 
+/// The workers of two racks crash in turn, twice each, under tasks that last.
+void crashRacks(const std::string &program, World &world, bool hasTrouble);
+
 } // namespace Review
--- a/review/standins-2/cloud.cpp
+++ b/review/standins-2/cloud.cpp
@@ -91,6 +91,22 @@
     m_timers.subscribeAfter(EntryLifetime, [this, id] { m_store.put("keyed.servers", id, std::nullopt); });
 }
 
+void Cloud::crashRack(const std::string &rack, Base::Duration downTime)
+{
+    m_world.note(fmt::format("the workers of rack {} crash", rack));
+    for (const auto &it : m_machines) {
+        if (it->rack != rack || it->state != "up") {
+            continue;
+        }
+        endWorker(*it);
+        it->state = "down";
+        m_timers.subscribeAfter(downTime, [this, machine = it.get()] {
+            machine->state = "up";
+            startWorker(*machine);
+        });
+    }
+}
+
 bool Cloud::isMaintained(const std::string &machine) const
 {
     const Machine *found = find(machine);
--- a/review/standins-2/cloud.h
+++ b/review/standins-2/cloud.h
@@ -33,6 +33,8 @@
     void addMachine(const std::string &id, const std::string &pool, const std::string &rack);
     /// Sets what is called when an upkeep is ordered, and how many machines of the wave may be down.
     void setUpkeep(UpkeepCalled called, std::size_t mostDown);
+    /// The workers of all machines of the rack crash, and the next ones begin after the time.
+    void crashRack(const std::string &rack, Base::Duration downTime);
     /// Whether the machine has begun its upkeep.
     bool isMaintained(const std::string &machine) const;
 
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -26,6 +26,7 @@
                                                  {"wide-job", &Review::submitWideJob},
                                                  {"late-upkeep", &Review::delayUpkeep},
                                                  {"new-machine", &Review::maintainNewMachine},
+                                                 {"rack-crashes", &Review::crashRacks},
                                                  {"advised-gang", &Review::submitAdvisedGang}};
     return All;
 }
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -27,7 +27,7 @@
     bool isLongRunning = false;
     bool isGang = false;
     std::vector<std::uint32_t> dependsOn{};
-    std::uint32_t maxUnavailable = 0;
+    std::uint32_t perWorker = 0; ///< AntiAffinity
 };
 
 struct Job {
