Log which workers are withheld from waiting jobs, and why

Cause: jobs-wait names the workers that are listed, usable, evacuated and silent. Where usable_workers is low, it does not tell workers that are isolated for a suspect from those that are being emptied for one or that are backed off after a failure.

Before / after: log lines only, no decision changes.

--- a/src/libs/jobs/waitreport.h
+++ b/src/libs/jobs/waitreport.h
@@ -33,6 +33,9 @@
     std::uint32_t usable = 0;
     std::uint32_t evacuated = 0; ///< listed, and kept free for a move of the machine
     std::uint32_t silent = 0; ///< listed, and not answering
+    std::uint32_t isolated = 0; ///< listed, and withheld for a task under which workers have crashed
+    std::uint32_t emptied = 0; ///< listed, and without new runs until such a task can have it
+    std::uint32_t backedOff = 0; ///< listed, and not used for a while after a failure
     std::uint32_t withRoom = 0; ///< usable ones that have the resources of a task
 };
 
