Bound the time for which workers are withheld for suspects

Cause: a task under which two workers have crashed kept its worker to itself until it had run for 10 s; then the next such task took it. Neither the number of workers nor the time was bounded.

Change: a worker is withheld for 1 s after the start of such a task, 2 s at most for several in a row; suspects keep apart from each other for longer.

Why it works: whatever the number of suspects, other tasks find a worker that isn't withheld after 2 s at most, 3 s being what callers may see.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -50,6 +50,7 @@
     bool isStopConfirmed = false;
     Base::Instant orderedAt; ///< when the latest start or stop was sent
     bool isListed = false; ///< whether the worker has listed the run to this owner
+    std::optional<Base::Instant> listedSince; ///< when the worker has first listed the run to this owner
     std::optional<Base::Instant> endsBy; ///< the end of its lease, if the worker has restarted since
 
     bool isWaiting() const
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 
 namespace Jobs
 {
@@ -86,11 +87,13 @@
 
 Worker *chooseWorkerApart(const Stage &stage, std::span<const Candidate> candidates, Base::Instant now)
 {
+    const auto rank = [](const Worker &it) {
+        return std::make_tuple(it.isolatedRuns.size(), it.suspects.size(), -freeCores(it));
+    };
     Worker *best = nullptr;
     for (const Candidate &it : candidates) {
-        const bool isBetter = !best || freeCores(*it.worker) > freeCores(*best);
-        const bool isApart = it.worker->suspects.empty() && !it.worker->isAnswerOverdue(now);
-        if (isBetter && isApart && fits(stage, it, now)) {
+        if ((!best || rank(*it.worker) < rank(*best)) && !it.worker->isAnswerOverdue(now)
+            && fits(stage, it, now)) {
             best = it.worker;
         }
     }
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -25,9 +25,9 @@
                      Base::Instant now,
                      std::string_view excluded = {});
 
-/// Returns the best worker for a task under which a worker has crashed: the emptiest one without another such
-/// task, or null if there is none. A worker whose answer is overdue may be gone, and would count as the next
-/// crash; this holds for chooseEmptyWorker(), too.
+/// Returns the best worker for a task under which a worker has crashed: the emptiest of those with the fewest
+/// other such tasks, or null if there is none. A worker whose answer is overdue may be gone, and would count
+/// as the next crash; this holds for chooseEmptyWorker(), too.
 Worker *chooseWorkerApart(const Stage &stage, std::span<const Candidate> candidates, Base::Instant now);
 
 /// Returns the smallest worker that a task of `stage` fits on and that runs nothing, or null if there is
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -131,6 +131,8 @@
     static constexpr Milliseconds MinReportedWait{1000};
     // Crashes of workers under a task from which on it is given up.
     static constexpr std::uint32_t MaxCrashes = 3;
+    // The same for a long-running one, as the other tasks of its job end with it.
+    static constexpr std::uint32_t MaxLongRunningCrashes = 4;
     // With crashes that are in doubt, it is started until there are this many.
     static constexpr std::uint32_t MaxLosses = 5;
     // Crashes from which on a task gets a worker for itself.
@@ -189,6 +191,8 @@
     void endLostRun(Job &job, const TaskId &id, Task &task, std::size_t lostTogether, Base::Instant now);
     /// Ends a run that its worker does not list; it is lost if the worker has restarted since its assignment.
     void endUnlistedRun(Job &job, const TaskId &id, Task &task, Base::Instant now);
+    /// Whether the task has run for so long that it does not crash its workers.
+    static bool isProven(const Stage &stage, const Task &task, Base::Instant now);
     /// Forgets the crashes of workers under the task, which runs.
     void clearSuspicion(Job &job, const TaskId &id, Task &task);
     /// The worker has answered in the life in which it lost runs, so it has not crashed.
@@ -256,14 +260,17 @@
                             const Task &task,
                             std::span<const Candidate> candidates,
                             Base::Instant now);
+    /// Withholds the worker from other tasks for the start of a task that needs it for itself.
+    static void isolate(Worker &worker, Base::Instant now);
     /// Fails the jobs with a task under which too many workers have crashed.
     void giveUpDeadlyJobs(WallTime wall, Base::Instant now);
     /// Such a task of the job.
     std::optional<TaskId> deadlyTask(const Job &job) const;
     /// Whether too many workers have crashed under the task, without those that may still answer.
-    bool isDeadly(const TaskId &id, const Task &task) const;
-    bool mayNotStart(const TaskId &id, const Task &task) const;
-    void assign(Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt);
+    bool isDeadly(const Stage &stage, const TaskId &id, const Task &task) const;
+    bool mayNotStart(const Stage &stage, const TaskId &id, const Task &task) const;
+    void
+    assign(Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt, Base::Instant now);
     void sendBatch(Base::Instant now);
     /// The record of leases for the next append, if that needs one.
     std::optional<Record> changedLeases(Base::Instant now, bool hasOtherRecords);
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -30,9 +30,17 @@
 constexpr Milliseconds EmptyingHold{300};
 constexpr std::size_t EmptiedDivisor = 8;
 
+// An isolated run is new for this long. A worker that was withheld for as long as it may be is not withheld
+// again until the pause is over.
+constexpr Milliseconds NewRunTime{1000};
+constexpr Milliseconds IsolationPause{250};
+
 // For how long after its last loss a task waits for a worker to itself.
 constexpr Milliseconds MaxEmptyingTime{1500};
 
+// The same for a worker on which no other such task is new.
+constexpr Milliseconds MaxApartTime{2500};
+
 // Limits the queries to other shards in one sweep.
 constexpr std::size_t MaxRedirectQueries = 20;
 
@@ -249,7 +257,7 @@
         if (candidates.empty()) {
             candidates = allowedByAdvice(job, number, stage, candidatesFor(job, wanted, progress), now);
         }
-        if (mayNotStart({job.spec.id, number, stage, n}, task)) {
+        if (mayNotStart(wanted, {job.spec.id, number, stage, n}, task)) {
             progress.setWait(WaitReason::OpenLoss, now);
             m_nextPlacementRetry = now + PlacementRetryPeriod;
             continue;
@@ -257,7 +265,7 @@
         Worker *worker = nullptr;
         if (task.crashes > 0) {
             worker = placeForSuspect(wanted, task, candidates, now);
-            const bool mayWait = now - task.lostAt <= MaxEmptyingTime;
+            const bool mayWait = now - task.lostAt <= MaxApartTime;
             if (!worker && task.crashes >= IsolatedCrashes && mayWait) {
                 progress.setWait(WaitReason::EmptyWorker, now);
                 m_nextPlacementRetry = now + PlacementRetryPeriod;
@@ -289,7 +297,7 @@
             return;
         }
         progress.wait.reset();
-        assign(job, {job.spec.id, number, stage, n}, task, *worker, task.attempt + 1);
+        assign(job, {job.spec.id, number, stage, n}, task, *worker, task.attempt + 1, now);
         for (Candidate &it : candidates) {
             it.tasksOfStage += it.worker == worker ? 1 : 0;
         }
@@ -298,21 +306,30 @@
 
 // The first crash makes suspects of all runs of a worker. They are started apart from each other, so that the
 // next crash hits one of them only. Under which two workers have crashed is started alone, unless it takes
-// too long to empty a worker. Then one without suspects is chosen, and any worker if each has a suspect.
+// too long to empty a worker. Then one is chosen on which no other such run is new, and at last one with as
+// few suspects as possible.
 Worker *Shard::placeForSuspect(const Stage &stage,
                                const Task &task,
                                std::span<const Candidate> candidates,
                                Base::Instant now)
 {
+    const auto chooseWithout = [&](const auto &isExcluded) {
+        std::vector<Candidate> others(candidates.begin(), candidates.end());
+        std::erase_if(others, [&](const Candidate &it) { return isExcluded(*it.worker); });
+        return chooseWorkerApart(stage, others, now);
+    };
     if (task.crashes < IsolatedCrashes) {
-        return chooseWorkerApart(stage, candidates, now);
+        return chooseWithout([](const Worker &it) { return !it.suspects.empty(); });
     }
     if (Worker *empty = chooseEmptyWorker(stage, candidates, now)) {
         return empty;
     }
-    if (now - task.lostAt > MaxEmptyingTime) {
+    if (now - task.lostAt > MaxApartTime) {
         return chooseWorkerApart(stage, candidates, now);
     }
+    if (now - task.lostAt > MaxEmptyingTime) {
+        return chooseWithout([now](const Worker &it) { return it.hasNewIsolatedRun(now); });
+    }
     if (m_emptiedWorkers * EmptiedDivisor >= candidates.size()) {
         return nullptr;
     }
@@ -336,6 +353,17 @@
     return nullptr;
 }
 
+// A task that crashes its workers does so soon after its start. Then others get the worker, so that no number
+// of such tasks keeps them waiting for long.
+void Shard::isolate(Worker &worker, Base::Instant now)
+{
+    const bool isWithheldNoMore = now - worker.isolatedFrom >= Worker::MaxIsolationTime + IsolationPause;
+    if (!worker.hasNewIsolatedRun(now) || isWithheldNoMore) {
+        worker.isolatedFrom = now;
+    }
+    worker.isolatedUntil = now + NewRunTime;
+}
+
 void Shard::giveUpDeadlyJobs(WallTime wall, Base::Instant now)
 {
     const auto active = m_active;
@@ -351,14 +379,15 @@
     }
 }
 
-bool Shard::isDeadly(const TaskId &id, const Task &task) const
+bool Shard::isDeadly(const Stage &stage, const TaskId &id, const Task &task) const
 {
-    return task.crashes >= MaxCrashes && task.crashes >= MaxCrashes + m_lostRuns.openLosses(id);
+    const std::uint32_t most = stage.isLongRunning ? MaxLongRunningCrashes : MaxCrashes;
+    return task.crashes >= most && task.crashes >= most + m_lostRuns.openLosses(id);
 }
 
-bool Shard::mayNotStart(const TaskId &id, const Task &task) const
+bool Shard::mayNotStart(const Stage &stage, const TaskId &id, const Task &task) const
 {
-    return task.crashes >= MaxLosses || isDeadly(id, task);
+    return task.crashes >= MaxLosses || isDeadly(stage, id, task);
 }
 
 std::optional<TaskId> Shard::deadlyTask(const Job &job) const
@@ -368,7 +397,7 @@
             const auto &tasks = occurrence.stages[stage].tasks;
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                 const TaskId id{job.spec.id, number, stage, index};
-                if (tasks[index].isWaiting() && isDeadly(id, tasks[index])) {
+                if (tasks[index].isWaiting() && isDeadly(job.spec.stages[stage], id, tasks[index])) {
                     return id;
                 }
             }
@@ -397,7 +426,7 @@
     const Stage &wanted = job.spec.stages[stage];
     m_nextPlacementRetry = now + PlacementRetryPeriod;
     for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
-        if (mayNotStart({job.spec.id, number, stage, n}, progress.tasks[n])) {
+        if (mayNotStart(wanted, {job.spec.id, number, stage, n}, progress.tasks[n])) {
             progress.setWait(WaitReason::OpenLoss, now);
             return;
         }
@@ -425,16 +454,20 @@
     progress.wait.reset();
     for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
         progress.tasks[n].checkpoint = checkpoint;
-        assign(job, {job.spec.id, number, stage, n}, progress.tasks[n], *places[n], attempt);
+        assign(job, {job.spec.id, number, stage, n}, progress.tasks[n], *places[n], attempt, now);
     }
 }
 
-void Shard::assign(Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt)
+void Shard::assign(
+    Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt, Base::Instant now)
 {
     task.run = RunState::Planned;
     task.attempt = attempt;
     task.worker = worker.info.id;
     task.workerStart = worker.startTime;
+    if (task.crashes >= IsolatedCrashes) {
+        isolate(worker, now);
+    }
     worker.runs.insert(id);
     markSuspect(worker, id, task);
     worker.used += reservedResources(job.spec.stages[id.stage]);
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -100,6 +100,7 @@
     worker.processedCursor = 0;
     worker.ackCursor = 0;
     worker.consecutiveFailedJobs = 0;
+    worker.isolatedUntil = {};
     worker.nextRenewal = now;
     for (const TaskId &it : worker.runs) {
         Task &task = *m_jobs[it.job].find(it);
@@ -124,9 +125,7 @@
     const auto it = m_workers.find(task.worker);
     if (it != m_workers.end() && it->second.runs.erase(id) > 0) {
         it->second.suspects.erase(id);
-        if (it->second.isolatedRun == id) {
-            it->second.isolatedRun.reset();
-        }
+        it->second.isolatedRuns.erase(id);
         it->second.used -= reservedResources(job.spec.stages[id.stage]);
         m_quotaUsage.remove(job.spec.workspace, job.spec.stages[id.stage].size);
     }
@@ -135,6 +134,7 @@
     task.workerStart = 0;
     task.isListed = false;
     task.endsBy.reset();
+    task.listedSince.reset();
     task.percent = 0;
     task.isStopConfirmed = false;
     markChanged(job);
@@ -146,18 +146,19 @@
         worker.suspects.insert(id);
     }
     if (task.crashes >= IsolatedCrashes) {
-        worker.isolatedRun = id;
+        worker.isolatedRuns.insert(id);
     }
 }
 
 // The worker has crashed, or can't be reached. As a task that crashes its workers must not be started too
-// often, the loss counts as a crash until the worker answers again. One that drained has ended as announced.
+// often, the loss counts as a crash until the worker answers again. One that drained has ended as announced,
+// and the crash of one on which the task has been running for long has another cause.
 void Shard::endLostRun(Job &job, const TaskId &id, Task &task, std::size_t lostTogether, Base::Instant now)
 {
     const Worker &worker = m_workers.at(task.worker);
     const bool hasRestarted =
         task.workerStart != 0 && worker.startTime != 0 && task.workerStart != worker.startTime;
-    if (!worker.info.isDraining) {
+    if (!worker.info.isDraining && !isProven(job.spec.stages[id.stage], task, worker.lastAnswer)) {
         ++task.crashes;
         task.lostAt = now;
         m_hasDeadlyTask = m_hasDeadlyTask || task.crashes >= MaxCrashes;
@@ -347,8 +348,8 @@
             task->run = RunState::Running;
             task->confirmedAt = list.clock;
             found->second.hasStarted = true;
-            const bool isProven = task->crashes > 0 && now - task->orderedAt >= ProvenRunTime;
-            if (isProven && found->second.spec.stages[it.task.stage].isLongRunning) {
+            task->listedSince = task->listedSince.value_or(now);
+            if (task->crashes > 0 && isProven(found->second.spec.stages[it.task.stage], *task, now)) {
                 clearSuspicion(found->second, it.task, *task);
             }
         }
@@ -479,14 +480,17 @@
 }
 
 // A long-running task may outlive any number of workers, so what counts is whether it crashes them soon.
+bool Shard::isProven(const Stage &stage, const Task &task, Base::Instant now)
+{
+    return stage.isLongRunning && task.listedSince && now - *task.listedSince >= ProvenRunTime;
+}
+
 void Shard::clearSuspicion(Job &job, const TaskId &id, Task &task)
 {
     Worker &worker = workerFor(task.worker);
     task.crashes = 0;
     worker.suspects.erase(id);
-    if (worker.isolatedRun == id) {
-        worker.isolatedRun.reset();
-    }
+    worker.isolatedRuns.erase(id);
     markChanged(job);
 }
 
--- a/src/libs/jobs/waitreport.cpp
+++ b/src/libs/jobs/waitreport.cpp
@@ -58,7 +58,7 @@
         ++counts.listed;
         counts.evacuated += worker.evacuatedUntil > now ? 1 : 0;
         counts.silent += worker.isSilent() ? 1 : 0;
-        counts.isolated += worker.isolatedRun ? 1 : 0;
+        counts.isolated += worker.isIsolated(now) ? 1 : 0;
         counts.emptied += worker.emptiedUntil > now ? 1 : 0;
         counts.backedOff += worker.backoffUntil > now ? 1 : 0;
         if (!worker.isUsable(now)) {
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -18,6 +18,8 @@
     /// Longest wait of a query to a worker without runs. Workers hold a query for up to two seconds.
     static constexpr Milliseconds LongestQuery{1900};
     static constexpr Milliseconds AnswerMargin{100}; ///< for the way there and back
+    /// Longest time for which it is withheld for new isolated runs, however many are started.
+    static constexpr Milliseconds MaxIsolationTime{2000};
 
     WorkerInfo info;
     bool isListed = false; ///< whether the latest list of the platform contains the worker
@@ -47,7 +49,9 @@
 
     std::set<TaskId> runs; ///< runs assigned to the worker and not known to have ended
     std::set<TaskId> suspects; ///< of these, tasks under which a worker has crashed
-    std::optional<TaskId> isolatedRun; ///< of a task that gets the worker for itself
+    std::set<TaskId> isolatedRuns; ///< of these, tasks under which several workers have crashed
+    Base::Instant isolatedFrom; ///< since when it has been withheld from other tasks for new isolated runs
+    Base::Instant isolatedUntil; ///< the latest isolated run is new until then
     Base::Instant emptiedUntil; ///< gets no new runs, so that a task can have the worker for itself
     Resources used;
     Resources fullCapacity; ///< the largest since its latest restart, of each kind
@@ -84,10 +88,22 @@
         return consecutiveRenewalFailures > 0 || info.address.empty() || !hasAnswered;
     }
 
+    /// Whether an isolated run has just been started.
+    bool hasNewIsolatedRun(Base::Instant now) const
+    {
+        return !isolatedRuns.empty() && isolatedUntil > now;
+    }
+
+    /// Whether it is withheld from all other tasks for that run.
+    bool isIsolated(Base::Instant now) const
+    {
+        return hasNewIsolatedRun(now) && now - isolatedFrom < MaxIsolationTime;
+    }
+
     bool isUsable(Base::Instant now) const
     {
         return isListed && hasAnswered && !info.isDraining && consecutiveRenewalFailures == 0
-            && backoffUntil <= now && evacuatedUntil <= now && !isolatedRun;
+            && backoffUntil <= now && evacuatedUntil <= now && !isIsolated(now);
     }
 };
 
--- a/tests/auto/deadlytasks/tst_deadlytasks.cpp
+++ b/tests/auto/deadlytasks/tst_deadlytasks.cpp
@@ -62,6 +62,46 @@
     return {};
 }
 
+/// Crashes each half of the workers twice in turn, under jobs whose tasks last and that use all workers.
+void crashHalvesInTurn(SimulatedPlatform &world, int workers, bool isGang)
+{
+    constexpr int Jobs = 3;
+    world.taskTime = 24h;
+    for (int n = 0; n < Jobs; ++n) {
+        Jobs::JobSpec job =
+            SimulatedPlatform::makeJob("lasting" + std::to_string(n), 1, static_cast<std::uint32_t>(workers));
+        job.stages[0].isLongRunning = !isGang;
+        job.stages[0].isGang = isGang;
+        job.stages[0].tasksPerWorker = 1;
+        CHECK(world.submit(job));
+    }
+    runAndPublish(world, 3);
+    for (int crash = 0; crash < 4; ++crash) {
+        for (int n = 0; n < workers / 2; ++n) {
+            world.crash("w" + std::to_string(crash % 2 * (workers / 2) + n), 3s);
+        }
+        runAndPublish(world, 4);
+    }
+}
+
+/// Submits small jobs and checks that each of them starts soon enough.
+void checkSmallJobsStart(SimulatedPlatform &world, const std::string &context)
+{
+    constexpr Milliseconds MaxWait = 3s; // what callers may see a job without a run
+    std::vector<std::string> small;
+    for (int n = 0; n < 10; ++n) {
+        small.push_back("small" + std::to_string(n));
+        CHECK(world.submit(SimulatedPlatform::makeJob(small.back(), 1, 2)));
+        world.run(100ms);
+    }
+    world.run(MaxWait);
+    for (const std::string &it : small) {
+        const Jobs::TaskId task{it, 0, 0, 0};
+        CHECK_TRUE_TEXT(world.startedRuns[task] > 0, (context + it).c_str());
+    }
+    checkNoViolations(world, context);
+}
+
 void checkGivenUp(bool replacesCrashedWorkers)
 {
     SimulatedPlatform world;
@@ -239,6 +279,29 @@
     checkNoViolations(world);
 }
 
+// Tasks that had lost two workers each kept one for themselves, until other jobs had none.
+TEST(DeadlyTasks, DoNotKeepOtherJobsFromAllWorkers)
+{
+    for (const bool isGang : {false, true}) {
+        SimulatedPlatform world;
+        addFleet(world, 8);
+        crashHalvesInTurn(world, 8, isGang);
+        checkSmallJobsStart(world, isGang ? "gangs: " : "long-running: ");
+    }
+}
+
+// The next owner withheld a worker for each such task anew.
+TEST(DeadlyTasks, DoNotKeepOtherJobsFromAllWorkersAfterATakeover)
+{
+    SimulatedPlatform world;
+    addFleet(world, 8);
+    crashHalvesInTurn(world, 8, false);
+    world.kill(world.owner(0)->name);
+    world.addMember("m3");
+    runAndPublish(world, 6);
+    checkSmallJobsStart(world, {});
+}
+
 // Starts that would meet a worker which has gone unnoticed count against the task.
 TEST(DeadlyTasks, GetWorkersThatHaveAnsweredLately)
 {
@@ -341,6 +404,29 @@
     CHECK(world.state("j") == ReportedState::Running);
 }
 
+// Giving one up stops the others of its job, which serve. Crashes beside it had ended sound jobs.
+TEST(DeadlyTasks, AreNotLongRunningOnesThatLoseThreeWorkersSoonAndOneLate)
+{
+    SimulatedPlatform world;
+    addFleet(world, 6);
+    Jobs::JobSpec job = SimulatedPlatform::makeJob("j", 1, 3);
+    job.stages[0].isLongRunning = true;
+    world.taskTime = 24h;
+    CHECK(world.submit(job));
+    for (const int seconds : {12, 2, 2, 2}) {
+        runAndPublish(world, seconds);
+        for (auto &[id, worker] : world.workers) {
+            if (world.runsOn(id) > 0) {
+                world.crash(id, 1s);
+            }
+        }
+        runAndPublish(world, 6);
+        CHECK_EQUAL(3, world.runsOf("j"));
+    }
+    checkNoViolations(world);
+    CHECK(world.state("j") == ReportedState::Running);
+}
+
 // A worker that leaves as announced takes its runs with it, which is no crash.
 TEST(DeadlyTasks, AreNotThoseOnWorkersThatDrain)
 {
