Find jobs whose queue has got another service

Cause: each request derived the job's home shard from the service that its queue has in the newest configuration.

Evidence: logs of all members: the first submission goes to shard 0 (version 1), the repeated one to shard 1 (version 4); one member owns both and accepts the job on both, and both complete. So no member was behind, no record was dropped and no access denied.

Change: owners store which services have run jobs of a queue (topic keyed.queues), before the first job. For an unknown job of a queue with other services the owner of the home shard asks the shards that the ID maps to there, and stores the redirection that cells use. State and cancel requests ask all such shards before they are answered with 410. What can't be known is refused with 503. Pending jobs are counted in all shards of the queue's services.

Why it works: no job is accepted at a service that isn't stored for its queue, and the append is conditional on the end of the topic, so the next service's owner has read it; after a restart of all members, too.

--- a/src/libs/jobservice/fleetconfig.h
+++ b/src/libs/jobservice/fleetconfig.h
@@ -19,6 +19,12 @@
     std::string prefix;
     Jobs::QueuePolicy queue;
     bool isPublic = false; ///< needs no key
+
+    /// Host and prefix, which no other route of the configuration has.
+    std::string path() const
+    {
+        return host + prefix;
+    }
 };
 
 struct Service {
--- a/src/libs/jobservice/peerprotocol.cpp
+++ b/src/libs/jobservice/peerprotocol.cpp
@@ -106,6 +106,9 @@
     } else {
         out["subject"] = request.subject;
     }
+    if (!request.queuePath.empty()) {
+        out["path"] = request.queuePath;
+    }
     if (request.caller) {
         out["workspace"] = request.caller->workspace;
         out["public_queue"] = request.caller->publicQueue;
@@ -136,6 +139,7 @@
         } else {
             request.subject = std::string(from.at("subject").as_string());
         }
+        request.queuePath = Jobs::textOrEmpty(from, "path");
         if (from.contains("workspace")) {
             request.caller =
                 Caller{Jobs::textOrEmpty(from, "workspace"), Jobs::textOrEmpty(from, "public_queue")};
--- a/src/libs/jobservice/peerprotocol.h
+++ b/src/libs/jobservice/peerprotocol.h
@@ -22,6 +22,7 @@
     std::optional<Jobs::JobSpec> spec{}; ///< for Submit
     std::string subject{}; ///< job ID, or for Pending the queue
     std::optional<Caller> caller{}; ///< nullopt: a member of the system, which may access all jobs
+    std::string queuePath{}; ///< for Submit: host and path prefix of the queue; empty from earlier builds
     std::vector<std::string> workers{}; ///< for Evacuate
     bool isForwardedByHome = false; ///< the job's home shard has recorded that it belongs to this shard
 };
--- a/src/libs/jobservice/servicelayout.cpp
+++ b/src/libs/jobservice/servicelayout.cpp
@@ -1,10 +1,10 @@
 #include "servicelayout.h"
 
+#include "checksum.h"
+
 #include <ini/values.h>
 #include <jobs/placement.h>
 
-#include <boost/crc.hpp>
-
 #include <algorithm>
 #include <cctype>
 
@@ -18,13 +18,6 @@
 // pool's mean load (docs/CAPACITY.md).
 constexpr std::size_t WorkersPerCell = 64;
 
-std::size_t checksum(std::string_view text)
-{
-    boost::crc_32_type crc;
-    crc.process_bytes(text.data(), text.size());
-    return crc.checksum();
-}
-
 // Racks are usually numbered within their zones, as in "r2-7". The sum of the numbers distributes the racks
 // of each zone evenly over the cells, which a checksum of some tens of names does not.
 std::size_t rackOrdinal(std::string_view rack)
@@ -87,6 +80,16 @@
     return it != m_cells.end() ? std::span<const ShardNumber>(it->second) : std::span<const ShardNumber>();
 }
 
+std::vector<ShardNumber> ServiceLayout::cellsOf(const std::set<std::string> &services) const
+{
+    std::set<ShardNumber> shards;
+    for (const std::string &it : services) {
+        const auto cells = cellsOf(it);
+        shards.insert(cells.begin(), cells.end());
+    }
+    return {shards.begin(), shards.end()};
+}
+
 std::optional<ShardNumber> ServiceLayout::homeShardOf(std::string_view service, std::string_view job) const
 {
     const auto cells = cellsOf(service);
@@ -96,6 +99,27 @@
     return cells.size() == 1 ? cells.front() : cells[checksum(job) % cells.size()];
 }
 
+std::vector<ShardNumber> ServiceLayout::homeShardsOf(const std::set<std::string> &services,
+                                                     std::string_view job) const
+{
+    std::set<ShardNumber> shards;
+    for (const std::string &it : services) {
+        if (const auto home = homeShardOf(it, job)) {
+            shards.insert(*home);
+        }
+    }
+    return {shards.begin(), shards.end()};
+}
+
+std::set<std::string> ServiceLayout::services() const
+{
+    std::set<std::string> names;
+    for (const auto &[service, cells] : m_cells) {
+        names.insert(service);
+    }
+    return names;
+}
+
 std::optional<ShardNumber> ServiceLayout::shardOf(const Jobs::WorkerInfo &worker) const
 {
     const auto cells = cellsOf(worker.service);
--- a/src/libs/jobservice/servicelayout.h
+++ b/src/libs/jobservice/servicelayout.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -36,8 +37,13 @@
 
     /// The shards of the service's cells. Empty if the service is unknown.
     std::span<const ShardNumber> cellsOf(std::string_view service) const;
+    /// The shards of all cells of these services, each once.
+    std::vector<ShardNumber> cellsOf(const std::set<std::string> &services) const;
     /// The shard that the job's ID maps to, which keeps track of the job even if another shard runs it.
     std::optional<ShardNumber> homeShardOf(std::string_view service, std::string_view job) const;
+    /// The shards that the job's ID maps to in these services, each once.
+    std::vector<ShardNumber> homeShardsOf(const std::set<std::string> &services, std::string_view job) const;
+    std::set<std::string> services() const;
     /// The shard that controls the worker.
     std::optional<ShardNumber> shardOf(const Jobs::WorkerInfo &worker) const;
     /// Index of the service's cell that the rack belongs to. 0 if the service is unknown.
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "joblocator.h"
 #include "membershiptiming.h"
 #include "peerprotocol.h"
 #include "ports.h"
+#include "queuehistory.h"
 #include "servicelayout.h"
 
 #include <base/logline.h>
@@ -69,6 +71,9 @@
         , m_timing(settings.minMembershipLifetime)
         , m_joinTimer(timers)
         , m_membershipTimer(timers)
+        , m_locator([this](JobRequest request, Base::Duration limit, Reply reply) {
+            m_route(std::move(request), limit, std::move(reply));
+        })
     {
     }
 
@@ -93,6 +98,12 @@
         m_isStoreUnreachableForMajority = std::move(isStoreUnreachableForMajority);
     }
 
+    /// Sets where the services of queues are stored. Without it queues are taken to keep their services.
+    void setQueueHistory(QueueHistory<Platform> *history)
+    {
+        m_queueHistory = history;
+    }
+
     /// Sets whether this member should own shards. One that should not hands its shards over.
     void setCandidate(bool isCandidate)
     {
@@ -618,7 +629,8 @@
         return found;
     }
 
-    void serve(Hosted &hosted, JobRequest request, Reply reply)
+    /// `isLocated` is set for a Submit of a job that no other shard has.
+    void serve(Hosted &hosted, JobRequest request, Reply reply, bool isLocated = false)
     {
         Jobs::Shard &shard = *hosted.shard;
         switch (request.operation) {
@@ -628,6 +640,10 @@
                 reply({.status = JobReply::Status::Unplaceable}); // the ID belongs to another job
                 return;
             }
+            if (!isLocated && isUnknown(shard, spec.id, request) && mayBeElsewhere(request)) {
+                locateSubmitted(std::move(request), std::move(reply));
+                return;
+            }
             const Jobs::ReplyId id = ++m_lastReply;
             m_replies[id] = std::move(reply);
             ShardNumber assignedShard = shard.redirectedTo(spec.id).value_or(request.shard);
@@ -646,6 +662,10 @@
                 reply({.status = JobReply::Status::Redirected, .redirectedTo = *assignedShard});
                 return;
             }
+            if (isUnknown(shard, request.subject, request) && isMember()) {
+                locate(request, reply);
+                return;
+            }
             if ((!shard.find(request.subject) && !isMember())
                 || !isAccessible(shard, request.subject, request)) {
                 reply(unknownJob());
@@ -661,6 +681,10 @@
                 reply({.status = JobReply::Status::Redirected, .redirectedTo = *assignedShard});
                 return;
             }
+            if (isUnknown(shard, request.subject, request) && isMember()) {
+                locate(request, reply);
+                return;
+            }
             const Jobs::Job *job = shard.find(request.subject);
             if (!job || !isAccessible(shard, request.subject, request)) {
                 reply(unknownJob());
@@ -690,6 +714,113 @@
         }
     }
 
+    // The home shard of a job follows from the service that its queue has now. The job may have been accepted
+    // when the queue had another one.
+    bool isUnknown(const Jobs::Shard &shard, std::string_view job, const JobRequest &request) const
+    {
+        return !request.isForwardedByHome && !shard.contains(job) && !shard.redirectedTo(job)
+            && m_queueHistory;
+    }
+
+    /// The shards besides the request's that may have its job.
+    std::vector<ShardNumber>
+    otherHomes(const std::set<std::string> &services, std::string_view job, const JobRequest &request) const
+    {
+        std::vector<ShardNumber> shards = m_layout.homeShardsOf(services, job);
+        std::erase(shards, request.shard);
+        return shards;
+    }
+
+    // Members of earlier builds don't send the path.
+    static std::vector<std::string> queueOf(const JobRequest &request)
+    {
+        std::vector<std::string> queue{request.spec->queue.name};
+        if (!request.queuePath.empty()) {
+            queue.push_back(request.queuePath);
+        }
+        return queue;
+    }
+
+    bool mayBeElsewhere(const JobRequest &request) const
+    {
+        const auto queue = queueOf(request);
+        return !m_queueHistory->contains(queue, request.spec->queue.service)
+            || !otherHomes(m_queueHistory->services(queue), request.spec->id, request).empty();
+    }
+
+    /// Replies with the shard that has the job of a Cancel or State request.
+    void locate(const JobRequest &request, const Reply &reply)
+    {
+        const auto shards = otherHomes(m_layout.services(), request.subject, request);
+        if (shards.empty()) {
+            reply(unknownJob());
+            return;
+        }
+        m_locator.locate(request.subject, shards, [this, reply](const JobLocation &location) {
+            if (location.shard) {
+                reply({.status = JobReply::Status::Redirected, .redirectedTo = *location.shard});
+            } else {
+                reply(location.isCertain ? unknownJob() : temporaryRefusal());
+            }
+        });
+    }
+
+    /// Accepts a job unless a shard of an earlier service of its queue has it. The present service is stored
+    /// first, so that this is known to whoever gets the job again after the next change.
+    void locateSubmitted(JobRequest request, Reply reply)
+    {
+        const auto queue = queueOf(request);
+        const std::string service = request.spec->queue.service;
+        const auto pending =
+            std::make_shared<PendingRequest>(PendingRequest{std::move(request), std::move(reply)});
+        const auto locateThere = [this, pending, queue] {
+            const std::string &job = pending->request.spec->id;
+            const auto shards = otherHomes(m_queueHistory->services(queue), job, pending->request);
+            if (shards.empty()) {
+                submitLocated(*pending, std::nullopt);
+                return;
+            }
+            m_locator.locate(job, shards, [this, pending](const JobLocation &location) {
+                if (location.shard || location.isCertain) {
+                    submitLocated(*pending, location.shard);
+                } else {
+                    pending->reply(temporaryRefusal());
+                }
+            });
+        };
+        if (m_queueHistory->contains(queue, service)) {
+            locateThere();
+            return;
+        }
+        m_queueHistory->record(queue, service, [pending, locateThere](bool isStored) {
+            if (isStored) {
+                locateThere();
+            } else {
+                pending->reply(temporaryRefusal());
+            }
+        });
+    }
+
+    // While the other shards were asked, this one may have been lost.
+    void submitLocated(PendingRequest &pending, std::optional<ShardNumber> elsewhere)
+    {
+        const ShardNumber number = pending.request.shard;
+        const auto it = m_hosted.find(number);
+        if (it == m_hosted.end() || !it->second->isServing) {
+            pending.reply({.status = JobReply::Status::NotOwner});
+            return;
+        }
+        if (elsewhere) {
+            const Jobs::ReplyId id = ++m_lastReply;
+            m_replies[id] = std::move(pending.reply);
+            it->second->shard->redirect(
+                pending.request.spec->id, *elsewhere, id, m_timers.now(), m_wallClock());
+        } else {
+            serve(*it->second, std::move(pending.request), std::move(pending.reply), true);
+        }
+        runPass(number);
+    }
+
     // To a caller of another workspace the job does not exist.
     static bool isAccessible(const Jobs::Shard &shard, std::string_view job, const JobRequest &request)
     {
@@ -704,6 +835,11 @@
         if (isMember()) {
             return {.status = JobReply::Status::NoSuchJob};
         }
+        return temporaryRefusal();
+    }
+
+    static JobReply temporaryRefusal()
+    {
         return {.status = JobReply::Status::Refused, .retryAfter = std::chrono::milliseconds{1000}};
     }
 
@@ -1025,6 +1161,8 @@
     };
     std::vector<Workspace> m_workspaces;
     Route m_route;
+    JobLocator m_locator;
+    QueueHistory<Platform> *m_queueHistory = nullptr;
     HostCounts m_counts;
     bool m_isCandidate = false;
     bool m_isStopping = false;
--- a/tests/auto/adapter/tst_frontend.cpp
+++ b/tests/auto/adapter/tst_frontend.cpp
@@ -6,6 +6,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,16 +66,22 @@
             routed.push_back(std::move(request));
             reply({.status = JobReply::Status::Done});
         },
-        [this](std::span<const JobService::ShardNumber>,
+        [this](std::span<const JobService::ShardNumber> shards,
                const JobRequest &request,
                Base::Duration,
                const Platform::Frontend::Reply &reply) {
+            askedShards.assign(shards.begin(), shards.end());
             routed.push_back(request);
             reply({.status = JobReply::Status::Done});
         },
-        [this] {
-            return isCurrent;
+        [this] { return isCurrent; },
+        [this](const std::vector<std::string> &queue) {
+            askedQueue = queue;
+            return earlierServices;
         }};
+    std::set<std::string> earlierServices;
+    std::vector<std::string> askedQueue;
+    std::vector<JobService::ShardNumber> askedShards;
     bool isCurrent = true;
     std::string retryAfter;
 };
@@ -122,6 +129,18 @@
     CHECK_EQUAL(200, send("GET", JobPath, {"key-d"}));
 }
 
+// Jobs that were accepted before the change wait on the shards of the service that the queue had then.
+TEST(Frontend, PendingJobsOfAnEarlierServiceAreCounted)
+{
+    layout.load("t", "1");
+    CHECK_EQUAL(200, send("GET", "/open/", {}));
+    CHECK(askedShards == std::vector<JobService::ShardNumber>{0});
+    CHECK(askedQueue == (std::vector<std::string>{"open", "h/open/"}));
+    earlierServices = {"t"};
+    CHECK_EQUAL(200, send("GET", "/open/", {}));
+    CHECK(askedShards == (std::vector<JobService::ShardNumber>{0, 1}));
+}
+
 // It could never start.
 TEST(Frontend, AGangThatExceedsTheQuotaIsRefused)
 {
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -17,9 +17,10 @@
 constexpr auto WorkerDelay = 1ms; // one way
 constexpr auto OrderTimeout = 800ms;
 constexpr auto StoreTimeout = 1000ms;
+constexpr const char *QueuesTopic = "queues";
 constexpr std::size_t MaxOpenCalls = 200; // limit per worker; older calls have been answered
 constexpr std::int64_t LeaseLimit = 10'000; // ms
-constexpr auto TailStep = 5ms; // between two looks for new records
+constexpr auto TailStep = 5ms; // until a read of new records is answered
 constexpr auto EarlyStart = 250ms; // an occurrence may start at most this early
 constexpr auto EntryLifetime = 4500ms; // of a worker that no longer writes its entry
 constexpr auto CapacityOverlap = 5500ms; // starts may use a capacity that was larger at most this long ago
@@ -65,6 +66,8 @@
 {
     m_layout.load("sign", "0");
     m_layout.load("proof", "1");
+    // The queue of makeJob() has had jobs before.
+    m_topics[QueuesTopic].push_back({"previews", "sign\npreviews", 0});
 }
 
 void SimulatedPlatform::splitIntoCells(std::uint32_t cells)
@@ -91,6 +94,7 @@
           world.settings,
           world.m_layout)
     , quotas(platform, world.timers, "quotas", host, static_cast<std::uint32_t>(world.random()))
+    , queues(platform, world.timers, QueuesTopic)
 {
 }
 
@@ -189,13 +193,22 @@
 {
     auto &member = members[name];
     member = std::make_unique<Member>(*this, name);
-    member->host.start(
-        [this](const std::string &other) { return members.count(other) == 0; },
-        [this] { return isStoreDown; },
-        [] {},
-        [this](const JobService::JobRequest &request,
-               Base::Duration,
-               const std::function<void(JobService::JobReply)> &reply) { ask(request, reply); });
+    member->host.start([this](const std::string &other) { return members.count(other) == 0; },
+                       [this] { return isStoreDown; },
+                       [] {},
+                       [this](const JobService::JobRequest &request,
+                              Base::Duration limit,
+                              const std::function<void(JobService::JobReply)> &reply) {
+                           if (owner(request.shard)) {
+                               ask(request, reply);
+                           } else {
+                               timers.subscribeAfter(limit, [reply] {
+                                   reply({.status = JobService::JobReply::Status::NotOwner});
+                               });
+                           }
+                       });
+    member->host.setQueueHistory(&member->queues);
+    member->queues.start();
     member->quotas.start();
     member->quotas.setQuotas(m_quotas);
     member->host.setCandidate(true);
@@ -906,6 +919,9 @@
                     {it.key, it.value.empty() ? std::nullopt : std::optional(it.value), log.size()});
             }
             answer.status = JobService::StoreStatus::Done;
+            for (const auto &read : std::exchange(m_world.m_tailReads[topic], {})) {
+                read();
+            }
         }
         if (!isLost) {
             m_world.timers.subscribeAfter(StoreDelay, [done, answer] { done(answer); });
@@ -957,8 +973,18 @@
     }
     m_world.timers.subscribeAfter(TailStep, [this, topic, from, wait, progress, done] {
         const auto &log = m_world.m_topics[topic];
-        if (log.size() <= from && wait > TailStep && m_world.isLive(m_member)) {
-            readTail(topic, from, wait - TailStep, progress, done);
+        if (!m_world.isLive(m_member)) {
+            return;
+        }
+        if (log.size() <= from && wait > TailStep) {
+            const auto isAnswered = std::make_shared<bool>(false);
+            const auto answer = [this, topic, from, progress, done, isAnswered] {
+                if (!std::exchange(*isAnswered, true)) {
+                    readTail(topic, from, {}, progress, done);
+                }
+            };
+            m_world.m_tailReads[topic].push_back(answer);
+            m_world.timers.subscribeAfter(wait - TailStep, answer);
             return;
         }
         JobService::TailPage page;
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -131,6 +131,7 @@
         Platform platform;
         JobService::ShardHost<Platform> host;
         JobService::QuotaAllocator<Platform> quotas;
+        JobService::QueueHistory<Platform> queues;
     };
 
     Worker &addWorker(const std::string &id, std::int64_t milliCores = 8000);
@@ -257,6 +258,7 @@
 
     std::map<Jobs::TaskId, std::string> m_history;
     std::map<std::string, std::vector<JobService::KeyedRecord>> m_topics;
+    std::map<std::string, std::vector<std::function<void()>>> m_tailReads; ///< waiting ones, by topic
     std::map<std::string, std::size_t> m_topicAppends;
     std::vector<Jobs::WorkspaceQuota> m_quotas;
     std::vector<std::pair<Base::Instant, std::vector<Jobs::WorkspaceQuota>>>
--- /dev/null
+++ b/tests/auto/jobs/tst_queuechange.cpp
@@ -0,0 +1,255 @@
+#include "simulatedplatform.h"
+
+#include <base/logline.h>
+#include <jobservice/joblocator.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace std::chrono_literals;
+using JobService::JobReply;
+using JobService::JobRequest;
+using JobService::Operation;
+using JobService::ReportedState;
+using Status = JobService::JobReply::Status;
+
+// A queue gets another service while its jobs wait, run or have ended. They were looked for in the shards of
+// the new service only: their states were not found, and a repeated submission ran them again.
+
+namespace
+{
+
+constexpr JobService::ShardNumber Shards = 3; // of "sign", of "proof", and one without a service
+
+void addFleet(SimulatedPlatform &world)
+{
+    for (int n = 0; n < 3; ++n) {
+        world.addWorker("sign" + std::to_string(n));
+        world.addWorker("proof" + std::to_string(n)).info.service = "proof";
+    }
+    world.addMember("m1");
+    world.addMember("m2");
+    world.run(2s);
+}
+
+JobService::ShardNumber homeOf(const std::string &service)
+{
+    return service == "sign" ? 0 : 1;
+}
+
+/// The reply to a request that reaches the queue while it has this service.
+std::optional<JobReply> askWith(SimulatedPlatform &world, const std::string &service, JobRequest request)
+{
+    const auto answer = std::make_shared<std::optional<JobReply>>();
+    request.shard = homeOf(service);
+    if (request.operation == Operation::Submit) {
+        request.spec->queue.service = service;
+        world.submitted.try_emplace(request.spec->id, *request.spec);
+    }
+    world.ask(request, [answer](const JobReply &reply) { *answer = reply; });
+    for (int n = 0; n < 40 && !*answer; ++n) {
+        world.run(50ms);
+    }
+    return *answer;
+}
+
+std::optional<JobReply>
+submitWith(SimulatedPlatform &world, const std::string &service, const std::string &id)
+{
+    JobRequest request{.operation = Operation::Submit, .spec = SimulatedPlatform::makeJob(id, 1, 2)};
+    request.spec->queue.name = "sheets";
+    request.queuePath = "host/sheets/";
+    return askWith(world, service, std::move(request));
+}
+
+std::optional<JobReply>
+askWith(SimulatedPlatform &world, const std::string &service, Operation operation, const std::string &id)
+{
+    return askWith(world, service, JobRequest{.operation = operation, .subject = id});
+}
+
+Status statusOf(const std::optional<JobReply> &reply)
+{
+    return reply ? reply->status : Status::Unknown;
+}
+
+void checkRunsOnce(SimulatedPlatform &world, const std::string &id)
+{
+    for (std::uint32_t n = 0; n < 2; ++n) {
+        const Jobs::TaskId task{id, 0, 0, n};
+        LONGS_EQUAL(1, world.startedRuns[task]);
+    }
+    for (const std::string &it : world.violations) {
+        FAIL(it.c_str());
+    }
+}
+
+void restartAll(SimulatedPlatform &world)
+{
+    world.kill("m1");
+    world.kill("m2");
+    world.addMember("m3");
+    world.addMember("m4");
+    world.run(6s);
+}
+
+} // namespace
+
+TEST_GROUP(QueueChange){void setup() override{Base::LogLine::setThreshold(Base::LogLevel::Error);
+}
+}
+;
+
+TEST(QueueChange, ARepeatedSubmissionDoesNotRunTheJobAgain)
+{
+    SimulatedPlatform world(1, Shards);
+    addFleet(world);
+    world.taskTime = 8s;
+    CHECK(statusOf(submitWith(world, "sign", "j")) == Status::Done);
+    world.run(1s);
+    CHECK(statusOf(submitWith(world, "proof", "j")) == Status::Done);
+    world.run(10s);
+    CHECK(statusOf(submitWith(world, "proof", "j")) == Status::Done);
+    world.run(10s);
+    checkRunsOnce(world, "j");
+}
+
+TEST(QueueChange, ARepeatedSubmissionDoesNotRunTheJobAgainAfterARestartOfAllMembers)
+{
+    SimulatedPlatform world(1, Shards);
+    addFleet(world);
+    world.taskTime = 20s;
+    CHECK(statusOf(submitWith(world, "sign", "j")) == Status::Done);
+    world.run(1s);
+    restartAll(world);
+    CHECK(statusOf(submitWith(world, "proof", "j")) == Status::Done);
+    world.run(20s);
+    checkRunsOnce(world, "j");
+}
+
+TEST(QueueChange, AnAcceptedJobIsShownAndCancelled)
+{
+    SimulatedPlatform world(1, Shards);
+    addFleet(world);
+    world.taskTime = 60s;
+    CHECK(statusOf(submitWith(world, "sign", "j")) == Status::Done);
+    world.run(1s);
+    restartAll(world);
+    const auto state = askWith(world, "proof", Operation::State, "j");
+    CHECK(statusOf(state) == Status::Done);
+    CHECK(state->state == ReportedState::Running);
+    CHECK(statusOf(askWith(world, "proof", Operation::Cancel, "j")) == Status::Done);
+    world.run(2s);
+    CHECK_EQUAL(0, world.runsOf("j"));
+    CHECK(askWith(world, "sign", Operation::State, "j")->state == ReportedState::Cancelled);
+    CHECK(askWith(world, "proof", Operation::State, "j")->state == ReportedState::Cancelled);
+}
+
+TEST(QueueChange, AJobIsFoundAfterTheQueueHasComeBack)
+{
+    SimulatedPlatform world(1, Shards);
+    addFleet(world);
+    world.taskTime = 30s;
+    CHECK(statusOf(submitWith(world, "sign", "a")) == Status::Done);
+    CHECK(statusOf(submitWith(world, "proof", "b")) == Status::Done);
+    world.run(1s);
+    CHECK(statusOf(submitWith(world, "sign", "b")) == Status::Done);
+    CHECK(askWith(world, "sign", Operation::State, "b")->state == ReportedState::Running);
+    world.run(1s);
+    checkRunsOnce(world, "a");
+    checkRunsOnce(world, "b");
+}
+
+// "No such job" and a start are only right if no shard has the job.
+TEST(QueueChange, WithoutAnOwnerOfTheEarlierShardRequestsAreRefused)
+{
+    for (const Operation it : {Operation::Submit, Operation::State, Operation::Cancel}) {
+        SimulatedPlatform world(1, Shards);
+        addFleet(world);
+        world.taskTime = 30s;
+        CHECK(statusOf(submitWith(world, "sign", "j")) == Status::Done);
+        CHECK(statusOf(submitWith(world, "proof", "other")) == Status::Done);
+        world.run(1s);
+        const std::string there = world.owner(homeOf("sign"))->name;
+        CHECK(there != world.owner(homeOf("proof"))->name);
+        world.kill(there);
+        const auto ask = [&] {
+            return statusOf(it == Operation::Submit ? submitWith(world, "proof", "j")
+                                                    : askWith(world, "proof", it, "j"));
+        };
+        CHECK(ask() == Status::Refused);
+        world.run(6s);
+        CHECK(ask() == Status::Done);
+        world.run(1s);
+        checkRunsOnce(world, "j");
+    }
+}
+
+TEST(QueueChange, AJobThatNoShardHasIsNotFound)
+{
+    SimulatedPlatform world(1, Shards);
+    addFleet(world);
+    CHECK(statusOf(askWith(world, "proof", Operation::State, "j")) == Status::NoSuchJob);
+    CHECK(statusOf(askWith(world, "proof", Operation::Cancel, "j")) == Status::NoSuchJob);
+}
+
+// The services of a queue are stored before its first job, so nothing is accepted without the store.
+TEST(QueueChange, AJobOfANewQueueIsRefusedWhileItsServiceCannotBeStored)
+{
+    SimulatedPlatform world(1, Shards);
+    addFleet(world);
+    world.owner(0)->platform.rejectsConditionalAppends = true;
+    CHECK(statusOf(submitWith(world, "sign", "j")) == Status::Refused);
+    world.owner(0)->platform.rejectsConditionalAppends = false;
+    CHECK(statusOf(submitWith(world, "sign", "j")) == Status::Done);
+}
+
+// Members of earlier builds store no services and send no path.
+TEST(QueueChange, AnAcceptedJobIsShownWithAnEarlierBuildBeside)
+{
+    for (const bool isOldShardOfEarlierBuild : {false, true}) {
+        SimulatedPlatform world(1, Shards);
+        addFleet(world);
+        SimulatedPlatform::Member &earlier =
+            *world.owner(homeOf(isOldShardOfEarlierBuild ? "sign" : "proof"));
+        earlier.platform.isEarlierBuild = true;
+        earlier.host.setQueueHistory(nullptr);
+        world.taskTime = 60s;
+        CHECK(statusOf(submitWith(world, "sign", "j")) == Status::Done);
+        world.run(1s);
+        if (!isOldShardOfEarlierBuild) {
+            world.kill(earlier.name);
+            world.run(6s);
+        }
+        CHECK(statusOf(askWith(world, "proof", Operation::State, "j")) == Status::Done);
+        checkRunsOnce(world, "j");
+    }
+}
+
+TEST(QueueChange, TheFirstShardThatHasTheJobDecides)
+{
+    std::map<JobService::ShardNumber, std::function<void(JobReply)>> asked;
+    const JobService::JobLocator locator([&](const JobRequest &request, Base::Duration, const auto &reply) {
+        CHECK(request.operation == Operation::State && request.isForwardedByHome);
+        asked[request.shard] = reply;
+    });
+    std::vector<JobService::JobLocation> located;
+    const auto keep = [&located](const JobService::JobLocation &it) {
+        located.push_back(it);
+    };
+    locator.locate("j", {1, 2, 3}, keep);
+    asked[2]({.status = Status::NoSuchJob});
+    CHECK(located.empty());
+    asked[3]({.status = Status::Redirected, .redirectedTo = 7});
+    asked[1]({.status = Status::Done});
+    LONGS_EQUAL(1, located.size());
+    LONGS_EQUAL(7, *located[0].shard);
+    locator.locate("j", {1, 2}, keep);
+    asked[1]({.status = Status::Unknown});
+    asked[2]({.status = Status::NoSuchJob});
+    CHECK(!located[1].shard && !located[1].isCertain);
+}
