Bound a series of isolated runs, and blame long-running tasks for early crashes only

In the logs each crash came some 12 ms after the start of a deadly task beside it, 1.5 to 4 s after its own start.

Change: the time for which a worker is withheld counts on through a series of runs. A crash counts against a long-running task only if its worker has not listed it for 3 s yet (10 s before); earlier crashes are forgotten after 10 s, as before.

DeadlyTasks and jobs pass.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -191,8 +191,8 @@
     void endLostRun(Job &job, const TaskId &id, Task &task, std::size_t lostTogether, Base::Instant now);
     /// Ends a run that its worker does not list; it is lost if the worker has restarted since its assignment.
     void endUnlistedRun(Job &job, const TaskId &id, Task &task, Base::Instant now);
-    /// Whether the task has run for so long that it does not crash its workers.
-    static bool isProven(const Stage &stage, const Task &task, Base::Instant now);
+    /// Whether the task is a long-running one that its worker has listed for this long.
+    static bool hasRunFor(Milliseconds time, const Stage &stage, const Task &task, Base::Instant now);
     /// Forgets the crashes of workers under the task, which runs.
     void clearSuspicion(Job &job, const TaskId &id, Task &task);
     /// The worker has answered in the life in which it lost runs, so it has not crashed.
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -358,7 +358,7 @@
 void Shard::isolate(Worker &worker, Base::Instant now)
 {
     const bool isWithheldNoMore = now - worker.isolatedFrom >= Worker::MaxIsolationTime + IsolationPause;
-    if (!worker.hasNewIsolatedRun(now) || isWithheldNoMore) {
+    if (worker.isolatedUntil <= now || isWithheldNoMore) {
         worker.isolatedFrom = now;
     }
     worker.isolatedUntil = now + NewRunTime;
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -38,7 +38,9 @@
 constexpr int FullPace = 100;
 constexpr int PaceStep = 10;
 
-// A long-running task that has run for this long does not crash its workers.
+// A task that crashes its workers does so soon after its start. A long-running one is not suspected of a
+// crash after the first time, and of no earlier ones after the second.
+constexpr Milliseconds MaxCrashDelay{3000};
 constexpr Milliseconds ProvenRunTime{10'000};
 
 constexpr Milliseconds StopRetryDelay{250};
@@ -158,7 +160,8 @@
     const Worker &worker = m_workers.at(task.worker);
     const bool hasRestarted =
         task.workerStart != 0 && worker.startTime != 0 && task.workerStart != worker.startTime;
-    if (!worker.info.isDraining && !isProven(job.spec.stages[id.stage], task, worker.lastAnswer)) {
+    if (!worker.info.isDraining
+        && !hasRunFor(MaxCrashDelay, job.spec.stages[id.stage], task, worker.lastAnswer)) {
         ++task.crashes;
         task.lostAt = now;
         m_hasDeadlyTask = m_hasDeadlyTask || task.crashes >= MaxCrashes;
@@ -349,7 +352,8 @@
             task->confirmedAt = list.clock;
             found->second.hasStarted = true;
             task->listedSince = task->listedSince.value_or(now);
-            if (task->crashes > 0 && isProven(found->second.spec.stages[it.task.stage], *task, now)) {
+            if (task->crashes > 0
+                && hasRunFor(ProvenRunTime, found->second.spec.stages[it.task.stage], *task, now)) {
                 clearSuspicion(found->second, it.task, *task);
             }
         }
@@ -480,9 +484,9 @@
 }
 
 // A long-running task may outlive any number of workers, so what counts is whether it crashes them soon.
-bool Shard::isProven(const Stage &stage, const Task &task, Base::Instant now)
+bool Shard::hasRunFor(Milliseconds time, const Stage &stage, const Task &task, Base::Instant now)
 {
-    return stage.isLongRunning && task.listedSince && now - *task.listedSince >= ProvenRunTime;
+    return stage.isLongRunning && task.listedSince && now - *task.listedSince >= time;
 }
 
 void Shard::clearSuspicion(Job &job, const TaskId &id, Task &task)
