--- a/src/libs/jobservice/queuehistory.h
+++ b/src/libs/jobservice/queuehistory.h
@@ -73,7 +73,7 @@
 
     /// Stores that the service runs jobs of the queue. `recorded` is called when that is stored, and all that
     /// was stored before is known, or when the store can't be reached.
-    void record(const std::vector<std::string> &queue, const std::string &service, Recorded recorded)
+    void record(const std::vector<std::string> &queue, const std::string &service, const Recorded &recorded)
     {
         struct Progress {
             Recorded recorded;
@@ -81,12 +81,12 @@
             bool isStored = true;
         };
         const auto progress = std::make_shared<Progress>();
-        progress->recorded = std::move(recorded);
+        progress->recorded = recorded;
         progress->remaining = queue.size();
         for (const std::string &it : queue) {
             Addition &addition = m_additions[keyOf(it, service)];
             if (addition.waiting.empty()) {
-                addition.value = service + Separator + it;
+                addition.value = fmt::format("{}{}{}", service, Separator, it);
                 addition.since = m_timers.now();
             }
             addition.waiting.push_back([progress](bool isStored) {
