Part the shard's and the planner's sources by what they decide

Change: functions are moved as they are. Demand, runs, eviction and appends of the shard, moves and waves of the planner have sources of their own. Constants used by several of them (pace, back-off, age of a demand) move to the headers of their classes.

No statement of a function has changed.

Conclusion: no decision has changed.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -174,7 +174,7 @@
     Job &addJob(Job job);
     void markChanged(Job &job);
 
-    // Runs and workers, see shardworkers.cpp.
+    // Runs and workers, see shardworkers.cpp, shardruns.cpp and shardeviction.cpp.
     Worker &workerFor(const std::string &id);
     void handleWorkerRestart(Worker &worker, std::int64_t startTime, Base::Instant now);
     void processRunList(
@@ -237,7 +237,7 @@
     /// The longest time from sending an order to the end of its lease, with the slowest worker clock.
     static Milliseconds longestTime(Milliseconds lease);
 
-    // Placement and appends, see shardplacement.cpp.
+    // Placement and appends, see shardplacement.cpp and shardappends.cpp.
     void addDueOccurrences(Job &job, WallTime wall);
     void place(Base::Instant now, WallTime wall);
     /// Returns the candidates that the advice service allows, and queries the service if none of them has
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -22,9 +22,6 @@
 // Interval between the checks for runs to evict and for stops to repeat.
 constexpr Milliseconds EvictionPeriod{50};
 
-// Keeps an append well below the size limit of the store for one call.
-constexpr std::size_t MaxBatchBytes = 1U << 20U;
-
 // A worker that a task waits to have for itself gets no new runs for this long, renewed by each placement. At
 // most one of this many workers is emptied at the same time.
 constexpr Milliseconds EmptyingHold{300};
@@ -41,9 +38,6 @@
 // The same for a worker on which no other such task is new.
 constexpr Milliseconds MaxApartTime{2500};
 
-// Limits the queries to other shards in one sweep.
-constexpr std::size_t MaxRedirectQueries = 20;
-
 } // namespace
 
 void Shard::addDueOccurrences(Job &job, WallTime wall)
@@ -476,108 +470,6 @@
     m_plannedStarts.push_back(id);
 }
 
-// A long lease is stored soon after it has been noticed, so that an owner that takes over without a release
-// counts on it. That it has ended is stored with the next append.
-std::optional<Record> Shard::changedLeases(Base::Instant now, bool hasOtherRecords)
-{
-    const LeaseTimes leases = longLeases(now);
-    std::set<std::string> workers;
-    for (const auto &[id, time] : leases) {
-        workers.insert(id);
-    }
-    const bool isComplete = m_recordedLeases
-        && std::includes(m_recordedLeases->begin(), m_recordedLeases->end(), workers.begin(), workers.end());
-    const bool isUpToDate = m_recordedLeases && *m_recordedLeases == workers;
-    const bool isNeeded = hasOtherRecords ? !isUpToDate : !isComplete && !workers.empty();
-    if (!isNeeded) {
-        return std::nullopt;
-    }
-    m_recordedLeases = std::move(workers);
-    return Record{std::string(LeasesKey), leases.empty() ? std::string() : encodeLeases(leases)};
-}
-
-void Shard::sendBatch(Base::Instant now)
-{
-    Batch batch;
-    AppendBatch append;
-    std::size_t bytes = 0;
-    const auto add = [&](std::string key, std::string value) {
-        bytes += key.size() + value.size();
-        append.records.push_back({std::move(key), std::move(value)});
-    };
-    const std::string earlier = earlierOwners(now);
-    if (!m_isOwnerRecordSent || (m_areEarlierOwnersRecorded && earlier.empty())) {
-        m_isOwnerRecordSent = true;
-        m_areEarlierOwnersRecorded = !earlier.empty();
-        add(std::string(OwnerKey), m_member + earlier);
-    }
-    std::size_t carried = 0;
-    for (; carried < m_changed.size() && bytes <= MaxBatchBytes; ++carried) {
-        Job &job = *m_changed[carried];
-        const std::string &id = job.spec.id;
-        if (!job.isStored && job.firstBatch == 0) {
-            add(specKey(id), encodeSpec(job.spec, job.acceptedAt));
-            batch.newJobs.push_back(id);
-        }
-        add(progressKey(id), encodeProgress(job));
-        batch.jobs.push_back(id);
-        batch.states[id] = job.state;
-        job.isDirty = false;
-    }
-    m_changed.erase(m_changed.begin(), m_changed.begin() + static_cast<std::ptrdiff_t>(carried));
-    const bool isComplete = m_changed.empty();
-    for (const std::string &it : std::exchange(m_newRedirects, {})) {
-        const RedirectedJob &where = m_redirectedJobs[it];
-        add(redirectKey(it), encodeRedirect({where.shard, where.since}));
-        batch.redirectedJobs.push_back(it);
-    }
-    for (std::string &it : std::exchange(m_deletedKeys, {})) {
-        add(std::move(it), {});
-    }
-    if (auto leases = changedLeases(now, !append.records.empty())) {
-        batch.hasLeases = true;
-        add(std::move(leases->key), std::move(leases->value));
-    }
-    m_hasChanged = m_hasChanged || !isComplete;
-    const auto isCarried = [&](const TaskId &it) {
-        return batch.states.count(it.job) > 0;
-    };
-    std::vector<TaskId> later;
-    for (TaskId &it : m_plannedStarts) {
-        if (m_jobs.count(it.job) == 0) {
-            continue;
-        }
-        (isCarried(it) ? batch.starts : later).push_back(std::move(it));
-    }
-    m_plannedStarts = std::move(later);
-    for (auto &[id, worker] : m_workers) {
-        if (worker.processedCursor <= worker.ackCursor || !isComplete) {
-            continue;
-        }
-        if (append.records.empty()) {
-            worker.ackCursor = worker.processedCursor;
-            worker.nextRenewal = std::min(worker.nextRenewal, now);
-        } else {
-            batch.cursors.emplace_back(id, worker.processedCursor);
-        }
-    }
-    if (append.records.empty()) {
-        return;
-    }
-    batch.number = ++m_lastBatch;
-    batch.sentAt = now;
-    for (const std::string &it : batch.newJobs) {
-        m_jobs[it].firstBatch = batch.number;
-    }
-    for (const std::string &it : batch.redirectedJobs) {
-        m_redirectedJobs[it].firstBatch = batch.number;
-    }
-    append.number = batch.number;
-    m_lastBatchAt = now;
-    m_batch = std::move(batch);
-    m_commands.emplace_back(std::move(append));
-}
-
 // While the assignment was being stored, the worker may have started to drain, shrunk or disappeared, and the
 // limit of the workspace may have been lowered.
 void Shard::sendStart(const TaskId &id, Base::Instant now)
@@ -629,85 +521,4 @@
     m_commands.emplace_back(std::move(order));
 }
 
-// Only jobs that are not in any append yet can be refused: others may be stored.
-void Shard::refuseUnsentJobs(Base::Instant now)
-{
-    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
-        Job &job = it->second;
-        if (job.isStored || job.firstBatch != 0) {
-            ++it;
-            continue;
-        }
-        Base::LogLine(Base::LogLevel::Info, "job-refused")
-            .with("request", it->first)
-            .with("reason", "store does not answer")
-            .with("epoch", m_epoch);
-        for (const ReplyId waiting : job.acceptanceReplies) {
-            reply(waiting, Answer::Refused, StoreRetryAfter);
-        }
-        for (const ReplyId waiting : job.cancelReplies) {
-            reply(waiting, Answer::NoSuchJob);
-        }
-        stopRuns(job, now);
-        std::erase(m_active, &job);
-        std::erase(m_changed, &job);
-        it = m_jobs.erase(it);
-    }
-    for (auto it = m_redirectedJobs.begin(); it != m_redirectedJobs.end();) {
-        if (it->second.isStored || it->second.firstBatch != 0) {
-            ++it;
-            continue;
-        }
-        for (const ReplyId waiting : it->second.waiting) {
-            refuse(it->first, "store does not answer", waiting);
-        }
-        std::erase(m_newRedirects, it->first);
-        it = m_redirectedJobs.erase(it);
-    }
-}
-
-void Shard::removeEndedJobs(WallTime wall)
-{
-    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
-        const Job &job = it->second;
-        const bool isOver =
-            job.storedState != JobState::Active && !job.isDirty && job.endedAt + m_settings.retention <= wall;
-        if (!isOver || job.hasRuns()) {
-            ++it;
-            continue;
-        }
-        m_deletedKeys.push_back(progressKey(it->first));
-        m_deletedKeys.push_back(specKey(it->first));
-        it = m_jobs.erase(it);
-    }
-}
-
-// A redirected job may last for days, so its record is not removed by age but when the other shard reports
-// that it has removed the job.
-void Shard::checkRedirectedJobs(WallTime wall)
-{
-    std::size_t asked = 0;
-    for (auto &[id, where] : m_redirectedJobs) {
-        const WallTime last = std::max(where.since, where.checkedAt);
-        if (!where.isStored || last + m_settings.retention > wall) {
-            continue;
-        }
-        where.checkedAt = wall;
-        m_commands.emplace_back(QueryRedirectedJob{id, where.shard});
-        if (++asked == MaxRedirectQueries) {
-            return;
-        }
-    }
-}
-
-void Shard::removeRedirect(const std::string &job)
-{
-    const auto it = m_redirectedJobs.find(job);
-    if (it != m_redirectedJobs.end() && it->second.isStored) {
-        m_deletedKeys.push_back(redirectKey(job));
-        m_redirectedJobs.erase(it);
-        m_hasChanged = true;
-    }
-}
-
 } // namespace Jobs
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -14,11 +14,19 @@
 namespace Jobs
 {
 
+/// For logs.
+inline std::int64_t milliseconds(Base::Duration duration)
+{
+    return std::chrono::duration_cast<Milliseconds>(duration).count();
+}
+
 /// The state of a worker as known to the owner of a shard.
 struct Worker {
     /// Longest wait of a query to a worker without runs. Workers hold a query for up to two seconds.
     static constexpr Milliseconds LongestQuery{1900};
     static constexpr Milliseconds AnswerMargin{100}; ///< for the way there and back
+    static constexpr Milliseconds NoRoomBackoff{150}; ///< gets no new runs for this long after a refused one
+    static constexpr int FullPace = 100; ///< of a best-effort task, in percent
     /// Longest time for which it is withheld for new isolated runs, however many are started.
     static constexpr Milliseconds MaxIsolationTime{2000};
 
@@ -64,7 +72,7 @@
     int consecutiveFailedJobs = 0; ///< jobs with a failed run since the last successful run
     std::string lastFailedJob;
 
-    int bestEffortPercent = 100; ///< pace of best-effort tasks
+    int bestEffortPercent = FullPace; ///< pace of best-effort tasks
     std::map<TaskId, int> sentPaces; ///< pace last sent to each best-effort task, in percent
     Base::Instant evacuatedUntil;
     std::optional<Base::Instant> drainDeadline; ///< while draining: the earliest time of the worker's end
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -135,6 +135,9 @@
         bool isCompletedWritten = false;
     };
 
+    // Older demands are not used for decisions: after an interruption the planner waits for new ones.
+    static constexpr Base::Duration MaxDemandAge = std::chrono::milliseconds{1500};
+
     std::size_t cellOf(const std::string &pool, const Machine &machine) const;
     const Machine *findMachine(const std::string &id) const;
     const MachineEntry *findEntry(const std::string &id) const;
