Give the test of earlier builds its folder by a definition

Cause: with paths hashed relative to the checkout the compiler is given relative ones, so __FILE__ doesn't lead to the folder from where ctest runs the test. Six of EarlierBuilds failed (CHECK(!lines.empty())).

Change: the build passes the folder. The checks are the same.

--- a/tests/auto/jobs/tst_earlierbuilds.cpp
+++ b/tests/auto/jobs/tst_earlierbuilds.cpp
@@ -33,7 +33,7 @@
 // the values of owner records a bar stands for a line break.
 std::vector<Line> writtenBy8045e32(std::string_view kind)
 {
-    const auto path = std::filesystem::path(__FILE__).parent_path() / "earlierbuilds" / "8045e32.txt";
+    const auto path = std::filesystem::path(RHUBARBCRANK_EARLIER_BUILDS) / "8045e32.txt";
     std::ifstream file(path);
     std::vector<Line> lines;
     for (std::string text; std::getline(file, text);) {
