Ask for as many workers as a gang needs on a queue with advice

Change: the gang has to fit as a whole before no more workers are asked about, and a query names as many workers as it has tasks, at most the service's 100.

Before / after: tst_jobs -g Shard: 0 of 13 tasks started, 13 of 13 started.

Conclusion: the test was red first.

--- a/src/libs/jobs/advicecache.cpp
+++ b/src/libs/jobs/advicecache.cpp
@@ -1,5 +1,7 @@
 #include "advicecache.h"
 
+#include <algorithm>
+
 namespace Jobs
 {
 
@@ -10,7 +12,10 @@
 constexpr Milliseconds MinTicketValidity{250};
 
 // Enough workers for a stage, while the service's response time grows with each worker in the query.
-constexpr std::size_t MaxWorkersPerQuery = 12;
+constexpr std::size_t UsualWorkersPerQuery = 12;
+
+// Limit of the service.
+constexpr std::size_t MaxWorkersPerQuery = 100;
 
 // Limit per shard. The service rejects calls while 32 are waiting.
 constexpr std::size_t MaxPendingQueries = 4;
@@ -37,17 +42,18 @@
 std::optional<AdviceQuery> AdviceCache::question(const StageKey &stage,
                                                  const AdvicePolicy &policy,
                                                  std::span<const std::string> workers,
+                                                 std::size_t neededTogether,
                                                  Base::Instant now)
 {
     StageAdvice &advice = m_stages[stage];
     if (advice.isQueryPending || m_pendingQueries >= MaxPendingQueries || now < advice.nextQueryAt) {
         return std::nullopt;
     }
+    const std::size_t most = std::clamp(neededTogether, UsualWorkersPerQuery, MaxWorkersPerQuery);
     AdviceQuery ask;
     std::tie(ask.job, ask.occurrence, ask.stage) = stage;
     for (const std::string &it : workers) {
-        if (ask.workers.size() < MaxWorkersPerQuery && advice.denied.count(it) == 0
-            && !ticket(stage, it, now)) {
+        if (ask.workers.size() < most && advice.denied.count(it) == 0 && !ticket(stage, it, now)) {
             ask.workers.push_back(it);
         }
     }
--- a/src/libs/jobs/advicecache.h
+++ b/src/libs/jobs/advicecache.h
@@ -26,9 +26,11 @@
 
     /// Returns a query about those of `workers` that have no ticket and have not been denied. Empty if there
     /// are none, or if no further query may be sent now, for example because one is pending for the stage.
+    /// `neededTogether` workers may have to be allowed at the same time.
     std::optional<AdviceQuery> question(const StageKey &stage,
                                         const AdvicePolicy &policy,
                                         std::span<const std::string> workers,
+                                        std::size_t neededTogether,
                                         Base::Instant now);
     void answered(const AdviceQuery &question, const std::optional<AdviceAnswer> &answer, Base::Instant now);
     /// To be called if the worker refused the ticket, for example after its restart.
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -217,9 +217,12 @@
             unknown.push_back(it.worker->info.id);
         }
     }
-    const bool isEnough = chooseWorker(job.spec.stages[stage], allowed, now) != nullptr;
+    const Stage &wanted = job.spec.stages[stage];
+    const bool isEnough = wanted.isGang ? !chooseGangWorkers(wanted, allowed, now).empty()
+                                        : chooseWorker(wanted, allowed, now) != nullptr;
     if (!isEnough) {
-        if (auto ask = m_advice.question(key, *job.spec.queue.advice, unknown, now)) {
+        const std::size_t most = wanted.isGang ? wanted.count : 0;
+        if (auto ask = m_advice.question(key, *job.spec.queue.advice, unknown, most, now)) {
             m_commands.emplace_back(std::move(*ask));
         }
     }
--- a/tests/auto/jobs/tst_shard.cpp
+++ b/tests/auto/jobs/tst_shard.cpp
@@ -198,3 +198,55 @@
     shard.processDue(now, Wall);
     CHECK(shard.nextDue(now) > now + 100ms);
 }
+
+// Regression test (LOST, review case advised-gang): a gang that needs more workers than one query to the
+// advice service names never started, as no further ones were asked about once a single task had room.
+TEST(Shard, AGangOnAQueueWithAdviceStartsHoweverManyWorkersItNeeds)
+{
+    constexpr std::uint32_t Tasks = 13;
+    Base::Instant now{1h};
+    Jobs::Shard shard({}, 1, "m");
+    shard.begin(now, Wall, hasEnded);
+    std::vector<Jobs::WorkerInfo> workers(30);
+    for (std::size_t n = 0; n < workers.size(); ++n) {
+        workers[n].id = "w" + std::to_string(n);
+        workers[n].service = "s";
+        workers[n].address = "10.0.0.1:1";
+        workers[n].capacity = {1000, 1000, 0};
+    }
+    shard.setWorkers(workers, now);
+    Jobs::JobSpec spec;
+    spec.id = "gang";
+    spec.queue.service = "s";
+    spec.queue.advice = Jobs::AdvicePolicy{10ms, 1ms};
+    Jobs::Stage stage;
+    stage.count = Tasks;
+    stage.size = {1000, 1000, 0};
+    stage.isGang = true;
+    spec.stages = {stage};
+    shard.submit(spec, 1, now, Wall);
+    std::size_t starts = 0;
+    Jobs::RunList list;
+    list.clock = 5000;
+    for (int n = 0; n < 40; ++n, now += 100ms) {
+        shard.processDue(now, Wall);
+        for (const Jobs::Command &it : shard.takeCommands()) {
+            if (const auto *append = std::get_if<Jobs::AppendBatch>(&it)) {
+                shard.appended(append->number, Jobs::AppendResult::Stored, now, Wall);
+            } else if (const auto *renew = std::get_if<Jobs::RenewLease>(&it)) {
+                shard.renewAnswered(*renew, Jobs::OrderResult::Done, list, now, Wall);
+            } else if (const auto *question = std::get_if<Jobs::AdviceQuery>(&it)) {
+                CHECK(question->workers.size() <= 100); // the service's limit for a call
+                Jobs::AdviceAnswer answer{.allowed = {}, .validity = 2s};
+                for (const std::string &worker : question->workers) {
+                    answer.allowed.push_back({worker, "t"});
+                }
+                shard.adviceAnswered(*question, answer, now);
+            } else if (const auto *start = std::get_if<Jobs::StartRun>(&it)) {
+                ++starts;
+                shard.startAnswered(*start, Jobs::OrderResult::Done, list.clock, now);
+            }
+        }
+    }
+    LONGS_EQUAL(Tasks, starts);
+}
