Count late upkeeps of earlier owners, and wait for a list of machines

Change: upkeep orders are stored under a key of their own, which the next owner counts for 13 s unless the upkeep is recorded as begun. A machine is gone only if a list shows it that is newer than the wave.

An earlier build ignores the new record.

--- a/src/libs/jobservice/machinecontroller.h
+++ b/src/libs/jobservice/machinecontroller.h
@@ -130,6 +130,7 @@
             m_epoch = epoch;
             m_planner.reset();
             m_earlierOrders.clear();
+            m_earlierUpkeepOrders.clear();
             m_recordsInFlight.clear();
             m_queuedRecords.clear();
             takeOver();
@@ -167,6 +168,21 @@
             {std::move(machine), Jobs::WallTime(Jobs::Milliseconds(*at)), std::string(member)});
     }
 
+    // The value is the wall time of the order in ms.
+    void addEarlierUpkeepOrder(std::string machine, std::string_view value)
+    {
+        if (const auto at = Ini::toInteger(value)) {
+            m_earlierUpkeepOrders[std::move(machine)] = Jobs::WallTime(Jobs::Milliseconds(*at));
+        } else {
+            Base::LogLine(Base::LogLevel::Error, "record-unreadable").with("machine", machine);
+        }
+    }
+
+    Base::Instant instantOf(Jobs::WallTime at) const
+    {
+        return m_timers.now() - (m_wallClock() - at) + MaxClockDifference;
+    }
+
     // An owner whose process has ended can't give further orders, so its machines needn't wait for one.
     void releaseOrdersOfEndedOwners()
     {
@@ -224,6 +240,8 @@
                 const auto slash = key.find('/');
                 if (key.substr(0, slash + 1) == OrderPrefix) {
                     addEarlierOrder(std::string(key.substr(slash + 1)), value);
+                } else if (key.substr(0, slash + 1) == UpkeepOrderPrefix) {
+                    addEarlierUpkeepOrder(std::string(key.substr(slash + 1)), value);
                 } else if (const auto wave = Ini::toInteger(key.substr(0, slash));
                            wave && slash != std::string_view::npos) {
                     m_loadedMaintenance.emplace_back(*wave, std::string(key.substr(slash + 1)));
@@ -237,6 +255,7 @@
                     m_epoch.reset(); // retried with the next update
                     m_loadedMaintenance.clear();
                     m_earlierOrders.clear();
+                    m_earlierUpkeepOrders.clear();
                     return;
                 }
                 m_planner = std::make_unique<Machines::MachinePlanner>(
@@ -248,8 +267,10 @@
                     m_planner->setWave(wave);
                 }
                 for (const EarlierOrder &it : m_earlierOrders) {
-                    m_planner->restoreOrder(it.machine,
-                                            m_timers.now() - (m_wallClock() - it.at) + MaxClockDifference);
+                    m_planner->restoreOrder(it.machine, instantOf(it.at));
+                }
+                for (const auto &[machine, at] : std::exchange(m_earlierUpkeepOrders, {})) {
+                    m_planner->restoreUpkeepOrder(machine, instantOf(at));
                 }
                 for (const auto &[wave, machine] : std::exchange(m_loadedMaintenance, {})) {
                     m_planner->restoreUpkeep(wave, machine);
@@ -415,6 +436,11 @@
                 m_planner->handleUpkeepResult(order, result, m_timers.now());
             }
         };
+        // An earlier build ignores this record.
+        m_queuedRecords.push_back({{std::string(UpkeepOrderPrefix) + order.machine,
+                                    std::to_string(m_wallClock().time_since_epoch().count())},
+                                   [](bool) {
+                                   }});
         storeOrder(
             order.machine,
             [this, order, answer, epoch = *m_epoch] {
@@ -522,6 +548,7 @@
     // Upper bound of the clock difference between two instances.
     static constexpr Base::Duration MaxClockDifference = std::chrono::milliseconds{1000};
     static constexpr std::string_view OrderPrefix = "order/";
+    static constexpr std::string_view UpkeepOrderPrefix = "ordered-upkeep/";
 
     struct EarlierOrder {
         std::string machine;
@@ -556,6 +583,7 @@
     std::optional<Jobs::Epoch> m_epoch;
     std::unique_ptr<Machines::MachinePlanner> m_planner;
     std::vector<EarlierOrder> m_earlierOrders;
+    std::map<std::string, Jobs::WallTime> m_earlierUpkeepOrders; ///< by machine
     std::map<ShardNumber, std::vector<std::string>> m_evacuations; ///< workers, collected during a pass
     std::vector<PendingRecord> m_recordsInFlight; ///< in the append in flight
     std::vector<PendingRecord> m_queuedRecords; ///< for the next append
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -19,9 +19,6 @@
 // An order that shows no effect this long after its expected duration is given up.
 constexpr Base::Duration OrderTimeout = std::chrono::milliseconds{3000};
 
-// The same for an order without an answer: it may still be carried out many seconds later.
-constexpr Base::Duration UnknownOrderTimeout = std::chrono::milliseconds{13'000};
-
 // Older lists are not used for decisions: after an interruption the planner waits for a new one.
 constexpr Base::Duration MaxListAge = std::chrono::milliseconds{5000};
 
@@ -122,6 +119,11 @@
     m_noOrderBefore[machine] = at + m_settings.takeoverDelay;
 }
 
+void MachinePlanner::restoreUpkeepOrder(const std::string &machine, Base::Instant at)
+{
+    m_upkeepOrderedAt[machine] = at;
+}
+
 // Only allows new orders. An order of the ended owner may still be carried out, so in its wave the machine
 // still counts as down; see downInWave().
 void MachinePlanner::markOrderingOwnerEnded(const std::string &machine)
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -58,6 +58,8 @@
     void restoreUpkeep(std::uint64_t wave, const std::string &machine);
     /// Restores that an earlier owner gave an order for the machine at this time.
     void restoreOrder(const std::string &machine, Base::Instant at);
+    /// Restores that an earlier owner ordered the machine's upkeep at this time, with an unknown outcome.
+    void restoreUpkeepOrder(const std::string &machine, Base::Instant at);
     /// The process of that owner has ended, so it can give no further orders for the machine.
     void markOrderingOwnerEnded(const std::string &machine);
 
@@ -135,6 +137,9 @@
         bool isCompletedWritten = false;
     };
 
+    // The same as OrderTimeout for an order without an answer: it may still be carried out many seconds
+    // later.
+    static constexpr Base::Duration UnknownOrderTimeout = std::chrono::milliseconds{13'000};
     // Older demands are not used for decisions: after an interruption the planner waits for new ones.
     static constexpr Base::Duration MaxDemandAge = std::chrono::milliseconds{1500};
 
@@ -170,6 +175,7 @@
     PlannerSettings m_settings;
     CellOf m_cellOf;
     std::map<std::string, Base::Instant> m_noOrderBefore; ///< by machine that an earlier owner ordered
+    std::map<std::string, Base::Instant> m_upkeepOrderedAt; ///< by machine, of earlier owners' orders
     std::set<std::string> m_releasedMachines; ///< machines whose ordering owner has ended
     std::map<std::string, Pool> m_pools;
     std::map<std::string, MachineEntry> m_machines;
--- a/src/libs/machines/machinewaves.cpp
+++ b/src/libs/machines/machinewaves.cpp
@@ -29,7 +29,8 @@
 std::size_t MachinePlanner::downInWave(std::uint64_t number, Base::Instant now) const
 {
     std::size_t down = 0;
-    for (const std::string &id : m_waves.at(number).wave.machines) {
+    const WaveProgress &progress = m_waves.at(number);
+    for (const std::string &id : progress.wave.machines) {
         if (const auto transition = m_transitions.find(id);
             transition != m_transitions.end() && transition->second.step != Step::Evacuating) {
             ++down;
@@ -37,7 +38,10 @@
         }
         const Machine *machine = findMachine(id);
         const auto ordered = m_noOrderBefore.find(id);
-        const bool mayBeDown = ordered != m_noOrderBefore.end() && ordered->second > now;
+        const auto upkeep = m_upkeepOrderedAt.find(id);
+        const bool mayBeginUpkeep = upkeep != m_upkeepOrderedAt.end()
+            && upkeep->second + UnknownOrderTimeout > now && progress.startedMachines.count(id) == 0;
+        const bool mayBeDown = mayBeginUpkeep || (ordered != m_noOrderBefore.end() && ordered->second > now);
         down += mayBeDown || (machine && machine->state == MachineState::Upkeep) ? 1 : 0;
     }
     return down;
@@ -58,10 +62,14 @@
         std::size_t remaining = 0;
         for (const std::string &id : wave.machines) {
             const MachineEntry *machine = findEntry(id);
-            if (!machine || progress.startedMachines.count(id) > 0) {
+            const bool mayBeNew = !machine && m_listRequestedAt <= wave.announcedAt;
+            if ((!machine && !mayBeNew) || progress.startedMachines.count(id) > 0) {
                 continue;
             }
             ++remaining;
+            if (!machine) {
+                continue;
+            }
             const auto retryAt = m_noEvacuationBefore.find(id);
             const bool isRetryPending = retryAt != m_noEvacuationBefore.end() && now < retryAt->second;
             if (m_transitions.count(id) == 0 && machine->machine.state == MachineState::Up
--- a/tests/auto/jobs/tst_machinecontroller.cpp
+++ b/tests/auto/jobs/tst_machinecontroller.cpp
@@ -61,9 +61,13 @@
     }
 
     void upkeepMachine(Jobs::Epoch,
-                       const Machines::UpkeepMachine &,
+                       const Machines::UpkeepMachine &order,
                        const std::function<void(Machines::OrderResult)> &done)
     {
+        upkeeps.push_back(order.machine);
+        if (!answersUpkeeps) {
+            return;
+        }
         m_timers.subscribeAfter(StoreDelay, [done] { done(Machines::OrderResult::Done); });
     }
 
@@ -74,6 +78,8 @@
     std::vector<Machines::Machine> machines;
     std::map<std::string, std::string> records;
     std::map<std::string, Base::Instant> moved;
+    std::vector<std::string> upkeeps;
+    bool answersUpkeeps = true;
 
 private:
     Base::TimerService &m_timers;
@@ -210,3 +216,25 @@
     advance(2500ms);
     LONGS_EQUAL(0, platform.moved.count("m2"));
 }
+
+// The order's owner has ended before the answer, and the order may still be carried out.
+TEST(MachineController, AnUpkeepWithoutAnAnswerIsKnownToTheNextOwner)
+{
+    platform.answersUpkeeps = false;
+    Machines::Wave wave;
+    wave.number = 1;
+    wave.machines = {"m2", "m3"};
+    wave.duration = 40s;
+    wave.announcedAt = timers.now();
+    controller->setPools({{"sign", false}, {"spare", true}});
+    controller->setWave(wave);
+    own();
+    advance(2s);
+    LONGS_EQUAL(1, platform.upkeeps.size());
+    epoch = 8;
+    controller->ownershipChanged();
+    advance(9s);
+    LONGS_EQUAL(1, platform.upkeeps.size());
+    advance(15s);
+    CHECK(platform.upkeeps.size() > 1);
+}
--- a/tests/auto/machines/tst_machineplanner.cpp
+++ b/tests/auto/machines/tst_machineplanner.cpp
@@ -539,6 +539,57 @@
     CHECK(fleet.peakDown <= 2);
 }
 
+// Regression test (LIMIT, review case late-upkeep): an order without an answer was carried out after its
+// owner had ended, when the next owner had another machine of the wave maintained.
+TEST(MachinePlanner, ANewOwnerCountsAnUpkeepThatMayStillBeCarriedOut)
+{
+    fleet.addMachines("sign", 4);
+    fleet.setDemand("sign", MachineMilliCores, 1);
+    fleet.planner.setWave(fleet.makeWave(1, 25s));
+    fleet.planner.restoreOrder("m0", fleet.now);
+    fleet.planner.restoreUpkeepOrder("m0", fleet.now);
+    fleet.planner.markOrderingOwnerEnded("m0");
+    fleet.run(5500ms);
+    LONGS_EQUAL(0, fleet.maintained.size());
+    fleet.machines["m0"].state = MachineState::Upkeep;
+    fleet.run(2s);
+    fleet.machines["m0"].state = MachineState::Up;
+    LONGS_EQUAL(0, fleet.maintained.size());
+    fleet.run(30s);
+    CHECK(fleet.isCompleted);
+    LONGS_EQUAL(1, fleet.peakDown);
+}
+
+TEST(MachinePlanner, AnUpkeepThatIsRecordedAsBegunIsNotWaitedFor)
+{
+    fleet.addMachines("sign", 4);
+    fleet.setDemand("sign", MachineMilliCores, 1);
+    fleet.planner.setWave(fleet.makeWave(1, 25s));
+    fleet.planner.restoreUpkeepOrder("m0", fleet.now);
+    fleet.planner.restoreUpkeep(1, "m0");
+    fleet.run(3s);
+    CHECK(!fleet.maintained.empty());
+}
+
+// Regression test (MIXED, review case new-machine): the wave was completed at once, as its machine was not in
+// the list, which was older than the wave.
+TEST(MachinePlanner, AMachineIsNotGoneBecauseTheListIsOlderThanTheWave)
+{
+    fleet.addMachines("sign", 1);
+    fleet.setDemand("sign", MachineMilliCores, 1);
+    fleet.run(1s);
+    fleet.now += 100ms;
+    auto wave = fleet.makeWave(1, 25s);
+    wave.machines = {"m1"};
+    fleet.planner.setWave(wave);
+    fleet.passWithoutUpdate();
+    CHECK(!fleet.isCompleted);
+    fleet.addMachines("sign", 1);
+    fleet.run(20s);
+    CHECK(fleet.isCompleted);
+    LONGS_EQUAL(1, fleet.maintained.count("m1"));
+}
+
 TEST_GROUP(ArrivalForecast){};
 
 TEST(ArrivalForecast, ASteadyRateIsForecastUnchanged)
