Learn from finished runs what tasks take

**Cause** The declared time of a task is believed everywhere, with a fixed margin, although declarations are off by up to a factor of several.

**Change** Jobs::RunTimes learns for each queue and image, from runs that took a task's whole time, how the taken time depends on the declared one, and what the ended tasks of a stage tell about the others. A prediction is used only while it is clearly better than the declared time on the same runs. Order, objective, demand, eviction and release of workers read StageProgress::expectation. The state is in the record "run-times" of the shard's topic. The played load of the queues takes the accuracy of declarations as a parameter; its defaults draw the same numbers as before.

--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <span>
 
 namespace Jobs
 {
@@ -15,6 +16,22 @@
 // and is worth nothing after it.
 constexpr int LateFactor = 3;
 
+// Stages depend on earlier stages only, so a single pass in order finds the longest path.
+template<typename TimeOf>
+Milliseconds longestPath(std::span<const Stage> stages, TimeOf timeOf)
+{
+    Milliseconds longest{};
+    std::vector<Milliseconds> ends(stages.size());
+    for (std::size_t n = 0; n < stages.size(); ++n) {
+        for (const std::uint32_t it : stages[n].dependsOn) {
+            ends[n] = std::max(ends[n], ends[it]);
+        }
+        ends[n] += timeOf(n);
+        longest = std::max(longest, ends[n]);
+    }
+    return longest;
+}
+
 } // namespace
 
 std::string toString(const TaskId &task)
@@ -137,43 +154,36 @@
     return false;
 }
 
-// Stages depend on earlier stages only, so a single pass in order finds the longest path.
+Milliseconds Job::expectedTime(const Occurrence &occurrence, std::size_t stage) const
+{
+    const auto &expectation = occurrence.stages[stage].expectation;
+    return expectation ? expectation->time : spec.stages[stage].estimate;
+}
+
 Milliseconds Job::remainingCriticalPath(const Occurrence &occurrence) const
 {
-    Milliseconds longest{};
-    std::vector<Milliseconds> ends(spec.stages.size());
-    for (std::size_t n = 0; n < spec.stages.size(); ++n) {
-        for (const std::uint32_t it : spec.stages[n].dependsOn) {
-            ends[n] = std::max(ends[n], ends[it]);
-        }
-        if (!occurrence.stages[n].isDone()) {
-            ends[n] += spec.stages[n].estimate;
-        }
-        longest = std::max(longest, ends[n]);
-    }
-    return longest;
+    return longestPath(spec.stages, [&](std::size_t stage) {
+        return occurrence.stages[stage].isDone() ? Milliseconds{} : expectedTime(occurrence, stage);
+    });
 }
 
-Milliseconds Job::criticalPath() const
+Milliseconds Job::criticalPath(std::uint32_t occurrence) const
 {
-    Milliseconds longest{};
-    std::vector<Milliseconds> ends(spec.stages.size());
-    for (std::size_t n = 0; n < spec.stages.size(); ++n) {
-        for (const std::uint32_t it : spec.stages[n].dependsOn) {
-            ends[n] = std::max(ends[n], ends[it]);
-        }
-        ends[n] += spec.stages[n].estimate;
-        longest = std::max(longest, ends[n]);
-    }
-    return longest;
+    const auto it = occurrences.find(occurrence);
+    return longestPath(spec.stages, [&](std::size_t stage) {
+        return it != occurrences.end() ? expectedTime(it->second, stage) : spec.stages[stage].estimate;
+    });
 }
 
 double Job::work() const
 {
     double sum = 0;
-    for (const Stage &it : spec.stages) {
-        if (!it.isLongRunning) {
-            sum += it.count * double(it.size.milliCores) / 1000 * double(it.estimate.count()) / 1000;
+    for (std::size_t n = 0; n < spec.stages.size(); ++n) {
+        const Stage &stage = spec.stages[n];
+        const Milliseconds time =
+            occurrences.empty() ? stage.estimate : expectedTime(occurrences.begin()->second, n);
+        if (!stage.isLongRunning) {
+            sum += stage.count * double(stage.size.milliCores) / 1000 * double(time.count()) / 1000;
         }
     }
     return sum;
@@ -187,7 +197,8 @@
 WallTime Job::objective(std::uint32_t occurrence) const
 {
     return due(occurrence)
-        + Milliseconds(static_cast<std::int64_t>(spec.queue.slackFactor * double(criticalPath().count())))
+        + Milliseconds(
+               static_cast<std::int64_t>(spec.queue.slackFactor * double(criticalPath(occurrence).count())))
         + spec.queue.targetLatency;
 }
 
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobspec.h"
+#include "runtimes.h"
 
 #include <base/instant.h>
 
@@ -46,6 +47,7 @@
     std::string failedOn; ///< worker on which the latest run failed
     std::string checkpoint; ///< checkpoint from which the next run resumes
     int percent = 0; ///< share that the run gets of the processor time that it requests
+    std::int64_t startClock = 0; ///< worker's clock at the answer to a start from the beginning; 0: unknown
     std::int64_t confirmedAt = 0; ///< worker's clock when it last confirmed the run or its stop
     bool isStopConfirmed = false;
     Base::Instant orderedAt; ///< when the latest start or stop was sent
@@ -82,6 +84,8 @@
     std::vector<Task> tasks;
     std::uint32_t done = 0;
     std::optional<StageWait> wait; ///< of its ready tasks as of the last placement
+    StageTimes times; ///< of the runs that this owner has measured
+    std::optional<Expectation> expectation; ///< of the time of a task; nothing: as declared
 
     /// Sets why a ready task waits.
     void setWait(WaitReason reason, Base::Instant now);
@@ -129,11 +133,14 @@
     /// Why the job has failed; empty if it has not.
     std::string_view failureReason() const;
 
+    /// What a task of the stage is expected to take.
+    Milliseconds expectedTime(const Occurrence &occurrence, std::size_t stage) const;
     /// The estimated time until the end of an occurrence if its tasks need not wait for workers.
     Milliseconds remainingCriticalPath(const Occurrence &occurrence) const;
-    /// The length of the critical path through the graph, by the estimates.
-    Milliseconds criticalPath() const;
-    /// The estimated work of one occurrence without long-running tasks, in core-seconds.
+    /// The length of the critical path through the graph of an occurrence; of one that is not due yet by the
+    /// declared times.
+    Milliseconds criticalPath(std::uint32_t occurrence) const;
+    /// The estimated work of the first occurrence without long-running tasks, in core-seconds.
     double work() const;
     /// When the occurrence may start.
     WallTime due(std::uint32_t occurrence) const;
--- a/src/libs/jobs/queueorder.cpp
+++ b/src/libs/jobs/queueorder.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -13,8 +14,9 @@
 {
 
 // Estimates are off by up to a half in either direction, so a job that has not started needs slack of this
-// share of its critical path.
+// share of its critical path. Where run times are learned, their error takes its place, within the bounds.
 constexpr double EstimateMargin = 0.2;
+constexpr double LargestMargin = 0.4;
 
 // Core-seconds below which all jobs count as equally small.
 constexpr double MinWork = 0.3;
@@ -40,11 +42,24 @@
     for (std::size_t n = 0; n < it.occurrence->stages.size(); ++n) {
         const Stage &stage = it.job->spec.stages[n];
         const double left = stage.count - it.occurrence->stages[n].done;
-        work += left * double(stage.size.milliCores) / 1000 * double(stage.estimate.count()) / 1000;
+        work += left * double(stage.size.milliCores) / 1000
+            * double(it.job->expectedTime(*it.occurrence, n).count()) / 1000;
     }
     return work;
 }
 
+// The share of its critical path by which an occurrence may take longer.
+double estimateMargin(const Occurrence &occurrence)
+{
+    std::optional<double> largest;
+    for (const StageProgress &it : occurrence.stages) {
+        if (!it.isDone() && it.expectation) {
+            largest = std::max(largest.value_or(EstimateMargin), it.expectation->error);
+        }
+    }
+    return std::min(largest.value_or(EstimateMargin), LargestMargin);
+}
+
 // Work is capped at this share of the mean in the order, because the largest jobs would have to wait too
 // often otherwise.
 constexpr double LargeShare = 0.75;
@@ -66,19 +81,20 @@
         return {LongRunning, priority, double(job.acceptedAt.time_since_epoch().count())};
     }
     const double criticalPath = double(job.remainingCriticalPath(*it.occurrence).count());
+    const double margin = estimateMargin(*it.occurrence);
     const double slack = double((job.objective(it.number) - now).count()) - criticalPath;
     // Slack times the square root of the work: urgent and small jobs go first, without starving large ones.
-    const double spare = std::max(0.0, slack - EstimateMargin * criticalPath);
+    const double spare = std::max(0.0, slack - margin * criticalPath);
     const double order = spare * std::sqrt(work);
     if (job.hasStarted && slack >= -StartedMargin * criticalPath) {
         return {job.spec.isExcess ? StartedExcess : Started, priority, order};
     }
     const double lateSlack = double((job.lateLimit(it.number) - now).count()) - criticalPath;
-    const bool isUseful = lateSlack >= EstimateMargin * criticalPath;
+    const bool isUseful = lateSlack >= margin * criticalPath;
     if (job.spec.isExcess && isUseful) {
         return {Excess, priority, lateSlack};
     }
-    if (slack >= EstimateMargin * criticalPath) {
+    if (slack >= margin * criticalPath) {
         return {OnTime, priority, order};
     }
     if (slack >= 0) {
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -91,6 +91,8 @@
         }
         m_loadedLeases = std::move(*leases);
         m_areLoadedLeasesLast = isLast;
+    } else if (key == RunTimes::Key) {
+        m_loadedRunTimes = std::string(value);
     } else if (key.substr(0, ProgressPrefix.size()) == ProgressPrefix) {
         m_loadedProgress[std::string(key.substr(ProgressPrefix.size()))] = std::string(value);
     }
@@ -172,6 +174,7 @@
                   const std::function<bool(const std::string &member)> &hasEnded)
 {
     applyLoadedProgress();
+    loadRunTimes(now);
     m_lastBatchAt = now - m_settings.batchPeriod;
     for (auto &[id, job] : m_jobs) {
         if (job.occurrences.empty() && !job.spec.isTimed() && job.state == JobState::Active) {
@@ -196,6 +199,9 @@
         if (job.state == JobState::Active) {
             m_active.push_back(&job);
             addDueOccurrences(job, wall);
+            for (auto &[number, occurrence] : job.occurrences) {
+                updateExpectations(job, occurrence);
+            }
         } else {
             stopRuns(job, now);
         }
@@ -399,7 +405,7 @@
     accepted.acceptanceReplies.push_back(replyId);
     Job &job = addJob(std::move(accepted));
     if (!job.spec.isTimed()) {
-        job.addOccurrence(0);
+        updateExpectations(job, job.addOccurrence(0));
     }
     addDueOccurrences(job, wall);
     markChanged(job);
@@ -467,6 +473,9 @@
         if (batch.hasLeases) {
             m_recordedLeases.reset();
         }
+        if (batch.hasRunTimes) {
+            m_recordedRevision = 0;
+        }
         for (const std::string &it : batch.jobs) {
             if (const auto found = m_jobs.find(it); found != m_jobs.end()) {
                 markChanged(found->second);
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -7,6 +7,7 @@
 #include "placement.h"
 #include "quotausage.h"
 #include "reservations.h"
+#include "runtimes.h"
 #include "shardcommands.h"
 #include "waitreport.h"
 #include "worker.h"
@@ -39,6 +40,7 @@
     Milliseconds evacuationHold{1500}; ///< a worker gets no new runs for this long after a call of evacuate()
     Milliseconds drainReserve{400}; ///< runs are stopped this long before the drain deadline of their worker
     Milliseconds occurrenceLead{50}; ///< an occurrence starts at most this long before it is due
+    bool learnsRunTimes = true; ///< expects what finished runs have taken, where that is proven better
 };
 
 /// The jobs and workers of one shard, as its owner manages them. Performs no I/O and reads no clock: the
@@ -125,6 +127,7 @@
     OrderToken highestToken() const;
     const std::map<std::string, Worker> &workers() const;
     const std::map<std::string, Job, std::less<>> &jobs() const;
+    const RunTimes &runTimes() const;
 
 private:
     static constexpr std::string_view OwnerKey = "owner";
@@ -148,6 +151,7 @@
         std::vector<std::string> redirectedJobs; ///< jobs whose redirection the append contains
         std::vector<std::pair<std::string, std::uint64_t>> cursors; ///< by worker, last run end
         std::vector<TaskId> starts; ///< runs whose assignment the append contains
+        bool hasRunTimes = false; ///< whether the append contains the record of run times
         bool hasLeases = false; ///< whether the append contains the record of leases
         Base::Instant sentAt;
     };
@@ -225,6 +229,23 @@
     void logWaitingJobs(Base::Instant now) const;
     /// The estimated time until all runs on the worker have ended.
     Milliseconds timeToEmpty(const Worker &worker, Base::Instant now) const;
+    /// What is left of a run of the stage that was ordered that long ago.
+    Milliseconds expectedRest(const Job &job,
+                              const Occurrence &occurrence,
+                              std::uint32_t stage,
+                              Milliseconds elapsed) const;
+
+    // Run times, see shardexpectations.cpp.
+    /// Counts the run, which has ended as done, if it took the whole time of a task under usual conditions.
+    void learnRunTime(Job &job, const TaskId &id, const Task &task, const Worker &worker, Base::Instant now);
+    void updateExpectations(Job &job, Occurrence &occurrence) const;
+    /// The same for all jobs, if run times have been learned since and not too often.
+    void updateExpectations(Base::Instant now);
+    void loadRunTimes(Base::Instant now);
+    /// The record of run times for the next append, if they have changed and the last one is not recent.
+    std::optional<Record> changedRunTimes(Base::Instant now);
+    void logRunTimes() const;
+
     bool isServing(const Task &task) const;
     /// The number of other tasks of the stage that are not serving.
     std::uint32_t unavailableSiblings(const Job &job, const TaskId &id, const Task &task) const;
@@ -317,6 +338,13 @@
     AdviceCache m_advice;
     QuotaUsage m_quotaUsage;
     ArrivalAllowance m_arrivalAllowance;
+    RunTimes m_runTimes;
+    std::string m_loadedRunTimes; ///< the record, until begin()
+    std::uint64_t m_expectedRevision = 0; ///< of m_runTimes, as of the latest expectations of all jobs
+    std::uint64_t m_recordedRevision = 0; ///< the same as of its latest record
+    Base::Instant m_nextExpectations;
+    Base::Instant m_nextRunTimesRecord;
+    Base::Instant m_nextRunTimesLog;
     std::vector<TaskId> m_plannedStarts;
     std::vector<std::string> m_deletedKeys; ///< keys of records that the next append deletes
     Base::Instant m_nextSweep;
--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -82,6 +82,12 @@
         batch.hasLeases = true;
         add(std::move(leases->key), std::move(leases->value));
     }
+    if (!append.records.empty()) {
+        if (auto runTimes = changedRunTimes(now)) {
+            batch.hasRunTimes = true;
+            add(std::move(runTimes->key), std::move(runTimes->value));
+        }
+    }
     m_hasChanged = m_hasChanged || !isComplete;
     const auto isCarried = [&](const TaskId &it) {
         return batch.states.count(it.job) > 0;
--- a/src/libs/jobs/sharddemand.cpp
+++ b/src/libs/jobs/sharddemand.cpp
@@ -77,7 +77,8 @@
                 }
                 const std::int64_t each = reservedResources(stage).milliCores;
                 const std::int64_t cores = (stage.count - occurrence.stages[n].done) * each;
-                const Milliseconds spent = std::min(elapsedTime(occurrence.stages[n], now), stage.estimate);
+                const Milliseconds spent =
+                    std::min(elapsedTime(occurrence.stages[n], now), job->expectedTime(occurrence, n));
                 (canMeetObjective(*job, number, occurrence, wall, spent) ? demand.milliCores
                                                                          : demand.lateMilliCores) += cores;
                 if (!stage.isLongRunning) {
--- a/src/libs/jobs/shardeviction.cpp
+++ b/src/libs/jobs/shardeviction.cpp
@@ -113,14 +113,14 @@
         return EvictionRule::Never;
     }
     const Occurrence &occurrence = job.occurrences.at(id.occurrence);
-    if (!canMeetObjective(job, id.occurrence, occurrence, wall, stage.estimate)) {
+    const Milliseconds expected = job.expectedTime(occurrence, id.stage);
+    if (!canMeetObjective(job, id.occurrence, occurrence, wall, expected)) {
         return EvictionRule::Always;
     }
-    const auto spent =
-        std::min(std::chrono::duration_cast<Milliseconds>(now - task.orderedAt), stage.estimate);
+    const auto spent = std::min(std::chrono::duration_cast<Milliseconds>(now - task.orderedAt), expected);
     const bool staysOnTime = canMeetObjective(job, id.occurrence, occurrence, wall, spent - RelocationTime);
-    return stage.estimate - spent > RelocationTime && staysOnTime ? EvictionRule::IfPlaceFound
-                                                                  : EvictionRule::Never;
+    return expected - spent > RelocationTime && staysOnTime ? EvictionRule::IfPlaceFound
+                                                            : EvictionRule::Never;
 }
 
 Milliseconds Shard::timeToEmpty(const Worker &worker, Base::Instant now) const
@@ -128,10 +128,10 @@
     Milliseconds longest{};
     for (const TaskId &it : worker.runs) {
         const Job &job = m_jobs.find(it.job)->second;
-        const Stage &stage = job.spec.stages[it.stage];
-        const Task &task = job.occurrences.at(it.occurrence).stages[it.stage].tasks[it.index];
+        const Occurrence &occurrence = job.occurrences.at(it.occurrence);
+        const Task &task = occurrence.stages[it.stage].tasks[it.index];
         const auto spent = std::chrono::duration_cast<Milliseconds>(now - task.orderedAt);
-        longest = std::max(longest, stage.estimate - spent);
+        longest = std::max(longest, expectedRest(job, occurrence, it.stage, spent));
     }
     return longest;
 }
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -16,6 +16,8 @@
 
 constexpr Milliseconds SweepPeriod{1000};
 
+constexpr Milliseconds RunTimesLogPeriod{10'000};
+
 // Tasks that found no worker are tried again after this, since the back-off of workers is of that order.
 constexpr Milliseconds PlacementRetryPeriod{100};
 
@@ -45,7 +47,7 @@
     while (job.spec.isTimed() && job.nextOccurrence < job.spec.occurrences
            && job.spec.firstDue + job.spec.interval * job.nextOccurrence - m_settings.occurrenceLead
                <= wall) {
-        job.addOccurrence(job.nextOccurrence);
+        updateExpectations(job, job.addOccurrence(job.nextOccurrence));
         markChanged(job);
     }
 }
@@ -63,6 +65,10 @@
         checkRedirectedJobs(wall);
         logWaitingJobs(now);
         logUnplaceableTasks(now);
+        if (m_nextRunTimesLog <= now) {
+            m_nextRunTimesLog = now + RunTimesLogPeriod;
+            logRunTimes();
+        }
         m_hasChanged = true;
     }
     if (m_nextOccurrenceDue <= now) {
@@ -137,6 +143,7 @@
             }
         }
     }
+    updateExpectations(now);
     sortByUrgency(ready, wall);
     for (const UnfinishedOccurrence &it : ready) {
         for (std::uint32_t stage = 0; stage < it.occurrence->stages.size(); ++stage) {
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -40,6 +40,7 @@
     task.endsBy.reset();
     task.listedSince.reset();
     task.percent = 0;
+    task.startClock = 0;
     task.isStopConfirmed = false;
     markChanged(job);
 }
@@ -166,6 +167,7 @@
     switch (end.end) {
     case RunEnd::Done:
         worker.consecutiveFailedJobs = 0;
+        learnRunTime(job, end.task, *task, worker, now);
         if (job.state == JobState::Active && !job.spec.stages[end.task.stage].isLongRunning) {
             completeTask(job, end.task, wall, now);
         } else {
@@ -274,6 +276,7 @@
         // An answer to an earlier token may be from before the restart of the worker.
         task->run = order.token == worker.token ? RunState::Running : RunState::Inherited;
         task->confirmedAt = clock;
+        task->startClock = order.checkpoint.empty() && task->run == RunState::Running ? clock : 0;
         if (job.spec.stages[order.task.stage].isBestEffort) {
             worker.sentPaces[order.task] = Worker::FullPace;
         }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -76,6 +76,7 @@
     worker.mayHoldLongLease = true;
     worker.hasAnswered = false;
     worker.clock = 0;
+    worker.previousClock = 0;
     worker.processedCursor = 0;
     worker.ackCursor = 0;
     worker.consecutiveFailedJobs = 0;
@@ -89,6 +90,7 @@
             task.run = RunState::Inherited;
         }
         task.confirmedAt = 0;
+        task.startClock = 0;
         task.isStopConfirmed = false;
         if (task.run == RunState::Stopping) {
             m_stopping.insert(it);
@@ -119,6 +121,7 @@
     m_hasChanged = m_hasChanged || !worker.hasAnswered || !list.ended.empty();
     worker.hasAnswered = true;
     worker.listedRunsEndBy.reset();
+    worker.previousClock = worker.clock;
     worker.clock = list.clock;
     worker.clockReadAt = now;
     worker.lastAnswer = now;
@@ -365,6 +368,7 @@
                 ask.longPollTime = worker.runs.empty() ? Worker::LongestQuery : m_settings.renewal;
             }
             worker.isRenewalPending = true;
+            worker.askedAt = now;
             m_commands.emplace_back(std::move(ask));
         }
         ++it;
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -40,8 +40,10 @@
     // The worker's clock as of its latest answer.
     std::int64_t clock = 0;
     Base::Instant clockReadAt;
+    std::int64_t previousClock = 0; ///< the same as of the list before; 0: unknown
 
     bool isRenewalPending = false; ///< a RenewLease has been sent and not been answered
+    Base::Instant askedAt; ///< when the latest RenewLease was sent
     Base::Instant nextRenewal;
     Base::Instant lastAnswer;
     int consecutiveRenewalFailures = 0;
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -95,7 +95,13 @@
              2s,
              range<Milliseconds>(1500ms, 60s),
              "How long an owner that lost the store, while others have it, may go on renewing. A later owner "
-             "waits as long before it restarts what ran on workers that it can't reach.");
+             "waits as long before it restarts what ran on workers that it can't reach.")
+        .add(&WorkersSettings::learnsRunTimes,
+             "learn_run_times",
+             true,
+             AnyValue{},
+             "Whether tasks are expected to take what finished ones have taken, where that has proved to be "
+             "closer than the declared times.");
 }
 
 void declareMachines(JobDeclarations &settings)
--- a/src/libs/settings/jobsettings.h
+++ b/src/libs/settings/jobsettings.h
@@ -35,6 +35,7 @@
     Milliseconds lease{};
     Milliseconds renewal{};
     Milliseconds staleOwnerTimeout{};
+    bool learnsRunTimes = true;
 };
 
 struct AdviceSettings {
--- a/tests/auto/jobs/queuesimulation.h
+++ b/tests/auto/jobs/queuesimulation.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <random>
 #include <vector>
@@ -29,9 +30,16 @@
     int cycles = 3;
     int workspaces = 0; ///< with the same usual load in a burst, which is also their accepted load
     double firstWorkspaceFactor = 1; ///< load of the first workspace relative to its usual one
+    /// The actual time of a stage relative to its estimate; nothing: 0.67 to 1.5.
+    std::function<double(std::mt19937 &)> ratio;
+    /// The time of a single task relative to that of its stage; nothing: 0.85 to 1.15.
+    std::function<double(std::mt19937 &)> taskRatio;
+    std::function<void(Jobs::Job &job)> submitted;
+    std::function<void(Jobs::Job &job, std::uint32_t stage, Jobs::Milliseconds taken, std::int64_t now)>
+        ended;
 };
 
-/// Simulates the load in virtual time. The duration of tasks is 0.67 to 1.5 times their estimates. `Order`
+/// Simulates the load in virtual time. `Order`
 /// sorts the unfinished occurrences.
 template<typename Order>
 QueueOutcome simulateQueue(const QueueLoad &load, Order order)
@@ -44,6 +52,7 @@
     constexpr double LateShare = 0.07;
 
     struct Running {
+        std::int64_t startedAt = 0;
         std::int64_t endsAt = 0;
         std::size_t job = 0;
         std::uint32_t stage = 0;
@@ -84,7 +93,8 @@
             stage.size = {
                 static_cast<std::int64_t>(std::clamp(lognormal(1800, 0.45), 200.0, 5300.0)), 100, 0};
             const double time = std::clamp(lognormal(800, 0.5), 100.0, 2000.0);
-            ratios.push_back(std::uniform_real_distribution<>(0.67, 1.5)(random));
+            ratios.push_back(load.ratio ? load.ratio(random)
+                                        : std::uniform_real_distribution<>(0.67, 1.5)(random));
             stage.estimate = Milliseconds(static_cast<std::int64_t>(time / ratios.back()));
             if (n > 0) {
                 stage.dependsOn = {0};
@@ -94,6 +104,9 @@
         }
         job.acceptedAt = Jobs::WallTime(Milliseconds(now));
         job.addOccurrence(0);
+        if (load.submitted) {
+            load.submitted(job);
+        }
         jobs.push_back(std::move(job));
         actualRatios.push_back(std::move(ratios));
         work.push_back(cores);
@@ -125,6 +138,9 @@
             occurrence.stages[run.stage].tasks[run.task].isDone = true;
             occurrence.stages[run.stage].tasks[run.task].run = Jobs::RunState::None;
             ++occurrence.stages[run.stage].done;
+            if (load.ended) {
+                load.ended(job, run.stage, Milliseconds(run.endsAt - run.startedAt), now);
+            }
             if (std::all_of(occurrence.stages.begin(), occurrence.stages.end(), [](const auto &it) {
                     return it.isDone();
                 })) {
@@ -156,8 +172,9 @@
                     it.job->hasStarted = true;
                     const auto index = static_cast<std::size_t>(std::stoul(it.job->spec.id));
                     const double time = double(wanted.estimate.count()) * actualRatios[index][stage]
-                        * std::uniform_real_distribution<>(0.85, 1.15)(random);
-                    running.push_back({now + static_cast<std::int64_t>(time), index, stage, n});
+                        * (load.taskRatio ? load.taskRatio(random)
+                                          : std::uniform_real_distribution<>(0.85, 1.15)(random));
+                    running.push_back({now, now + static_cast<std::int64_t>(time), index, stage, n});
                 }
             }
         }
