--- a/tests/auto/jobs/tst_runtimes.cpp
+++ b/tests/auto/jobs/tst_runtimes.cpp
@@ -137,6 +137,14 @@
     return std::uniform_real_distribution<>(0.85, 1.15)(random);
 }
 
+// Exactly declared, until from some stage on everything takes four times as long.
+Ratio changingAfter(int stages)
+{
+    return [n = 0, stages](std::mt19937 &) mutable {
+        return ++n > stages ? 4.0 : 1.0;
+    };
+}
+
 // Three tasks in a hundred take seven times as long.
 double heavyTail(std::mt19937 &random)
 {
@@ -304,7 +312,7 @@
     for (const double overload : {0.8, 1.6, 2.5}) {
         const Paired it = play(
             overload, [](std::mt19937 &) { return 1.0; }, usual);
-        CHECK(it.learned >= it.declared - 0.005);
+        DOUBLES_EQUAL(it.declared, it.learned, 1e-9);
     }
 }
 
@@ -330,6 +338,14 @@
     }
 }
 
+TEST(RunTimes, LoadWhoseTimesChangeYieldsMore)
+{
+    for (const double overload : {1.6, 2.5}) {
+        const Paired it = play(overload, changingAfter(200), usual);
+        CHECK(it.learned >= it.declared + 0.02);
+    }
+}
+
 TEST(RunTimes, HeavyTailIsServedNoWorse)
 {
     for (const double overload : {0.8, 1.6, 2.5}) {
@@ -392,13 +408,17 @@
             m_shard.processDue(m_now, wall());
             for (const Jobs::Command &it : m_shard.takeCommands()) {
                 if (const auto *batch = std::get_if<Jobs::AppendBatch>(&it)) {
+                    bool hasRecord = false;
                     for (const Jobs::Record &record : batch->records) {
                         if (record.key == Jobs::RunTimes::Key) {
+                            hasRecord = true;
                             m_record = record.value;
                             ++records;
                         }
                     }
-                    m_shard.appended(batch->number, Jobs::AppendResult::Stored, m_now, wall());
+                    const bool isLost = hasRecord && std::exchange(failsNextRecord, false);
+                    const auto result = isLost ? Jobs::AppendResult::NotStored : Jobs::AppendResult::Stored;
+                    m_shard.appended(batch->number, result, m_now, wall());
                 } else if (const auto *start = std::get_if<Jobs::StartRun>(&it)) {
                     m_running[start->task] = {*start, m_now};
                     m_shard.startAnswered(*start, Jobs::OrderResult::Done, clock(), m_now);
@@ -410,6 +430,7 @@
     }
 
     int records = 0;
+    bool failsNextRecord = false; ///< the next append with a record is not stored
 
 private:
     Jobs::WallTime wall() const
@@ -539,6 +560,36 @@
     CHECK(job && job->remainingCriticalPath(job->occurrences.at(0)) > 360ms);
 }
 
+TEST(RunTimes, RecordThatWasNotStoredIsInALaterAppend)
+{
+    PlayedShard played;
+    played.failsNextRecord = true;
+    played.begin();
+    for (int n = 0; n < 20; ++n) {
+        played.submit("job" + std::to_string(n), playedStage());
+        played.play(200ms);
+    }
+    played.play(2s);
+    LONGS_EQUAL(0, played.records);
+    const Jobs::Stage lasting = [] {
+        Jobs::Stage stage = playedStage();
+        stage.estimate = 10s;
+        return stage;
+    }();
+    played.submit("a", lasting);
+    played.play(100ms);
+    LONGS_EQUAL(1, played.records);
+    CHECK(!played.failsNextRecord);
+    played.play(5s);
+    played.submit("b", lasting);
+    played.play(100ms);
+    LONGS_EQUAL(2, played.records);
+    played.play(6s);
+    played.submit("c", lasting);
+    played.play(100ms);
+    LONGS_EQUAL(2, played.records);
+}
+
 // The records of a build that knows no run times, and a damaged record, leave the declared times.
 TEST(RunTimes, OwnerBeginsAnewWithoutRecord)
 {
