Count runs that were listed before their end

**Cause** The figure that workers list beside a run was taken for its share of the processor time, and runs below 100 were not counted as usual ones. For tasks that end by themselves it is another figure, so only runs that were never listed while they ran were learned from: few, and short ones.

**Change** The figure is not looked at; best-effort tasks, the only ones that are paced, are not learned from anyway.

--- a/src/libs/jobs/shardexpectations.cpp
+++ b/src/libs/jobs/shardexpectations.cpp
@@ -22,16 +22,15 @@
 constexpr Milliseconds ClockTolerance{300};
 constexpr int ToleranceDivisor = 4;
 
-constexpr int FullCpuPercent = 100;
-
 // Of runs that take as long or longer than now, half end by then.
 constexpr double Median = 0.5;
 
+// Task::percent says nothing here: only best-effort tasks are paced, and workers list another figure for
+// tasks that end by themselves.
 bool isUsualRun(const Stage &stage, const Task &task, const Worker &worker)
 {
     const bool isNearData = stage.dataRack.empty() || stage.dataRack == worker.info.rack;
-    const bool isFullPace = task.percent == 0 || task.percent >= FullCpuPercent;
-    return !stage.isLongRunning && !stage.isBestEffort && !stage.isGang && isNearData && isFullPace
+    return !stage.isLongRunning && !stage.isBestEffort && !stage.isGang && isNearData
         && task.run == RunState::Running && task.startClock != 0 && task.crashes == 0;
 }
 
--- a/tests/auto/jobs/tst_runtimes.cpp
+++ b/tests/auto/jobs/tst_runtimes.cpp
@@ -23,7 +23,7 @@
 
 // Runs of stages of one task: the actual times of a lognormal distribution, declared as `declare` says.
 template<typename Declare, typename Take>
-void learn(Jobs::RunTimes &times, int runs, Declare declare, Take take, std::string image = {})
+void learn(Jobs::RunTimes &times, int runs, Declare declare, Take take, const std::string &image = {})
 {
     std::mt19937 random(5);
     Base::Instant now{1h};
@@ -464,7 +464,7 @@
         list.clock = clock();
         list.startTime = 1;
         for (const auto &[task, run] : m_running) {
-            list.running.push_back({task, run.first.attempt, {}, 100, 0});
+            list.running.push_back({task, run.first.attempt, {}, 41, 0});
         }
         list.ended = m_ends;
         const auto query = std::exchange(m_query, std::nullopt);
@@ -515,6 +515,22 @@
     CHECK(played.records >= 1 && played.records <= 3);
 }
 
+// Regression test (isarrad-sched-grown, nine in ten runs not counted): the fourth figure of a listed run is
+// not a share of the processor time unless the task lasts.
+TEST(RunTimes, RunsThatWereListedBeforeTheirEndCount)
+{
+    Jobs::Stage stage = playedStage();
+    stage.estimate = 500ms;
+    PlayedShard played;
+    played.begin();
+    for (int n = 0; n < 30; ++n) {
+        played.submit("job" + std::to_string(n), stage);
+        played.play(2500ms);
+    }
+    CHECK(played.shard().runTimes().knownRuns(Queue, stage) > 15);
+    LONGS_EQUAL(30, played.shard().runTimes().revision());
+}
+
 TEST(RunTimes, SettingTurnsLearningOff)
 {
     Jobs::ShardSettings settings;
