Keep the history of a pool without jobs, and old messages as they were

**Cause** A count of 0 jobs was taken for a report without counts, so the first job of a pool discarded the history that shows its surge. The demand carried the new field also when it was 0, which changed the messages that tests/auto/jobs/earlierbuilds keeps.

**Change** Only work without jobs is a report without counts. The field is left out when it is 0.

**Conclusion** A first surge is detected as early as a later one.

--- a/src/libs/jobservice/peerprotocol.cpp
+++ b/src/libs/jobservice/peerprotocol.cpp
@@ -32,15 +32,18 @@
 
 json::object encodeDemand(const Jobs::ServiceDemand &demand)
 {
-    return {{"service", demand.service},
-            {"cores", demand.milliCores},
-            {"late", demand.lateMilliCores},
-            {"lasting", demand.longRunningMilliCores},
-            {"arrived", demand.arrivedWork},
-            {"least", demand.minWorkers},
-            {"whole", demand.emptyWorkers},
-            {"releasable", encodeNames(demand.releasableWorkers)},
-            {"jobs", demand.arrivedJobs}};
+    json::object to{{"service", demand.service},
+                    {"cores", demand.milliCores},
+                    {"late", demand.lateMilliCores},
+                    {"lasting", demand.longRunningMilliCores},
+                    {"arrived", demand.arrivedWork},
+                    {"least", demand.minWorkers},
+                    {"whole", demand.emptyWorkers},
+                    {"releasable", encodeNames(demand.releasableWorkers)}};
+    if (demand.arrivedJobs > 0) {
+        to["jobs"] = demand.arrivedJobs;
+    }
+    return to;
 }
 
 Jobs::ServiceDemand decodeDemand(const json::object &from)
--- a/src/libs/machines/arrivalforecast.cpp
+++ b/src/libs/machines/arrivalforecast.cpp
@@ -73,15 +73,20 @@
 // A new owner of the shard counts from 0, and a surge goes on during the change of the owner.
 void ArrivalForecast::addSample(double arrivedWork, Base::Instant now, std::uint64_t arrivedJobs)
 {
-    if (m_isJobCounted != (arrivedJobs > 0) || (arrivedJobs == 0 && arrivedWork < m_reported.arrivedWork)) {
+    const Sample reported{now, arrivedWork, arrivedJobs};
+    const auto isUncounted = [](const Sample &it) {
+        return it.arrivedWork > 0 && it.arrivedJobs == 0;
+    };
+    const bool isLower = arrivedWork < m_reported.arrivedWork || arrivedJobs < m_reported.arrivedJobs;
+    const bool wasCounted = m_earlierOwners.arrivedJobs + m_reported.arrivedJobs > 0;
+    if (isUncounted(reported) ? wasCounted || isLower : isUncounted(m_reported)) {
         m_samples.clear();
         m_earlierOwners = {};
-    } else if (arrivedJobs < m_reported.arrivedJobs || arrivedWork < m_reported.arrivedWork) {
+    } else if (isLower) {
         m_earlierOwners.arrivedWork += m_reported.arrivedWork;
         m_earlierOwners.arrivedJobs += m_reported.arrivedJobs;
     }
-    m_isJobCounted = arrivedJobs > 0;
-    m_reported = {now, arrivedWork, arrivedJobs};
+    m_reported = reported;
     m_samples.push_back(
         {now, arrivedWork + m_earlierOwners.arrivedWork, arrivedJobs + m_earlierOwners.arrivedJobs});
     while (m_samples.size() > 2 && m_samples[1].at <= now - History) {
@@ -101,7 +106,7 @@
 // one standard deviation: a forecast from a few jobs is not to move the machines of many.
 std::optional<Surge> ArrivalForecast::surge() const
 {
-    if (m_samples.size() < 3 || !m_isJobCounted) {
+    if (m_samples.size() < 3 || m_samples.back().arrivedJobs == 0) {
         return std::nullopt;
     }
     std::optional<Surge> surge;
@@ -147,7 +152,7 @@
         return meanRate;
     }
     const double recentRate = between(*middle, last).rate();
-    if (m_isJobCounted) {
+    if (last.arrivedJobs > 0) {
         if (const auto rise = surge()) {
             return rise->rateIn(ahead);
         }
--- a/src/libs/machines/arrivalforecast.h
+++ b/src/libs/machines/arrivalforecast.h
@@ -61,7 +61,6 @@
     std::deque<Sample> m_samples; ///< with the totals of all owners of the shard
     Sample m_reported; ///< by the present owner
     Sample m_earlierOwners; ///< totals last reported by the earlier ones
-    bool m_isJobCounted = false;
 };
 
 } // namespace Machines
--- a/tests/auto/machines/tst_surges.cpp
+++ b/tests/auto/machines/tst_surges.cpp
@@ -179,6 +179,20 @@
 }
 ;
 
+// Load: 60 jobs a second after none at all.
+TEST(Surges, ASurgeAfterSilenceIsDetectedWithinHalfASecond)
+{
+    Machines::ArrivalForecast forecast;
+    Base::Instant now{1h};
+    for (int n = 0; n < 16; ++n, now += ReportInterval) {
+        forecast.addSample(0, now);
+    }
+    forecast.addSample(150, now, 15);
+    forecast.addSample(300, now + ReportInterval, 30);
+    CHECK(forecast.surge().has_value());
+    DOUBLES_EQUAL(600, forecast.surge()->rate, 150);
+}
+
 // Load: demand that surges in one pool after another (mjolkurleid-rounds-grown scale-1, where the machines of
 // the first turn were ordered a second late and callers of the first 4 s had 0.4 of what they are owed).
 TEST(Surges, FewerCallersWaitWhenTheDemandTurnsFromPoolToPool)
