Keep shards while answers of the store are lost

**Cause** A member that joins or leaves makes the store assign shards anew, and their owners hand them over at once.

**Change** JobService::Handover: within 3 s of a renewal that failed or took over 100 ms an owner keeps all shards that a grant leaves out, for 6 s at most, while the store accepts its writes (800 ms at most since the last one was sent; an idle shard writes a record without content). Meanwhile it renews with the generation that it has followed, so that the store may not assign them to others. After a lapse nothing is kept.

Shards whose owner stops or lapses still wait for members that are cut off.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -273,6 +273,12 @@
     m_arrivalAllowance.setRates(std::move(rates));
 }
 
+void Shard::confirmOwnership()
+{
+    m_mustConfirmOwnership = true;
+    m_hasChanged = true;
+}
+
 void Shard::setMembershipLapsed(bool isLapsed)
 {
     if (m_isMembershipLapsed != isLapsed) {
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -73,6 +73,9 @@
     void setArrivalRates(ArrivalAllowance::Rates rates);
     /// While the membership of this owner has lapsed, no job is accepted or started. Existing runs continue.
     void setMembershipLapsed(bool isLapsed);
+    /// Appends a record without content, if there is nothing else to append. That the store accepts it shows
+    /// that there is no later owner.
+    void confirmOwnership();
     /// Answers all pending requests before the shard is handed over.
     void refusePendingRequests();
     /// The records that tell a later owner that this one has stopped renewing leases, which earlier owners
@@ -324,6 +327,7 @@
     Base::Instant m_nextEviction;
     Base::Instant m_nextPlacementRetry; ///< when skipped workers may be usable again
     bool m_isMembershipLapsed = false;
+    bool m_mustConfirmOwnership = false;
     bool m_hasChanged = true; ///< since the last placement round
 };
 
--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -82,6 +82,9 @@
         batch.hasLeases = true;
         add(std::move(leases->key), std::move(leases->value));
     }
+    if (std::exchange(m_mustConfirmOwnership, false) && append.records.empty()) {
+        add(std::string(UnusedKey), {});
+    }
     m_hasChanged = m_hasChanged || !isComplete;
     const auto isCarried = [&](const TaskId &it) {
         return batch.states.count(it.job) > 0;
--- a/src/libs/jobservice/ownership.cpp
+++ b/src/libs/jobservice/ownership.cpp
@@ -5,10 +5,13 @@
 namespace JobService
 {
 
-Ownership::Change
-Ownership::granted(const MembershipGrant &grant, Base::Instant askedAt, Base::Duration lifetime)
+Ownership::Change Ownership::granted(const MembershipGrant &grant,
+                                     Base::Instant askedAt,
+                                     Base::Duration lifetime,
+                                     bool keepsUnlisted)
 {
     Change change;
+    bool hasKept = false;
     const bool hasGap = askedAt > m_validUntil && grant.generation != m_generation;
     for (auto it = m_epochs.begin(); it != m_epochs.end();) {
         const bool isListed =
@@ -17,6 +20,11 @@
             ++it;
             continue;
         }
+        if (!isListed && !hasGap && keepsUnlisted) {
+            hasKept = true;
+            ++it;
+            continue;
+        }
         change.lost.push_back(it->first);
         it = m_epochs.erase(it);
     }
@@ -26,6 +34,7 @@
         }
     }
     m_generation = grant.generation;
+    m_followedGeneration = hasKept ? m_followedGeneration : grant.generation;
     m_validUntil = askedAt + lifetime;
     return change;
 }
@@ -38,6 +47,7 @@
     }
     m_epochs.clear();
     m_generation = 0;
+    m_followedGeneration = 0;
     m_validUntil = {};
     return lost;
 }
@@ -64,7 +74,7 @@
 
 std::uint64_t Ownership::generation() const
 {
-    return m_generation;
+    return m_followedGeneration;
 }
 
 Jobs::Epoch Ownership::epoch(ShardNumber shard) const
--- a/src/libs/jobservice/ownership.h
+++ b/src/libs/jobservice/ownership.h
@@ -37,8 +37,13 @@
 
     /// `askedAt` is when the renewal was sent, `lifetime` what it requested. If the membership had
     /// lapsed and the generation has changed since, a shard may have had another owner in between; such
-    /// shards are reported as both lost and gained.
-    Change granted(const MembershipGrant &grant, Base::Instant askedAt, Base::Duration lifetime);
+    /// shards are reported as both lost and gained. A shard that `keeps` returns true for is kept although
+    /// the grant leaves it out; the store is not notified that it is given up, and may not assign it to
+    /// others.
+    Change granted(const MembershipGrant &grant,
+                   Base::Instant askedAt,
+                   Base::Duration lifetime,
+                   bool keepsUnlisted = false);
     /// Gives up all shards and returns them. The next grant is treated like the first one.
     std::vector<ShardNumber> removeAll();
 
@@ -50,13 +55,16 @@
     /// Whether the membership is known to be valid.
     bool isValid(Base::Instant now) const;
     Base::Instant validUntil() const;
+    /// The latest generation whose assignment this member has followed. With a later one it would give up the
+    /// shards that it keeps.
     std::uint64_t generation() const;
     /// The epoch of the shard, or 0 if it isn't owned.
     Jobs::Epoch epoch(ShardNumber shard) const;
 
 private:
     Base::Instant m_validUntil;
-    std::uint64_t m_generation = 0;
+    std::uint64_t m_generation = 0; ///< the latest one granted
+    std::uint64_t m_followedGeneration = 0;
     std::map<ShardNumber, Jobs::Epoch> m_epochs;
 };
 
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "handover.h"
 #include "joblocator.h"
 #include "membershiptiming.h"
 #include "peerprotocol.h"
@@ -38,6 +39,7 @@
     std::uint64_t renewals = 0;
     std::uint64_t shardsGained = 0;
     std::uint64_t shardsLost = 0;
+    std::uint64_t shardsKept = 0; ///< that the store would have assigned to others
     std::uint64_t jobsRefused = 0;
     std::uint64_t jobsAccepted = 0;
 };
@@ -279,6 +281,10 @@
             onAppendFinished; ///< called once the append in flight has ended, if the shard is lost
         int attempts = 0;
         std::uint64_t sequence = 1;
+        Base::Instant appendSentAt; ///< of the append in flight
+        std::optional<Base::Instant> writtenAt; ///< when the latest append that was accepted was sent
+        std::optional<Base::Instant>
+            unlistedSince; ///< since when the store would assign it to another member
     };
     using HostedPtr = std::shared_ptr<Hosted>;
 
@@ -307,9 +313,11 @@
                 std::vector<ShardNumber> lost;
                 if (grant) {
                     m_timing.renewalAnswered(m_timers.now() - askedAt);
+                    m_handover.renewalAnswered(m_timers.now() - askedAt, m_timers.now());
                     lost = applyGrant(*grant, askedAt, lifetime);
                 } else {
                     m_timing.renewalMissed();
+                    m_handover.renewalMissed(m_timers.now());
                 }
                 checkMembership();
                 if (!lost.empty()) {
@@ -345,7 +353,8 @@
     applyGrant(const MembershipGrant &grant, Base::Instant askedAt, Base::Duration lifetime)
     {
         m_lastGrant = m_timers.now();
-        const auto change = m_ownership.granted(grant, askedAt, lifetime);
+        const bool keepsShards = keepsUnlisted(grant);
+        const auto change = m_ownership.granted(grant, askedAt, lifetime, keepsShards);
         std::vector<ShardNumber> lost;
         for (const ShardNumber it : change.lost) {
             if (m_ownership.epoch(it) != 0) {
@@ -360,6 +369,49 @@
         return lost;
     }
 
+    // The store learns of all shards that are given up with one generation, so either all are kept or none.
+    bool keepsUnlisted(const MembershipGrant &grant)
+    {
+        const Base::Instant now = m_timers.now();
+        bool mayKeep = true;
+        std::vector<ShardNumber> unlisted;
+        for (const auto &[number, hosted] : m_hosted) {
+            if (std::find(grant.shards.begin(), grant.shards.end(), number) != grant.shards.end()) {
+                hosted->unlistedSince.reset();
+                continue;
+            }
+            mayKeep = mayKeep && m_handover.mayKeep(unlistedShard(*hosted), now);
+            unlisted.push_back(number);
+        }
+        for (const ShardNumber it : unlisted) {
+            if (mayKeep) {
+                keep(it, *m_hosted.at(it));
+            }
+        }
+        return mayKeep;
+    }
+
+    UnlistedShard unlistedShard(const Hosted &hosted) const
+    {
+        return {hosted.unlistedSince.value_or(m_timers.now()), hosted.writtenAt, hosted.isServing};
+    }
+
+    void keep(ShardNumber number, Hosted &hosted)
+    {
+        const Base::Instant now = m_timers.now();
+        if (!hosted.unlistedSince) {
+            hosted.unlistedSince = now;
+            ++m_counts.shardsKept;
+            Base::LogLine(Base::LogLevel::Info, "shard-kept")
+                .with("shard", number)
+                .with("epoch", hosted.shard->epoch())
+                .with("reason", "answers of the store are lost or late");
+        }
+        if (Handover::needsWrite(unlistedShard(hosted), now)) {
+            hosted.shard->confirmOwnership();
+        }
+    }
+
     // After the membership has lapsed the store may assign the shards to other members, unless it is down for
     // all of them.
     void checkMembership()
@@ -910,6 +962,7 @@
     void append(ShardNumber number, const HostedPtr &hosted, std::shared_ptr<const Jobs::AppendBatch> batch)
     {
         hosted->isAppending = true;
+        hosted->appendSentAt = m_timers.now();
         append(number, hosted, batch->records, [this, number, hosted, batch](StoreAnswer answer) {
             hosted->isAppending = false;
             if (isCurrent(number, hosted)) {
@@ -949,6 +1002,7 @@
         case StoreStatus::Done:
             ++hosted->sequence;
             hosted->hasWritten = true;
+            hosted->writtenAt = hosted->appendSentAt;
             finish(Jobs::AppendResult::Stored);
             return;
         case StoreStatus::Fenced:
@@ -1145,6 +1199,7 @@
     const ServiceLayout &m_layout;
     Ownership m_ownership;
     MembershipTiming m_timing;
+    Handover m_handover;
     Base::OneShotTimer m_joinTimer;
     Base::OneShotTimer m_membershipTimer;
     std::map<ShardNumber, HostedPtr> m_hosted;
