--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -82,6 +82,9 @@
         batch.hasLeases = true;
         add(std::move(leases->key), std::move(leases->value));
     }
+    if (std::exchange(m_mustConfirmOwnership, false) && append.records.empty()) {
+        add(std::string(UnusedKey), {});
+    }
     if (!append.records.empty()) {
         if (auto runTimes = changedRunTimes(now)) {
             batch.hasRunTimes = true;
