Show that clients without limits exhaust the memory

**Cause.** Clients that keep to no limit ended a process by its memory. Nothing in the tests plays them: the existing ones send one bad request at a time.

Each attack is a test of its own. Checked are that the process runs, that its peak of resident memory grows by at most 32 MB, that at most 300 descriptors are open, and that one ordinary request is answered afterwards. No product code is changed.

--- /dev/null
+++ b/tests/auto/hostileclients/tst_hostilecallers.cpp
@@ -0,0 +1,106 @@
+#include "../gateway/testcaller.h"
+#include "../processes/cluster.h"
+#include "crowd.h"
+#include "footprint.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <exception>
+#include <string>
+#include <thread>
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t MaxGrowth = 32U << 20U;
+constexpr std::size_t MaxDescriptors = 300;
+constexpr std::size_t BodyBytes = 8'000'000; // a legal size
+constexpr std::size_t MissingBytes = 25'000;
+constexpr auto HoldTime = 500ms;
+
+// Bodies are kept whole for another attempt; connections are few.
+constexpr const char *Settings = "[requests]\nresend_limit_bytes = 8388608\n";
+
+std::string requestHead(std::string_view field)
+{
+    return fmt::format("POST /preview HTTP/1.1\r\nHost: a\r\n{}\r\n\r\n", field);
+}
+
+} // namespace
+
+TEST_GROUP(HostileCallers){void check(const Attack &attack){Cluster cluster;
+CHECK(cluster.start({.daemons = 1, .targetFaults = {"none"}, .settings = Settings}));
+Process &daemon = cluster.daemon(0);
+const Footprint before = footprintOf(daemon.id());
+Crowd crowd(cluster.callersPort(0), attack);
+crowd.send();
+std::this_thread::sleep_for(HoldTime);
+const Footprint after = footprintOf(daemon.id());
+fmt::print("{} bytes sent; peak {} MB, then {} MB; descriptors {}, then {}\n",
+           crowd.sentBytes(),
+           before.peakBytes >> 20U,
+           after.peakBytes >> 20U,
+           before.descriptors,
+           after.descriptors);
+CHECK_FALSE(daemon.hasEnded());
+CHECK(isServed(cluster));
+CHECK_COMPARE(footprintOf(daemon.id()).peakBytes, <=, before.peakBytes + MaxGrowth);
+CHECK_COMPARE(after.descriptors, <=, MaxDescriptors);
+}
+
+static bool isServed(Cluster &cluster)
+{
+    return eventually([&] {
+        try {
+            return TestCaller(cluster.callersPort(0)).request("GET", "/preview").status == 200;
+        } catch (const std::exception &) {
+            return false;
+        }
+    });
+}
+}
+;
+
+TEST(HostileCallers, TrailersWithoutEnd)
+{
+    check({.connections = 8,
+           .opening = requestHead("Transfer-Encoding: chunked") + "2\r\n{}\r\n0\r\n",
+           .repeated = "X-Trailer: " + std::string(1000, 'x') + "\r\n",
+           .bytes = 8U << 20U});
+}
+
+TEST(HostileCallers, AChunkExtensionWithoutEnd)
+{
+    check({.connections = 8,
+           .opening = requestHead("Transfer-Encoding: chunked") + "2;name=",
+           .repeated = std::string(1000, 'x'),
+           .bytes = 8U << 20U});
+}
+
+TEST(HostileCallers, BodiesAnnouncedFarOverTheLimit)
+{
+    check({.connections = 20,
+           .opening = requestHead("Content-Length: 8000000000"),
+           .repeated = std::string(1000, ' '),
+           .bytes = 4U << 20U});
+}
+
+TEST(HostileCallers, ChunkedBodiesWithoutEnd)
+{
+    check({.connections = 8,
+           .opening = requestHead("Transfer-Encoding: chunked"),
+           .repeated = "400\r\n" + std::string(1024, ' ') + "\r\n",
+           .bytes = 16U << 20U});
+}
+
+TEST(HostileCallers, LegalBodiesThatStopShort)
+{
+    check({.connections = 12,
+           .opening = requestHead(fmt::format("Content-Length: {}", BodyBytes)),
+           .repeated = std::string(1000, ' '),
+           .bytes = BodyBytes - MissingBytes});
+}
--- a/tests/auto/processes/process.cpp
+++ b/tests/auto/processes/process.cpp
@@ -86,6 +86,11 @@
     return m_status.has_value();
 }
 
+int Process::id() const
+{
+    return m_pid;
+}
+
 std::string Process::output() const
 {
     return contentOf(m_files.string() + ".out");
--- a/tests/auto/processes/process.h
+++ b/tests/auto/processes/process.h
@@ -28,6 +28,9 @@
 
     bool hasEnded();
 
+    /// Its process ID.
+    int id() const;
+
     std::string output() const;
     std::string log() const;
 
