Show what a legal body of empty stages takes

**Cause.** The bound on a body doesn't bound what its decoding takes: a stage of three bytes becomes one of 200.

**Change.** A test: four connections, each with one whole job of 900 KB and 300,000 empty stages.

--- a/tests/auto/hostileclients/tst_hostileclients.cpp
+++ b/tests/auto/hostileclients/tst_hostileclients.cpp
@@ -138,6 +138,22 @@
           700'000);
 }
 
+// Each stage takes three bytes to send.
+TEST(HostileClients, AJobOfEmptyStages)
+{
+    constexpr std::size_t Stages = 300'000;
+    std::string body = R"({"Spec":"proof","Phases":[{})";
+    for (std::size_t n = 1; n < Stages; ++n) {
+        body += ",{}";
+    }
+    body += "]}";
+    check(Door::Callers,
+          {.connections = 4,
+           .opening = requestHead(fmt::format("Content-Length: {}", body.size())
+                                  + "\r\nX-Api-Key: key-of-workspace-0")
+               + body});
+}
+
 TEST(HostileClients, MoreConnectionsThanDescriptors)
 {
     check(Door::Callers, {.connections = 320, .opening = "GET"});
