Limit trailers and chunk extensions at the gateway

**Change.** The buffers of callers' and targets' connections end at the limit of a header and one read. A caller gets 431 if its request has not been opened yet, otherwise its connection is closed; a target's response counts as malformed.

**Conclusion.** Each connection is bounded. There is still no budget over the connections of rhubarbcrankd: at its defaults 1,024 requests in flight may each keep 256 KB for another attempt.

--- a/src/libs/gateway/callersession.cpp
+++ b/src/libs/gateway/callersession.cpp
@@ -24,6 +24,7 @@
 
 constexpr unsigned HttpVersion11 = 11;
 constexpr std::size_t ReadAheadBytes = 4096;
+constexpr std::size_t MaxReadStep = 65536; // of the parser
 constexpr Base::Duration LingerTimeout = std::chrono::seconds{1};
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -49,6 +50,9 @@
 CallerSession::CallerSession(TcpSocket socket, SessionOwner &owner)
     : m_socket(std::move(socket))
     , m_owner(owner)
+    // The parser bounds a header, but neither trailers nor the extensions of a chunk, and takes each of them
+    // only as a whole.
+    , m_buffer(owner.limits().headerBytes + MaxReadStep)
     , m_readTimer(owner.timers())
     , m_writeTimer(owner.timers())
 {
--- a/src/libs/gateway/requestcheck.cpp
+++ b/src/libs/gateway/requestcheck.cpp
@@ -151,7 +151,8 @@
 
 Failure failureFromParseError(const boost::system::error_code &ec)
 {
-    if (ec == http::error::header_limit) {
+    // Trailers and extensions of a chunk that fill the buffer belong to the header as well.
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
         return rejection(431, "header-too-large");
     }
     if (ec == http::error::body_limit) {
--- a/src/libs/gateway/targetconnection.cpp
+++ b/src/libs/gateway/targetconnection.cpp
@@ -21,6 +21,7 @@
 
 constexpr unsigned HttpVersion11 = 11;
 constexpr std::size_t ReadAheadBytes = 4096;
+constexpr std::size_t MaxReadStep = 65536; // of the parser
 
 bool isInformational(unsigned status)
 {
@@ -40,6 +41,8 @@
     , m_targetId(targetId)
     , m_timers(timers)
     , m_timer(timers)
+    // The parser bounds neither trailers nor the extensions of a chunk.
+    , m_buffer(limits.headerBytes + MaxReadStep)
 {
 }
 
--- a/tests/auto/gateway/tst_framing.cpp
+++ b/tests/auto/gateway/tst_framing.cpp
@@ -74,6 +74,15 @@
     expectRefused(431, "GET /preview HTTP/1.1\r\nHost: a\r\nX: " + std::string(8000, 'x') + "\r\n\r\n");
 }
 
+// Eight connections that sent trailers, or the extension of a chunk, without end took the memory of a
+// process.
+TEST(Framing, TooLargeTrailersAndChunkExtensionsAreRefused)
+{
+    const std::string head = "POST /proof HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    expectRefused(431, head + "2\r\n{}\r\n0\r\nX: " + std::string(200'000, 'x'));
+    expectRefused(431, head + "2;name=" + std::string(200'000, 'x'));
+}
+
 TEST(Framing, TooLargeBodyIsRefused)
 {
     expectRefused(413, "POST /proof HTTP/1.1\r\nHost: a\r\nContent-Length: 100001\r\n\r\n");
