Limit what operators' requests to rhubarbcrankd take

**Cause.** The operators' port of rhubarbcrankd has a reader of its own, with the same buffer without limit for trailers.

**Change.** Its buffer ends at 64 KB. The test cluster shows the operators' port.

--- a/src/libs/telemetry/telemetrythread.cpp
+++ b/src/libs/telemetry/telemetrythread.cpp
@@ -35,6 +35,9 @@
 constexpr std::chrono::seconds PageTimeout{10};
 constexpr std::size_t PageRequestBytes = 8192;
 
+// The parser bounds neither trailers nor the extensions of a chunk.
+constexpr std::size_t PageBufferBytes = 65536;
+
 /// One operator's connection.
 class PageSession : public std::enable_shared_from_this<PageSession>
 {
@@ -80,7 +83,7 @@
 
     beast::tcp_stream m_stream;
     Answer m_answer;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{PageBufferBytes};
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
 };
--- a/tests/auto/hostileclients/tst_hostilecallers.cpp
+++ b/tests/auto/hostileclients/tst_hostilecallers.cpp
@@ -41,13 +41,15 @@
     });
 }
 
-void check(const Attack &attack)
+enum class Door { Callers, Operators };
+
+void check(const Attack &attack, Door door = Door::Callers)
 {
     Cluster cluster;
     CHECK(cluster.start({.daemons = 1, .targetFaults = {"none"}, .settings = Settings}));
     Process &daemon = cluster.daemon(0);
     const Footprint before = footprintOf(daemon.id());
-    Crowd crowd(cluster.callersPort(0), attack);
+    Crowd crowd(door == Door::Callers ? cluster.callersPort(0) : cluster.operatorsPort(0), attack);
     crowd.send();
     std::this_thread::sleep_for(HoldTime);
     const Footprint after = footprintOf(daemon.id());
@@ -83,6 +85,15 @@
            .bytes = 8U << 20U});
 }
 
+TEST(HostileCallers, TrailersWithoutEndAtTheOperatorsDoor)
+{
+    check({.connections = 8,
+           .opening = "POST /metrics HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+           .repeated = "X-Trailer: " + std::string(1000, 'x') + "\r\n",
+           .bytes = 8U << 20U},
+          Door::Operators);
+}
+
 TEST(HostileCallers, BodiesAnnouncedFarOverTheLimit)
 {
     check({.connections = 20,
--- a/tests/auto/processes/cluster.h
+++ b/tests/auto/processes/cluster.h
@@ -63,6 +63,7 @@
     Process &daemon(std::size_t n);
     Process &target(std::size_t n);
     std::uint16_t callersPort(std::size_t n);
+    std::uint16_t operatorsPort(std::size_t n);
     std::uint16_t targetPort(std::size_t n);
 
     bool isReady(std::size_t n);
@@ -79,7 +80,6 @@
     std::string platformAddress() const;
     bool startTarget(std::size_t n, std::uint16_t port);
     std::string settingsOf(std::size_t n);
-    std::uint16_t operatorsPort(std::size_t n);
 
     std::filesystem::path m_folder;
     ClusterShape m_shape;
