Give heavy workspaces their share of full workers first

**Change.** Jobs::FairShares, after sortByUrgency: while claims exceed the usable workers, occurrences beyond the share of a workspace that claims more than twice what is typical by weight go behind those that are of use. Shares are by weight and of the dominant resource, within quotas. It keeps no state and sends no message. QueueSimulation learns uneven sizes and several heavy workspaces; what it draws by default is unchanged.

--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -45,6 +45,8 @@
     switch (reason) {
     case WaitReason::NoRoom:
         return "no-room";
+    case WaitReason::Share:
+        return "share";
     case WaitReason::Quota:
         return "quota";
     case WaitReason::UnknownQuota:
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -62,6 +62,7 @@
 /// Why a ready task has not been assigned to a worker.
 enum class WaitReason {
     NoRoom, ///< no usable worker has room for it
+    Share, ///< the same, while others go first because its workspace has its share
     Quota, ///< the limit of its workspace, for this task or for one that goes first
     UnknownQuota, ///< the limits of the workspaces are not known to the shard
     Advice, ///< the advice service has allowed no worker that has room
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -270,9 +270,15 @@
 
 void Shard::setArrivalRates(ArrivalAllowance::Rates rates)
 {
+    m_fairShares.setWeights(rates);
     m_arrivalAllowance.setRates(std::move(rates));
 }
 
+const FairShares &Shard::fairShares() const
+{
+    return m_fairShares;
+}
+
 void Shard::setMembershipLapsed(bool isLapsed)
 {
     if (m_isMembershipLapsed != isLapsed) {
@@ -501,6 +507,8 @@
         Base::LogLine(Base::LogLevel::Info, "job-accepted")
             .with("request", it)
             .with("queue", job.spec.queue.name)
+            .with("workspace", job.spec.workspace)
+            .with("excess", job.spec.isExcess)
             .with("batch", batch.number)
             .with("epoch", m_epoch);
         for (const ReplyId waiting : job.acceptanceReplies) {
@@ -559,6 +567,8 @@
     Base::LogLine(Base::LogLevel::Info, "job-ended")
         .with("request", job.spec.id)
         .with("queue", job.spec.queue.name)
+        .with("workspace", job.spec.workspace)
+        .with("excess", job.spec.isExcess)
         .with("state", toString(state))
         .with("after_ms", (wall - job.acceptedAt).count());
 }
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -2,6 +2,7 @@
 
 #include "advicecache.h"
 #include "arrivalallowance.h"
+#include "fairshares.h"
 #include "jobrecord.h"
 #include "lostruns.h"
 #include "placement.h"
@@ -69,8 +70,11 @@
     /// first call no task of a workspace starts.
     bool setQuotaLimits(QuotaUsage::Limits limits);
     const QuotaUsage &quotaUsage() const;
-    /// Sets the accepted load of the workspaces on this shard; jobs beyond it are marked as excess.
+    /// Sets the accepted load of the workspaces on this shard; jobs beyond it are marked as excess. It is
+    /// also the weight of a workspace when the workers are full.
     void setArrivalRates(ArrivalAllowance::Rates rates);
+    /// What the workspaces may have while they ask for more than the workers have, as of the last placement.
+    const FairShares &fairShares() const;
     /// While the membership of this owner has lapsed, no job is accepted or started. Existing runs continue.
     void setMembershipLapsed(bool isLapsed);
     /// Answers all pending requests before the shard is handed over.
@@ -223,6 +227,8 @@
     void logUnplaceableTasks(Base::Instant now) const;
     /// Logs jobs without a run whose tasks are ready, and why they wait.
     void logWaitingJobs(Base::Instant now) const;
+    /// Logs the workspaces that let others go first because of their share.
+    void logShares() const;
     /// The estimated time until all runs on the worker have ended.
     Milliseconds timeToEmpty(const Worker &worker, Base::Instant now) const;
     bool isServing(const Task &task) const;
@@ -247,6 +253,8 @@
                                            std::uint32_t stage,
                                            std::vector<Candidate> candidates,
                                            Base::Instant now);
+    /// Lets workspaces beyond their share go last. Returns the number of occurrences before them.
+    std::size_t deferBeyondShares(std::vector<UnfinishedOccurrence> &ready, Base::Instant now, WallTime wall);
     /// Why tasks wait that the limits of their workspace don't allow.
     WaitReason quotaWaitReason() const;
     const std::vector<Candidate> &candidatesOf(const std::string &service);
@@ -317,6 +325,8 @@
     AdviceCache m_advice;
     QuotaUsage m_quotaUsage;
     ArrivalAllowance m_arrivalAllowance;
+    FairShares m_fairShares;
+    WaitReason m_roomReason = WaitReason::NoRoom; ///< why the occurrence that is being placed finds no room
     std::vector<TaskId> m_plannedStarts;
     std::vector<std::string> m_deletedKeys; ///< keys of records that the next append deletes
     Base::Instant m_nextSweep;
--- a/src/libs/jobs/sharddemand.cpp
+++ b/src/libs/jobs/sharddemand.cpp
@@ -4,6 +4,8 @@
 
 #include <base/logline.h>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <set>
 #include <tuple>
@@ -257,6 +259,31 @@
     return waitReports(m_active, MinReportedWait, now);
 }
 
+void Shard::logShares() const
+{
+    constexpr std::size_t MaxLogged = 3;
+    std::vector<const FairShares::Share *> deferred;
+    for (const FairShares::Share &it : m_fairShares.shares()) {
+        if (it.deferred > 0) {
+            deferred.push_back(&it);
+        }
+    }
+    std::sort(deferred.begin(), deferred.end(), [](const auto *a, const auto *b) {
+        return a->deferred > b->deferred;
+    });
+    for (std::size_t n = 0; n < std::min(deferred.size(), MaxLogged); ++n) {
+        const FairShares::Share &it = *deferred[n];
+        Base::LogLine(Base::LogLevel::Info, "share-exceeded")
+            .with("workspace", it.workspace)
+            .with("service", it.service)
+            .with("used", fmt::format("{:.3f}", it.used))
+            .with("asked", fmt::format("{:.3f}", it.asked))
+            .with("entitled", fmt::format("{:.3f}", it.entitled))
+            .with("deferred", it.deferred)
+            .with("competing", m_fairShares.shares().size());
+    }
+}
+
 void Shard::logWaitingJobs(Base::Instant now) const
 {
     for (const WaitReport &it : waitingJobs(now)) {
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -62,6 +62,7 @@
         removeEndedJobs(wall);
         checkRedirectedJobs(wall);
         logWaitingJobs(now);
+        logShares();
         logUnplaceableTasks(now);
         m_hasChanged = true;
     }
@@ -138,7 +139,10 @@
         }
     }
     sortByUrgency(ready, wall);
-    for (const UnfinishedOccurrence &it : ready) {
+    const std::size_t withinShares = deferBeyondShares(ready, now, wall);
+    for (std::size_t n = 0; n < ready.size(); ++n) {
+        const UnfinishedOccurrence &it = ready[n];
+        m_roomReason = n < withinShares ? WaitReason::NoRoom : WaitReason::Share;
         for (std::uint32_t stage = 0; stage < it.occurrence->stages.size(); ++stage) {
             if (it.occurrence->stages[stage].isDone() || !it.job->isReady(*it.occurrence, stage)) {
                 continue;
@@ -159,6 +163,18 @@
     }
 }
 
+std::size_t
+Shard::deferBeyondShares(std::vector<UnfinishedOccurrence> &ready, Base::Instant now, WallTime wall)
+{
+    FairShares::Capacities capacities;
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.isUsable(now) || !worker.runs.empty()) {
+            capacities[worker.info.service] += worker.info.capacity;
+        }
+    }
+    return m_fairShares.defer(ready, capacities, m_quotaUsage, wall);
+}
+
 WaitReason Shard::quotaWaitReason() const
 {
     return m_quotaUsage.hasLimits() ? WaitReason::Quota : WaitReason::UnknownQuota;
@@ -245,7 +261,7 @@
         }
         if (isTooLarge) {
             m_nextPlacementRetry = now + PlacementRetryPeriod;
-            progress.setWait(WaitReason::NoRoom, now);
+            progress.setWait(m_roomReason, now);
             return;
         }
         if (candidates.empty()) {
@@ -274,7 +290,7 @@
         }
         if (!worker) {
             m_nextPlacementRetry = now + PlacementRetryPeriod;
-            progress.setWait(job.spec.queue.advice ? WaitReason::Advice : WaitReason::NoRoom, now);
+            progress.setWait(job.spec.queue.advice ? WaitReason::Advice : m_roomReason, now);
             const bool isAnyWorkerGood =
                 wanted.requiredLabel.empty() && wanted.tasksPerWorker == 0 && !job.spec.queue.advice;
             if (isAnyWorkerGood) {
@@ -437,7 +453,7 @@
         places = chooseGangWorkers(wanted, all, now);
     }
     if (places.empty()) {
-        progress.setWait(job.spec.queue.advice ? WaitReason::Advice : WaitReason::NoRoom, now);
+        progress.setWait(job.spec.queue.advice ? WaitReason::Advice : m_roomReason, now);
         return;
     }
     if (!m_quotaUsage.allows(job.spec.workspace, wanted.size, wanted.count)) {
--- a/tests/auto/jobs/queuesimulation.h
+++ b/tests/auto/jobs/queuesimulation.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <list>
+#include <numeric>
 #include <random>
 #include <vector>
 
@@ -17,7 +18,8 @@
     int lateCount = 0; ///< done within three times the objective
     double relativeValue =
         0; ///< achieved share of the total value; late jobs count for a small part of theirs
-    double relativeValueOfOthers = 0; ///< the same of all workspaces but the first one
+    double relativeValueOfOthers = 0; ///< the same of all workspaces that send their usual load
+    std::vector<double> relativeValueByWorkspace;
     int largeSubmittedCount = 0; ///< among the largest tenth of the jobs
     int largeInTimeCount = 0;
 };
@@ -27,7 +29,11 @@
     double overload = 1.6; ///< submitted work in a burst relative to the capacity of the workers
     std::int64_t milliCores = 600'000;
     int cycles = 3;
-    int workspaces = 0; ///< with the same usual load in a burst, which is also their accepted load
+    int workspaces = 0; ///< that send the load in a burst
+    double sizeExponent = 0; ///< the usual load of the n-th workspace falls with this power of n
+    double acceptedFactor = 1; ///< accepted load of the workspaces relative to their usual one
+    bool isLoadOfOthersFixed = false; ///< the same for each firstWorkspaceFactor
+    int heavyWorkspaces = 1; ///< the first ones, whose load is multiplied by firstWorkspaceFactor
     double firstWorkspaceFactor = 1; ///< load of the first workspace relative to its usual one
 };
 
@@ -51,9 +57,14 @@
     };
     std::mt19937 random(load.seed);
     std::mt19937 workspaceRandom(load.seed);
-    const auto lognormal = [&random](double mean, double spread) {
+    std::mt19937 ownHeavyRandom(load.seed);
+    std::mt19937 ownDurationRandom(load.seed);
+    std::mt19937 &heavyCountRandom = load.isLoadOfOthersFixed ? ownHeavyRandom : workspaceRandom;
+    std::mt19937 &heavyJobRandom = load.isLoadOfOthersFixed ? ownHeavyRandom : random;
+    std::mt19937 &durationRandom = load.isLoadOfOthersFixed ? ownDurationRandom : random;
+    const auto lognormal = [](std::mt19937 &generator, double mean, double spread) {
         const double sigma = std::sqrt(std::log(1 + spread * spread));
-        return std::lognormal_distribution<>(std::log(mean) - sigma * sigma / 2, sigma)(random);
+        return std::lognormal_distribution<>(std::log(mean) - sigma * sigma / 2, sigma)(generator);
     };
     std::vector<Jobs::Job> jobs;
     std::vector<std::vector<double>>
@@ -65,26 +76,38 @@
     const double perStep = load.overload * double(load.milliCores) / 1000 / meanWork * double(Step) / 1000;
     Jobs::ArrivalAllowance allowance;
     Jobs::ArrivalAllowance::Rates rates;
-    for (int n = 0; n < load.workspaces; ++n) {
-        rates[std::to_string(n)] = perStep * 1000 / double(Step) / load.workspaces;
+    std::vector<double> sizes(static_cast<std::size_t>(std::max(1, load.workspaces)));
+    for (std::size_t n = 0; n < sizes.size(); ++n) {
+        sizes[n] = std::pow(double(n + 1), -load.sizeExponent);
     }
+    const double sizeSum = std::accumulate(sizes.begin(), sizes.end(), 0.0);
+    for (std::size_t n = 0; load.workspaces > 0 && n < sizes.size(); ++n) {
+        rates[std::to_string(n)] = load.acceptedFactor * perStep * 1000 / double(Step) * sizes[n] / sizeSum;
+    }
+    const auto chooseWorkspace = [&] {
+        return load.sizeExponent > 0
+            ? std::discrete_distribution<int>(sizes.begin(), sizes.end())(workspaceRandom)
+            : std::uniform_int_distribution<>(0, std::max(0, load.workspaces - 1))(workspaceRandom);
+    };
     allowance.setRates(std::move(rates));
-    const auto makeJob = [&](std::int64_t now, int workspace) {
+    const auto makeJob = [&](std::int64_t now, int workspace, std::mt19937 &generator) {
         Jobs::Job job;
         job.spec.workspace = load.workspaces > 0 ? std::to_string(workspace) : std::string();
         job.spec.isExcess = !allowance.isWithin(job.spec.workspace, Base::Instant{} + Milliseconds(now));
         job.spec.id = std::to_string(jobs.size());
         job.spec.queue = {"q", "s", 0, 4, 1.6, 600ms, std::nullopt};
-        const int stages = random() % 10 < 6 ? 1 : 2;
+        const int stages = generator() % 10 < 6 ? 1 : 2;
         double cores = 0;
         std::vector<double> ratios;
         for (int n = 0; n < stages; ++n) {
             Jobs::Stage stage;
-            stage.count = static_cast<std::uint32_t>(std::clamp(lognormal(6, 0.6), 1.0, 24.0));
+            stage.count = static_cast<std::uint32_t>(std::clamp(lognormal(generator, 6, 0.6), 1.0, 24.0));
             stage.size = {
-                static_cast<std::int64_t>(std::clamp(lognormal(1800, 0.45), 200.0, 5300.0)), 100, 0};
-            const double time = std::clamp(lognormal(800, 0.5), 100.0, 2000.0);
-            ratios.push_back(std::uniform_real_distribution<>(0.67, 1.5)(random));
+                static_cast<std::int64_t>(std::clamp(lognormal(generator, 1800, 0.45), 200.0, 5300.0)),
+                100,
+                0};
+            const double time = std::clamp(lognormal(generator, 800, 0.5), 100.0, 2000.0);
+            ratios.push_back(std::uniform_real_distribution<>(0.67, 1.5)(generator));
             stage.estimate = Milliseconds(static_cast<std::int64_t>(time / ratios.back()));
             if (n > 0) {
                 stage.dependsOn = {0};
@@ -102,13 +125,14 @@
     for (std::int64_t now = 0; now < end; now += Step) {
         if (now % (BurstTime + IdleTime) < BurstTime) {
             for (int n = std::poisson_distribution<>(perStep)(random); n > 0; --n) {
-                makeJob(
-                    now,
-                    std::uniform_int_distribution<>(0, std::max(0, load.workspaces - 1))(workspaceRandom));
+                makeJob(now, chooseWorkspace(), random);
             }
-            const double more = perStep / std::max(1, load.workspaces) * (load.firstWorkspaceFactor - 1);
-            for (int n = more > 0 ? std::poisson_distribution<>(more)(workspaceRandom) : 0; n > 0; --n) {
-                makeJob(now, 0);
+            for (int heavy = 0; heavy < load.heavyWorkspaces; ++heavy) {
+                const double more = perStep * sizes[static_cast<std::size_t>(heavy)] / sizeSum
+                    * (load.firstWorkspaceFactor - 1);
+                for (int n = more > 0 ? std::poisson_distribution<>(more)(heavyCountRandom) : 0; n > 0; --n) {
+                    makeJob(now, heavy, heavyJobRandom);
+                }
             }
         }
         for (std::size_t n = 0; n < running.size();) {
@@ -156,7 +180,7 @@
                     it.job->hasStarted = true;
                     const auto index = static_cast<std::size_t>(std::stoul(it.job->spec.id));
                     const double time = double(wanted.estimate.count()) * actualRatios[index][stage]
-                        * std::uniform_real_distribution<>(0.85, 1.15)(random);
+                        * std::uniform_real_distribution<>(0.85, 1.15)(durationRandom);
                     running.push_back({now + static_cast<std::int64_t>(time), index, stage, n});
                 }
             }
@@ -168,6 +192,8 @@
     const double large = sorted.empty() ? 0 : sorted[sorted.size() * 9 / 10];
     double totalValue = 0;
     double totalValueOfOthers = 0;
+    std::vector<double> totalValueByWorkspace(sizes.size());
+    outcome.relativeValueByWorkspace.resize(sizes.size());
     for (std::size_t n = 0; n < jobs.size(); ++n) {
         const Jobs::Job &job = jobs[n];
         // The objective is based on the actual critical path, while the queue only knows the estimates.
@@ -187,16 +213,25 @@
         totalValue += value;
         const double earned = isInTime ? value : isLate ? LateShare * value : 0;
         outcome.relativeValue += earned;
-        if (job.spec.workspace != "0") {
-            totalValueOfOthers += value;
-            outcome.relativeValueOfOthers += earned;
-        }
         if (work[n] >= large) {
             ++outcome.largeSubmittedCount;
             outcome.largeInTimeCount += isInTime ? 1 : 0;
         }
+        if (job.spec.workspace.empty()) {
+            continue;
+        }
+        const auto workspace = static_cast<std::size_t>(std::stoul(job.spec.workspace));
+        totalValueByWorkspace[workspace] += value;
+        outcome.relativeValueByWorkspace[workspace] += earned;
+        if (workspace >= static_cast<std::size_t>(load.heavyWorkspaces)) {
+            totalValueOfOthers += value;
+            outcome.relativeValueOfOthers += earned;
+        }
     }
     outcome.relativeValue /= std::max(totalValue, 1.0);
     outcome.relativeValueOfOthers /= std::max(totalValueOfOthers, 1.0);
+    for (std::size_t n = 0; n < sizes.size(); ++n) {
+        outcome.relativeValueByWorkspace[n] /= std::max(totalValueByWorkspace[n], 1.0);
+    }
     return outcome;
 }
