--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -2,6 +2,7 @@
 
 #include "advicecache.h"
 #include "arrivalallowance.h"
+#include "fairshares.h"
 #include "jobrecord.h"
 #include "lostruns.h"
 #include "placement.h"
@@ -71,8 +72,11 @@
     /// first call no task of a workspace starts.
     bool setQuotaLimits(QuotaUsage::Limits limits);
     const QuotaUsage &quotaUsage() const;
-    /// Sets the accepted load of the workspaces on this shard; jobs beyond it are marked as excess.
+    /// Sets the accepted load of the workspaces on this shard; jobs beyond it are marked as excess. It is
+    /// also the weight of a workspace when the workers are full.
     void setArrivalRates(ArrivalAllowance::Rates rates);
+    /// What the workspaces may have while they ask for more than the workers have, as of the last placement.
+    const FairShares &fairShares() const;
     /// While the membership of this owner has lapsed, no job is accepted or started. Existing runs continue.
     void setMembershipLapsed(bool isLapsed);
     /// Appends a record without content, if there is nothing else to append. That the store accepts it shows
@@ -230,6 +234,8 @@
     void logUnplaceableTasks(Base::Instant now) const;
     /// Logs jobs without a run whose tasks are ready, and why they wait.
     void logWaitingJobs(Base::Instant now) const;
+    /// Logs the workspaces that let others go first because of their share.
+    void logShares() const;
     /// The estimated time until all runs on the worker have ended.
     Milliseconds timeToEmpty(const Worker &worker, Base::Instant now) const;
     /// What is left of a run of the stage that was ordered that long ago.
@@ -271,6 +277,8 @@
                                            std::uint32_t stage,
                                            std::vector<Candidate> candidates,
                                            Base::Instant now);
+    /// Lets workspaces beyond their share go last. Returns the number of occurrences before them.
+    std::size_t deferBeyondShares(std::vector<UnfinishedOccurrence> &ready, Base::Instant now, WallTime wall);
     /// Why tasks wait that the limits of their workspace don't allow.
     WaitReason quotaWaitReason() const;
     const std::vector<Candidate> &candidatesOf(const std::string &service);
@@ -352,6 +360,8 @@
     Base::Instant m_nextExpectations;
     Base::Instant m_nextRunTimesRecord;
     Base::Instant m_nextRunTimesLog;
+    FairShares m_fairShares;
+    WaitReason m_roomReason = WaitReason::NoRoom; ///< why the occurrence that is being placed finds no room
     std::vector<TaskId> m_plannedStarts;
     std::vector<std::string> m_deletedKeys; ///< keys of records that the next append deletes
     Base::Instant m_nextSweep;
