Give a surge's backlog only machines that no pool needs

**Cause** In a surge beyond the fleet the backlog of one pool asked for up to 1,320 of 350 machines.

**Change** Cells ask for the rate of the surge as before; the machines for the backlog come from those that are left, before those for late work.

--- a/src/libs/machines/machinemoves.cpp
+++ b/src/libs/machines/machinemoves.cpp
@@ -22,8 +22,7 @@
 
 std::size_t MachinePlanner::machinesNeeded(const CellKey &key, const Cell &cell) const
 {
-    const double arriving =
-        1000 * std::max(cell.forecast.predictedCores(m_settings.forecastHorizon), coresForSurge(key, cell));
+    const double arriving = cell.forecast.predictedCores(m_settings.forecastHorizon) * 1000;
     const std::int64_t milliCores = std::max(
         cell.demand.milliCores, cell.demand.longRunningMilliCores + static_cast<std::int64_t>(arriving));
     // Empty machines are added to those with long-running tasks. Their number is what the demand asks for,
@@ -90,6 +89,15 @@
     return peak;
 }
 
+// The backlog of one pool can exceed the fleet. It gets only machines that no pool needs for its rate: shared
+// in proportion, it would take them from pools that need few.
+std::size_t MachinePlanner::machinesForBacklog(const CellKey &key, const Cell &cell) const
+{
+    const auto milliCores = static_cast<std::int64_t>(coresForSurge(key, cell) * 1000);
+    const std::size_t machines = machinesFor(key.pool, cell.demand.longRunningMilliCores + milliCores);
+    return machines - std::min(machines, recentPeakNeed(key, cell));
+}
+
 // Late work gets machines that no pool needs for work that can be in time: a late answer is worth more than
 // machines on standby.
 std::size_t MachinePlanner::machinesForLateWork(const CellKey &key, const Cell &cell) const
@@ -184,6 +192,11 @@
     }
     if (minimum + extra <= usable || extra == 0) {
         std::int64_t unassigned = usable - minimum - extra;
+        for (auto &[key, count] : wanted) {
+            const auto backlog = static_cast<std::int64_t>(machinesForBacklog(key, m_cells.at(key)));
+            count += std::min(backlog, unassigned);
+            unassigned -= std::min(backlog, unassigned);
+        }
         for (auto &[key, count] : wanted) {
             const auto late = static_cast<std::int64_t>(machinesForLateWork(key, m_cells.at(key)));
             count += std::min(late, unassigned);
--- a/src/libs/machines/machineplanner.cpp
+++ b/src/libs/machines/machineplanner.cpp
@@ -84,19 +84,19 @@
     cell.demand = demand;
     cell.forecast.addSample(demand.arrivedWork, now, demand.arrivedJobs);
     const std::size_t needed = machinesNeeded(key, cell);
-    const bool hasRisen = std::all_of(cell.recentNeeds.begin(),
-                                      cell.recentNeeds.end(),
-                                      [needed](const NeedSample &it) { return it.machines < needed; });
-    logSurge(key, cell, needed);
+    const std::size_t withBacklog = needed + machinesForBacklog(key, cell);
+    const bool hasRisen = withBacklog > cell.lastNeed;
+    cell.lastNeed = withBacklog;
+    logSurge(key, cell, withBacklog);
     cell.recentNeeds.push_back({now, needed});
     while (cell.recentNeeds.front().at + m_settings.needWindow < now) {
         cell.recentNeeds.pop_front();
     }
     const std::size_t wanted = machinesFor(demand.pool, demand.milliCores + demand.lateMilliCores);
-    if (std::max(wanted, needed) >= machinesUp(key)) {
+    if (std::max(wanted, withBacklog) >= machinesUp(key)) {
         cell.fullyNeededAt = now;
     }
-    return hasRisen && needed > machinesExpected(key);
+    return hasRisen && withBacklog > machinesExpected(key);
 }
 
 void MachinePlanner::logSurge(const CellKey &key, Cell &cell, std::size_t needed)
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -118,6 +118,8 @@
         ArrivalForecast forecast;
         Base::Instant fullyNeededAt; ///< when the cell last needed all of its machines
         std::deque<NeedSample> recentNeeds; ///< within PlannerSettings::needWindow
+        std::size_t lastNeed =
+            0; ///< machines needed according to the last demand, with those for the backlog
         bool isSurging = false; ///< according to the last demand
     };
     struct MachineEntry {
@@ -170,6 +172,8 @@
     void logSurge(const CellKey &key, Cell &cell, std::size_t needed);
     /// The highest need within PlannerSettings::needWindow.
     std::size_t recentPeakNeed(const CellKey &key, const Cell &cell) const;
+    /// Additional machines for a surge's backlog, taken from those that no pool needs.
+    std::size_t machinesForBacklog(const CellKey &key, const Cell &cell) const;
     /// Additional machines for late work, taken from those that no pool needs.
     std::size_t machinesForLateWork(const CellKey &key, const Cell &cell) const;
     std::size_t machinesFor(const std::string &pool, std::int64_t milliCores) const;
