--- a/src/libs/machines/machinemoves.cpp
+++ b/src/libs/machines/machinemoves.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace Machines
 {
@@ -22,8 +23,7 @@
 
 std::size_t MachinePlanner::machinesNeeded(const CellKey &key, const Cell &cell) const
 {
-    const double arriving =
-        1000 * std::max(cell.forecast.predictedCores(m_settings.forecastHorizon), coresForSurge(key, cell));
+    const double arriving = cell.forecast.predictedCores(m_settings.forecastHorizon) * 1000;
     const std::int64_t milliCores = std::max(
         cell.demand.milliCores, cell.demand.longRunningMilliCores + static_cast<std::int64_t>(arriving));
     // Empty machines are added to those with long-running tasks. Their number is what the demand asks for,
@@ -90,6 +90,15 @@
     return peak;
 }
 
+// The backlog of one pool can exceed the fleet. It gets only machines that no pool needs for its rate: shared
+// in proportion, it would take them from pools that need few.
+std::size_t MachinePlanner::machinesForBacklog(const CellKey &key, const Cell &cell) const
+{
+    const auto milliCores = static_cast<std::int64_t>(coresForSurge(key, cell) * 1000);
+    const std::size_t machines = machinesFor(key.pool, cell.demand.longRunningMilliCores + milliCores);
+    return machines - std::min(machines, recentPeakNeed(key, cell));
+}
+
 // Late work gets machines that no pool needs for work that can be in time: a late answer is worth more than
 // machines on standby.
 std::size_t MachinePlanner::machinesForLateWork(const CellKey &key, const Cell &cell) const
@@ -154,6 +163,12 @@
     m_transitions[transition.machine] = transition;
 }
 
+std::int64_t MachinePlanner::minimumOf(const CellKey &key, const Cell &cell) const
+{
+    const std::size_t longRunning = machinesFor(key.pool, cell.demand.longRunningMilliCores);
+    return static_cast<std::int64_t>(std::max<std::size_t>({longRunning, cell.demand.minMachines, 1}));
+}
+
 // Returns how many machines each cell should have. Each gets what it needs, and machines left over go to late
 // work. If all cells together need more than there are, each keeps what its long-running tasks need, and the
 // rest is shared in proportion to the unmet need: the work of one machine is worth about the same in each
@@ -163,10 +178,6 @@
     std::map<CellKey, std::int64_t> wanted;
     std::int64_t minimum = 0;
     std::int64_t extra = 0;
-    const auto minimumOf = [this](const CellKey &key, const Cell &cell) {
-        const std::size_t longRunning = machinesFor(key.pool, cell.demand.longRunningMilliCores);
-        return static_cast<std::int64_t>(std::max<std::size_t>({longRunning, cell.demand.minMachines, 1}));
-    };
     for (const auto &[key, cell] : m_cells) {
         if (m_pools.count(key.pool) == 0 || isStandby(key.pool) || now - cell.demandAt >= MaxDemandAge) {
             continue;
@@ -184,6 +195,11 @@
     }
     if (minimum + extra <= usable || extra == 0) {
         std::int64_t unassigned = usable - minimum - extra;
+        for (auto &[key, count] : wanted) {
+            const auto backlog = static_cast<std::int64_t>(machinesForBacklog(key, m_cells.at(key)));
+            count += std::min(backlog, unassigned);
+            unassigned -= std::min(backlog, unassigned);
+        }
         for (auto &[key, count] : wanted) {
             const auto late = static_cast<std::int64_t>(machinesForLateWork(key, m_cells.at(key)));
             count += std::min(late, unassigned);
@@ -241,7 +257,8 @@
             standby = {name, 0};
         }
     }
-    for (const auto &[key, count] : targets(now)) {
+    const std::map<CellKey, std::int64_t> wanted = targets(now);
+    for (const auto &[key, count] : wanted) {
         surplus[key] = -count;
     }
     for (const auto &[id, entry] : m_machines) {
@@ -259,11 +276,16 @@
         }
     }
     cancelMoves(surplus);
-    std::vector<std::pair<std::int64_t, CellKey>> shortCells;
+    // Cells that lack machines for their long-running tasks come first: while a wave takes their machines,
+    // those tasks have no other place.
+    std::vector<std::tuple<bool, std::int64_t, CellKey>> shortCells;
+    const auto isAboveMinimum = [this, &wanted](const CellKey &key, std::int64_t missing) {
+        return wanted.at(key) + missing >= minimumOf(key, m_cells.at(key));
+    };
     std::vector<std::pair<std::int64_t, CellKey>> surplusCells;
     for (const auto &[key, count] : surplus) {
         if (count < 0) {
-            shortCells.emplace_back(count, key);
+            shortCells.emplace_back(isAboveMinimum(key, count), count, key);
         } else if (count > 0) {
             surplusCells.emplace_back(-count, key);
         }
@@ -271,7 +293,7 @@
     std::sort(shortCells.begin(), shortCells.end());
     std::sort(surplusCells.begin(), surplusCells.end());
     Donors donors = findDonors(now);
-    for (auto &[missing, key] : shortCells) {
+    for (auto &[isLater, missing, key] : shortCells) {
         while (missing < 0 && !standby.pool.empty()) {
             const MachineEntry *donor = takeDonor(donors, standby, key);
             if (!donor) {
