Let a new owner wait for stops of the earlier one

**Change** For 2 s after it begins an owner doesn't evict long-running tasks that have a limit of unavailable ones, but from workers whose drain deadline is near.

**Before / after** tst_jobs, the new test fails with a time of 0 and passes with 2 s.

Stops that take longer than 2 s to be listed are not covered.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -172,6 +172,7 @@
                   const std::function<bool(const std::string &member)> &hasEnded)
 {
     applyLoadedProgress();
+    m_begunAt = now;
     m_lastBatchAt = now - m_settings.batchPeriod;
     for (auto &[id, job] : m_jobs) {
         if (job.occurrences.empty() && !job.spec.isTimed() && job.state == JobState::Active) {
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -328,6 +328,7 @@
     Base::Instant m_nextPlacementRetry; ///< when skipped workers may be usable again
     bool m_isMembershipLapsed = false;
     bool m_mustConfirmOwnership = false;
+    Base::Instant m_begunAt; ///< when this owner began to serve the shard
     bool m_hasChanged = true; ///< since the last placement round
 };
 
--- a/src/libs/jobs/shardeviction.cpp
+++ b/src/libs/jobs/shardeviction.cpp
@@ -24,6 +24,10 @@
 // Runs of later attempts are not evicted any more.
 constexpr std::uint32_t MaxEvictableAttempt = 2;
 
+// Longest time from an order of an earlier owner until the end of a run that it stops is listed: the call in
+// flight and the stop itself.
+constexpr Milliseconds EarlierStopTime{2000};
+
 bool canStopAndResume(const Stage &stage)
 {
     return stage.canCheckpoint && !stage.isGang;
@@ -65,7 +69,7 @@
 {
     const Stage &stage = job.spec.stages[id.stage];
     return !stage.isLongRunning || isDrainDeadlineNear(worker, now) || stage.maxUnavailable == 0
-        || unavailableSiblings(job, id, task) < stage.maxUnavailable;
+        || (now - m_begunAt >= EarlierStopTime && unavailableSiblings(job, id, task) < stage.maxUnavailable);
 }
 
 void Shard::evictRuns(Base::Instant now, WallTime wall)
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -662,6 +662,28 @@
     CHECK(!evacuate(world, "w2", 1s));
 }
 
+// Guards against exceeding maxUnavailable after an orderly hand-over. What the earlier owner has ordered to
+// stop is in no record (AVAIL on isarrad-sched-grown trouble-2, owners that restart in turn).
+TEST(ShardHost, ANewOwnerWaitsForStopsOfTheEarlierOneBeforeItMovesLongRunningTasks)
+{
+    SimulatedPlatform world;
+    world.taskTime = 600s;
+    world.checksAvailability = true;
+    for (const char *it : {"w1", "w2", "w3"}) {
+        world.addWorker(it);
+    }
+    world.addMember("m1");
+    CHECK(world.submit(makeLongRunningJob("a", 2)));
+    world.run(2s);
+    world.addMember("m2");
+    world.members.at("m1")->host.setCandidate(false);
+    world.run(600ms);
+    CHECK(world.owner(0) == world.members.at("m2").get());
+    CHECK(!evacuate(world, "w1", 1s));
+    CHECK(evacuate(world, "w1", 5s));
+    checkInvariants(world);
+}
+
 TEST(ShardHost, AQueueWithAdviceRunsOnlyWhereItsPolicyAllows)
 {
     SimulatedPlatform world;
