--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -175,6 +175,7 @@
 {
     applyLoadedProgress();
     loadRunTimes(now);
+    m_begunAt = now;
     m_lastBatchAt = now - m_settings.batchPeriod;
     for (auto &[id, job] : m_jobs) {
         if (job.occurrences.empty() && !job.spec.isTimed() && job.state == JobState::Active) {
