Order replacements for long-running tasks before a surge

**Cause** Machines that come free went to the cell that lacks most. A long move before the upkeep was ruled out.

**Change** Cells below the minimum of their long-running tasks come first.

--- a/src/libs/machines/machinemoves.cpp
+++ b/src/libs/machines/machinemoves.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace Machines
 {
@@ -162,6 +163,12 @@
     m_transitions[transition.machine] = transition;
 }
 
+std::int64_t MachinePlanner::minimumOf(const CellKey &key, const Cell &cell) const
+{
+    const std::size_t longRunning = machinesFor(key.pool, cell.demand.longRunningMilliCores);
+    return static_cast<std::int64_t>(std::max<std::size_t>({longRunning, cell.demand.minMachines, 1}));
+}
+
 // Returns how many machines each cell should have. Each gets what it needs, and machines left over go to late
 // work. If all cells together need more than there are, each keeps what its long-running tasks need, and the
 // rest is shared in proportion to the unmet need: the work of one machine is worth about the same in each
@@ -171,10 +178,6 @@
     std::map<CellKey, std::int64_t> wanted;
     std::int64_t minimum = 0;
     std::int64_t extra = 0;
-    const auto minimumOf = [this](const CellKey &key, const Cell &cell) {
-        const std::size_t longRunning = machinesFor(key.pool, cell.demand.longRunningMilliCores);
-        return static_cast<std::int64_t>(std::max<std::size_t>({longRunning, cell.demand.minMachines, 1}));
-    };
     for (const auto &[key, cell] : m_cells) {
         if (m_pools.count(key.pool) == 0 || isStandby(key.pool) || now - cell.demandAt >= MaxDemandAge) {
             continue;
@@ -254,7 +257,8 @@
             standby = {name, 0};
         }
     }
-    for (const auto &[key, count] : targets(now)) {
+    const std::map<CellKey, std::int64_t> wanted = targets(now);
+    for (const auto &[key, count] : wanted) {
         surplus[key] = -count;
     }
     for (const auto &[id, entry] : m_machines) {
@@ -272,11 +276,16 @@
         }
     }
     cancelMoves(surplus);
-    std::vector<std::pair<std::int64_t, CellKey>> shortCells;
+    // Cells that lack machines for their long-running tasks come first: while a wave takes their machines,
+    // those tasks have no other place.
+    std::vector<std::tuple<bool, std::int64_t, CellKey>> shortCells;
+    const auto isAboveMinimum = [this, &wanted](const CellKey &key, std::int64_t missing) {
+        return wanted.at(key) + missing >= minimumOf(key, m_cells.at(key));
+    };
     std::vector<std::pair<std::int64_t, CellKey>> surplusCells;
     for (const auto &[key, count] : surplus) {
         if (count < 0) {
-            shortCells.emplace_back(count, key);
+            shortCells.emplace_back(isAboveMinimum(key, count), count, key);
         } else if (count > 0) {
             surplusCells.emplace_back(-count, key);
         }
@@ -284,7 +293,7 @@
     std::sort(shortCells.begin(), shortCells.end());
     std::sort(surplusCells.begin(), surplusCells.end());
     Donors donors = findDonors(now);
-    for (auto &[missing, key] : shortCells) {
+    for (auto &[isLater, missing, key] : shortCells) {
         while (missing < 0 && !standby.pool.empty()) {
             const MachineEntry *donor = takeDonor(donors, standby, key);
             if (!donor) {
--- a/src/libs/machines/machineplanner.h
+++ b/src/libs/machines/machineplanner.h
@@ -172,6 +172,8 @@
     void logSurge(const CellKey &key, Cell &cell, std::size_t needed);
     /// The highest need within PlannerSettings::needWindow.
     std::size_t recentPeakNeed(const CellKey &key, const Cell &cell) const;
+    /// Machines that the cell keeps for its long-running tasks.
+    std::int64_t minimumOf(const CellKey &key, const Cell &cell) const;
     /// Additional machines for a surge's backlog, taken from those that no pool needs.
     std::size_t machinesForBacklog(const CellKey &key, const Cell &cell) const;
     /// Additional machines for late work, taken from those that no pool needs.
--- a/tests/auto/machines/tst_surges.cpp
+++ b/tests/auto/machines/tst_surges.cpp
@@ -299,3 +299,30 @@
     }
     LONGS_EQUAL(1, moved);
 }
+
+// Load: a surge beyond the fleet while a wave takes the machines of a pool with long-running tasks. Their
+// replacements came after the surge, and the evacuations timed out (isarrad-sched-grown scale-1).
+TEST(Surges, ReplacementsForLongRunningTasksComeBeforeASurge)
+{
+    Machines::MachinePlanner planner{Machines::PlannerSettings{}};
+    planner.setPools(std::vector<Machines::Pool>{{"proof", false}, {"sign", false}, {"spare", true}});
+    std::vector<Machines::Machine> machines;
+    for (int n = 0; n < 9; ++n) {
+        const auto id = "m" + std::to_string(n);
+        const auto pool = n < 1 ? "sign" : n < 4 ? "proof" : "spare";
+        machines.push_back({id, pool, MachineState::Up, n < 4 ? id : "", "", {16'000, 64'000, 0}});
+    }
+    const Base::Instant now{1h};
+    planner.setMachines(machines, now);
+    planner.setWave({1, {"m1", "m2", "m3"}, 30s, 3, now});
+    planner.setDemand({.pool = "proof", .milliCores = 1'000, .minMachines = 3}, now);
+    planner.setDemand({.pool = "sign", .milliCores = 112'000}, now);
+    std::map<std::string, int> moved;
+    for (const auto &command : planner.pass(now)) {
+        if (const auto *move = std::get_if<Machines::MoveMachine>(&command)) {
+            ++moved[move->pool];
+        }
+    }
+    LONGS_EQUAL(3, moved["proof"]);
+    LONGS_EQUAL(2, moved["sign"]);
+}
