--- a/tests/auto/http/tst_hedging.cpp
+++ b/tests/auto/http/tst_hedging.cpp
@@ -28,7 +28,7 @@
     }
 
     Http::CallId send(const Ini::Endpoint &,
-                      Http::Request,
+                      const Http::Request &,
                       const Http::TimeLimits &limits,
                       Http::Client::Progress progress,
                       Http::Client::Callback done)
