Log which incarnation of a worker has confirmed a run

The lines of a run that is given up with the lease of its worker don't say whether the incarnation that its lease was reckoned for has confirmed it. The hypotheses of the postmortem differ in just that.

**Change.** `lease-lapsed` names the incarnation that the run was assigned to, the age of its latest order, the worker's clock when it confirmed the run, and whether it was listed. `answer-of-unknown-incarnation` is logged for an answer to a start or stop whose clock isn't the one that leases are reckoned from. No decision is changed.

Before, none of these fields was there.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -188,6 +188,10 @@
     // Runs and workers, see shardworkers.cpp, shardruns.cpp and shardeviction.cpp.
     Worker &workerFor(const std::string &id);
     void handleWorkerRestart(Worker &worker, std::int64_t startTime, Base::Instant now);
+    /// Whether the incarnation of the worker that its latest list came from may have answered an order, sent
+    /// at `sentAt`, with the time `clock` of its clock. Logs if not.
+    static bool
+    isOfKnownIncarnation(const Worker &worker, std::int64_t clock, Base::Instant sentAt, Base::Instant now);
     void processRunList(
         Worker &worker, OrderToken askedWith, const RunList &list, Base::Instant now, WallTime wall);
     void processRunEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall);
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -273,6 +273,7 @@
     };
     switch (result) {
     case OrderResult::Done:
+        isOfKnownIncarnation(worker, clock, task->orderedAt, now);
         // An answer to an earlier token may be from before the restart of the worker.
         task->run = order.token == worker.token ? RunState::Running : RunState::Inherited;
         task->confirmedAt = clock;
@@ -340,6 +341,7 @@
     }
     Worker &worker = workerFor(order.worker);
     if (result == OrderResult::Done && order.token == worker.token) {
+        isOfKnownIncarnation(worker, clock, task->orderedAt, now);
         task->isStopConfirmed = true;
         task->confirmedAt = clock;
         worker.nextRenewal = std::min(worker.nextRenewal, now);
@@ -394,7 +396,11 @@
                 .with("lease_set_ms", milliseconds(now - worker.leaseSetAt))
                 .with("lease_end_clock", worker.orderedLeaseEnd)
                 .with("clock_age_ms", worker.clockAge.count())
-                .with("before_restart", task.endsBy.has_value());
+                .with("before_restart", task.endsBy.has_value())
+                .with("assigned_to_born", task.workerStart)
+                .with("ordered_ms", milliseconds(now - task.orderedAt))
+                .with("confirmed_clock", task.confirmedAt)
+                .with("listed", task.isListed);
             endLostRun(job, it, *job.find(it), expired.size(), now);
         }
     }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -19,6 +19,9 @@
 // Maximum drift of a worker's clock. With a slow clock leases last longer than by the clock of the owner.
 constexpr int ClockDriftPerCent = 3;
 
+// Maximum difference between the worker's clock as read and as reckoned from its latest list, beside drift.
+constexpr Milliseconds ClockTolerance{100};
+
 // Maximum delay between sending a lease and its arrival.
 constexpr Milliseconds LeaseMargin{300};
 
@@ -101,6 +104,30 @@
     }
 }
 
+// The clock of a restarted worker starts again. An answer that overtakes the list before it has the time of
+// its order at the earliest.
+bool Shard::isOfKnownIncarnation(const Worker &worker,
+                                 std::int64_t clock,
+                                 Base::Instant sentAt,
+                                 Base::Instant now)
+{
+    const std::int64_t sinceRead = milliseconds(now - worker.clockReadAt);
+    const std::int64_t sentAfterRead = milliseconds(sentAt - worker.clockReadAt);
+    const std::int64_t tolerance = ClockTolerance.count() + sinceRead * ClockDriftPerCent / 100;
+    const bool isKnown = worker.hasAnswered && clock >= worker.clock + sentAfterRead - tolerance
+        && clock <= worker.clock + sinceRead + tolerance;
+    if (!isKnown) {
+        Base::LogLine(Base::LogLevel::Warning, "answer-of-unknown-incarnation")
+            .with("worker", worker.info.id)
+            .with("clock", clock)
+            .with("expected_clock", worker.clock + sinceRead)
+            .with("order_age_ms", milliseconds(now - sentAt))
+            .with("born", worker.startTime)
+            .with("list_seen", worker.hasAnswered);
+    }
+    return isKnown;
+}
+
 void Shard::processRunList(
     Worker &worker, OrderToken askedWith, const RunList &list, Base::Instant now, WallTime wall)
 {
