Show that orders of a former incarnation run tasks twice

A worker restarts under its ID, takes orders that its owner has sent to its former incarnation, and is cut off before its first list.

**Change.** `SimulatedPlatform::ordersOutliveRestarts`: a restarted worker carries out orders that were sent before.

--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -644,6 +644,11 @@
     return {OrderResult::Done, clock};
 }
 
+bool SimulatedPlatform::isReachable(const Worker &worker, const std::string &member) const
+{
+    return (worker.isUp || ordersOutliveRestarts) && worker.unreachableFrom.count(member) == 0;
+}
+
 template<typename Handle, typename Fail>
 void SimulatedPlatform::order(const std::string &member, const std::string &id, Handle handle, Fail fail)
 {
@@ -651,7 +656,7 @@
     if (!isLive(member)) {
         return;
     }
-    if (!worker.isUp || worker.unreachableFrom.count(member) > 0) {
+    if (!isReachable(worker, member)) {
         timers.subscribeAfter(OrderTimeout, fail);
         return;
     }
@@ -660,19 +665,21 @@
     }
     worker.m_openCalls.emplace_back(member, fail);
     const bool isLate = std::uniform_real_distribution<>(0, 1)(random) < worker.delayedShare;
-    const auto delay =
-        isLate ? Milliseconds(std::uniform_int_distribution<>(2000, 12'000)(random)) : worker.delay;
-    // A restarted worker does not carry out orders that it received before the restart.
+    const bool isHeld = !isLate && !worker.isUp;
+    const auto pick = [this](Milliseconds least, Milliseconds most) {
+        return Milliseconds(std::uniform_int_distribution<>(int(least.count()), int(most.count()))(random));
+    };
+    const Milliseconds delay = isLate ? pick(2s, 12s) : isHeld ? pick(1ms, OrderTimeout) : worker.delay;
     timers.subscribeAfter(delay, [this, id, handle, isLate, startTime = worker.m_startedAt] {
         Worker &there = workers[id];
-        if (there.isUp && there.m_startedAt == startTime) {
+        if (there.isUp && (ordersOutliveRestarts || there.m_startedAt == startTime)) {
             advance(there);
             m_isLate = isLate;
             handle(there);
             m_isLate = false;
         }
     });
-    if (isLate) {
+    if (isLate || isHeld) {
         timers.subscribeAfter(OrderTimeout, fail);
     }
 }
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -199,6 +199,9 @@
     std::set<std::string> allowedWorkers; ///< workers that the advice service allows
     int adviceQueries = 0; ///< number of queries to the advice service
     std::map<Jobs::TaskId, int> pacePercents; ///< last ordered pace, in percent
+    /// A restarted worker carries out orders that were sent to it before the restart, also those that arrived
+    /// while it was down.
+    bool ordersOutliveRestarts = false;
     bool losesPaceOrders = false; ///< pace orders have no effect and get no answer
     std::map<Jobs::TaskId, std::int64_t> tails; ///< tail latencies of long-running tasks, ms
     std::set<Jobs::TaskId> deadlyTasks; ///< crash each worker that starts them
@@ -231,6 +234,7 @@
     };
 
     std::int64_t clockOf(const Worker &worker) const;
+    bool isReachable(const Worker &worker, const std::string &member) const;
     void advance(Worker &worker);
     void end(Worker &worker, std::size_t run, Jobs::RunEnd how);
     /// Ends the gang's runs on other workers than the one that was lost.
