Count the longest lease for runs that no known incarnation confirmed

**Cause.** Callers saw tasks run twice: a worker restarted under its ID, took orders that were sent to its former incarnation, and was cut off before its owner had a list of it. The lease end in those orders is by the former clock and lies far ahead on the new one, so the worker grants its maximum (6 s, or 10 s), while the owner, or the next one, gave the runs up after 3.4 s. Class: a bound that holds for one incarnation only is used although it isn't known which one carries the order out.

**Change.** A run is *confirmed* once the incarnation whose clock leases are reckoned from has answered its start, by that clock, or listed it. Only confirmed runs end with the owner's lease; another one may be carried out by any later incarnation for as long as an order can be on its way, and lasts for the longest lease then. An answer whose clock is behind comes from another incarnation: it confirms nothing, and the worker gets no further lease before a list. For the next owner the progress of a task says whether its run is confirmed (stored at once for tasks that outlast a lease, else with the next change and at the release), and the record `incarnations` names the workers' incarnations that the owner knows; the first list of another one is taken to hold the longest lease. The record of leases is stored with the next run of an idle worker, not by itself.

**Conclusion.** The end of a run is reckoned for the incarnation that can have it.

--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -32,6 +32,18 @@
     return longest;
 }
 
+template<typename Occurrences>
+auto findTask(Occurrences &occurrences, const TaskId &id)
+    -> decltype(&occurrences.begin()->second.stages[0].tasks[0])
+{
+    const auto it = occurrences.find(id.occurrence);
+    if (it == occurrences.end() || id.stage >= it->second.stages.size()) {
+        return nullptr;
+    }
+    auto &tasks = it->second.stages[id.stage].tasks;
+    return id.index < tasks.size() ? &tasks[id.index] : nullptr;
+}
+
 } // namespace
 
 std::string toString(const TaskId &task)
@@ -103,12 +115,12 @@
 
 Task *Job::find(const TaskId &id)
 {
-    const auto it = occurrences.find(id.occurrence);
-    if (it == occurrences.end() || id.stage >= it->second.stages.size()) {
-        return nullptr;
-    }
-    auto &tasks = it->second.stages[id.stage].tasks;
-    return id.index < tasks.size() ? &tasks[id.index] : nullptr;
+    return findTask(occurrences, id);
+}
+
+const Task *Job::find(const TaskId &id) const
+{
+    return findTask(occurrences, id);
 }
 
 const Stage *Job::stageOf(const TaskId &id) const
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -29,7 +29,7 @@
     Planned, ///< assigned to a worker, not yet stored
     Starting, ///< the start has been sent
     Running,
-    Unanswered, ///< the start got no answer, so the run may exist or may still be started
+    Unanswered, ///< the start got no answer of the known incarnation, so the run may exist or may still start
     Inherited, ///< stored by an earlier owner, not confirmed by the worker yet
     Stopping, ///< the stop has been sent
 };
@@ -51,9 +51,13 @@
     std::int64_t confirmedAt = 0; ///< worker's clock when it last confirmed the run or its stop
     bool isStopConfirmed = false;
     Base::Instant orderedAt; ///< when the latest start or stop was sent
-    bool isListed = false; ///< whether the worker has listed the run to this owner
+    /// Whether the run is known to be one of the incarnation of its worker that leases are reckoned for.
+    /// Until then its start may be carried out by any later incarnation.
+    bool isConfirmed = false;
     std::optional<Base::Instant> listedSince; ///< when the worker has first listed the run to this owner
     std::optional<Base::Instant> endsBy; ///< the end of its lease, if the worker has restarted since
+    /// Until its end by all leases, as recorded by the owner that released the shard.
+    std::optional<Milliseconds> unconfirmedTimeLeft;
 
     bool isWaiting() const
     {
@@ -118,6 +122,7 @@
     bool isStored = false; ///< whether the specification is known to be stored
     std::uint64_t firstBatch = 0; ///< number of the append that contains the specification; 0: none yet
     bool isDirty = false; ///< whether the progress has changed since the last append
+    bool hasUnrecordedConfirmations = false; ///< of runs, since the last append with the progress
     std::vector<ReplyId> acceptanceReplies;
     std::vector<ReplyId> cancelReplies;
 
@@ -125,6 +130,7 @@
     Occurrence &addOccurrence(std::uint32_t number);
     /// Null if the job has no such task.
     Task *find(const TaskId &id);
+    const Task *find(const TaskId &id) const;
     const Stage *stageOf(const TaskId &id) const;
 
     /// Whether all stages that `stage` depends on are done.
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <exception>
 
 namespace Jobs
@@ -17,6 +18,20 @@
 // Longer than any lease of a worker.
 constexpr Milliseconds MaxLeaseTime{3'600'000};
 
+std::optional<std::map<std::string, std::int64_t, std::less<>>> decodeNumbers(std::string_view text)
+{
+    try {
+        const json::value parsed = json::parse(json::string_view(text.data(), text.size()));
+        std::map<std::string, std::int64_t, std::less<>> numbers;
+        for (const auto &it : parsed.as_object()) {
+            numbers.emplace(it.key(), it.value().to_number<std::int64_t>());
+        }
+        return numbers;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
 json::object encodeStage(const Stage &stage)
 {
     json::object out{{"count", stage.count},
@@ -116,8 +131,9 @@
 }
 
 // Encodes a task as [done, attempt, failures, worker, checkpoint, failed attempt, crashes, start of the
-// worker]. Trailing empty parts are omitted.
-json::array encodeTask(const Task &task)
+// worker, milliseconds until an unconfirmed run has ended or 0 for a confirmed one]. Trailing empty parts are
+// omitted.
+json::array encodeTask(const Task &task, const UnconfirmedTime &timeLeft)
 {
     json::array out{task.isDone ? 1 : 0, task.attempt, task.failures};
     const bool isAssigned = task.run != RunState::None;
@@ -140,6 +156,11 @@
     if (hasStart) {
         out.emplace_back(task.workerStart);
     }
+    if (hasStart && task.isConfirmed) {
+        out.emplace_back(0);
+    } else if (const auto time = hasStart && timeLeft ? timeLeft(task) : std::nullopt) {
+        out.emplace_back(std::max<std::int64_t>(1, time->count()));
+    }
     return out;
 }
 
@@ -164,6 +185,13 @@
     if (from.size() > 7) {
         task.workerStart = from.at(7).to_number<std::int64_t>();
     }
+    if (from.size() > 8) {
+        const auto time = from.at(8).to_number<std::int64_t>();
+        task.isConfirmed = time == 0;
+        if (time > 0) {
+            task.unconfirmedTimeLeft = Milliseconds(time);
+        }
+    }
     if (!task.isDone && !task.worker.empty()) {
         task.run = RunState::Inherited;
     }
@@ -213,20 +241,35 @@
 
 std::optional<LeaseTimes> decodeLeases(std::string_view text)
 {
-    try {
-        const json::value parsed = json::parse(json::string_view(text.data(), text.size()));
-        LeaseTimes leases;
-        for (const auto &it : parsed.as_object()) {
-            const Milliseconds time(it.value().to_number<std::int64_t>());
-            if (time < Milliseconds::zero() || time > MaxLeaseTime) {
-                return std::nullopt;
-            }
-            leases.emplace(it.key(), time);
-        }
-        return leases;
-    } catch (const std::exception &) {
+    const auto numbers = decodeNumbers(text);
+    if (!numbers) {
         return std::nullopt;
     }
+    LeaseTimes leases;
+    for (const auto &[worker, number] : *numbers) {
+        const Milliseconds time(number);
+        if (time < Milliseconds::zero() || time > MaxLeaseTime) {
+            return std::nullopt;
+        }
+        leases.emplace(worker, time);
+    }
+    return leases;
+}
+
+const std::string_view IncarnationsKey = "incarnations";
+
+std::string encodeIncarnations(const Incarnations &incarnations)
+{
+    json::object out;
+    for (const auto &[worker, startTime] : incarnations) {
+        out[worker] = startTime;
+    }
+    return json::serialize(out);
+}
+
+std::optional<Incarnations> decodeIncarnations(std::string_view text)
+{
+    return decodeNumbers(text);
 }
 
 std::string progressKey(std::string_view job)
@@ -259,7 +302,7 @@
     return json::serialize(out);
 }
 
-std::string encodeProgress(const Job &job)
+std::string encodeProgress(const Job &job, const UnconfirmedTime &timeLeft)
 {
     json::object out{{"state", static_cast<int>(job.state)}, {"done", job.occurrencesDone}};
     if (job.hasStarted) {
@@ -277,7 +320,7 @@
         for (const StageProgress &stage : occurrence.stages) {
             json::array tasks;
             for (const Task &it : stage.tasks) {
-                tasks.push_back(encodeTask(it));
+                tasks.push_back(encodeTask(it, timeLeft));
             }
             stages.push_back(std::move(tasks));
         }
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -38,8 +38,22 @@
 /// Empty if the text is not a valid record.
 std::optional<LeaseTimes> decodeLeases(std::string_view text);
 
+/// The key of the record of the workers' incarnations that the owner knows.
+extern const std::string_view IncarnationsKey;
+
+/// Start time in ms by worker.
+using Incarnations = std::map<std::string, std::int64_t, std::less<>>;
+
+std::string encodeIncarnations(const Incarnations &incarnations);
+/// Empty if the text is not a valid record.
+std::optional<Incarnations> decodeIncarnations(std::string_view text);
+
 std::string encodeSpec(const JobSpec &spec, WallTime acceptedAt);
-std::string encodeProgress(const Job &job);
+/// The time until a run that is not confirmed has ended by all leases; nothing if that is not known.
+using UnconfirmedTime = std::function<std::optional<Milliseconds>(const Task &task)>;
+
+/// Without `timeLeft` only whether runs are confirmed is recorded.
+std::string encodeProgress(const Job &job, const UnconfirmedTime &timeLeft = {});
 
 /// Decodes the result of encodeSpec(). Empty if the text is not a valid specification.
 std::optional<Job> decodeSpec(std::string_view text);
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -56,6 +56,7 @@
 // begin().
 void Shard::load(std::string_view key, std::string_view value, bool isLast)
 {
+    m_hadEarlierOwner = true;
     if (key.substr(0, SpecPrefix.size()) == SpecPrefix) {
         const std::string id(key.substr(SpecPrefix.size()));
         auto job = decodeSpec(value);
@@ -76,6 +77,7 @@
         known.since = where->since;
         known.isStored = true;
     } else if (key == OwnerKey) {
+        m_isReleased = value.empty() || value.front() == '\n';
         for (std::string_view rest = value; !rest.empty();) {
             const std::string_view name = rest.substr(0, rest.find('\n'));
             rest.remove_prefix(std::min(rest.size(), name.size() + 1));
@@ -91,6 +93,13 @@
         }
         m_loadedLeases = std::move(*leases);
         m_areLoadedLeasesLast = isLast;
+    } else if (key == IncarnationsKey) {
+        auto incarnations = decodeIncarnations(value);
+        if (!incarnations) {
+            Base::LogLine(Base::LogLevel::Error, "record-unreadable").with("key", key);
+            return;
+        }
+        m_loadedIncarnations = std::move(*incarnations);
     } else if (key == RunTimes::Key) {
         m_loadedRunTimes = std::string(value);
     } else if (key.substr(0, ProgressPrefix.size()) == ProgressPrefix) {
@@ -159,6 +168,10 @@
         }
     }
     std::vector<Record> records{{std::string(OwnerKey), earlierOwners(now)}};
+    addUnrecordedConfirmations(records, now);
+    if (Incarnations known = knownIncarnations(); known != m_recordedIncarnations) {
+        records.push_back({std::string(IncarnationsKey), encodeIncarnations(known)});
+    }
     if (!leases.empty()) {
         records.push_back({std::string(LeasesKey), encodeLeases(leases)});
     } else if (!m_recordedLeases || !m_recordedLeases->empty()) {
@@ -189,6 +202,9 @@
                     if (task.run == RunState::None) {
                         continue;
                     }
+                    if (m_isReleased && task.unconfirmedTimeLeft) {
+                        task.endsBy = now + *task.unconfirmedTimeLeft;
+                    }
                     Worker &worker = workerFor(task.worker);
                     worker.runs.insert({id, number, stage, index});
                     markSuspect(worker, {id, number, stage, index}, task);
@@ -212,6 +228,7 @@
     const Base::Instant lastRenewal = m_earlierOwnersRenewUntil;
     for (auto &[id, worker] : m_workers) {
         worker.setLease(lastRenewal + longestTime(m_settings.lease), "takeover", now);
+        worker.unconfirmedRunsEndBy = lastRenewal + longestTimeAfterRestart();
     }
     applyLoadedLeases(now);
 }
@@ -221,6 +238,7 @@
 void Shard::applyLoadedLeases(Base::Instant now)
 {
     m_recordedLeases.emplace();
+    m_recordedIncarnations = m_loadedIncarnations;
     for (const auto &[id, time] : std::exchange(m_loadedLeases, {})) {
         m_recordedLeases->insert(id);
         Worker &worker = workerFor(id);
@@ -491,6 +509,9 @@
         if (batch.hasRunTimes) {
             m_recordedRevision = 0;
         }
+        if (batch.hasIncarnations) {
+            m_recordedIncarnations.reset();
+        }
         for (const std::string &it : batch.jobs) {
             if (const auto found = m_jobs.find(it); found != m_jobs.end()) {
                 markChanged(found->second);
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -159,6 +159,7 @@
         std::vector<std::pair<std::string, std::uint64_t>> cursors; ///< by worker, last run end
         std::vector<TaskId> starts; ///< runs whose assignment the append contains
         bool hasRunTimes = false; ///< whether the append contains the record of run times
+        bool hasIncarnations = false; ///< whether the append contains the record of incarnations
         bool hasLeases = false; ///< whether the append contains the record of leases
         Base::Instant sentAt;
     };
@@ -179,6 +180,9 @@
     std::string earlierOwners(Base::Instant now) const;
     /// The leases that last longer than a renewal would.
     LeaseTimes longLeases(Base::Instant now) const;
+    /// The incarnations of workers that have answered with the present token, so that all later leases are by
+    /// their clocks.
+    Incarnations knownIncarnations() const;
     /// The reason why no new job can be stored now; empty if one can.
     std::string_view refusalReason(Base::Instant now) const;
     void refuse(std::string_view job, std::string_view reason, ReplyId reply);
@@ -188,10 +192,10 @@
     // Runs and workers, see shardworkers.cpp, shardruns.cpp and shardeviction.cpp.
     Worker &workerFor(const std::string &id);
     void handleWorkerRestart(Worker &worker, std::int64_t startTime, Base::Instant now);
-    /// Whether the incarnation of the worker that its latest list came from may have answered an order, sent
-    /// at `sentAt`, with the time `clock` of its clock. Logs if not.
-    static bool
-    isOfKnownIncarnation(const Worker &worker, std::int64_t clock, Base::Instant sentAt, Base::Instant now);
+    /// Whether an order that was sent at `sentAt`, and answered with the time `clock` of the worker's clock,
+    /// was carried out by the incarnation that its latest list came from. If not, the worker is queried
+    /// first.
+    static bool checkIncarnation(Worker &worker, std::int64_t clock, Base::Instant sentAt, Base::Instant now);
     void processRunList(
         Worker &worker, OrderToken askedWith, const RunList &list, Base::Instant now, WallTime wall);
     void processRunEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall);
@@ -270,6 +274,15 @@
     std::int64_t leaseEnd(Worker &worker, Base::Instant now) const;
     /// The longest time from sending an order to the end of its lease, with the slowest worker clock.
     static Milliseconds longestTime(Milliseconds lease);
+    /// The same if a restarted worker carries the order out, at any time that it may take to arrive.
+    Milliseconds longestTimeAfterRestart() const;
+    /// Whether this owner's first list of the worker may come from an incarnation that the owner before did
+    /// not know of and has given leases to.
+    bool mayBeUnknownToEarlierOwner(const Worker &worker, const RunList &list, Base::Instant now) const;
+    void confirmRun(Job &job, const TaskId &id, Task &task);
+    /// Adds the progress of jobs whose record doesn't tell which of their runs are confirmed, and by when the
+    /// others on silent workers have ended.
+    void addUnrecordedConfirmations(std::vector<Record> &records, Base::Instant now) const;
 
     // Placement and appends, see shardplacement.cpp and shardappends.cpp.
     void addDueOccurrences(Job &job, WallTime wall);
@@ -336,6 +349,10 @@
     std::set<TaskId> m_stopping; ///< runs that were ordered to stop; may contain runs that have ended
     LeaseTimes m_loadedLeases;
     bool m_areLoadedLeasesLast = false; ///< whether no owner has appended anything after them
+    Incarnations m_loadedIncarnations; ///< known to an earlier owner
+    std::optional<Incarnations> m_recordedIncarnations; ///< in the stored record; nullopt: not known
+    bool m_hadEarlierOwner = false; ///< whether there were any records
+    bool m_isReleased = true; ///< whether the latest owner has released the shard
     // Workers in the stored record of leases; nullopt if the outcome of an append of it is not known.
     std::optional<std::set<std::string>> m_recordedLeases;
     std::map<std::string, std::string> m_loadedProgress; ///< by job ID, kept until all records are loaded
--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-// A long lease is stored soon after it has been noticed, so that an owner that takes over without a release
-// counts on it. That it has ended is stored with the next append.
+// A long lease of a worker with runs is stored soon after it has been noticed, so that an owner that takes
+// over without a release counts on it. One without runs is stored no later than its next run, and that it has
+// ended with the next append.
 std::optional<Record> Shard::changedLeases(Base::Instant now, bool hasOtherRecords)
 {
     const LeaseTimes leases = longLeases(now);
@@ -29,10 +30,11 @@
     for (const auto &[id, time] : leases) {
         workers.insert(id);
     }
-    const bool isComplete = m_recordedLeases
-        && std::includes(m_recordedLeases->begin(), m_recordedLeases->end(), workers.begin(), workers.end());
+    const bool isUrgent = std::any_of(workers.begin(), workers.end(), [this](const std::string &it) {
+        return !m_workers.at(it).runs.empty() && (!m_recordedLeases || m_recordedLeases->count(it) == 0);
+    });
     const bool isUpToDate = m_recordedLeases && *m_recordedLeases == workers;
-    const bool isNeeded = hasOtherRecords ? !isUpToDate : !isComplete && !workers.empty();
+    const bool isNeeded = hasOtherRecords ? !isUpToDate : isUrgent;
     if (!isNeeded) {
         return std::nullopt;
     }
@@ -40,6 +42,58 @@
     return Record{std::string(LeasesKey), leases.empty() ? std::string() : encodeLeases(leases)};
 }
 
+Incarnations Shard::knownIncarnations() const
+{
+    Incarnations known;
+    for (const auto &[id, worker] : m_workers) {
+        const auto loaded = m_loadedIncarnations.find(id);
+        if (worker.hasAnswered && worker.isFenced && worker.startTime != 0) {
+            known[id] = worker.startTime;
+        } else if (worker.startTime == 0 && loaded != m_loadedIncarnations.end()) {
+            known.insert(*loaded);
+        }
+    }
+    return known;
+}
+
+void Shard::addUnrecordedConfirmations(std::vector<Record> &records, Base::Instant now) const
+{
+    const auto isOnSilentWorker = [this](const Task &task) {
+        const auto it = m_workers.find(task.worker);
+        return it != m_workers.end() && it->second.isSilent();
+    };
+    const auto timeLeft = [&](const Task &task) {
+        return isOnSilentWorker(task)
+            ? std::optional(std::chrono::ceil<Milliseconds>(m_workers.at(task.worker).endOf(task) - now))
+            : std::nullopt;
+    };
+    std::set<const Job *> jobs;
+    for (const Job *it : m_active) {
+        if (it->hasUnrecordedConfirmations) {
+            jobs.insert(it);
+        }
+    }
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker.isSilent()) {
+            continue;
+        }
+        for (const TaskId &it : worker.runs) {
+            const Job &job = m_jobs.at(it.job);
+            if (!job.find(it)->isConfirmed) {
+                jobs.insert(&job);
+            }
+        }
+    }
+    std::size_t bytes = 0;
+    for (const Job *it : jobs) {
+        if (!it->isStored || bytes > MaxBatchBytes) {
+            continue;
+        }
+        records.push_back({progressKey(it->spec.id), encodeProgress(*it, timeLeft)});
+        bytes += records.back().key.size() + records.back().value.size();
+    }
+}
+
 void Shard::sendBatch(Base::Instant now)
 {
     Batch batch;
@@ -67,6 +121,7 @@
         batch.jobs.push_back(id);
         batch.states[id] = job.state;
         job.isDirty = false;
+        job.hasUnrecordedConfirmations = false;
     }
     m_changed.erase(m_changed.begin(), m_changed.begin() + static_cast<std::ptrdiff_t>(carried));
     const bool isComplete = m_changed.empty();
@@ -86,6 +141,11 @@
         add(std::string(UnusedKey), {});
     }
     if (!append.records.empty()) {
+        if (Incarnations known = knownIncarnations(); known != m_recordedIncarnations) {
+            batch.hasIncarnations = true;
+            add(std::string(IncarnationsKey), encodeIncarnations(known));
+            m_recordedIncarnations = std::move(known);
+        }
         if (auto runTimes = changedRunTimes(now)) {
             batch.hasRunTimes = true;
             add(std::move(runTimes->key), std::move(runTimes->value));
--- a/src/libs/jobs/shardcommands.h
+++ b/src/libs/jobs/shardcommands.h
@@ -45,6 +45,7 @@
     std::string checkpoint;
     std::string ticket;
     std::int64_t leaseEnd = 0; ///< on the worker's clock, ms
+    Base::Instant sentAt;
 };
 
 struct StopRun {
@@ -52,6 +53,7 @@
     OrderToken token = 0;
     TaskId task;
     std::uint32_t attempt = 0;
+    Base::Instant sentAt;
 };
 
 /// Renews the lease of all runs on the worker and queries its running and ended runs.
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -534,6 +534,7 @@
     order.checkpoint = task->checkpoint;
     order.ticket = ticket.value_or(std::string());
     order.leaseEnd = leaseEnd(worker, now);
+    order.sentAt = now;
     Base::LogLine(Base::LogLevel::Info, "run-ordered")
         .with("request", id.job)
         .with("task", toString(id))
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -36,7 +36,7 @@
     task.run = RunState::None;
     task.worker.clear();
     task.workerStart = 0;
-    task.isListed = false;
+    task.isConfirmed = false;
     task.endsBy.reset();
     task.listedSince.reset();
     task.percent = 0;
@@ -45,6 +45,18 @@
     markChanged(job);
 }
 
+// The next owner may need to know of a run that outlasts its lease.
+void Shard::confirmRun(Job &job, const TaskId &id, Task &task)
+{
+    const bool isNew = !std::exchange(task.isConfirmed, true);
+    const bool isLong = job.spec.stages[id.stage].isLongRunning
+        || job.expectedTime(job.occurrences.at(id.occurrence), id.stage) > m_settings.lease;
+    job.hasUnrecordedConfirmations = job.hasUnrecordedConfirmations || isNew;
+    if (isNew && isLong) {
+        markChanged(job);
+    }
+}
+
 void Shard::markSuspect(Worker &worker, const TaskId &id, const Task &task)
 {
     if (task.crashes > 0) {
@@ -229,7 +241,7 @@
     task.isStopConfirmed = false;
     task.orderedAt = now;
     m_stopping.insert(id);
-    m_commands.emplace_back(StopRun{task.worker, workerFor(task.worker).token, id, task.attempt});
+    m_commands.emplace_back(StopRun{task.worker, workerFor(task.worker).token, id, task.attempt, now});
 }
 
 void Shard::stopRuns(Job &job, Base::Instant now)
@@ -273,9 +285,14 @@
     };
     switch (result) {
     case OrderResult::Done:
-        isOfKnownIncarnation(worker, clock, task->orderedAt, now);
-        // An answer to an earlier token may be from before the restart of the worker.
-        task->run = order.token == worker.token ? RunState::Running : RunState::Inherited;
+        if (order.token != worker.token) {
+            task->run = RunState::Inherited; // the answer may be from before the restart of the worker
+        } else if (checkIncarnation(worker, clock, order.sentAt, now)) {
+            task->run = RunState::Running;
+            confirmRun(job, order.task, *task);
+        } else {
+            task->run = RunState::Unanswered; // until the new incarnation lists it
+        }
         task->confirmedAt = clock;
         task->startClock = order.checkpoint.empty() && task->run == RunState::Running ? clock : 0;
         if (job.spec.stages[order.task.stage].isBestEffort) {
@@ -340,8 +357,8 @@
         return;
     }
     Worker &worker = workerFor(order.worker);
-    if (result == OrderResult::Done && order.token == worker.token) {
-        isOfKnownIncarnation(worker, clock, task->orderedAt, now);
+    if (result == OrderResult::Done && order.token == worker.token
+        && checkIncarnation(worker, clock, order.sentAt, now)) {
         task->isStopConfirmed = true;
         task->confirmedAt = clock;
         worker.nextRenewal = std::min(worker.nextRenewal, now);
@@ -375,8 +392,8 @@
         std::vector<TaskId> expired;
         for (const TaskId &it : worker.runs) {
             const Task &task = *m_jobs[it.job].find(it);
-            const bool mayRun = task.run == RunState::Planned || task.run == RunState::Starting
-                || task.endsBy.value_or(worker.leaseExpiresBy) > now;
+            const bool mayRun =
+                task.run == RunState::Planned || task.run == RunState::Starting || worker.endOf(task) > now;
             if (!mayRun) {
                 expired.push_back(it);
             }
@@ -400,7 +417,8 @@
                 .with("assigned_to_born", task.workerStart)
                 .with("ordered_ms", milliseconds(now - task.orderedAt))
                 .with("confirmed_clock", task.confirmedAt)
-                .with("listed", task.isListed);
+                .with("confirmed", task.isConfirmed)
+                .with("listed", task.listedSince.has_value());
             endLostRun(job, it, *job.find(it), expired.size(), now);
         }
     }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -5,6 +5,7 @@
 #include <base/logline.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace Jobs
@@ -19,7 +20,7 @@
 // Maximum drift of a worker's clock. With a slow clock leases last longer than by the clock of the owner.
 constexpr int ClockDriftPerCent = 3;
 
-// Maximum difference between the worker's clock as read and as reckoned from its latest list, beside drift.
+// Less than LeaseMargin: a clock that is behind by it lengthens the lease by as much.
 constexpr Milliseconds ClockTolerance{100};
 
 // Maximum delay between sending a lease and its arrival.
@@ -75,7 +76,7 @@
     m_highestToken = std::max(m_highestToken, worker.token);
     worker.isFenced = false;
     worker.listedRunsEndBy = worker.earliestLeaseEnd();
-    worker.setLease(now + m_settings.maxOrderDelay + longestTime(m_settings.leaseLimit), "restart", now);
+    worker.setLease(now + longestTimeAfterRestart(), "restart", now);
     worker.mayHoldLongLease = true;
     worker.hasAnswered = false;
     worker.clock = 0;
@@ -98,34 +99,45 @@
         if (task.run == RunState::Stopping) {
             m_stopping.insert(it);
         }
-        if (std::exchange(task.isListed, false) && !task.endsBy) {
+        if (std::exchange(task.isConfirmed, false) && !task.endsBy) {
             task.endsBy = worker.listedRunsEndBy;
         }
     }
 }
 
-// The clock of a restarted worker starts again. An answer that overtakes the list before it has the time of
-// its order at the earliest.
-bool Shard::isOfKnownIncarnation(const Worker &worker,
-                                 std::int64_t clock,
-                                 Base::Instant sentAt,
-                                 Base::Instant now)
+// The clock of a restarted worker starts again, so it is behind. Orders with a lease end by the former clock
+// would be granted the longest lease.
+bool Shard::checkIncarnation(Worker &worker, std::int64_t clock, Base::Instant sentAt, Base::Instant now)
 {
-    const std::int64_t sinceRead = milliseconds(now - worker.clockReadAt);
-    const std::int64_t sentAfterRead = milliseconds(sentAt - worker.clockReadAt);
-    const std::int64_t tolerance = ClockTolerance.count() + sinceRead * ClockDriftPerCent / 100;
-    const bool isKnown = worker.hasAnswered && clock >= worker.clock + sentAfterRead - tolerance
-        && clock <= worker.clock + sinceRead + tolerance;
-    if (!isKnown) {
-        Base::LogLine(Base::LogLevel::Warning, "answer-of-unknown-incarnation")
-            .with("worker", worker.info.id)
-            .with("clock", clock)
-            .with("expected_clock", worker.clock + sinceRead)
-            .with("order_age_ms", milliseconds(now - sentAt))
-            .with("born", worker.startTime)
-            .with("list_seen", worker.hasAnswered);
+    const std::int64_t sinceRead = milliseconds(sentAt - worker.clockReadAt);
+    const std::int64_t expected = worker.clock + sinceRead - std::abs(sinceRead) * ClockDriftPerCent / 100;
+    const bool isWithoutReading = worker.clock == 0;
+    if (isWithoutReading || (worker.hasAnswered && clock >= expected - ClockTolerance.count())) {
+        return true;
     }
-    return isKnown;
+    Base::LogLine(Base::LogLevel::Warning, "answer-of-unknown-incarnation")
+        .with("worker", worker.info.id)
+        .with("clock", clock)
+        .with("expected_clock", expected)
+        .with("order_age_ms", milliseconds(now - sentAt))
+        .with("born", worker.startTime)
+        .with("list_seen", worker.hasAnswered);
+    worker.hasAnswered = false;
+    worker.nextRenewal = now;
+    return false;
+}
+
+// Orders by the clock of a former incarnation may also be on their way to one that the owner before didn't
+// know; they are refused for their token once this owner's first query has arrived.
+bool Shard::mayBeUnknownToEarlierOwner(const Worker &worker, const RunList &list, Base::Instant now) const
+{
+    const bool mayBeOrdered =
+        m_hadEarlierOwner && now - m_earlierOwnersRenewUntil <= longestTimeAfterRestart();
+    if (worker.startTime != 0 || !mayBeOrdered) {
+        return false;
+    }
+    const auto known = m_loadedIncarnations.find(worker.info.id);
+    return known == m_loadedIncarnations.end() || known->second != list.startTime;
 }
 
 void Shard::processRunList(
@@ -139,6 +151,10 @@
     if (list.startTime != worker.startTime && worker.startTime != 0 && list.startTime != 0) {
         handleWorkerRestart(worker, list.startTime, now);
     }
+    if (mayBeUnknownToEarlierOwner(worker, list, now)) {
+        worker.mayHoldLongLease = true;
+        worker.isFenced = false;
+    }
     worker.startTime = list.startTime != 0 ? list.startTime : worker.startTime;
     if (!worker.isFenced && askedWith == worker.token) {
         worker.isFenced = true;
@@ -176,7 +192,7 @@
                 .with("lease_end_clock", worker.orderedLeaseEnd)
                 .with("known_attempt", task ? task->attempt : 0)
                 .with("known_worker", task ? task->worker : std::string());
-            m_commands.emplace_back(StopRun{worker.info.id, worker.token, it.task, it.attempt});
+            m_commands.emplace_back(StopRun{worker.info.id, worker.token, it.task, it.attempt, now});
             worker.backoffUntil = std::max(worker.backoffUntil, now + Worker::NoRoomBackoff);
             continue;
         }
@@ -185,8 +201,8 @@
             task->checkpoint = it.checkpoint;
         }
         task->percent = it.percent;
-        task->isListed = true;
         task->endsBy.reset();
+        confirmRun(found->second, it.task, *task);
         if (found->second.state != JobState::Active) {
             if (task->run != RunState::Stopping) {
                 orderStop(it.task, *task, now);
@@ -356,6 +372,11 @@
     worker.nextRenewal = worker.processedCursor > worker.ackCursor ? now + UnstoredEndsDelay : now;
 }
 
+Milliseconds Shard::longestTimeAfterRestart() const
+{
+    return m_settings.maxOrderDelay + longestTime(m_settings.leaseLimit);
+}
+
 Milliseconds Shard::longestTime(Milliseconds lease)
 {
     return lease + lease * ClockDriftPerCent / 100 + LeaseMargin;
@@ -367,6 +388,8 @@
     if (const Base::Instant until = now + longestTime(m_settings.lease); until >= worker.leaseExpiresBy) {
         worker.setLease(until, "order", now);
     }
+    // If the worker has restarted, the end of the lease lies far ahead on its clock.
+    worker.unconfirmedRunsEndBy = now + longestTimeAfterRestart();
     worker.clockAge = sinceRead;
     worker.orderedLeaseEnd = worker.clock + (sinceRead + m_settings.lease).count();
     return worker.orderedLeaseEnd;
@@ -379,7 +402,7 @@
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         Worker &worker = it->second;
         if (!worker.isListed && worker.runs.empty() && !worker.isRenewalPending
-            && worker.leaseExpiresBy <= now) {
+            && worker.unconfirmedRunsEndBy <= now) {
             it = m_workers.erase(it);
             continue;
         }
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -49,8 +49,11 @@
     Base::Instant lastAnswer;
     int consecutiveRenewalFailures = 0;
 
-    /// By this time all current runs have ended, unless the lease is renewed.
+    /// By this time all confirmed runs have ended, unless the lease is renewed.
     Base::Instant leaseExpiresBy;
+    /// The same for runs that are not confirmed: the end of the longest lease that a restarted worker may
+    /// have granted to the latest order.
+    Base::Instant unconfirmedRunsEndBy;
     std::string_view leaseSource = "none"; ///< what leaseExpiresBy was set by, for logs
     Base::Instant leaseSetAt;
     std::int64_t orderedLeaseEnd = 0; ///< by the worker's clock, of the latest order with a lease
@@ -83,10 +86,17 @@
     void setLease(Base::Instant until, std::string_view source, Base::Instant now)
     {
         leaseExpiresBy = until;
+        unconfirmedRunsEndBy = std::max(unconfirmedRunsEndBy, until);
         leaseSource = source;
         leaseSetAt = now;
     }
 
+    /// The time by which the run has ended, unless the lease is renewed.
+    Base::Instant endOf(const Task &run) const
+    {
+        return run.endsBy.value_or(run.isConfirmed ? leaseExpiresBy : unconfirmedRunsEndBy);
+    }
+
     /// Whether the worker may be queried for its runs.
     bool isQueried() const
     {
