Send a start without an answer again to the same worker

**Cause.** A start that got no answer was stopped and the task started on any worker. The stop guards only the incarnation that has confirmed it: after a restart of the worker the first start, still on its way, ran in the next incarnation beside the run elsewhere. Class: as for the leases, a fact about one incarnation is used for the next.

**Change.** The start is sent again with the same attempt, which the worker answers with 200 if it runs already, up to twice; only then, or if the worker refuses it, the run is stopped. The task remembers the start until it can't arrive any more: a run on the same worker ends for its owner by the longest lease, as one that is not confirmed. A next owner takes runs that aren't recorded as confirmed for such. The simulated worker doesn't answer a query of its former incarnation.

Open: a task that had to move to another worker (drained, full, no answer three times) while a start is on its way to one that restarts.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -34,6 +34,13 @@
     Stopping, ///< the stop has been sent
 };
 
+/// A start that got no answer.
+struct OpenStart {
+    std::string worker;
+    Base::Instant
+        until; ///< it may be carried out before this time, by a later incarnation of the worker, too
+};
+
 struct Task {
     bool isDone = false;
     RunState run = RunState::None;
@@ -54,6 +61,8 @@
     /// Whether the run is known to be one of the incarnation of its worker that leases are reckoned for.
     /// Until then its start may be carried out by any later incarnation.
     bool isConfirmed = false;
+    std::optional<OpenStart> openStart; ///< the latest one, of this run or an earlier one
+    std::uint32_t startRepeats = 0; ///< how often the start of the run has been sent again
     std::optional<Base::Instant> listedSince; ///< when the worker has first listed the run to this owner
     std::optional<Base::Instant> endsBy; ///< the end of its lease, if the worker has restarted since
     /// Until its end by all leases, as recorded by the owner that released the shard.
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -156,7 +156,7 @@
     if (hasStart) {
         out.emplace_back(task.workerStart);
     }
-    if (hasStart && task.isConfirmed) {
+    if (hasStart && task.isConfirmed && !task.openStart) {
         out.emplace_back(0);
     } else if (const auto time = hasStart && timeLeft ? timeLeft(task) : std::nullopt) {
         out.emplace_back(std::max<std::int64_t>(1, time->count()));
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -147,6 +147,8 @@
     static constexpr std::uint32_t MaxLosses = 5;
     // Crashes from which on a task gets a worker for itself.
     static constexpr std::uint32_t IsolatedCrashes = 2;
+    // How often a start without an answer is sent again before the run is given up.
+    static constexpr std::uint32_t MaxStartRepeats = 2;
     // Sent as retry delay to callers whose job was refused because the store did not answer.
     static constexpr Milliseconds StoreRetryAfter{1000};
 
@@ -221,6 +223,9 @@
     void completeTask(Job &job, const TaskId &id, WallTime wall, Base::Instant now);
     void recordTaskFailure(Job &job, const TaskId &id, Task &task, Base::Instant now, WallTime wall);
     void orderStop(const TaskId &id, Task &task, Base::Instant now);
+    void repeatOrStop(Job &job, const TaskId &id, Task &task, Base::Instant now);
+    /// Ends a run whose start the worker has refused, once no start of it can be carried out any more.
+    void endRefusedRun(Job &job, const TaskId &id, Task &task, Base::Instant now);
     void stopRuns(Job &job, Base::Instant now);
     void endExpiredRuns(Base::Instant now);
     void evictRuns(Base::Instant now, WallTime wall);
@@ -324,6 +329,8 @@
     /// The record of leases for the next append, if that needs one.
     std::optional<Record> changedLeases(Base::Instant now, bool hasOtherRecords);
     void sendStart(const TaskId &id, Base::Instant now);
+    /// Orders the start of the run, unless its worker must not start it now.
+    bool orderStart(Job &job, const TaskId &id, Task &task, Base::Instant now);
     void refuseUnsentJobs(Base::Instant now);
     void removeEndedJobs(WallTime wall);
     void checkRedirectedJobs(WallTime wall);
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -485,6 +485,7 @@
     task.attempt = attempt;
     task.worker = worker.info.id;
     task.workerStart = worker.startTime;
+    task.startRepeats = 0;
     if (task.crashes >= IsolatedCrashes) {
         isolate(worker, now);
     }
@@ -505,33 +506,37 @@
     if (!task || task->run != RunState::Planned) {
         return;
     }
-    Job &job = it->second;
-    Worker &worker = workerFor(task->worker);
+    if (!orderStart(it->second, id, *task, now)) {
+        endRun(it->second, id, *task);
+    }
+}
+
+bool Shard::orderStart(Job &job, const TaskId &id, Task &task, Base::Instant now)
+{
+    Worker &worker = workerFor(task.worker);
     const bool isWithinQuota = m_quotaUsage.isWithinLimit(job.spec.workspace);
     const bool isWithinCapacity = worker.info.capacity.contains(worker.used);
     if (!worker.isListed || !worker.hasAnswered || worker.info.isDraining || m_isMembershipLapsed
         || !isWithinQuota || !isWithinCapacity) {
-        endRun(job, id, *task);
-        return;
+        return false;
     }
     std::optional<std::string> ticket;
     if (job.spec.queue.advice) {
-        ticket = m_advice.ticket({id.job, id.occurrence, id.stage}, task->worker, now);
+        ticket = m_advice.ticket({id.job, id.occurrence, id.stage}, task.worker, now);
         if (!ticket) {
-            endRun(job, id, *task);
-            return;
+            return false;
         }
     }
-    task->run = RunState::Starting;
-    task->orderedAt = now;
+    task.run = RunState::Starting;
+    task.orderedAt = now;
     job.hasStarted = true;
     StartRun order;
-    order.worker = task->worker;
+    order.worker = task.worker;
     order.token = worker.token;
     order.task = id;
-    order.attempt = task->attempt;
+    order.attempt = task.attempt;
     order.payload = job.spec.payload;
-    order.checkpoint = task->checkpoint;
+    order.checkpoint = task.checkpoint;
     order.ticket = ticket.value_or(std::string());
     order.leaseEnd = leaseEnd(worker, now);
     order.sentAt = now;
@@ -544,8 +549,10 @@
         .with("born", worker.startTime)
         .with("worker_seen_ms", std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswer).count())
         .with("lease_end_clock", order.leaseEnd)
-        .with("clock_age_ms", worker.clockAge.count());
+        .with("clock_age_ms", worker.clockAge.count())
+        .with("repeats", task.startRepeats);
     m_commands.emplace_back(std::move(order));
+    return true;
 }
 
 } // namespace Jobs
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -244,6 +244,26 @@
     m_commands.emplace_back(StopRun{task.worker, workerFor(task.worker).token, id, task.attempt, now});
 }
 
+// Started on another worker it could run twice: the start may still be carried out, after a restart of the
+// worker even if it has been stopped before.
+void Shard::repeatOrStop(Job &job, const TaskId &id, Task &task, Base::Instant now)
+{
+    const bool mayRepeat = job.state == JobState::Active && task.startRepeats < MaxStartRepeats;
+    ++task.startRepeats;
+    if (!mayRepeat || !orderStart(job, id, task, now)) {
+        orderStop(id, task, now);
+    }
+}
+
+void Shard::endRefusedRun(Job &job, const TaskId &id, Task &task, Base::Instant now)
+{
+    if (task.openStart && task.openStart->until > now) {
+        orderStop(id, task, now);
+    } else {
+        endRun(job, id, task);
+    }
+}
+
 void Shard::stopRuns(Job &job, Base::Instant now)
 {
     for (auto &[number, occurrence] : job.occurrences) {
@@ -294,7 +314,8 @@
             task->run = RunState::Unanswered; // until the new incarnation lists it
         }
         task->confirmedAt = clock;
-        task->startClock = order.checkpoint.empty() && task->run == RunState::Running ? clock : 0;
+        task->startClock =
+            order.checkpoint.empty() && task->run == RunState::Running && task->startRepeats == 0 ? clock : 0;
         if (job.spec.stages[order.task.stage].isBestEffort) {
             worker.sentPaces[order.task] = Worker::FullPace;
         }
@@ -305,6 +326,7 @@
     case OrderResult::NoAnswer:
         task->run = RunState::Unanswered;
         task->orderedAt = now;
+        task->openStart = {order.worker, order.sentAt + m_settings.maxOrderDelay};
         backOff(UnhealthyBackoff);
         if (job.state != JobState::Active) {
             orderStop(order.task, *task, now);
@@ -315,26 +337,26 @@
             m_commands.emplace_back(RelinquishShard{"a worker has a newer owner"});
             return;
         }
-        endRun(job, order.task, *task);
+        endRefusedRun(job, order.task, *task, now);
         break;
     case OrderResult::NoRoom:
         backOff(Worker::NoRoomBackoff);
-        endRun(job, order.task, *task);
+        endRefusedRun(job, order.task, *task, now);
         break;
     case OrderResult::NoTicket:
         m_advice.rejected({order.task.job, order.task.occurrence, order.task.stage}, order.worker);
-        endRun(job, order.task, *task);
+        endRefusedRun(job, order.task, *task, now);
         break;
     case OrderResult::Superseded:
     case OrderResult::TooLate:
-        endRun(job, order.task, *task);
+        endRefusedRun(job, order.task, *task, now);
         break;
     case OrderResult::Unhealthy:
     case OrderResult::OtherInstance:
     case OrderResult::NotSent:
     case OrderResult::Rejected:
         backOff(UnhealthyBackoff);
-        endRun(job, order.task, *task);
+        endRefusedRun(job, order.task, *task, now);
         break;
     }
     Base::LogLine(Base::LogLevel::Info, "start-refused")
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -99,7 +99,7 @@
         if (task.run == RunState::Stopping) {
             m_stopping.insert(it);
         }
-        if (std::exchange(task.isConfirmed, false) && !task.endsBy) {
+        if (std::exchange(task.isConfirmed, false) && !task.endsBy && !worker.mayCarryOutStart(task)) {
             task.endsBy = worker.listedRunsEndBy;
         }
     }
@@ -328,7 +328,7 @@
             break;
         case RunState::Unanswered:
             if (now - task.orderedAt > m_settings.startAnswerTimeout) {
-                orderStop(it, task, now);
+                repeatOrStop(job, it, task, now);
             }
             break;
         case RunState::Stopping:
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -91,10 +91,17 @@
         leaseSetAt = now;
     }
 
+    /// Whether a later incarnation may have carried out a start of the task without an answer.
+    bool mayCarryOutStart(const Task &task) const
+    {
+        return task.openStart && task.openStart->worker == info.id && task.openStart->until > lastAnswer;
+    }
+
     /// The time by which the run has ended, unless the lease is renewed.
     Base::Instant endOf(const Task &run) const
     {
-        return run.endsBy.value_or(run.isConfirmed ? leaseExpiresBy : unconfirmedRunsEndBy);
+        const bool isBoundByLease = run.isConfirmed && !mayCarryOutStart(run);
+        return run.endsBy.value_or(isBoundByLease ? leaseExpiresBy : unconfirmedRunsEndBy);
     }
 
     /// Whether the worker may be queried for its runs.
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -764,9 +764,9 @@
                                       ends.end(),
                                       [&](const auto &it) { return it.number <= order.ackCursor; }),
                        ends.end());
-            const auto respond = [this, id, once] {
+            const auto respond = [this, id, once, startedAt = there.m_startedAt] {
                 Worker &now = m_world.workers[id];
-                if (!now.isUp) {
+                if (!now.isUp || now.m_startedAt != startedAt || now.unreachableFrom.count(m_member) > 0) {
                     return;
                 }
                 m_world.advance(now);
--- a/tests/auto/workerrestarts/tst_workerrestarts.cpp
+++ b/tests/auto/workerrestarts/tst_workerrestarts.cpp
@@ -146,6 +146,24 @@
     fleet.checkThatTaskRunsOnSecondWorker();
 }
 
+TEST(WorkerRestarts, AStartWithoutAnAnswerDoesNotRunInTheNextIncarnationBesideARunElsewhere)
+{
+    for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
+        Fleet fleet(seed);
+        fleet.submit("b"); // the other worker has more room
+        fleet.w1().delayedShare = 1;
+        fleet.submit("a");
+        fleet.w1().delayedShare = 0;
+        fleet.world.workers["w2"].unreachableFrom.clear();
+        fleet.world.run(4s); // the start is given up before some of them are carried out
+        fleet.world.crash("w1", 0ms, CrashKind::Silent);
+        fleet.cutOffFirstWorker();
+        fleet.world.run(fleet.world.settings.shard.maxOrderDelay + fleet.world.settings.shard.leaseLimit + 5s);
+        fleet.checkViolations();
+        LONGS_EQUAL(2, fleet.world.runsOn("w2"));
+    }
+}
+
 TEST(WorkerRestarts, AStartThatTheNextIncarnationTakesLateIsNotGivenUpBefore)
 {
     for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
