Reset connections of calls that have timed out

A call that timed out closed its connection, and bytes that a partition holds up are still delivered after a close, once it is over: a start arrives 9 s after it was given up. Its worker may have restarted meanwhile and takes it.

**Change.** The HTTP client resets the connection of a call that has failed or is abandoned, so that what is on its way is discarded. Nothing else about calls is changed; a connection on which a call timed out was never used again before either.

**Conclusion.** After a partition no request of before it is carried out, as far as the network keeps resets.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -145,7 +145,7 @@
     void abandon()
     {
         endExchange();
-        close();
+        reset();
         m_owner->dropped(m_server);
     }
 
@@ -155,6 +155,14 @@
         m_timer.disarm();
     }
 
+    // Bytes that a partition holds up would arrive once it is over, after the request has been given up.
+    void reset()
+    {
+        boost::system::error_code ec;
+        m_socket.set_option(tcp::socket::linger(true, 0), ec);
+        close();
+    }
+
     void close()
     {
         boost::system::error_code ec;
@@ -312,7 +320,7 @@
         if (m_parser && m_parser->is_header_done() && m_parser->get().result_int() == 200) {
             outcome.partialBody = std::move(m_parser->get().body());
         }
-        close();
+        reset();
         m_owner->dropped(m_server);
         outcome.verdict = m_wasSent ? Base::Verdict::MayHaveRun : Base::Verdict::NotRun;
         outcome.failure = std::move(failure);
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -391,6 +391,28 @@
     CHECK(outcome && !outcome->response && !outcome->isTimeout);
 }
 
+// A reset discards what is still on its way to the server.
+TEST(Http, AConnectionWhoseRequestTimedOutIsReset)
+{
+    boost::asio::io_context context;
+    Loop loop;
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    std::optional<Http::Outcome> outcome;
+    loop.client.send(Ini::Endpoint{"127.0.0.1", acceptor.local_endpoint().port()},
+                     post("start"),
+                     50ms,
+                     [&](Http::Outcome it) { outcome = std::move(it); });
+    loop.runUntil([&] { return outcome.has_value(); });
+    CHECK(outcome && outcome->isTimeout && outcome->verdict == Base::Verdict::MayHaveRun);
+    tcp::socket socket = acceptor.accept();
+    std::string received(4096, '\0');
+    boost::system::error_code ec;
+    while (!ec) {
+        socket.read_some(boost::asio::buffer(received), ec);
+    }
+    CHECK(ec == boost::asio::error::connection_reset);
+}
+
 TEST(Http, ALargeBodyIsNotReadInManySmallSteps)
 {
     constexpr std::size_t BodyBytes = 128U << 10U;
