Wait for late orders only where late orders were seen

**Change.** A run that isn't confirmed is counted by the longest lease from its worker's latest order (6.5 s, 10.6 s), and for as long as orders can be late on top only if the shard's workers have left a start unanswered while they answered queries. A start isn't sent to a worker that is known to be silent. What a takeover finds unconfirmed is counted in the same way.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -281,6 +281,8 @@
     static Milliseconds longestTime(Milliseconds lease);
     /// The same if a restarted worker carries the order out, at any time that it may take to arrive.
     Milliseconds longestTimeAfterRestart() const;
+    /// The time by which the run has ended, unless the lease is renewed.
+    Base::Instant endOf(const Worker &worker, const Task &run) const;
     /// Whether this owner's first list of the worker may come from an incarnation that the owner before did
     /// not know of and has given leases to.
     bool mayBeUnknownToEarlierOwner(const Worker &worker, const RunList &list, Base::Instant now) const;
@@ -398,6 +400,7 @@
     Base::Instant m_nextPlacementRetry; ///< when skipped workers may be usable again
     bool m_isMembershipLapsed = false;
     bool m_mustConfirmOwnership = false;
+    Base::Instant m_lateOrderSeenAt; ///< when a worker has last answered a query, but no start before it
     Base::Instant m_begunAt; ///< when this owner began to serve the shard
     bool m_hasChanged = true; ///< since the last placement round
 };
--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -64,7 +64,7 @@
     };
     const auto timeLeft = [&](const Task &task) {
         return isOnSilentWorker(task)
-            ? std::optional(std::chrono::ceil<Milliseconds>(m_workers.at(task.worker).endOf(task) - now))
+            ? std::optional(std::chrono::ceil<Milliseconds>(endOf(m_workers.at(task.worker), task) - now))
             : std::nullopt;
     };
     std::set<const Job *> jobs;
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -516,7 +516,7 @@
     Worker &worker = workerFor(task.worker);
     const bool isWithinQuota = m_quotaUsage.isWithinLimit(job.spec.workspace);
     const bool isWithinCapacity = worker.info.capacity.contains(worker.used);
-    if (!worker.isListed || !worker.hasAnswered || worker.info.isDraining || m_isMembershipLapsed
+    if (!worker.isListed || worker.isSilent() || worker.info.isDraining || m_isMembershipLapsed
         || !isWithinQuota || !isWithinCapacity) {
         return false;
     }
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -248,6 +248,7 @@
 // worker even if it has been stopped before.
 void Shard::repeatOrStop(Job &job, const TaskId &id, Task &task, Base::Instant now)
 {
+    m_lateOrderSeenAt = now;
     const bool mayRepeat = job.state == JobState::Active && task.startRepeats < MaxStartRepeats;
     ++task.startRepeats;
     if (!mayRepeat || !orderStart(job, id, task, now)) {
@@ -415,7 +416,7 @@
         for (const TaskId &it : worker.runs) {
             const Task &task = *m_jobs[it.job].find(it);
             const bool mayRun =
-                task.run == RunState::Planned || task.run == RunState::Starting || worker.endOf(task) > now;
+                task.run == RunState::Planned || task.run == RunState::Starting || endOf(worker, task) > now;
             if (!mayRun) {
                 expired.push_back(it);
             }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -377,6 +377,23 @@
     return m_settings.maxOrderDelay + longestTime(m_settings.leaseLimit);
 }
 
+// A worker that has restarted grants the longest lease, as the end of the lease lies far ahead on its clock.
+// One that answers nothing has carried an order out at once or not at all, unless orders to workers that
+// answer are late, too.
+Base::Instant Shard::endOf(const Worker &worker, const Task &run) const
+{
+    if (run.endsBy) {
+        return *run.endsBy;
+    }
+    if (run.isConfirmed && !worker.mayCarryOutStart(run)) {
+        return worker.leaseExpiresBy;
+    }
+    const bool areOrdersLate = worker.lastLeaseOrder - m_lateOrderSeenAt <= longestTimeAfterRestart();
+    const Milliseconds longest =
+        areOrdersLate ? longestTimeAfterRestart() : longestTime(m_settings.leaseLimit);
+    return std::max<Base::Instant>(worker.leaseExpiresBy, worker.lastLeaseOrder + longest);
+}
+
 Milliseconds Shard::longestTime(Milliseconds lease)
 {
     return lease + lease * ClockDriftPerCent / 100 + LeaseMargin;
@@ -388,8 +405,7 @@
     if (const Base::Instant until = now + longestTime(m_settings.lease); until >= worker.leaseExpiresBy) {
         worker.setLease(until, "order", now);
     }
-    // If the worker has restarted, the end of the lease lies far ahead on its clock.
-    worker.unconfirmedRunsEndBy = now + longestTimeAfterRestart();
+    worker.lastLeaseOrder = now;
     worker.clockAge = sinceRead;
     worker.orderedLeaseEnd = worker.clock + (sinceRead + m_settings.lease).count();
     return worker.orderedLeaseEnd;
@@ -402,7 +418,9 @@
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         Worker &worker = it->second;
         if (!worker.isListed && worker.runs.empty() && !worker.isRenewalPending
-            && worker.unconfirmedRunsEndBy <= now) {
+            && std::max<Base::Instant>(worker.leaseExpiresBy,
+                                       worker.lastLeaseOrder + longestTimeAfterRestart())
+                <= now) {
             it = m_workers.erase(it);
             continue;
         }
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -51,9 +51,7 @@
 
     /// By this time all confirmed runs have ended, unless the lease is renewed.
     Base::Instant leaseExpiresBy;
-    /// The same for runs that are not confirmed: the end of the longest lease that a restarted worker may
-    /// have granted to the latest order.
-    Base::Instant unconfirmedRunsEndBy;
+    Base::Instant lastLeaseOrder; ///< when the latest order with a lease was sent, by any owner
     std::string_view leaseSource = "none"; ///< what leaseExpiresBy was set by, for logs
     Base::Instant leaseSetAt;
     std::int64_t orderedLeaseEnd = 0; ///< by the worker's clock, of the latest order with a lease
@@ -86,7 +84,6 @@
     void setLease(Base::Instant until, std::string_view source, Base::Instant now)
     {
         leaseExpiresBy = until;
-        unconfirmedRunsEndBy = std::max(unconfirmedRunsEndBy, until);
         leaseSource = source;
         leaseSetAt = now;
     }
@@ -97,13 +94,6 @@
         return task.openStart && task.openStart->worker == info.id && task.openStart->until > lastAnswer;
     }
 
-    /// The time by which the run has ended, unless the lease is renewed.
-    Base::Instant endOf(const Task &run) const
-    {
-        const bool isBoundByLease = run.isConfirmed && !mayCarryOutStart(run);
-        return run.endsBy.value_or(isBoundByLease ? leaseExpiresBy : unconfirmedRunsEndBy);
-    }
-
     /// Whether the worker may be queried for its runs.
     bool isQueried() const
     {
--- /dev/null
+++ b/tests/auto/workerrestarts/restartedfleet.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "simulatedplatform.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace std::chrono_literals;
+
+constexpr SimulatedPlatform::Milliseconds LongTask{60'000};
+constexpr std::uint32_t Seeds = 20;
+
+/// One service with the workers w1 and w2, of which the members can reach only the first one at the start.
+struct Fleet {
+    explicit Fleet(std::uint32_t seed = 1)
+        : world(seed)
+    {
+        world.ordersOutliveRestarts = true;
+        world.taskTime = LongTask;
+        world.addWorker("w1");
+        world.addWorker("w2").unreachableFrom = {"m1", "m2"};
+        // The first one owns the shard. The list of workers is not published again, so no member gets to know
+        // of a restart by it.
+        world.addMember("m1");
+        world.addMember("m2");
+        world.run(2s);
+        CHECK(world.members["m1"]->host.owns(0));
+    }
+
+    SimulatedPlatform::Worker &w1()
+    {
+        return world.workers["w1"];
+    }
+
+    /// Restarts w1 and starts a task there, before any list of the restarted worker.
+    void startAfterUnnoticedRestart(const std::string &job)
+    {
+        world.crash("w1", 0ms, SimulatedPlatform::CrashKind::Silent);
+        submit(job);
+        world.run(10ms);
+        LONGS_EQUAL(1, world.runsOn("w1"));
+    }
+
+    void submit(const std::string &job)
+    {
+        CHECK(world.submit(SimulatedPlatform::makeJob(job, 1, 1)));
+    }
+
+    /// Returns when the next owner has had a list of all workers.
+    void killOwner()
+    {
+        world.kill("m1");
+        while (!world.members["m2"]->host.owns(0)) {
+            world.run(10ms);
+        }
+        world.run(100ms);
+    }
+
+    void cutOffFirstWorker()
+    {
+        w1().unreachableFrom = {"m1", "m2"};
+        world.workers["w2"].unreachableFrom.clear();
+    }
+
+    /// Waits for as long as an order can be on its way, and its lease after that.
+    void checkThatTaskRunsOnSecondWorker()
+    {
+        world.run(world.settings.shard.maxOrderDelay + world.settings.shard.leaseLimit + 5s);
+        checkViolations();
+        LONGS_EQUAL(1, world.runsOn("w2"));
+    }
+
+    void checkViolations()
+    {
+        for (const std::string &it : world.violations) {
+            FAIL(it.c_str());
+        }
+    }
+
+    SimulatedPlatform world;
+};
