Send the cursor of run ends until it has been answered

Ends of a restarted worker are numbered from the beginning, so a query that was meant for its former incarnation and arrives late removes ends that no owner has seen: the task is done and noted, and starts again. The same class: a number of one incarnation is taken by the next.

**Change.** The cursor is sent until a query with it has been answered, then 0, as what is removed stays removed.

**Conclusion.** A query repeats no cursor.

--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -83,6 +83,7 @@
     worker.previousClock = 0;
     worker.processedCursor = 0;
     worker.ackCursor = 0;
+    worker.acknowledgedCursor = 0;
     worker.consecutiveFailedJobs = 0;
     worker.isolatedUntil = {};
     worker.nextRenewal = now;
@@ -368,6 +369,9 @@
         worker.consecutiveRenewalFailures = 0;
         m_hasChanged = true;
     }
+    if (list.startTime == worker.startTime) {
+        worker.acknowledgedCursor = std::max(worker.acknowledgedCursor, order.ackCursor);
+    }
     processRunList(worker, order.token, list, now, wall);
     worker.nextRenewal = worker.processedCursor > worker.ackCursor ? now + UnstoredEndsDelay : now;
 }
@@ -432,7 +436,8 @@
                 && (!worker.isLeaseRecorded || m_isOwnerRecordStored);
             if (mayRenew) {
                 ask.leaseEnd = leaseEnd(worker, now);
-                ask.ackCursor = worker.ackCursor;
+                // Not again what it has removed: after a restart its ends are numbered from the beginning.
+                ask.ackCursor = worker.ackCursor > worker.acknowledgedCursor ? worker.ackCursor : 0;
                 ask.longPollTime = worker.runs.empty() ? Worker::LongestQuery : m_settings.renewal;
             }
             worker.isRenewalPending = true;
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -63,6 +63,7 @@
     bool isLeaseRecorded = false;
     std::uint64_t processedCursor = 0; ///< run ends up to this number are part of the jobs' progress
     std::uint64_t ackCursor = 0; ///< run ends up to this number are stored
+    std::uint64_t acknowledgedCursor = 0; ///< the worker has removed run ends up to this number
 
     std::set<TaskId> runs; ///< runs assigned to the worker and not known to have ended
     std::set<TaskId> suspects; ///< of these, tasks under which a worker has crashed
--- a/tests/auto/workerrestarts/tst_workerrestarts.cpp
+++ b/tests/auto/workerrestarts/tst_workerrestarts.cpp
@@ -102,3 +102,24 @@
         LONGS_EQUAL(2, fleet.world.runsOn("w2"));
     }
 }
+
+TEST(WorkerRestarts, AnEarlierCursorDoesNotRemoveEndsOfTheNextIncarnation)
+{
+    for (std::uint32_t seed = 1; seed <= Seeds; ++seed) {
+        Fleet fleet(seed);
+        fleet.world.taskTime = 50ms;
+        fleet.submit("a");
+        fleet.world.run(2s); // its end has been removed
+        fleet.w1().delayedShare = 1;
+        fleet.world.run(2s); // a query is on its way
+        fleet.world.crash("w1", 0ms, CrashKind::Silent);
+        fleet.w1().delayedShare = 0;
+        fleet.submit("b");
+        fleet.w1().unreachableFrom = {"m1", "m2"};
+        fleet.world.run(fleet.world.settings.shard.maxOrderDelay);
+        fleet.w1().unreachableFrom.clear();
+        fleet.world.run(10s);
+        fleet.checkViolations();
+        CHECK(fleet.world.state("b") == JobService::ReportedState::Completed);
+    }
+}
