Send starts of the owner before again to the same worker

The start of the owner before may still be on its way; its token is refused by this incarnation only, so after a restart of the worker it runs beside the run elsewhere.

**Change.** A run that isn't recorded as confirmed counts as one whose start got no answer, and is sent again to its worker with the same attempt, as for starts of this owner. Not if the worker has restarted since the assignment: then the task may have crashed it, which is counted.

**Conclusion.** A change of owners no longer lets a start and its successor run on two workers, while the first worker can take it.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -226,6 +226,14 @@
     std::erase_if(m_earlierOwners, hasEnded);
     m_earlierOwnersRenewUntil = m_earlierOwners.empty() ? now : now + m_settings.staleOwnerTimeout;
     const Base::Instant lastRenewal = m_earlierOwnersRenewUntil;
+    for (auto &[id, worker] : m_workers) {
+        for (const TaskId &it : worker.runs) {
+            Task &task = *m_jobs.at(it.job).find(it);
+            if (!task.isConfirmed) {
+                task.openStart = {id, lastRenewal + m_settings.maxOrderDelay};
+            }
+        }
+    }
     for (auto &[id, worker] : m_workers) {
         worker.setLease(lastRenewal + longestTime(m_settings.lease), "takeover", now);
         worker.lastLeaseOrder = lastRenewal;
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -248,8 +248,9 @@
 // worker even if it has been stopped before.
 void Shard::repeatOrStop(Job &job, const TaskId &id, Task &task, Base::Instant now)
 {
-    m_lateOrderSeenAt = now;
-    const bool mayRepeat = job.state == JobState::Active && task.startRepeats < MaxStartRepeats;
+    // A worker that has restarted since may have crashed under the task.
+    const bool mayRepeat = job.state == JobState::Active && task.startRepeats < MaxStartRepeats
+        && task.workerStart == workerFor(task.worker).startTime;
     ++task.startRepeats;
     if (!mayRepeat || !orderStart(job, id, task, now)) {
         orderStop(id, task, now);
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -204,6 +204,9 @@
         task->percent = it.percent;
         task->endsBy.reset();
         confirmRun(found->second, it.task, *task);
+        if (task->run == RunState::Inherited && task->startRepeats == 0) {
+            task->openStart.reset(); // its only start
+        }
         if (found->second.state != JobState::Active) {
             if (task->run != RunState::Stopping) {
                 orderStop(it.task, *task, now);
@@ -323,12 +326,18 @@
             }
             break;
         case RunState::Inherited:
-            if (askedWith == worker.token) {
+            if (askedWith != worker.token) {
+                break;
+            }
+            if (task.openStart && task.openStart->until > now && task.workerStart == worker.startTime) {
+                repeatOrStop(job, it, task, now);
+            } else {
                 endUnlistedRun(job, it, task, now);
             }
             break;
         case RunState::Unanswered:
             if (now - task.orderedAt > m_settings.startAnswerTimeout) {
+                m_lateOrderSeenAt = now;
                 repeatOrStop(job, it, task, now);
             }
             break;
--- a/tests/auto/workerrestarts/tst_workerrestarts.cpp
+++ b/tests/auto/workerrestarts/tst_workerrestarts.cpp
@@ -123,3 +123,24 @@
         CHECK(fleet.world.state("b") == JobService::ReportedState::Completed);
     }
 }
+
+TEST(WorkerRestarts, AStartOfTheOwnerBeforeDoesNotRunInTheNextIncarnationBesideARunElsewhere)
+{
+    for (std::uint32_t seed = 1; seed <= 2 * Seeds; ++seed) {
+        Fleet fleet(seed);
+        fleet.world.workers["w2"].info.capacity.milliCores = 4000; // fits more tightly
+        fleet.world.workers["w2"].unreachableFrom = {"m1"};
+        fleet.world.publishWorkers();
+        fleet.w1().delayedShare = 1;
+        fleet.submit("a");
+        fleet.w1().delayedShare = 0;
+        fleet.world.members["m1"]->host.stop([] {});
+        fleet.world.run(3s);
+        CHECK(fleet.world.members["m2"]->host.owns(0));
+        fleet.world.crash("w1", 0ms, CrashKind::Silent);
+        fleet.world.run(fleet.world.settings.shard.maxOrderDelay + fleet.world.settings.shard.leaseLimit
+                        + 5s);
+        fleet.checkViolations();
+        LONGS_EQUAL(1, fleet.world.runsOf("a"));
+    }
+}
