Store long leases with the records that rely on them

**Change.** The record that confirms the ownership is added before it is decided about the others.

**Before / after.** `build/bin/tst_jobs -n AnIncarnationIsNotRecordedWithoutItsLongLease`: red before, green now; tst_jobs 213 green.

**Conclusion.** Incarnations are stored no earlier than their leases.

--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -133,13 +133,13 @@
     for (std::string &it : std::exchange(m_deletedKeys, {})) {
         add(std::move(it), {});
     }
+    if (std::exchange(m_mustConfirmOwnership, false) && append.records.empty()) {
+        add(std::string(UnusedKey), {});
+    }
     if (auto leases = changedLeases(now, !append.records.empty())) {
         batch.hasLeases = true;
         add(std::move(leases->key), std::move(leases->value));
     }
-    if (std::exchange(m_mustConfirmOwnership, false) && append.records.empty()) {
-        add(std::string(UnusedKey), {});
-    }
     if (!append.records.empty()) {
         if (Incarnations known = knownIncarnations(); known != m_recordedIncarnations) {
             batch.hasIncarnations = true;
--- a/tests/auto/jobs/tst_shard.cpp
+++ b/tests/auto/jobs/tst_shard.cpp
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -252,3 +253,42 @@
     }
     LONGS_EQUAL(Tasks, starts);
 }
+
+// The next owner relies on the leases of the incarnations that it finds recorded.
+TEST(Shard, AnIncarnationIsNotRecordedWithoutItsLongLease)
+{
+    Base::Instant now{1h};
+    Jobs::Shard shard({}, 1, "m");
+    shard.begin(now, Wall, hasEnded);
+    listWorker(shard, now);
+    Jobs::RunList list;
+    list.startTime = 1;
+    list.clock = 60'000;
+    bool isRecorded = false;
+    for (int n = 0; n < 40 && !isRecorded; ++n, now += 100ms, list.clock += 100) {
+        if (n == 20) {
+            list.startTime = 2; // restarted
+            list.clock = 5;
+        }
+        if (n == 24) {
+            shard.confirmOwnership();
+        }
+        shard.processDue(now, Wall);
+        for (const Jobs::Command &it : shard.takeCommands()) {
+            if (const auto *append = std::get_if<Jobs::AppendBatch>(&it)) {
+                std::map<std::string, std::string> records;
+                for (const Jobs::Record &record : append->records) {
+                    records[record.key] = record.value;
+                }
+                if (records["incarnations"] == R"({"w":2})") {
+                    isRecorded = true;
+                    CHECK(records["leases"].find("\"w\"") != std::string::npos);
+                }
+                shard.appended(append->number, Jobs::AppendResult::Stored, now, Wall);
+            } else if (const auto *renew = std::get_if<Jobs::RenewLease>(&it)) {
+                shard.renewAnswered(*renew, Jobs::OrderResult::Done, list, now, Wall);
+            }
+        }
+    }
+    CHECK(isRecorded);
+}
