Store long leases again when their ends change

A worker that restarted once more had a later end than the record, and one whose first list had come a much nearer one (10.6 s instead of 23.6 s), which the next owner waited for.

**Change.** The record is stored again, with what is stored next, if an end is later than recorded or nearer by over a second; at once if it is later and the worker has runs.

**Before / after.** `build/bin/tst_jobs -n ALongLeaseIsRecordedAgainWhenItsEndIsNearer`: red before, green now; tst_jobs 214 green.

**Conclusion.** A next owner waits for the end that is known.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -248,7 +248,7 @@
     m_recordedLeases.emplace();
     m_recordedIncarnations = m_loadedIncarnations;
     for (const auto &[id, time] : std::exchange(m_loadedLeases, {})) {
-        m_recordedLeases->insert(id);
+        m_recordedLeases->emplace(id, now + time);
         Worker &worker = workerFor(id);
         worker.isLeaseRecorded = m_areLoadedLeasesLast;
         worker.mayHoldLongLease = time > longestTime(m_settings.lease);
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -362,8 +362,9 @@
     std::optional<Incarnations> m_recordedIncarnations; ///< in the stored record; nullopt: not known
     bool m_hadEarlierOwner = false; ///< whether there were any records
     bool m_isReleased = true; ///< whether the latest owner has released the shard
-    // Workers in the stored record of leases; nullopt if the outcome of an append of it is not known.
-    std::optional<std::set<std::string>> m_recordedLeases;
+    // By worker, the ends in the stored record of leases; nullopt if the outcome of an append of it is not
+    // known.
+    std::optional<std::map<std::string, Base::Instant>> m_recordedLeases;
     std::map<std::string, std::string> m_loadedProgress; ///< by job ID, kept until all records are loaded
     std::map<std::string, Worker> m_workers;
     std::map<std::string, std::vector<Candidate>> m_candidates; ///< by service, for one placement
--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -15,6 +15,9 @@
 // Keeps an append well below the size limit of the store for one call.
 constexpr std::size_t MaxBatchBytes = 1U << 20U;
 
+// By how much later than its end a lease may be recorded to end.
+constexpr Milliseconds RecordedLeaseSlack{1000};
+
 // Limits the queries to other shards in one sweep.
 constexpr std::size_t MaxRedirectQueries = 20;
 
@@ -26,19 +29,24 @@
 std::optional<Record> Shard::changedLeases(Base::Instant now, bool hasOtherRecords)
 {
     const LeaseTimes leases = longLeases(now);
-    std::set<std::string> workers;
+    const std::map<std::string, Base::Instant> recorded =
+        m_recordedLeases.value_or(std::map<std::string, Base::Instant>());
+    std::map<std::string, Base::Instant> ends;
+    bool isUrgent = false;
+    bool isUpToDate = m_recordedLeases && recorded.size() == leases.size();
     for (const auto &[id, time] : leases) {
-        workers.insert(id);
+        const Worker &worker = m_workers.at(id);
+        const auto it = recorded.find(id);
+        const bool isCovered = it != recorded.end() && it->second >= worker.leaseExpiresBy;
+        isUrgent = isUrgent || (!isCovered && !worker.runs.empty());
+        isUpToDate = isUpToDate && isCovered && it->second <= worker.leaseExpiresBy + RecordedLeaseSlack;
+        ends.emplace(id, worker.leaseExpiresBy);
     }
-    const bool isUrgent = std::any_of(workers.begin(), workers.end(), [this](const std::string &it) {
-        return !m_workers.at(it).runs.empty() && (!m_recordedLeases || m_recordedLeases->count(it) == 0);
-    });
-    const bool isUpToDate = m_recordedLeases && *m_recordedLeases == workers;
     const bool isNeeded = hasOtherRecords ? !isUpToDate : isUrgent;
     if (!isNeeded) {
         return std::nullopt;
     }
-    m_recordedLeases = std::move(workers);
+    m_recordedLeases = std::move(ends);
     return Record{std::string(LeasesKey), leases.empty() ? std::string() : encodeLeases(leases)};
 }
 
--- a/tests/auto/jobs/tst_shard.cpp
+++ b/tests/auto/jobs/tst_shard.cpp
@@ -1,4 +1,5 @@
 #include <base/logline.h>
+#include <jobs/jobrecord.h>
 #include <jobs/shard.h>
 
 #include <CppUTest/TestHarness.h>
@@ -292,3 +293,49 @@
     }
     CHECK(isRecorded);
 }
+
+// Otherwise the next owner waits for the end that was assumed before the first list.
+TEST(Shard, ALongLeaseIsRecordedAgainWhenItsEndIsNearer)
+{
+    Base::Instant now{1h};
+    Jobs::Shard shard({}, 1, "m");
+    shard.begin(now, Wall, hasEnded);
+    listWorker(shard, now);
+    Jobs::RunList list;
+    list.startTime = 1;
+    list.clock = 60'000;
+    std::vector<Jobs::LeaseTimes> recorded;
+    bool isReachable = true;
+    for (int n = 0; n < 40; ++n, now += 100ms, list.clock += 100) {
+        if (n == 10) {
+            isReachable = false;
+            Jobs::WorkerInfo info = shard.workers().at("w").info;
+            info.startTime = 2;
+            shard.setWorkers(std::span(&info, 1), now);
+            list.startTime = 2;
+            list.clock = 5;
+        }
+        isReachable = isReachable || n == 20;
+        if (n == 15 || n == 30) {
+            shard.confirmOwnership();
+        }
+        shard.processDue(now, Wall);
+        for (const Jobs::Command &it : shard.takeCommands()) {
+            if (const auto *append = std::get_if<Jobs::AppendBatch>(&it)) {
+                for (const Jobs::Record &record : append->records) {
+                    if (record.key == Jobs::LeasesKey) {
+                        recorded.push_back(*Jobs::decodeLeases(record.value));
+                    }
+                }
+                shard.appended(append->number, Jobs::AppendResult::Stored, now, Wall);
+            } else if (const auto *renew = std::get_if<Jobs::RenewLease>(&it)) {
+                const auto result = isReachable ? Jobs::OrderResult::Done : Jobs::OrderResult::NoAnswer;
+                shard.renewAnswered(*renew, result, isReachable ? list : Jobs::RunList(), now, Wall);
+            }
+        }
+    }
+    LONGS_EQUAL(2, recorded.size());
+    const Jobs::ShardSettings settings;
+    CHECK(recorded[0].at("w") > settings.maxOrderDelay);
+    CHECK(recorded[1].at("w") <= settings.leaseLimit + 1s);
+}
