Use the recorded end of a run only from the latest release

**Change.** It counts only if the record of leases, which the same release stores, is the last one of the shard.

**Conclusion.** Without that record the run is waited for as after a kill.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -202,7 +202,7 @@
                     if (task.run == RunState::None) {
                         continue;
                     }
-                    if (m_isReleased && task.unconfirmedTimeLeft) {
+                    if (m_isReleased && m_areLoadedLeasesLast && task.unconfirmedTimeLeft) {
                         task.endsBy = now + *task.unconfirmedTimeLeft;
                     }
                     Worker &worker = workerFor(task.worker);
