Store confirmations of runs with what changes next

**Conclusion.** An owner that is killed within a second of a start leaves it unconfirmed, which costs the next one 3 s of waiting if the worker is silent.

--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -52,8 +52,9 @@
     const bool isLong = job.spec.stages[id.stage].isLongRunning
         || job.expectedTime(job.occurrences.at(id.occurrence), id.stage) > m_settings.lease;
     job.hasUnrecordedConfirmations = job.hasUnrecordedConfirmations || isNew;
-    if (isNew && isLong) {
-        markChanged(job);
+    // Stored with what changes next, or with the next sweep.
+    if (isNew && isLong && !std::exchange(job.isDirty, true)) {
+        m_changed.push_back(&job);
     }
 }
 
