Query a worker at once when it has restarted

**Cause.** An owner that notices a restart waited for the answer to its long query of the former incarnation, up to 2.7 s, before it asked the new one: until then orders of before are not fenced there, its runs are unknown, and a cut leaves them so. Found by the review: a late answer to that query made the owner take the worker for known again; and a stop that a new owner sends before its first list counted as confirmed by whatever incarnation had answered.

**Change.** Queries are numbered. A noticed restart, or an answer of an unknown incarnation, is followed by a query that doesn't wait; what answers an earlier query is used only if it comes from an incarnation not known before. An order confirms nothing before the owner has had a list.

The two findings by reading have no test of their own.

**Conclusion.** An unnoticed restart lasts for one exchange after the first order that reaches it.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -198,6 +198,7 @@
     /// was carried out by the incarnation that its latest list came from. If not, the worker is queried
     /// first.
     static bool checkIncarnation(Worker &worker, std::int64_t clock, Base::Instant sentAt, Base::Instant now);
+    static void queryAgain(Worker &worker, Base::Instant now);
     void processRunList(
         Worker &worker, OrderToken askedWith, const RunList &list, Base::Instant now, WallTime wall);
     void processRunEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall);
--- a/src/libs/jobs/shardcommands.h
+++ b/src/libs/jobs/shardcommands.h
@@ -62,6 +62,7 @@
     OrderToken token = 0;
     std::optional<std::int64_t> leaseEnd; ///< on the worker's clock, ms; without it the lease is not renewed
     std::uint64_t ackCursor = 0; ///< the worker may remove ends up to this number
+    std::uint64_t number = 0; ///< increases with each query of the worker
     Milliseconds longPollTime{}; ///< the worker answers once a run ends, at the latest after this time
 };
 
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -86,7 +86,7 @@
     worker.acknowledgedCursor = 0;
     worker.consecutiveFailedJobs = 0;
     worker.isolatedUntil = {};
-    worker.nextRenewal = now;
+    queryAgain(worker, now);
     for (const TaskId &it : worker.runs) {
         Task &task = *m_jobs[it.job].find(it);
         const bool isDecidedByList =
@@ -112,22 +112,28 @@
 {
     const std::int64_t sinceRead = milliseconds(sentAt - worker.clockReadAt);
     const std::int64_t expected = worker.clock + sinceRead - std::abs(sinceRead) * ClockDriftPerCent / 100;
-    const bool isWithoutReading = worker.clock == 0;
-    if (isWithoutReading || (worker.hasAnswered && clock >= expected - ClockTolerance.count())) {
-        return true;
+    if (!worker.hasAnswered || clock >= expected - ClockTolerance.count()) {
+        return worker.hasAnswered;
     }
     Base::LogLine(Base::LogLevel::Warning, "answer-of-unknown-incarnation")
         .with("worker", worker.info.id)
         .with("clock", clock)
         .with("expected_clock", expected)
         .with("order_age_ms", milliseconds(now - sentAt))
-        .with("born", worker.startTime)
-        .with("list_seen", worker.hasAnswered);
+        .with("born", worker.startTime);
     worker.hasAnswered = false;
-    worker.nextRenewal = now;
+    queryAgain(worker, now);
     return false;
 }
 
+// Without waiting for the answer to a query of the former incarnation, which may never come.
+void Shard::queryAgain(Worker &worker, Base::Instant now)
+{
+    worker.outdatedRenewal = worker.lastRenewal;
+    worker.isRenewalPending = false;
+    worker.nextRenewal = now;
+}
+
 // Orders by the clock of a former incarnation may also be on their way to one that the owner before didn't
 // know; they are refused for their token once this owner's first query has arrived.
 bool Shard::mayBeUnknownToEarlierOwner(const Worker &worker, const RunList &list, Base::Instant now) const
@@ -358,11 +364,17 @@
         return;
     }
     Worker &worker = it->second;
-    worker.isRenewalPending = false;
+    const bool isLatest = order.number == worker.lastRenewal;
+    worker.isRenewalPending = worker.isRenewalPending && !isLatest;
     if (result == OrderResult::Fenced && order.token == worker.token) {
         m_commands.emplace_back(RelinquishShard{"a worker has a newer owner"});
         return;
     }
+    const bool isOutdated = order.number <= worker.outdatedRenewal
+        && (result != OrderResult::Done || list.startTime == worker.startTime);
+    if (isOutdated) {
+        return;
+    }
     if (result != OrderResult::Done) {
         if (++worker.consecutiveRenewalFailures == 1) {
             Base::LogLine(Base::LogLevel::Warning, "worker-lost")
@@ -441,6 +453,7 @@
             RenewLease ask;
             ask.worker = worker.info.id;
             ask.token = worker.token;
+            ask.number = ++worker.lastRenewal;
             const bool mayRenew = worker.hasAnswered && worker.consecutiveRenewalFailures == 0
                 && (!worker.isLeaseRecorded || m_isOwnerRecordStored);
             if (mayRenew) {
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -42,7 +42,9 @@
     Base::Instant clockReadAt;
     std::int64_t previousClock = 0; ///< the same as of the list before; 0: unknown
 
-    bool isRenewalPending = false; ///< a RenewLease has been sent and not been answered
+    bool isRenewalPending = false; ///< the latest RenewLease has not been answered
+    std::uint64_t lastRenewal = 0; ///< number of the latest RenewLease
+    std::uint64_t outdatedRenewal = 0; ///< answers to these and earlier ones may be from before a restart
     std::int64_t askedAtClock =
         0; ///< the worker's clock when the latest RenewLease was sent, by the list before
     Base::Instant nextRenewal;
--- a/tests/auto/workerrestarts/tst_workerrestarts.cpp
+++ b/tests/auto/workerrestarts/tst_workerrestarts.cpp
@@ -144,3 +144,16 @@
         LONGS_EQUAL(1, fleet.world.runsOf("a"));
     }
 }
+
+TEST(WorkerRestarts, AnAnswerOfAnUnknownIncarnationIsFollowedByAQueryAtOnce)
+{
+    Fleet fleet;
+    fleet.startAfterUnnoticedRestart("a");
+    fleet.world.run(50ms);
+    std::int64_t startTime = 0;
+    fleet.world.members["m1"]->host.forEachServingShard(
+        [&startTime](JobService::ShardNumber, const Jobs::Shard &shard) {
+            startTime = shard.workers().at("w1").startTime;
+        });
+    LONGS_EQUAL(fleet.w1().info.startTime, startTime);
+}
