Drop an unused declaration from the tests of worker restarts

**Cause.** clang-tidy rejects `tst_workerrestarts.cpp` for a using declaration that nothing uses (misc-unused-using-decls).

**Change.** The declaration is removed.

**Conclusion.** No test has changed.

--- a/tests/auto/workerrestarts/tst_workerrestarts.cpp
+++ b/tests/auto/workerrestarts/tst_workerrestarts.cpp
@@ -7,7 +7,6 @@
 #include <string>
 
 using namespace std::chrono_literals;
-using JobService::ReportedState;
 using CrashKind = SimulatedPlatform::CrashKind;
 
 // Workers restart under their IDs and take orders that were sent to their earlier incarnations.
