Count restarts of workers and runs given up with a lease

**Change.** `LossCounts` counts restarts by what noticed them first (entry, list, or an answer whose clock is behind; each restart once, however many answers show it) and lapsed runs by the source of the lease end and by whether the run was confirmed. Its two enumerations name the labels of both the log and the metrics; `Worker::leaseSource` is one of them in place of a text. The host adds the counts of shards that it has lost. No decision reads the counts.

**Conclusion.** Counters go back to 0 only with their process. Restarts by `list` and `answer` were seen in tests only, not on real processes.

--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -227,7 +227,7 @@
     m_earlierOwnersRenewUntil = m_earlierOwners.empty() ? now : now + m_settings.staleOwnerTimeout;
     const Base::Instant lastRenewal = m_earlierOwnersRenewUntil;
     for (auto &[id, worker] : m_workers) {
-        worker.setLease(lastRenewal + longestTime(m_settings.lease), "takeover", now);
+        worker.setLease(lastRenewal + longestTime(m_settings.lease), LeaseSource::Takeover, now);
         worker.unconfirmedRunsEndBy = lastRenewal + longestTimeAfterRestart();
     }
     applyLoadedLeases(now);
@@ -247,7 +247,7 @@
         worker.isFenced = !worker.mayHoldLongLease;
         worker.setLease(m_areLoadedLeasesLast ? now + time
                                               : std::max<Base::Instant>(worker.leaseExpiresBy, now + time),
-                        "record",
+                        LeaseSource::Record,
                         now);
     }
 }
@@ -263,7 +263,7 @@
         // Other writers may leave a wrong start time, so each one is acted on once, and the worker decides.
         const bool isNewStart = it.startTime != worker.info.startTime;
         if (isNewStart && it.startTime > worker.startTime && worker.startTime != 0) {
-            handleWorkerRestart(worker, it.startTime, now);
+            handleWorkerRestart(worker, it.startTime, RestartNotice::Entry, now);
         }
         if (!wasKnown || worker.info.address != it.address) {
             worker.nextRenewal = now;
@@ -305,6 +305,11 @@
     m_hasChanged = true;
 }
 
+const LossCounts &Shard::losses() const
+{
+    return m_losses;
+}
+
 const FairShares &Shard::fairShares() const
 {
     return m_fairShares;
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -4,6 +4,7 @@
 #include "arrivalallowance.h"
 #include "fairshares.h"
 #include "jobrecord.h"
+#include "losscounts.h"
 #include "lostruns.h"
 #include "placement.h"
 #include "quotausage.h"
@@ -135,6 +136,8 @@
     const std::map<std::string, Worker> &workers() const;
     const std::map<std::string, Job, std::less<>> &jobs() const;
     const RunTimes &runTimes() const;
+    /// Since the shard was created.
+    const LossCounts &losses() const;
 
 private:
     static constexpr std::string_view OwnerKey = "owner";
@@ -191,11 +194,11 @@
 
     // Runs and workers, see shardworkers.cpp, shardruns.cpp and shardeviction.cpp.
     Worker &workerFor(const std::string &id);
-    void handleWorkerRestart(Worker &worker, std::int64_t startTime, Base::Instant now);
+    void handleWorkerRestart(Worker &worker, std::int64_t startTime, RestartNotice notice, Base::Instant now);
     /// Whether an order that was sent at `sentAt`, and answered with the time `clock` of the worker's clock,
     /// was carried out by the incarnation that its latest list came from. If not, the worker is queried
     /// first.
-    static bool checkIncarnation(Worker &worker, std::int64_t clock, Base::Instant sentAt, Base::Instant now);
+    bool checkIncarnation(Worker &worker, std::int64_t clock, Base::Instant sentAt, Base::Instant now);
     void processRunList(
         Worker &worker, OrderToken askedWith, const RunList &list, Base::Instant now, WallTime wall);
     void processRunEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall);
@@ -369,6 +372,7 @@
     };
     std::map<std::string, Arrivals> m_arrivals; ///< by service
     LostRuns m_lostRuns;
+    LossCounts m_losses;
     bool m_hasDeadlyTask = false; ///< too many workers have crashed under some task since the last pass
     std::uint32_t m_emptiedWorkers = 0; ///< in this placement
     AdviceCache m_advice;
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -409,7 +409,7 @@
                 .with("token", worker.token)
                 .with("born", worker.startTime)
                 .with("worker_seen_ms", milliseconds(now - worker.lastAnswer))
-                .with("lease_source", worker.leaseSource)
+                .with("lease_source", toString(worker.leaseSource))
                 .with("lease_set_ms", milliseconds(now - worker.leaseSetAt))
                 .with("lease_end_clock", worker.orderedLeaseEnd)
                 .with("clock_age_ms", worker.clockAge.count())
@@ -419,6 +419,7 @@
                 .with("confirmed_clock", task.confirmedAt)
                 .with("confirmed", task.isConfirmed)
                 .with("listed", task.listedSince.has_value());
+            m_losses.addLapsedRun(worker.leaseSource, task.isConfirmed);
             endLostRun(job, it, *job.find(it), expired.size(), now);
         }
     }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -60,23 +60,31 @@
 // and the new token fences orders that are still on their way. The lease end of such an order is in the time
 // of the worker's clock before the restart, usually far ahead, so the worker may have granted the longest
 // lease.
-void Shard::handleWorkerRestart(Worker &worker, std::int64_t startTime, Base::Instant now)
+void Shard::handleWorkerRestart(Worker &worker,
+                                std::int64_t startTime,
+                                RestartNotice notice,
+                                Base::Instant now)
 {
+    const RestartNotice firstNotice = worker.isIncarnationUnknown() ? RestartNotice::Answer : notice;
+    if (firstNotice == notice) {
+        m_losses.addRestart(notice); // others have been counted with the answer
+    }
     Base::LogLine(Base::LogLevel::Info, "worker-restarted")
         .with("worker", worker.info.id)
+        .with("noticed_by", toString(firstNotice))
         .with("runs", worker.runs.size())
         .with("born", startTime)
         .with("born_before", worker.startTime)
         .with("token", worker.token + 1)
         .with("worker_seen_ms", milliseconds(now - worker.lastAnswer))
         .with("lease_ms", milliseconds(worker.leaseExpiresBy - now))
-        .with("lease_source", worker.leaseSource);
+        .with("lease_source", toString(worker.leaseSource));
     worker.startTime = startTime;
     ++worker.token;
     m_highestToken = std::max(m_highestToken, worker.token);
     worker.isFenced = false;
     worker.listedRunsEndBy = worker.earliestLeaseEnd();
-    worker.setLease(now + longestTimeAfterRestart(), "restart", now);
+    worker.setLease(now + longestTimeAfterRestart(), LeaseSource::Restart, now);
     worker.mayHoldLongLease = true;
     worker.hasAnswered = false;
     worker.clock = 0;
@@ -122,6 +130,9 @@
         .with("order_age_ms", milliseconds(now - sentAt))
         .with("born", worker.startTime)
         .with("list_seen", worker.hasAnswered);
+    if (!worker.isIncarnationUnknown()) {
+        m_losses.addRestart(RestartNotice::Answer);
+    }
     worker.hasAnswered = false;
     worker.nextRenewal = now;
     return false;
@@ -149,7 +160,7 @@
         return;
     }
     if (list.startTime != worker.startTime && worker.startTime != 0 && list.startTime != 0) {
-        handleWorkerRestart(worker, list.startTime, now);
+        handleWorkerRestart(worker, list.startTime, RestartNotice::RunList, now);
     }
     if (mayBeUnknownToEarlierOwner(worker, list, now)) {
         worker.mayHoldLongLease = true;
@@ -158,7 +169,7 @@
     worker.startTime = list.startTime != 0 ? list.startTime : worker.startTime;
     if (!worker.isFenced && askedWith == worker.token) {
         worker.isFenced = true;
-        worker.setLease(now + longestTime(m_settings.leaseLimit), "first-list", now);
+        worker.setLease(now + longestTime(m_settings.leaseLimit), LeaseSource::FirstList, now);
     }
     withdrawCrashes(worker);
     m_hasChanged = m_hasChanged || !worker.hasAnswered || !list.ended.empty();
@@ -386,7 +397,7 @@
 {
     const auto sinceRead = std::chrono::duration_cast<Milliseconds>(now - worker.clockReadAt);
     if (const Base::Instant until = now + longestTime(m_settings.lease); until >= worker.leaseExpiresBy) {
-        worker.setLease(until, "order", now);
+        worker.setLease(until, LeaseSource::Order, now);
     }
     // If the worker has restarted, the end of the lease lies far ahead on its clock.
     worker.unconfirmedRunsEndBy = now + longestTimeAfterRestart();
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "losscounts.h"
 #include "shardcommands.h"
 
 #include <base/instant.h>
@@ -9,7 +10,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 
 namespace Jobs
 {
@@ -54,7 +54,7 @@
     /// The same for runs that are not confirmed: the end of the longest lease that a restarted worker may
     /// have granted to the latest order.
     Base::Instant unconfirmedRunsEndBy;
-    std::string_view leaseSource = "none"; ///< what leaseExpiresBy was set by, for logs
+    LeaseSource leaseSource = LeaseSource::None; ///< of leaseExpiresBy, for logs
     Base::Instant leaseSetAt;
     std::int64_t orderedLeaseEnd = 0; ///< by the worker's clock, of the latest order with a lease
     Milliseconds clockAge{}; ///< of the reading of that clock which it was reckoned from
@@ -83,7 +83,7 @@
     Base::Instant evacuatedUntil;
     std::optional<Base::Instant> drainDeadline; ///< while draining: the earliest time of the worker's end
 
-    void setLease(Base::Instant until, std::string_view source, Base::Instant now)
+    void setLease(Base::Instant until, LeaseSource source, Base::Instant now)
     {
         leaseExpiresBy = until;
         unconfirmedRunsEndBy = std::max(unconfirmedRunsEndBy, until);
@@ -121,6 +121,12 @@
         return consecutiveRenewalFailures > 0 || info.address.empty() || !hasAnswered;
     }
 
+    /// Whether an answer has shown that it has restarted, and it has listed nothing since.
+    bool isIncarnationUnknown() const
+    {
+        return !hasAnswered && clock != 0;
+    }
+
     /// Whether an isolated run has just been started.
     bool hasNewIsolatedRun(Base::Instant now) const
     {
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -229,6 +229,16 @@
         return m_counts;
     }
 
+    /// Of all shards that this process has hosted.
+    Jobs::LossCounts losses() const
+    {
+        Jobs::LossCounts all = m_lossesOfEarlierShards;
+        for (const auto &[number, hosted] : m_hosted) {
+            all += hosted->shard->losses();
+        }
+        return all;
+    }
+
     void handle(JobRequest request, Reply reply)
     {
         const auto it = m_hosted.find(request.shard);
@@ -589,6 +599,7 @@
         m_hosted.erase(it);
         hosted->timer.disarm();
         ++m_counts.shardsLost;
+        m_lossesOfEarlierShards += hosted->shard->losses();
         if (!hosted->shard->jobs().empty()) {
             Base::LogLine(Base::LogLevel::Info, "shard-lost")
                 .with("shard", number)
@@ -1219,6 +1230,7 @@
     JobLocator m_locator;
     QueueHistory<Platform> *m_queueHistory = nullptr;
     HostCounts m_counts;
+    Jobs::LossCounts m_lossesOfEarlierShards;
     bool m_isCandidate = false;
     bool m_isStopping = false;
 };
