Report runs that wait for an unconfirmed end

**Cause.** A run that no known incarnation has confirmed is given up up to 20 s after its worker fell silent. While it waits, nothing shows that or how long it will take.

**Conclusion.** A wait of about 20 s after a crash can be told from a task without room while it lasts.

--- a/src/libs/jobs/losscounts.cpp
+++ b/src/libs/jobs/losscounts.cpp
@@ -1,5 +1,7 @@
 #include "losscounts.h"
 
+#include <algorithm>
+
 namespace Jobs
 {
 
@@ -95,4 +97,11 @@
     return isConfirmed ? runs.confirmed : runs.unconfirmed;
 }
 
+UnconfirmedRuns &UnconfirmedRuns::operator+=(const UnconfirmedRuns &other)
+{
+    runs += other.runs;
+    longestWait = std::max(longestWait, other.longestWait);
+    return *this;
+}
+
 } // namespace Jobs
--- a/src/libs/jobs/losscounts.h
+++ b/src/libs/jobs/losscounts.h
@@ -66,4 +66,12 @@
     std::array<LapsedRuns, LeaseSources.size()> m_lapsedRuns{};
 };
 
+/// Runs on silent workers that no known incarnation has confirmed.
+struct UnconfirmedRuns {
+    std::size_t runs = 0;
+    Milliseconds longestWait{}; ///< until the last of them has ended by all leases
+
+    UnconfirmedRuns &operator+=(const UnconfirmedRuns &other);
+};
+
 } // namespace Jobs
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -138,6 +138,7 @@
     const RunTimes &runTimes() const;
     /// Since the shard was created.
     const LossCounts &losses() const;
+    UnconfirmedRuns unconfirmedRuns(Base::Instant now) const;
 
 private:
     static constexpr std::string_view OwnerKey = "owner";
@@ -226,6 +227,8 @@
     void orderStop(const TaskId &id, Task &task, Base::Instant now);
     void stopRuns(Job &job, Base::Instant now);
     void endExpiredRuns(Base::Instant now);
+    /// Those of one worker; none unless it is silent.
+    UnconfirmedRuns unconfirmedRuns(const Worker &worker, Base::Instant now) const;
     void evictRuns(Base::Instant now, WallTime wall);
     void reserveDestination(const TaskId &id, Base::Instant now, Reservations &reserved);
     void evictRuns(Worker &worker, Base::Instant now, WallTime wall, Reservations &reserved);
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -425,4 +425,31 @@
     }
 }
 
+UnconfirmedRuns Shard::unconfirmedRuns(const Worker &worker, Base::Instant now) const
+{
+    UnconfirmedRuns found;
+    if (!worker.isSilent()) {
+        return found;
+    }
+    for (const TaskId &it : worker.runs) {
+        const Task &task = *m_jobs.at(it.job).find(it);
+        if (task.isConfirmed || task.run == RunState::Planned || task.run == RunState::Starting) {
+            continue;
+        }
+        ++found.runs;
+        found.longestWait =
+            std::max(found.longestWait, std::chrono::ceil<Milliseconds>(worker.endOf(task) - now));
+    }
+    return found;
+}
+
+UnconfirmedRuns Shard::unconfirmedRuns(Base::Instant now) const
+{
+    UnconfirmedRuns all;
+    for (const auto &[id, worker] : m_workers) {
+        all += unconfirmedRuns(worker, now);
+    }
+    return all;
+}
+
 } // namespace Jobs
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -366,9 +366,13 @@
     }
     if (result != OrderResult::Done) {
         if (++worker.consecutiveRenewalFailures == 1) {
+            const UnconfirmedRuns unconfirmed = unconfirmedRuns(worker, now);
             Base::LogLine(Base::LogLevel::Warning, "worker-lost")
                 .with("worker", worker.info.id)
                 .with("runs", worker.runs.size())
+                .with("lease_ms", milliseconds(worker.leaseExpiresBy - now))
+                .with("unconfirmed_runs", unconfirmed.runs)
+                .with("unconfirmed_wait_ms", unconfirmed.longestWait.count())
                 .with("result", toString(result));
         }
         worker.nextRenewal = now + RetryDelay;
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -239,6 +239,14 @@
         return all;
     }
 
+    Jobs::UnconfirmedRuns unconfirmedRuns() const
+    {
+        Jobs::UnconfirmedRuns all;
+        forEachServingShard(
+            [&](ShardNumber, const Jobs::Shard &shard) { all += shard.unconfirmedRuns(m_timers.now()); });
+        return all;
+    }
+
     void handle(JobRequest request, Reply reply)
     {
         const auto it = m_hosted.find(request.shard);
--- a/tests/auto/workerrestarts/tst_workerrestarts.cpp
+++ b/tests/auto/workerrestarts/tst_workerrestarts.cpp
@@ -270,13 +270,38 @@
     fleet.checkRestarts(1, 0, 0);
 }
 
+TEST(WorkerRestarts, AnUnconfirmedRunIsReportedWhileItsEndIsAwaited)
+{
+    Fleet fleet;
+    fleet.startAfterUnnoticedRestart("a");
+    fleet.cutOffFirstWorker();
+    fleet.world.run(3s);
+    const Jobs::UnconfirmedRuns early = fleet.host().unconfirmedRuns();
+    LONGS_EQUAL(1, early.runs);
+    CHECK(early.longestWait > fleet.world.settings.shard.maxOrderDelay);
+    fleet.world.run(1s);
+    LONGS_EQUAL(1, fleet.host().unconfirmedRuns().runs);
+    CHECK(fleet.host().unconfirmedRuns().longestWait == early.longestWait - 1s);
+
+    fleet.world.run(early.longestWait - 1s - 10ms);
+    LONGS_EQUAL(1, fleet.host().unconfirmedRuns().runs);
+    CHECK(fleet.host().losses().lapsedRuns(Jobs::LeaseSource::Order, false) == 0);
+    fleet.world.run(20ms);
+    LONGS_EQUAL(0, fleet.host().unconfirmedRuns().runs);
+    CHECK(fleet.host().unconfirmedRuns().longestWait == 0ms);
+    fleet.checkLapsedRun("m1", Jobs::LeaseSource::Order, false);
+}
+
 TEST(WorkerRestarts, AConfirmedRunIsCountedAsSuchWhenItIsGivenUp)
 {
     Fleet fleet;
     fleet.submit("a");
     fleet.world.run(2s);
     fleet.cutOffFirstWorker();
-    fleet.world.run(6s);
+    for (int n = 0; n < 60; ++n) {
+        fleet.world.run(100ms);
+        LONGS_EQUAL(0, fleet.host().unconfirmedRuns().runs);
+    }
     fleet.checkLapsedRun("m1", Jobs::LeaseSource::Order, true);
 }
 
@@ -344,4 +369,10 @@
     LONGS_EQUAL(0, first.restarts(Jobs::RestartNotice::RunList));
     LONGS_EQUAL(1, first.lapsedRuns(Jobs::LeaseSource::FirstList, true));
     LONGS_EQUAL(1, first.lapsedRuns(Jobs::LeaseSource::FirstList, false));
+
+    Jobs::UnconfirmedRuns runs{2, 300ms};
+    runs += {1, 500ms};
+    runs += {1, 400ms};
+    LONGS_EQUAL(4, runs.runs);
+    CHECK(runs.longestWait == 500ms);
 }
