--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -4,6 +4,7 @@
 #include "arrivalallowance.h"
 #include "fairshares.h"
 #include "jobrecord.h"
+#include "losscounts.h"
 #include "lostruns.h"
 #include "placement.h"
 #include "quotausage.h"
@@ -135,6 +136,9 @@
     const std::map<std::string, Worker> &workers() const;
     const std::map<std::string, Job, std::less<>> &jobs() const;
     const RunTimes &runTimes() const;
+    /// Since the shard was created.
+    const LossCounts &losses() const;
+    UnconfirmedRuns unconfirmedRuns(Base::Instant now) const;
 
 private:
     static constexpr std::string_view OwnerKey = "owner";
@@ -193,11 +197,11 @@
 
     // Runs and workers, see shardworkers.cpp, shardruns.cpp and shardeviction.cpp.
     Worker &workerFor(const std::string &id);
-    void handleWorkerRestart(Worker &worker, std::int64_t startTime, Base::Instant now);
+    void handleWorkerRestart(Worker &worker, std::int64_t startTime, RestartNotice notice, Base::Instant now);
     /// Whether an order that was sent at `sentAt`, and answered with the time `clock` of the worker's clock,
     /// was carried out by the incarnation that its latest list came from. If not, the worker is queried
     /// first.
-    static bool checkIncarnation(Worker &worker, std::int64_t clock, Base::Instant sentAt, Base::Instant now);
+    bool checkIncarnation(Worker &worker, std::int64_t clock, Base::Instant sentAt, Base::Instant now);
     static void queryAgain(Worker &worker, Base::Instant now);
     void processRunList(
         Worker &worker, OrderToken askedWith, const RunList &list, Base::Instant now, WallTime wall);
@@ -229,6 +233,8 @@
     void endRefusedRun(Job &job, const TaskId &id, Task &task, Base::Instant now);
     void stopRuns(Job &job, Base::Instant now);
     void endExpiredRuns(Base::Instant now);
+    /// Those of one worker; none unless it is silent.
+    UnconfirmedRuns unconfirmedRuns(const Worker &worker, Base::Instant now) const;
     void evictRuns(Base::Instant now, WallTime wall);
     void reserveDestination(const TaskId &id, Base::Instant now, Reservations &reserved);
     void evictRuns(Worker &worker, Base::Instant now, WallTime wall, Reservations &reserved);
@@ -380,6 +386,7 @@
     };
     std::map<std::string, Arrivals> m_arrivals; ///< by service
     LostRuns m_lostRuns;
+    LossCounts m_losses;
     bool m_hasDeadlyTask = false; ///< too many workers have crashed under some task since the last pass
     std::uint32_t m_emptiedWorkers = 0; ///< in this placement
     AdviceCache m_advice;
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -434,7 +434,7 @@
                 .with("token", worker.token)
                 .with("born", worker.startTime)
                 .with("worker_seen_ms", milliseconds(now - worker.lastAnswer))
-                .with("lease_source", worker.leaseSource)
+                .with("lease_source", toString(worker.leaseSource))
                 .with("lease_set_ms", milliseconds(now - worker.leaseSetAt))
                 .with("lease_end_clock", worker.orderedLeaseEnd)
                 .with("clock_age_ms", worker.clockAge.count())
@@ -444,9 +444,37 @@
                 .with("confirmed_clock", task.confirmedAt)
                 .with("confirmed", task.isConfirmed)
                 .with("listed", task.listedSince.has_value());
+            m_losses.addLapsedRun(worker.leaseSource, task.isConfirmed);
             endLostRun(job, it, *job.find(it), expired.size(), now);
         }
     }
 }
 
+UnconfirmedRuns Shard::unconfirmedRuns(const Worker &worker, Base::Instant now) const
+{
+    UnconfirmedRuns found;
+    if (!worker.isSilent()) {
+        return found;
+    }
+    for (const TaskId &it : worker.runs) {
+        const Task &task = *m_jobs.at(it.job).find(it);
+        if (task.isConfirmed || task.run == RunState::Planned || task.run == RunState::Starting) {
+            continue;
+        }
+        ++found.runs;
+        found.longestWait =
+            std::max(found.longestWait, std::chrono::ceil<Milliseconds>(endOf(worker, task) - now));
+    }
+    return found;
+}
+
+UnconfirmedRuns Shard::unconfirmedRuns(Base::Instant now) const
+{
+    UnconfirmedRuns all;
+    for (const auto &[id, worker] : m_workers) {
+        all += unconfirmedRuns(worker, now);
+    }
+    return all;
+}
+
 } // namespace Jobs
