Start long-running tasks on workers that have just answered

Without an answer its start was waited for as late orders are, for 19.5 s; such a task has to run again within 9 s.

**Change.** A long-running task is started on a worker only if that has answered within 250 ms; otherwise it is queried first, without waiting, and another one is chosen if it doesn't answer. A start of such a task without an answer is not waited for as long as orders can be late. The jobs that a release records are ordered by their ID.

--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -133,7 +133,7 @@
 // Encodes a task as [done, attempt, failures, worker, checkpoint, failed attempt, crashes, start of the
 // worker, milliseconds until an unconfirmed run has ended or 0 for a confirmed one]. Trailing empty parts are
 // omitted.
-json::array encodeTask(const Task &task, const UnconfirmedTime &timeLeft)
+json::array encodeTask(std::uint32_t stage, const Task &task, const UnconfirmedTime &timeLeft)
 {
     json::array out{task.isDone ? 1 : 0, task.attempt, task.failures};
     const bool isAssigned = task.run != RunState::None;
@@ -158,7 +158,7 @@
     }
     if (hasStart && task.isConfirmed && !task.openStart) {
         out.emplace_back(0);
-    } else if (const auto time = hasStart && timeLeft ? timeLeft(task) : std::nullopt) {
+    } else if (const auto time = hasStart && timeLeft ? timeLeft(stage, task) : std::nullopt) {
         out.emplace_back(std::max<std::int64_t>(1, time->count()));
     }
     return out;
@@ -317,10 +317,10 @@
             continue;
         }
         json::array stages;
-        for (const StageProgress &stage : occurrence.stages) {
+        for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
             json::array tasks;
-            for (const Task &it : stage.tasks) {
-                tasks.push_back(encodeTask(it, timeLeft));
+            for (const Task &it : occurrence.stages[n].tasks) {
+                tasks.push_back(encodeTask(n, it, timeLeft));
             }
             stages.push_back(std::move(tasks));
         }
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -50,7 +50,7 @@
 
 std::string encodeSpec(const JobSpec &spec, WallTime acceptedAt);
 /// The time until a run that is not confirmed has ended by all leases; nothing if that is not known.
-using UnconfirmedTime = std::function<std::optional<Milliseconds>(const Task &task)>;
+using UnconfirmedTime = std::function<std::optional<Milliseconds>(std::uint32_t stage, const Task &task)>;
 
 /// Without `timeLeft` only whether runs are confirmed is recorded.
 std::string encodeProgress(const Job &job, const UnconfirmedTime &timeLeft = {});
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -203,6 +203,8 @@
     /// first.
     bool checkIncarnation(Worker &worker, std::int64_t clock, Base::Instant sentAt, Base::Instant now);
     static void queryAgain(Worker &worker, Base::Instant now);
+    /// Whether the worker has answered so recently that it can be taken to be running. If not, queries it.
+    static bool isJustHeard(Worker &worker, Base::Instant now);
     void processRunList(
         Worker &worker, OrderToken askedWith, const RunList &list, Base::Instant now, WallTime wall);
     void processRunEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall);
@@ -289,7 +291,7 @@
     /// The same if a restarted worker carries the order out, at any time that it may take to arrive.
     Milliseconds longestTimeAfterRestart() const;
     /// The time by which the run has ended, unless the lease is renewed.
-    Base::Instant endOf(const Worker &worker, const Task &run) const;
+    Base::Instant endOf(const Worker &worker, const Stage &stage, const Task &run) const;
     /// Whether this owner's first list of the worker may come from an incarnation that the owner before did
     /// not know of and has given leases to.
     bool mayBeUnknownToEarlierOwner(const Worker &worker, const RunList &list, Base::Instant now) const;
--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -66,19 +66,10 @@
 
 void Shard::addUnrecordedConfirmations(std::vector<Record> &records, Base::Instant now) const
 {
-    const auto isOnSilentWorker = [this](const Task &task) {
-        const auto it = m_workers.find(task.worker);
-        return it != m_workers.end() && it->second.isSilent();
-    };
-    const auto timeLeft = [&](const Task &task) {
-        return isOnSilentWorker(task)
-            ? std::optional(std::chrono::ceil<Milliseconds>(endOf(m_workers.at(task.worker), task) - now))
-            : std::nullopt;
-    };
-    std::set<const Job *> jobs;
+    std::map<std::string_view, const Job *> jobs;
     for (const Job *it : m_active) {
         if (it->hasUnrecordedConfirmations) {
-            jobs.insert(it);
+            jobs.emplace(it->spec.id, it);
         }
     }
     for (const auto &[id, worker] : m_workers) {
@@ -88,16 +79,22 @@
         for (const TaskId &it : worker.runs) {
             const Job &job = m_jobs.at(it.job);
             if (!job.find(it)->isConfirmed) {
-                jobs.insert(&job);
+                jobs.emplace(it.job, &job);
             }
         }
     }
     std::size_t bytes = 0;
-    for (const Job *it : jobs) {
-        if (!it->isStored || bytes > MaxBatchBytes) {
+    for (const auto &[id, job] : jobs) {
+        if (!job->isStored || bytes > MaxBatchBytes) {
             continue;
         }
-        records.push_back({progressKey(it->spec.id), encodeProgress(*it, timeLeft)});
+        const auto timeLeft = [&](std::uint32_t stage, const Task &task) {
+            const Worker &worker = m_workers.at(task.worker);
+            return worker.isSilent() ? std::optional(
+                       std::chrono::ceil<Milliseconds>(endOf(worker, job->spec.stages[stage], task) - now))
+                                     : std::nullopt;
+        };
+        records.push_back({progressKey(id), encodeProgress(*job, timeLeft)});
         bytes += records.back().key.size() + records.back().value.size();
     }
 }
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -308,6 +308,11 @@
             }
             return;
         }
+        // It has to run again sooner than an unconfirmed start can be given up.
+        if (wanted.isLongRunning && !isJustHeard(*worker, now)) {
+            m_nextPlacementRetry = now + PlacementRetryPeriod;
+            return;
+        }
         if (!m_quotaUsage.allows(job.spec.workspace, wanted.size)) {
             progress.setWait(quotaWaitReason(), now);
             const auto waiting = std::count_if(progress.tasks.begin() + n,
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -417,8 +417,8 @@
         std::vector<TaskId> expired;
         for (const TaskId &it : worker.runs) {
             const Task &task = *m_jobs[it.job].find(it);
-            const bool mayRun =
-                task.run == RunState::Planned || task.run == RunState::Starting || endOf(worker, task) > now;
+            const bool mayRun = task.run == RunState::Planned || task.run == RunState::Starting
+                || endOf(worker, m_jobs.at(it.job).spec.stages[it.stage], task) > now;
             if (!mayRun) {
                 expired.push_back(it);
             }
@@ -462,8 +462,9 @@
             continue;
         }
         ++found.runs;
-        found.longestWait =
-            std::max(found.longestWait, std::chrono::ceil<Milliseconds>(endOf(worker, task) - now));
+        found.longestWait = std::max(found.longestWait,
+                                     std::chrono::ceil<Milliseconds>(
+                                         endOf(worker, m_jobs.at(it.job).spec.stages[it.stage], task) - now));
     }
     return found;
 }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -20,6 +20,11 @@
 // Maximum drift of a worker's clock. With a slow clock leases last longer than by the clock of the owner.
 constexpr int ClockDriftPerCent = 3;
 
+// A worker that has answered within this time is taken to be running. One that hasn't is queried at this
+// interval.
+constexpr Milliseconds RecentAnswerTime{250};
+constexpr Milliseconds ProbeInterval{900};
+
 // Less than LeaseMargin: a clock that is behind by it lengthens the lease by as much.
 constexpr Milliseconds ClockTolerance{100};
 
@@ -135,6 +140,19 @@
     return false;
 }
 
+bool Shard::isJustHeard(Worker &worker, Base::Instant now)
+{
+    if (now - worker.lastAnswer <= RecentAnswerTime) {
+        return true;
+    }
+    if (now - worker.probedAt > ProbeInterval) {
+        worker.probedAt = now;
+        worker.isRenewalPending = false;
+        worker.nextRenewal = now;
+    }
+    return false;
+}
+
 // Without waiting for the answer to a query of the former incarnation, which may never come.
 void Shard::queryAgain(Worker &worker, Base::Instant now)
 {
@@ -177,7 +195,8 @@
         worker.setLease(now + longestTime(m_settings.leaseLimit), LeaseSource::FirstList, now);
     }
     withdrawCrashes(worker);
-    m_hasChanged = m_hasChanged || !worker.hasAnswered || !list.ended.empty();
+    const bool isProbed = now - worker.probedAt < ProbeInterval && worker.lastAnswer < worker.probedAt;
+    m_hasChanged = m_hasChanged || !worker.hasAnswered || isProbed || !list.ended.empty();
     worker.hasAnswered = true;
     worker.listedRunsEndBy.reset();
     worker.previousClock = worker.clock;
@@ -418,7 +437,7 @@
 // A worker that has restarted grants the longest lease, as the end of the lease lies far ahead on its clock.
 // One that answers nothing has carried an order out at once or not at all, unless orders to workers that
 // answer are late, too.
-Base::Instant Shard::endOf(const Worker &worker, const Task &run) const
+Base::Instant Shard::endOf(const Worker &worker, const Stage &stage, const Task &run) const
 {
     if (run.endsBy) {
         return *run.endsBy;
@@ -427,8 +446,8 @@
         return worker.leaseExpiresBy;
     }
     const bool areOrdersLate = worker.lastLeaseOrder - m_lateOrderSeenAt <= longestTimeAfterRestart();
-    const Milliseconds longest =
-        areOrdersLate ? longestTimeAfterRestart() : longestTime(m_settings.leaseLimit);
+    const bool mayWait = areOrdersLate && !stage.isLongRunning;
+    const Milliseconds longest = mayWait ? longestTimeAfterRestart() : longestTime(m_settings.leaseLimit);
     return std::max<Base::Instant>(worker.leaseExpiresBy, worker.lastLeaseOrder + longest);
 }
 
@@ -473,7 +492,10 @@
                 ask.leaseEnd = leaseEnd(worker, now);
                 // Not again what it has removed: after a restart its ends are numbered from the beginning.
                 ask.ackCursor = worker.ackCursor > worker.acknowledgedCursor ? worker.ackCursor : 0;
-                ask.longPollTime = worker.runs.empty() ? Worker::LongestQuery : m_settings.renewal;
+                const bool isProbe = worker.probedAt == now;
+                ask.longPollTime = isProbe ? Milliseconds::zero()
+                    : worker.runs.empty()  ? Worker::LongestQuery
+                                           : m_settings.renewal;
             }
             worker.isRenewalPending = true;
             worker.askedAtClock = worker.clock + milliseconds(now - worker.clockReadAt);
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -1039,3 +1039,21 @@
     LONGS_EQUAL(2, world.runsOf("a"));
     LONGS_EQUAL(0, emptyWorkersWanted(world));
 }
+
+// Guards against long-running tasks that don't run for longer than callers may see them so (LOST, trouble-2
+// and scale-1).
+TEST(ShardHost, ALongRunningTaskIsNotStartedOnAWorkerThatHasFallenSilent)
+{
+    SimulatedPlatform world;
+    world.taskTime = 600s;
+    world.addWorker("w1");
+    world.addWorker("w2");
+    world.addMember("m1");
+    world.run(2s);
+    world.crash("w1", 24h, SimulatedPlatform::CrashKind::Silent);
+    world.run(500ms);
+    CHECK(world.submit(makeLongRunningJob("a", 1)));
+    world.run(2s);
+    LONGS_EQUAL(1, world.runsOn("w2"));
+    checkInvariants(world);
+}
