--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -46,7 +46,7 @@
 // A record as an earlier build has it; nullopt if it has none.
 std::optional<Jobs::Record> earlierRecord(Jobs::Record record)
 {
-    if (record.key == Jobs::LeasesKey) {
+    if (record.key == Jobs::LeasesKey || record.key == Jobs::IncarnationsKey) {
         return std::nullopt;
     }
     if (record.key.rfind("progress/", 0) == 0 && !record.value.empty()) {
@@ -124,6 +124,7 @@
     worker.isUp = false;
     worker.m_runs.clear();
     worker.m_ends.clear();
+    worker.m_endTimes.clear();
     worker.m_highestAttempts.clear();
     worker.m_token = 0;
     worker.m_lastEnd = 0;
@@ -138,6 +139,7 @@
     timers.subscribeAfter(pause, [this, id] {
         Worker &restarted = workers[id];
         restarted.isUp = true;
+        restarted.m_earlierStartTime = restarted.info.startTime;
         restarted.m_startedAt = timers.now();
         restarted.info.startTime =
             std::chrono::duration_cast<Milliseconds>(restarted.m_startedAt.time_since_epoch()).count();
@@ -233,8 +235,12 @@
 {
     std::vector<Jobs::WorkerInfo> list;
     for (const auto &[id, worker] : workers) {
-        if (worker.isListed) {
-            list.push_back(worker.info);
+        if (!worker.isListed) {
+            continue;
+        }
+        list.push_back(worker.info);
+        if (timers.now() < worker.m_startedAt + worker.entryLag && worker.m_earlierStartTime != 0) {
+            list.back().startTime = worker.m_earlierStartTime;
         }
     }
     for (auto &[name, member] : members) {
@@ -329,8 +335,9 @@
     addToHistory(worker, ended.task, ended.attempt, fmt::format("ends ({})", static_cast<int>(how)));
     worker.m_runs.erase(worker.m_runs.begin() + static_cast<std::ptrdiff_t>(run));
     worker.m_ends.push_back({++worker.m_lastEnd, ended.task, ended.attempt, how, checkpoint});
+    worker.m_endTimes[worker.m_lastEnd] = timers.now();
     if (how == Jobs::RunEnd::Done) {
-        m_ended.insert(ended.task);
+        doneAt.try_emplace(ended.task, timers.now());
     }
     auto &highest = worker.m_highestAttempts[ended.task];
     highest = std::max(highest, ended.attempt);
@@ -373,6 +380,8 @@
             end(worker,
                 n,
                 worker.m_runs[n].fails || worker.failsAll ? Jobs::RunEnd::Failed : Jobs::RunEnd::Done);
+        } else if (worker.m_runs[n].stopsAt.value_or(Base::Instant::max()) <= timers.now()) {
+            end(worker, n, Jobs::RunEnd::Stopped);
         } else {
             ++n;
         }
@@ -398,12 +407,14 @@
                                      std::string_view what)
 {
     m_history[task] +=
-        fmt::format("\n  {:.3f} s: run {} {} on {} ({})",
+        fmt::format("\n  {:.3f} s: run {} {} on {} ({}){}{}",
                     std::chrono::duration<double>(timers.now().time_since_epoch() - 1h).count(),
                     attempt,
                     what,
                     worker.info.id,
-                    clockOf(worker));
+                    clockOf(worker),
+                    m_isLate ? ", late" : "",
+                    m_isFromBeforeRestart ? ", ordered before its restart" : "");
 }
 
 void SimulatedPlatform::recordViolation(const Jobs::TaskId &task, const std::string &what)
@@ -529,7 +540,7 @@
     checkQuota(task, job.workspace);
     for (const std::uint32_t earlier : stage->dependsOn) {
         for (std::uint32_t n = 0; n < job.stages[earlier].count; ++n) {
-            if (m_ended.count({task.job, task.occurrence, earlier, n}) == 0) {
+            if (doneAt.count({task.job, task.occurrence, earlier, n}) == 0) {
                 recordViolation(
                     task, "start of " + Jobs::toString(task) + " before a stage that it depends on is done");
             }
@@ -600,12 +611,13 @@
     }
     ++startedRuns[order.task];
     startedAt.try_emplace(order.task, timers.now());
+    m_lastStarts[order.task] = timers.now();
     const bool fails = std::uniform_real_distribution<>(0, 1)(random) < failureShare;
     Milliseconds time = taskTime;
     if (!order.checkpoint.empty()) {
         time = Milliseconds(std::stoll(order.checkpoint.substr(order.checkpoint.find(' ') + 1)));
     }
-    worker.m_runs.push_back({order.task, order.attempt, timers.now() + time, fails});
+    worker.m_runs.push_back({order.task, order.attempt, timers.now() + time, fails, std::nullopt});
     const std::string id = worker.info.id;
     timers.subscribeAfter(time, [this, id] { advance(workers[id]); });
     if (deadlyTasks.count(order.task) > 0) {
@@ -636,10 +648,19 @@
     auto &highest = worker.m_highestAttempts[order.task];
     highest = std::max(highest, order.attempt);
     for (std::size_t n = 0; n < worker.m_runs.size(); ++n) {
-        if (worker.m_runs[n].task == order.task && worker.m_runs[n].attempt <= order.attempt) {
+        Run &run = worker.m_runs[n];
+        if (run.task != order.task || run.attempt > order.attempt) {
+            continue;
+        }
+        if (worker.longestStop == 0ms) {
             end(worker, n, Jobs::RunEnd::Stopped);
-            break;
+        } else if (!run.stopsAt) {
+            const Milliseconds time(
+                std::uniform_int_distribution<>(0, int(worker.longestStop.count()))(random));
+            run.stopsAt = timers.now() + time;
+            timers.subscribeAfter(time, [this, id = worker.info.id] { advance(workers[id]); });
         }
+        break;
     }
     return {OrderResult::Done, clock};
 }
@@ -649,6 +670,43 @@
     return (worker.isUp || ordersOutliveRestarts) && worker.unreachableFrom.count(member) == 0;
 }
 
+void SimulatedPlatform::answer(const std::string &member,
+                               const std::string &id,
+                               const std::function<void()> &deliver,
+                               const std::function<void()> &fail)
+{
+    timers.subscribeAfter(WorkerDelay, [this, member, id, deliver, fail] {
+        const Worker &worker = workers[id];
+        if (worker.unreachableFrom.count(member) > 0 || worker.unheardBy.count(member) > 0) {
+            timers.subscribeAfter(OrderTimeout, fail);
+        } else {
+            deliver();
+        }
+    });
+}
+
+// An end that is noted stands: no run of the task may have started after it.
+void SimulatedPlatform::acknowledge(Worker &worker, std::uint64_t cursor)
+{
+    auto &ends = worker.m_ends;
+    for (const Jobs::ListedEnd &it : ends) {
+        const bool isCounted = it.number <= cursor && it.number > worker.m_lapsedEnds;
+        if (isCounted && it.end == Jobs::RunEnd::Failed) {
+            ++failedRuns[it.task];
+        }
+        if (isCounted && it.end == Jobs::RunEnd::Done) {
+            addToHistory(worker, it.task, it.attempt, "is acknowledged as done");
+            if (doneRuns[it.task]++ == 0 && m_lastStarts[it.task] > worker.m_endTimes[it.number]) {
+                recordViolation(it.task,
+                                "start of " + Jobs::toString(it.task)
+                                    + " after its end, which was acknowledged later");
+            }
+        }
+    }
+    ends.erase(std::remove_if(ends.begin(), ends.end(), [&](const auto &it) { return it.number <= cursor; }),
+               ends.end());
+}
+
 template<typename Handle, typename Fail>
 void SimulatedPlatform::order(const std::string &member, const std::string &id, Handle handle, Fail fail)
 {
@@ -675,8 +733,10 @@
         if (there.isUp && (ordersOutliveRestarts || there.m_startedAt == startTime)) {
             advance(there);
             m_isLate = isLate;
+            m_isFromBeforeRestart = there.m_startedAt != startTime;
             handle(there);
             m_isLate = false;
+            m_isFromBeforeRestart = false;
         }
     });
     if (isLate || isHeld) {
@@ -699,7 +759,8 @@
         worker.id,
         [this, order, once](Worker &there) {
             const auto value = m_world.executeStart(there, order);
-            m_world.timers.subscribeAfter(WorkerDelay, [once, value] { once(value); });
+            m_world.answer(
+                m_member, order.worker, [once, value] { once(value); }, [once] { once({}); });
         },
         [once] { once({}); });
 }
@@ -719,7 +780,8 @@
         worker.id,
         [this, order, once](Worker &there) {
             const auto value = m_world.executeStop(there, order);
-            m_world.timers.subscribeAfter(WorkerDelay, [once, value] { once(value); });
+            m_world.answer(
+                m_member, order.worker, [once, value] { once(value); }, [once] { once({}); });
         },
         [once] { once({}); });
 }
@@ -740,7 +802,8 @@
         id,
         [this, id, order, once](Worker &there) {
             if (order.token < there.m_token) {
-                m_world.timers.subscribeAfter(WorkerDelay, [once] { once(Jobs::OrderResult::Fenced, {}); });
+                m_world.answer(
+                    m_member, id, [once] { once(Jobs::OrderResult::Fenced, {}); }, [] {});
                 return;
             }
             there.m_token = order.token;
@@ -749,32 +812,18 @@
                     std::max(there.m_leaseEnd,
                              std::min(*order.leaseEnd, m_world.clockOf(there) + m_world.leaseLimit.count()));
             }
-            auto &ends = there.m_ends;
-            for (const Jobs::ListedEnd &it : ends) {
-                const bool isCounted = it.number <= order.ackCursor && it.number > there.m_lapsedEnds;
-                if (isCounted && it.end == Jobs::RunEnd::Failed) {
-                    ++m_world.failedRuns[it.task];
-                }
-                if (isCounted && it.end == Jobs::RunEnd::Done) {
-                    m_world.addToHistory(there, it.task, it.attempt, "is acknowledged as done");
-                    ++m_world.doneRuns[it.task];
-                }
-            }
-            ends.erase(std::remove_if(ends.begin(),
-                                      ends.end(),
-                                      [&](const auto &it) { return it.number <= order.ackCursor; }),
-                       ends.end());
-            const auto respond = [this, id, once] {
+            m_world.acknowledge(there, order.ackCursor);
+            const auto respond = [this, id, once, startTime = there.m_startedAt] {
                 Worker &now = m_world.workers[id];
-                if (!now.isUp) {
+                if (!now.isUp || now.m_startedAt != startTime) {
                     return;
                 }
                 m_world.advance(now);
                 const auto list = m_world.runListOf(now);
-                m_world.timers.subscribeAfter(WorkerDelay,
-                                              [once, list] { once(Jobs::OrderResult::Done, list); });
+                m_world.answer(
+                    m_member, id, [once, list] { once(Jobs::OrderResult::Done, list); }, [] {});
             };
-            if (!ends.empty() || order.longPollTime.count() == 0) {
+            if (!there.m_ends.empty() || order.longPollTime.count() == 0) {
                 respond();
                 return;
             }
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -27,6 +27,7 @@
         std::uint32_t attempt = 0;
         Base::Instant endsAt;
         bool fails = false;
+        std::optional<Base::Instant> stopsAt; ///< if it has been stopped and has not ended yet
     };
 
     class Worker
@@ -38,20 +39,25 @@
         bool enforcesCapacity = true; ///< refuses runs that exceed its capacity
         double clockRate = 1; ///< speed of its clock relative to true time
         std::set<std::string> unreachableFrom; ///< members that cannot reach it
+        std::set<std::string> unheardBy; ///< members that do not get its answers
         Milliseconds delay{1}; ///< one-way delay
         double delayedShare = 0; ///< share of orders that are carried out late and not answered
         bool failsAll = false;
         bool isStalled = false; ///< its runs do not progress
+        Milliseconds longestStop{}; ///< a stopped run ends within this time
+        Milliseconds entryLag{}; ///< until the list of workers shows a restart
 
     private:
         friend class SimulatedPlatform;
         Base::Instant m_startedAt;
+        std::int64_t m_earlierStartTime = 0; ///< of the incarnation before
         Jobs::OrderToken m_token = 0;
         std::int64_t m_leaseEnd = 0;
         std::vector<std::pair<Base::Instant, Jobs::Resources>>
             m_earlierCapacities; ///< until when starts may use them
         std::vector<Run> m_runs;
         std::vector<Jobs::ListedEnd> m_ends;
+        std::map<std::uint64_t, Base::Instant> m_endTimes; ///< by number
         std::uint64_t m_lastEnd = 0;
         std::uint64_t m_lapsedEnds = 0; ///< ends up to this number were unacknowledged when the lease expired
         std::map<Jobs::TaskId, std::uint32_t>
@@ -190,6 +196,7 @@
     std::map<Jobs::TaskId, int> failedRuns; ///< acknowledged ends as failed
     std::map<Jobs::TaskId, int> startedRuns;
     std::map<Jobs::TaskId, Base::Instant> startedAt; ///< start of the first run
+    std::map<Jobs::TaskId, Base::Instant> doneAt; ///< end of the first run that was done
     std::map<std::string, Jobs::JobSpec> submitted;
     std::set<std::string> cancelled; ///< jobs whose cancellation was acknowledged
     bool isStoreDown = false;
@@ -235,6 +242,12 @@
 
     std::int64_t clockOf(const Worker &worker) const;
     bool isReachable(const Worker &worker, const std::string &member) const;
+    /// Delivers the answer of a worker, or reports a failure later if the connection is cut by then.
+    void answer(const std::string &member,
+                const std::string &worker,
+                const std::function<void()> &deliver,
+                const std::function<void()> &fail);
+    void acknowledge(Worker &worker, std::uint64_t cursor);
     void advance(Worker &worker);
     void end(Worker &worker, std::size_t run, Jobs::RunEnd how);
     /// Ends the gang's runs on other workers than the one that was lost.
@@ -269,10 +282,11 @@
     std::vector<std::pair<Base::Instant, std::vector<Jobs::WorkspaceQuota>>>
         m_earlierQuotas; ///< with the time until which they may be in force
     std::map<Jobs::TaskId, int> m_startsAfterCrashes; ///< of deadly tasks, after three crashes
-    std::set<Jobs::TaskId> m_ended; ///< tasks that ended as done at least once
+    std::map<Jobs::TaskId, Base::Instant> m_lastStarts;
     JobService::ServiceLayout m_layout;
     std::vector<Partition> m_partitions;
     std::map<std::string, Membership> m_memberships;
     std::uint64_t m_generation = 0;
     bool m_isLate = false; ///< whether the current order is carried out late
+    bool m_isFromBeforeRestart = false; ///< whether it was sent to an earlier incarnation of its worker
 };
