Show that a next owner counts the recorded lease of an earlier restart

The owner compares the record of leases with what it knows by the names of workers only. A worker that is in it from an earlier restart, or from the release of the owner before, and restarts again isn't stored anew, so the next owner counts the time that was left then.

**Conclusion.** Open, to be mended in Shard::changedLeases() or where long leases begin.

--- a/tests/auto/workerrestarts/tst_workerrestarts.cpp
+++ b/tests/auto/workerrestarts/tst_workerrestarts.cpp
@@ -7,7 +7,6 @@
 #include <string>
 
 using namespace std::chrono_literals;
-using JobService::ReportedState;
 using CrashKind = SimulatedPlatform::CrashKind;
 
 // Workers restart under their IDs and take orders that were sent to their earlier incarnations.
@@ -52,7 +51,9 @@
 
     void submit(const std::string &job)
     {
-        CHECK(world.submit(SimulatedPlatform::makeJob(job, 1, 1)));
+        Jobs::JobSpec spec = SimulatedPlatform::makeJob(job, 1, 1);
+        spec.stages[0].estimate = estimate;
+        CHECK(world.submit(spec));
     }
 
     /// Returns when the next owner has had a list of all workers.
@@ -67,16 +68,21 @@
 
     void cutOffFirstWorker()
     {
-        w1().unreachableFrom = {"m1", "m2"};
+        w1().unreachableFrom = {"m1", "m2", "m3"};
         world.workers["w2"].unreachableFrom.clear();
     }
 
     /// Waits for as long as an order can be on its way, and its lease after that.
-    void checkThatTaskRunsOnSecondWorker()
+    void checkThatTasksRunOnSecondWorker(std::size_t tasks)
     {
         world.run(world.settings.shard.maxOrderDelay + world.settings.shard.leaseLimit + 5s);
         checkViolations();
-        LONGS_EQUAL(1, world.runsOn("w2"));
+        LONGS_EQUAL(tasks, world.runsOn("w2"));
+    }
+
+    void checkThatTaskRunsOnSecondWorker()
+    {
+        checkThatTasksRunOnSecondWorker(1);
     }
 
     void checkViolations()
@@ -87,6 +93,7 @@
     }
 
     SimulatedPlatform world;
+    Milliseconds estimate{700}; ///< of the tasks of later jobs
 };
 
 } // namespace
@@ -158,3 +165,24 @@
         fleet.checkThatTaskRunsOnSecondWorker();
     }
 }
+
+// The first owner leaves a record of the lease since the earlier restart, which has mostly passed by then.
+TEST(WorkerRestarts, ANextOwnerDoesNotCountTheRecordedLeaseOfAnEarlierRestart)
+{
+    for (Milliseconds time = 4s; time <= 9s; time += 250ms) {
+        Fleet fleet;
+        fleet.estimate = LongTask;
+        fleet.world.addMember("m3");
+        fleet.world.workers["w2"].unreachableFrom.insert("m3");
+        fleet.startAfterUnnoticedRestart("a");
+        fleet.world.run(time);
+        fleet.world.members["m1"]->host.stop([] {});
+        fleet.world.run(1s);
+        CHECK(fleet.world.members["m2"]->host.owns(0));
+        fleet.startAfterUnnoticedRestart("b");
+        fleet.world.run(1500ms);
+        fleet.world.kill("m2");
+        fleet.cutOffFirstWorker();
+        fleet.checkThatTasksRunOnSecondWorker(2);
+    }
+}
