--- a/tests/auto/workerrestarts/tst_losscounts.cpp
+++ b/tests/auto/workerrestarts/tst_losscounts.cpp
@@ -180,6 +180,7 @@
 {
     Fleet fleet;
     fleet.startAfterUnnoticedRestart("a");
+    fleet.world.run(1ms); // the answer arrives
     fleet.cutOffFirstWorker();
     fleet.checkThatTaskRunsOnSecondWorker();
     const Jobs::LossCounts before = hostOf(fleet).losses();
--- a/tests/auto/workerrestarts/tst_workerrestarts.cpp
+++ b/tests/auto/workerrestarts/tst_workerrestarts.cpp
@@ -157,3 +157,24 @@
         });
     LONGS_EQUAL(fleet.w1().info.startTime, startTime);
 }
+
+// The first owner leaves a record of the lease since the earlier restart, which has mostly passed by then.
+TEST(WorkerRestarts, ANextOwnerDoesNotCountTheRecordedLeaseOfAnEarlierRestart)
+{
+    for (SimulatedPlatform::Milliseconds time = 4s; time <= 9s; time += 250ms) {
+        Fleet fleet;
+        fleet.estimate = LongTask;
+        fleet.world.addMember("m3");
+        fleet.world.workers["w2"].unreachableFrom.insert("m3");
+        fleet.startAfterUnnoticedRestart("a");
+        fleet.world.run(time);
+        fleet.world.members["m1"]->host.stop([] {});
+        fleet.world.run(1s);
+        CHECK(fleet.world.members["m2"]->host.owns(0));
+        fleet.startAfterUnnoticedRestart("b");
+        fleet.world.run(1500ms);
+        fleet.world.kill("m2");
+        fleet.cutOffFirstWorker();
+        fleet.checkThatTasksRunOnSecondWorker(2);
+    }
+}
