Complete a task by a run that had been given up

**Cause.** Found by the histories of restarts: the end `done` of a run that its owner had given up was skipped but acknowledged, and the task started again. Callers see work done twice that was noted as done.

**Change.** Such an end completes its task. A run that has been started since is stopped as a stray one once its worker lists it.

**Before / after.** `build/bin/tst_jobs -n ATaskIsDoneByARunThatHadBeenGivenUp`: red before, green now; tst_jobs 216, tst_workerrestarts 23, tst_deadlytasks 19, tst_quotas 9 green.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -208,6 +208,9 @@
     void processRunList(
         Worker &worker, OrderToken askedWith, const RunList &list, Base::Instant now, WallTime wall);
     void processRunEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall);
+    /// Completes the task if a run of it has ended as done that this owner has given up.
+    void completeByFormerRun(
+        const Worker &worker, Job &job, const ListedEnd &end, Base::Instant now, WallTime wall);
     void throttleBestEffortRuns(Worker &worker, const RunList &list);
     void resolveUnlistedRuns(Worker &worker,
                              OrderToken askedWith,
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -159,15 +159,39 @@
     }
 }
 
+// A start that was given up may have been carried out after all. A run that has been started since is a stray
+// one.
+void Shard::completeByFormerRun(
+    const Worker &worker, Job &job, const ListedEnd &end, Base::Instant now, WallTime wall)
+{
+    const bool isDone = end.end == RunEnd::Done && job.state == JobState::Active
+        && !job.spec.stages[end.task.stage].isLongRunning;
+    if (!isDone) {
+        return;
+    }
+    Base::LogLine(Base::LogLevel::Warning, "former-run-done")
+        .with("request", end.task.job)
+        .with("task", toString(end.task))
+        .with("attempt", end.attempt)
+        .with("worker", worker.info.id)
+        .with("known_attempt", job.find(end.task)->attempt);
+    completeTask(job, end.task, wall, now);
+}
+
 void Shard::processRunEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall)
 {
     const auto it = m_jobs.find(end.task.job);
     Task *task = it != m_jobs.end() ? it->second.find(end.task) : nullptr;
-    if (!task || task->isDone || task->run == RunState::None || task->worker != worker.info.id
-        || task->attempt != end.attempt) {
+    if (!task || task->isDone) {
         return;
     }
     Job &job = it->second;
+    const bool isCurrent =
+        task->run != RunState::None && task->worker == worker.info.id && task->attempt == end.attempt;
+    if (!isCurrent) {
+        completeByFormerRun(worker, job, end, now, wall);
+        return;
+    }
     Base::LogLine(Base::LogLevel::Info, "run-ended")
         .with("request", end.task.job)
         .with("task", toString(end.task))
--- a/tests/auto/jobs/tst_shard.cpp
+++ b/tests/auto/jobs/tst_shard.cpp
@@ -339,3 +339,29 @@
     CHECK(recorded[0].at("w") > settings.maxOrderDelay);
     CHECK(recorded[1].at("w") <= settings.leaseLimit + 1s);
 }
+
+// Its end is acknowledged, so it must not be started again.
+TEST(Shard, ATaskIsDoneByARunThatHadBeenGivenUp)
+{
+    Base::Instant now{1h};
+    Jobs::Shard shard({}, 1, "m");
+    loadRun(shard);
+    shard.load("progress/a", R"({"state":0,"done":0,"next":1,"tasks":{"0":[[[0,2,0,"v"]]]}})");
+    shard.begin(now, Wall, hasEnded);
+    listWorker(shard, now);
+    Jobs::RunList list;
+    list.startTime = 1;
+    list.clock = 60'000;
+    list.ended.push_back({1, {"a", 0, 0, 0}, 1, Jobs::RunEnd::Done, {}});
+    for (int n = 0; n < 5; ++n, now += 100ms) {
+        shard.processDue(now, Wall);
+        for (const Jobs::Command &it : shard.takeCommands()) {
+            if (const auto *append = std::get_if<Jobs::AppendBatch>(&it)) {
+                shard.appended(append->number, Jobs::AppendResult::Stored, now, Wall);
+            } else if (const auto *renew = std::get_if<Jobs::RenewLease>(&it)) {
+                shard.renewAnswered(*renew, Jobs::OrderResult::Done, list, now, Wall);
+            }
+        }
+    }
+    CHECK(shard.find("a")->storedState == Jobs::JobState::Completed);
+}
