Let soak workers take calls of their former incarnation

A worker of tests/soak was one incarnation with a server of its own, so a call never reached the next one, and no worker could be cut off while its tasks ran on. No batch task outlasted a lease either.

**Change.** `Door` is the address of a worker with its connections, and can outlast an incarnation: what arrives meanwhile waits for the next one. New troubles: `workers-recut` (a quarter of the workers, of one zone or rack, end without closing connections, are back at their address within 0.6 s, register late or not, are cut off 1 to 2 s later for 6 to 9 s) and `orders-late` (a tenth of the calls gets no answer and is carried out 2 to 12 s later). `--long-share` is the share of jobs whose tasks take 11 s. An end that a stale cursor makes a worker forget untold counts as any other untold one.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -26,6 +26,8 @@
 constexpr Base::Duration RetryPause = 200ms;
 constexpr int MaxRetries = 4;
 constexpr std::size_t ConnectionsPerMember = 32;
+constexpr double LongWork = 11'000; // ms
+constexpr std::uint32_t MaxLongTasks = 3; // of a stage
 constexpr double UnevenWork = 0.3; ///< durations of tasks differ by up to this share
 constexpr std::uint32_t UnavailableDivisor = 6; ///< of a long-running stage's tasks, so many may be away
 
@@ -165,12 +167,15 @@
     job.queue = &queue;
     const auto stages = static_cast<std::uint32_t>(std::max(1.0, std::round(queue.stages.draw(m_random))));
     const bool canCheckpoint = share() < queue.checkpointShare;
+    const bool isLong = m_shape.longShare > 0 && !queue.isLongRunning && share() < m_shape.longShare;
     for (std::uint32_t n = 0; n < stages; ++n) {
         Jobs::Stage stage;
         stage.count = static_cast<std::uint32_t>(std::max(1.0, std::round(queue.width.draw(m_random))));
         stage.size.milliCores = std::max<std::int64_t>(50, std::llround(queue.milliCores.draw(m_random)));
         stage.size.memory = std::max<std::int64_t>(50, std::llround(queue.memory.draw(m_random)));
-        const double work = std::max(20.0, queue.work.draw(m_random) * (1 + UnevenWork * (share() - 0.5)));
+        const double mean = isLong ? LongWork : queue.work.draw(m_random);
+        const double work = std::max(20.0, mean * (1 + UnevenWork * (share() - 0.5)));
+        stage.count = isLong ? std::min(stage.count, MaxLongTasks) : stage.count;
         job.work.emplace_back(std::llround(work));
         stage.estimate =
             Milliseconds(std::llround(std::max(1.0, work * (1 + queue.estimateError * (2 * share() - 1)))));
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -76,30 +76,44 @@
     });
 }
 
-void Fleet::startWorker(Machine &machine, std::string id)
+void Fleet::startWorker(Machine &machine,
+                        std::string id,
+                        std::shared_ptr<Door> door,
+                        Base::Duration registersAfter)
 {
-    machine.worker = std::make_unique<Worker>(m_surroundings,
-                                              Worker::Place{std::move(id),
-                                                            machine.id,
-                                                            machine.pool,
-                                                            machine.zone,
-                                                            machine.rack,
-                                                            m_shape.machine,
-                                                            serviceOf(machine.pool).enforcesCapacity},
-                                              // The worker is not destroyed within its own handler.
-                                              [this](const std::string &worker) {
-                                                  m_surroundings.timers.subscribeAfter(
-                                                      {}, [this, worker] { restart(worker, DeadlyPause); });
-                                              });
+    if (!door) {
+        door = std::make_shared<Door>(m_surroundings.context, m_surroundings.timers, m_surroundings.random);
+    }
+    machine.worker = std::make_unique<Worker>(
+        m_surroundings,
+        Worker::Place{std::move(id),
+                      machine.id,
+                      machine.pool,
+                      machine.zone,
+                      machine.rack,
+                      m_shape.machine,
+                      serviceOf(machine.pool).enforcesCapacity},
+        // The worker is not destroyed within its own handler.
+        [this](const std::string &worker) {
+            m_surroundings.timers.subscribeAfter({}, [this, worker] { restart(worker, DeadlyPause); });
+        },
+        std::move(door),
+        registersAfter);
 }
 
 void Fleet::endWorker(Machine &machine)
 {
     const std::string id = machine.worker->place().id;
     machine.worker.reset();
-    m_surroundings.timers.subscribeAfter(EntryLifetime, [this, id] {
-        const bool isBack = std::any_of(m_machines.begin(), m_machines.end(), [&id](const Machine &it) {
-            return it.worker && it.worker->place().id == id;
+    expireEntry(id);
+}
+
+void Fleet::expireEntry(const std::string &worker)
+{
+    m_surroundings.timers.subscribeAfter(EntryLifetime, [this, id = worker] {
+        const Base::Instant beatsSince = m_surroundings.timers.now() - EntryLifetime;
+        const bool isBack = std::any_of(m_machines.begin(), m_machines.end(), [&](const Machine &it) {
+            return it.worker && it.worker->place().id == id && it.worker->beatAt() > beatsSince;
         });
         if (!isBack) {
             m_surroundings.store.put("keyed.servers", id, std::nullopt);
@@ -145,6 +159,58 @@
     }
 }
 
+void Fleet::recut(double share)
+{
+    auto &random = m_surroundings.random;
+    const auto between = [&random](Milliseconds least, Milliseconds most) {
+        return Milliseconds(std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(random));
+    };
+    std::vector<Machine *> drawn = draw(1);
+    const auto count = static_cast<std::size_t>(std::ceil(double(drawn.size()) * share));
+    const auto place = between(0ms, 1ms) == 0ms ? &Machine::zone : &Machine::rack;
+    std::erase_if(drawn, [](const Machine *it) { return it->isRecut; });
+    std::erase_if(drawn, [place, first = drawn.empty() ? nullptr : drawn.front()](const Machine *it) {
+        return it->*place != first->*place;
+    });
+    drawn.resize(std::min(drawn.size(), count));
+    for (Machine *it : drawn) {
+        const std::string id = it->worker->place().id;
+        const Base::Duration startAt = between(50ms, 600ms);
+        const Base::Duration cutAt = startAt + between(1s, 2s);
+        const Base::Duration registersAfter = between(0ms, 1ms) == 0ms ? between(0ms, 1500ms) : cutAt;
+        it->returning = id;
+        it->isRecut = true;
+        auto &timers = m_surroundings.timers;
+        timers.subscribeAfter(startAt, [this, it, id, door = it->worker->door(), registersAfter] {
+            it->returning.clear();
+            startWorker(*it, id, door, registersAfter);
+        });
+        timers.subscribeAfter(cutAt, [this, it, id] { setCutOff(*it, id, true); });
+        timers.subscribeAfter(cutAt + between(6s, 9s), [this, it, id] {
+            it->isRecut = false;
+            setCutOff(*it, id, false);
+        });
+        endWorker(*it);
+    }
+}
+
+void Fleet::setCutOff(Machine &machine, const std::string &worker, bool isCutOff)
+{
+    if (machine.worker && machine.worker->place().id == worker) {
+        machine.worker->setCutOff(isCutOff);
+        expireEntry(worker);
+    }
+}
+
+void Fleet::setLateShare(double share)
+{
+    for (Machine &it : m_machines) {
+        if (it.worker) {
+            it.worker->door()->setLateShare(share);
+        }
+    }
+}
+
 void Fleet::shrink(double share, double factor, Base::Duration time)
 {
     for (Machine *it : draw(share)) {
@@ -208,7 +274,7 @@
                                      json::object{{"Cpu", m_shape.machine.milliCores},
                                                   {"MemMb", m_shape.machine.memory},
                                                   {"Gpu", 0}}},
-                                    {"Id", it.worker ? it.worker->place().id : std::string()}});
+                                    {"Id", it.worker ? it.worker->place().id : it.returning}});
     }
     json::object page{{"Machines", std::move(rows)}, {"NextToken", nullptr}};
     if (n < m_machines.size()) {
@@ -242,7 +308,7 @@
     if (it->pool == pool) {
         return Http::Response{.body = "{}"};
     }
-    if (it->state != "up") {
+    if (it->state != "up" || !it->returning.empty()) {
         return conflict("busy");
     }
     if (it->worker) {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -42,6 +42,7 @@
   --members=N        [default: 42]
   --scale=X          Of load and fleet, against 350 machines. [default: 1]
   --quota-scale=X    Of the workspaces' quotas. [default: 1]
+  --long-share=X     Of jobs whose tasks take 11 s. [default: 0]
   --seconds=N        Time of the load. [default: 34]
   --troubles=LIST    Kinds that may come, separated by commas; "all" or "none". [default: none]
   --count=N          How many troubles come. [default: 5]
@@ -91,6 +92,7 @@
         , m_callers(m_eventLoop.context(), timers(), m_observer, m_shape, m_members.entries(), m_random())
         , m_deployment{timers(), m_store, m_fleet, m_members, m_callers, m_observer, m_shape, m_random}
     {
+        m_shape.longShare = std::stod(m_arguments["--long-share"].asString());
     }
 
     /// Whether nothing was broken.
--- a/tests/soak/observer.cpp
+++ b/tests/soak/observer.cpp
@@ -151,7 +151,7 @@
     worker.isDraining = isDraining;
 }
 
-void Observer::removeWorker(const std::string &id, const std::vector<Jobs::ListedEnd> &untold)
+void Observer::removeWorker(const std::string &id, const std::vector<Jobs::ListedEnd> &untoldEnds)
 {
     const auto it = m_workers.find(id);
     if (it == m_workers.end()) {
@@ -163,11 +163,8 @@
         ++taskOf(run)->crashes;
         ended(id, run, Jobs::RunEnd::LeaseExpired);
     }
-    for (const Jobs::ListedEnd &end : untold) {
-        Task *task = taskOf(end.task);
-        if (task && end.end == Jobs::RunEnd::Done && !task->isDoneForGood) {
-            task->isDone = false;
-        }
+    for (const Jobs::ListedEnd &end : untoldEnds) {
+        untold(end);
     }
     m_workers.erase(id);
 }
@@ -179,7 +176,8 @@
     const Jobs::Stage &stage = job.job.stages[id.stage];
     const std::string what = fmt::format("{} run {} on {}", Jobs::toString(id), attempt, workerId);
     if (!task.runningOn.empty()) {
-        record("TWICE", fmt::format("{}: it also runs on {}", what, *task.runningOn.begin()));
+        const auto &[worker, run] = *task.runningOn.begin();
+        record("TWICE", fmt::format("{}: it also runs on {}, {}", what, worker, run));
     } else if (task.isDoneForGood) {
         record("TWICE", fmt::format("{}: it is done", what));
     }
@@ -226,7 +224,7 @@
     Job &job = m_jobs.at(id.job);
     Task &task = job.tasks[id.stage][id.index];
     const Jobs::Resources size = Jobs::reservedResources(job.job.stages[id.stage]);
-    task.runningOn.insert(workerId);
+    task.runningOn[workerId] = fmt::format("run {} since {}", attempt, at());
     task.startsAfterCrashes += task.crashes >= CrashesBeforeBudget ? 1 : 0;
     Worker &worker = m_workers.at(workerId);
     worker.runs.insert(id);
@@ -263,6 +261,14 @@
     }
 }
 
+void Observer::untold(const Jobs::ListedEnd &end)
+{
+    Task *task = taskOf(end.task);
+    if (task && end.end == Jobs::RunEnd::Done && !task->isDoneForGood) {
+        task->isDone = false;
+    }
+}
+
 bool Observer::isReady(const Job &job, std::size_t stage) const
 {
     const auto &needed = job.job.stages[stage].dependsOn;
--- a/tests/soak/observer.h
+++ b/tests/soak/observer.h
@@ -49,12 +49,14 @@
                    const std::string &service,
                    const Jobs::Resources &capacity,
                    bool isDraining);
-    /// All runs on the worker have ended with it; `untold` are ends that no owner was told.
-    void removeWorker(const std::string &worker, const std::vector<Jobs::ListedEnd> &untold);
+    /// All runs on the worker have ended with it.
+    void removeWorker(const std::string &worker, const std::vector<Jobs::ListedEnd> &untoldEnds);
 
     void started(const std::string &worker, const Jobs::TaskId &task, std::uint32_t attempt);
     void ended(const std::string &worker, const Jobs::TaskId &task, Jobs::RunEnd end);
     void acknowledged(const Jobs::ListedEnd &end);
+    /// No owner will be told this end, so the task may run again.
+    void untold(const Jobs::ListedEnd &end);
 
     /// A disruption begins that lasts this long. Rules with a time bound hold only some time after it.
     void disturb(Base::Duration time);
@@ -69,7 +71,7 @@
 
 private:
     struct Task {
-        std::set<std::string> runningOn;
+        std::map<std::string, std::string> runningOn; ///< the runs by worker, as text
         bool isDone = false;
         bool isDoneForGood = false; ///< the end has been acknowledged
         std::uint32_t failures = 0;
--- a/tests/soak/shape.h
+++ b/tests/soak/shape.h
@@ -72,6 +72,7 @@
     Milliseconds turnTime{4500};
     double turnFactor = 4; ///< load in a queue's own turn against the mean
     double idleFactor = 0.05; ///< load in the other turns against the mean
+    double longShare = 0; ///< of jobs whose tasks outlast leases
 };
 
 /// The shape whose load and fleet are `scale` times those of a deployment with 42 members, 350 machines, 20
--- a/tests/soak/troubles.cpp
+++ b/tests/soak/troubles.cpp
@@ -83,6 +83,17 @@
           [](Deployment &it, auto time) {
               it.fleet.slowDown(0.15, 1500ms, time);
           }}},
+        {"workers-recut",
+         {12s,
+          [](Deployment &it, auto) {
+              it.fleet.recut(0.25);
+          }}},
+        {"orders-late",
+         {20s,
+          [](Deployment &it, auto) {
+              it.fleet.setLateShare(0.1);
+              it.timers.subscribeAfter(8s, [&fleet = it.fleet] { fleet.setLateShare(0); });
+          }}},
         {"workers-shrink",
          {8s,
           [](Deployment &it, auto time) {
--- a/tests/soak/worker.cpp
+++ b/tests/soak/worker.cpp
@@ -42,7 +42,11 @@
 
 } // namespace
 
-Worker::Worker(const WorkerSurroundings &surroundings, Place place, Crashed crashed)
+Worker::Worker(const WorkerSurroundings &surroundings,
+               Place place,
+               Crashed crashed,
+               std::shared_ptr<Door> door,
+               Base::Duration registersAfter)
     : m_surroundings(surroundings)
     , m_place(std::move(place))
     , m_onCrash(std::move(crashed))
@@ -51,23 +55,25 @@
                  .count())
     , m_leaseTimer(surroundings.timers)
     , m_beatTimer(surroundings.timers)
-    , m_server(surroundings.context,
-               surroundings.timers,
-               {"127.0.0.1", 0},
-               Http::ServerLimits{},
-               // A connection on which a request is being read outlives the server.
-               [this, isAlive = m_isAlive](const Http::Request &request, const Http::Responder &respond) {
-                   if (*isAlive) {
-                       handle(request, respond);
-                   }
-               })
+    , m_door(std::move(door))
 {
-    beat();
+    m_surroundings.observer.setWorker(m_place.id, m_place.service, m_place.capacity, false);
+    if (registersAfter > Base::Duration::zero()) {
+        m_beatTimer.arm(registersAfter, [this] { beat(); });
+    } else {
+        beat();
+    }
+    m_door->setHandler(
+        [this](const Http::Request &request, const Http::Responder &respond) { handle(request, respond); });
 }
 
 Worker::~Worker()
 {
     *m_isAlive = false;
+    m_door->setHandler(nullptr);
+    for (const Waiter &it : m_waiters) {
+        m_door->keepOpen(it.respond);
+    }
     for (const auto &[task, run] : m_runs) {
         m_surroundings.timers.cancel(run.timer);
     }
@@ -80,6 +86,16 @@
     return m_place;
 }
 
+const std::shared_ptr<Door> &Worker::door() const
+{
+    return m_door;
+}
+
+Base::Instant Worker::beatAt() const
+{
+    return m_beatAt;
+}
+
 void Worker::setCapacity(const Jobs::Resources &capacity)
 {
     m_place.capacity = capacity;
@@ -96,6 +112,13 @@
     m_delay = delay;
 }
 
+void Worker::setCutOff(bool isCutOff)
+{
+    m_isCutOff = isCutOff;
+    m_door->setCutOff(isCutOff);
+    beat();
+}
+
 std::int64_t Worker::clock() const
 {
     return FirstClock
@@ -105,11 +128,16 @@
 void Worker::beat()
 {
     m_surroundings.observer.setWorker(m_place.id, m_place.service, m_place.capacity, false);
+    if (m_isCutOff) {
+        m_beatTimer.disarm();
+        return;
+    }
+    m_beatAt = m_surroundings.timers.now();
     m_surroundings.store.put(
         "keyed.servers",
         m_place.id,
         json::serialize(json::object{{"Service", m_place.service},
-                                     {"Address", fmt::format("127.0.0.1:{}", m_server.port())},
+                                     {"Address", fmt::format("127.0.0.1:{}", m_door->port())},
                                      {"Zone", m_place.zone},
                                      {"Version", "v1"},
                                      {"Slots", 8},
@@ -355,7 +383,9 @@
     }
     const auto cursor = Jobs::numberOr<std::uint64_t>(order, "AckCursor", 0);
     std::erase_if(m_ends, [&](const Jobs::ListedEnd &it) {
-        if (it.number <= cursor && it.number > m_lapsedEnd) {
+        if (it.number <= cursor && it.number > m_listedEnd) {
+            m_surroundings.observer.untold(it); // the call was for the former incarnation
+        } else if (it.number <= cursor && it.number > m_lapsedEnd) {
             m_surroundings.observer.acknowledged(it);
         }
         return it.number <= cursor;
--- a/tests/soak/worker.h
+++ b/tests/soak/worker.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "door.h"
 #include "observer.h"
 #include "store.h"
 
 #include <base/oneshottimer.h>
-#include <http/server.h>
 
 #include <cstdint>
 #include <functional>
@@ -27,7 +27,7 @@
     std::mt19937 &random;
 };
 
-/// Stands in for a worker in one of its lives: runs tasks under leases and lists their ends.
+/// Stands in for one incarnation of a worker: runs tasks under leases and lists their ends.
 class Worker
 {
 public:
@@ -43,18 +43,28 @@
     /// Called when a task has crashed the worker, from outside of it.
     using Crashed = std::function<void(const std::string &id)>;
 
-    Worker(const WorkerSurroundings &surroundings, Place place, Crashed crashed);
+    /// It takes calls from now on and writes its entry after the time.
+    Worker(const WorkerSurroundings &surroundings,
+           Place place,
+           Crashed crashed,
+           std::shared_ptr<Door> door,
+           Base::Duration registersAfter);
     Worker(const Worker &) = delete;
     Worker &operator=(const Worker &) = delete;
     /// Ends all runs, as when the machine loses power.
     ~Worker();
 
     const Place &place() const;
+    const std::shared_ptr<Door> &door() const;
+    /// When it last wrote its entry.
+    Base::Instant beatAt() const;
     void setCapacity(const Jobs::Resources &capacity);
     /// While it fails, all that it starts ends as failed.
     void setFailing(bool isFailing);
     /// While it is slow, orders are answered after this time.
     void setDelay(Base::Duration delay);
+    /// While it is cut off, no call and no entry gets through; its tasks run on.
+    void setCutOff(bool isCutOff);
 
 private:
     struct Run {
@@ -103,12 +113,14 @@
     std::vector<Waiter> m_waiters;
     std::uint64_t m_lastWaiter = 0;
     std::uint64_t m_beats = 0;
+    Base::Instant m_beatAt;
     Base::Duration m_delay{};
     bool m_isFailing = false;
+    bool m_isCutOff = false;
     Base::OneShotTimer m_leaseTimer;
     Base::OneShotTimer m_beatTimer;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
-    Http::Server m_server;
+    std::shared_ptr<Door> m_door;
 };
 
 } // namespace Soak
