--- a/tests/soak/observer.cpp
+++ b/tests/soak/observer.cpp
@@ -151,7 +151,7 @@
     worker.isDraining = isDraining;
 }
 
-void Observer::removeWorker(const std::string &id, const std::vector<Jobs::ListedEnd> &untoldEnds)
+void Observer::removeWorker(const std::string &id, const std::vector<Jobs::ListedEnd> &untold)
 {
     const auto it = m_workers.find(id);
     if (it == m_workers.end()) {
@@ -163,8 +163,11 @@
         ++taskOf(run)->crashes;
         ended(id, run, Jobs::RunEnd::LeaseExpired);
     }
-    for (const Jobs::ListedEnd &end : untoldEnds) {
-        untold(end);
+    for (const Jobs::ListedEnd &end : untold) {
+        Task *task = taskOf(end.task);
+        if (task && end.end == Jobs::RunEnd::Done && !task->isDoneForGood) {
+            task->isDone = false;
+        }
     }
     m_workers.erase(id);
 }
@@ -261,14 +264,6 @@
     }
 }
 
-void Observer::untold(const Jobs::ListedEnd &end)
-{
-    Task *task = taskOf(end.task);
-    if (task && end.end == Jobs::RunEnd::Done && !task->isDoneForGood) {
-        task->isDone = false;
-    }
-}
-
 bool Observer::isReady(const Job &job, std::size_t stage) const
 {
     const auto &needed = job.job.stages[stage].dependsOn;
--- a/tests/soak/observer.h
+++ b/tests/soak/observer.h
@@ -49,14 +49,12 @@
                    const std::string &service,
                    const Jobs::Resources &capacity,
                    bool isDraining);
-    /// All runs on the worker have ended with it.
-    void removeWorker(const std::string &worker, const std::vector<Jobs::ListedEnd> &untoldEnds);
+    /// All runs on the worker have ended with it; `untold` are ends that no owner was told.
+    void removeWorker(const std::string &worker, const std::vector<Jobs::ListedEnd> &untold);
 
     void started(const std::string &worker, const Jobs::TaskId &task, std::uint32_t attempt);
     void ended(const std::string &worker, const Jobs::TaskId &task, Jobs::RunEnd end);
     void acknowledged(const Jobs::ListedEnd &end);
-    /// No owner will be told this end, so the task may run again.
-    void untold(const Jobs::ListedEnd &end);
 
     /// A disruption begins that lasts this long. Rules with a time bound hold only some time after it.
     void disturb(Base::Duration time);
--- a/tests/soak/worker.cpp
+++ b/tests/soak/worker.cpp
@@ -383,9 +383,7 @@
     }
     const auto cursor = Jobs::numberOr<std::uint64_t>(order, "AckCursor", 0);
     std::erase_if(m_ends, [&](const Jobs::ListedEnd &it) {
-        if (it.number <= cursor && it.number > m_listedEnd) {
-            m_surroundings.observer.untold(it); // the call was for the former incarnation
-        } else if (it.number <= cursor && it.number > m_lapsedEnd) {
+        if (it.number <= cursor && it.number > m_lapsedEnd) {
             m_surroundings.observer.acknowledged(it);
         }
         return it.number <= cursor;
