End what pending timers hold before the event loop's context

**Cause.** EventLoopThread destroys its context before its timers, as handlers hold timers. Callbacks of pending timers hold sockets as well (an answer that waits for its time), whose destructors then use the destroyed context.

**Change.** The destructor drops all subscriptions first (`TimerService::clear()`), while context and timers are there.

**Conclusion.** Every program with an EventLoopThread could end so, on its way out only.

--- a/src/libs/base/timerservice.cpp
+++ b/src/libs/base/timerservice.cpp
@@ -50,6 +50,16 @@
     return true;
 }
 
+// What a callback holds may cancel other subscriptions when it is destroyed.
+void TimerService::clear()
+{
+    while (!m_queue.empty()) {
+        const Subscription dropped = std::move(m_queue.begin()->second);
+        m_byId.erase(dropped.id);
+        m_queue.erase(m_queue.begin());
+    }
+}
+
 void TimerService::advanceTo(Instant now)
 {
     m_now = std::max(m_now, now);
--- a/src/libs/base/timerservice.h
+++ b/src/libs/base/timerservice.h
@@ -42,6 +42,9 @@
     /// Returns false when the timer is not subscribed (any more).
     bool cancel(TimerId id);
 
+    /// Drops all subscriptions without calling back.
+    void clear();
+
     /// Moves time forward, calling back in the order of the times asked for. Time never goes back.
     void advanceTo(Instant now);
 
--- a/src/libs/runtime/eventloopthread.cpp
+++ b/src/libs/runtime/eventloopthread.cpp
@@ -32,9 +32,11 @@
 {
 }
 
+// Callbacks may hold sockets of the context, as handlers in the context hold timers.
 EventLoopThread::~EventLoopThread()
 {
     stop();
+    m_timers.clear();
 }
 
 boost::asio::io_context &EventLoopThread::context()
--- a/tests/auto/base/tst_timerservice.cpp
+++ b/tests/auto/base/tst_timerservice.cpp
@@ -57,6 +57,26 @@
     STRCMP_EQUAL("xxx", fired.c_str());
 }
 
+TEST(TimerService, WhatIsDroppedMayCancelOthers)
+{
+    struct Canceller {
+        Base::TimerService &timers;
+        Base::TimerId other;
+
+        ~Canceller()
+        {
+            timers.cancel(other);
+        }
+    };
+    const auto other = timers.subscribeAfter(2ms, note('a'));
+    timers.subscribeAfter(1ms, [held = std::make_shared<Canceller>(timers, other)] {});
+    timers.clear();
+    CHECK(!timers.nextDue());
+    CHECK(!timers.cancel(other));
+    timers.advanceTo(Base::instantAt(5ms));
+    STRCMP_EQUAL("", fired.c_str());
+}
+
 TEST(TimerService, TimeNeverGoesBack)
 {
     timers.advanceTo(Base::instantAt(5ms));
