Don't ask a parser for its length before the header is there

**Cause.** The server asks Beast's parser for the rest of the body before each read, also before the header is whole, which the parser's interface forbids.

**Change.** Nothing is asked before the header is done. What is read doesn't change: without a header there is no length.

**Before / after.** `cmake -DCMAKE_BUILD_TYPE=None`, `tst_hostileclients -n TrailersWithoutEndFromTheStore`: aborted by the assertion `is_header_done()` at the first request in 6 of 6 runs, then green in 8 of 8. Release builds have no assertions.

**Conclusion.** Builds with assertions or sanitizers can run the server again.

--- a/src/libs/http/readsteps.h
+++ b/src/libs/http/readsteps.h
@@ -16,6 +16,9 @@
 template<typename Parser>
 void growForBody(boost::beast::flat_buffer &buffer, const Parser &parser)
 {
+    if (!parser.is_header_done()) {
+        return; // the length isn't known, and Beast's parser must not be asked for it
+    }
     if (const auto left = parser.content_length_remaining()) {
         buffer.reserve(std::clamp<std::size_t>(*left, MinReadStep, MaxReadStep));
     }
