Show that trailers without end are refused at every door, from both sides

**Cause.** Trailers behind a chunked body were tried at the callers' doors and rhubarbcrankd's operators' port only, and never behind an answer.

**Change.** Tests of trailers without end at the peers', operators' and readiness doors of rhubarbcrank-jobs, and from its store, workers, peers, machines and advice services, and from a target of rhubarbcrankd. The crowd (eight connections of 8 MB, 24 jobs or requests) and the bound (32 MB more at the peak) were fixed on. rhubarbcrankd's peers' port speaks HTTP/2 and has no chunked bodies.

**Conclusion.** The limits of the doors and of `Http::Client` hold at each of them.

--- a/tests/auto/hostileclients/tst_hostilecallers.cpp
+++ b/tests/auto/hostileclients/tst_hostilecallers.cpp
@@ -1,6 +1,7 @@
 #include "../gateway/testcaller.h"
 #include "../processes/cluster.h"
 #include "crowd.h"
+#include "endlessanswers.h"
 #include "footprint.h"
 
 #include <CppUTest/TestHarness.h>
@@ -20,10 +21,12 @@
 constexpr std::size_t MaxDescriptors = 300;
 constexpr std::size_t BodyBytes = 8'000'000; // a legal size
 constexpr std::size_t MissingBytes = 25'000;
+constexpr std::size_t Requests = 24;
+constexpr auto AnswerTime = 10s; // for a neighbour that is asked seldom
 constexpr auto HoldTime = 500ms;
 
 // Bodies are kept whole for another attempt; connections are few.
-constexpr const char *Settings = "[requests]\nresend_limit_bytes = 8388608\n";
+const std::string Settings = "[requests]\nresend_limit_bytes = 8388608\n";
 
 std::string requestHead(std::string_view field)
 {
@@ -34,7 +37,8 @@
 {
     return eventually([&] {
         try {
-            return TestCaller(cluster.callersPort(0)).request("GET", "/preview").status == 200;
+            const auto answer = TestCaller(cluster.callersPort(0)).request("GET", "/preview");
+            return answer.status == 200 && answer.isComplete;
         } catch (const std::exception &) {
             return false;
         }
@@ -43,10 +47,8 @@
 
 enum class Door { Callers, Operators };
 
-void check(const Attack &attack, Door door = Door::Callers)
+void check(Cluster &cluster, const Attack &attack, Door door = Door::Callers)
 {
-    Cluster cluster;
-    CHECK(cluster.start({.daemons = 1, .targetFaults = {"none"}, .settings = Settings}));
     Process &daemon = cluster.daemon(0);
     const Footprint before = footprintOf(daemon.id());
     Crowd crowd(door == Door::Callers ? cluster.callersPort(0) : cluster.operatorsPort(0), attack);
@@ -65,6 +67,39 @@
     CHECK_COMPARE(after.descriptors, <=, MaxDescriptors);
 }
 
+void check(const Attack &attack, Door door = Door::Callers)
+{
+    Cluster cluster;
+    CHECK(cluster.start({.daemons = 1, .targetFaults = {"none"}, .settings = Settings}));
+    check(cluster, attack, door);
+}
+
+void checkEndlessAnswers(Cluster &cluster, EndlessAnswers &answers)
+{
+    Process &daemon = cluster.daemon(0);
+    const Footprint before = footprintOf(daemon.id());
+    answers.begin();
+    Crowd crowd(cluster.callersPort(0),
+                {.connections = Requests, .opening = "GET /preview HTTP/1.1\r\nHost: a\r\n\r\n"});
+    crowd.send();
+    eventually([&] { return answers.isSpent(); }, AnswerTime);
+    const Footprint after = footprintOf(daemon.id());
+    fmt::print("{} answers, {} refused, {} bytes sent; peak {} MB, then {} MB; descriptors {}, then {}\n",
+               answers.answers(),
+               answers.refusals(),
+               answers.sentBytes(),
+               before.peakBytes >> 20U,
+               after.peakBytes >> 20U,
+               before.descriptors,
+               after.descriptors);
+    answers.end();
+    CHECK_COMPARE(answers.answers(), >, 0);
+    CHECK_FALSE(daemon.hasEnded());
+    CHECK(isServed(cluster));
+    CHECK_COMPARE(footprintOf(daemon.id()).peakBytes, <=, before.peakBytes + MaxGrowth);
+    CHECK_COMPARE(after.descriptors, <=, MaxDescriptors);
+}
+
 } // namespace
 
 TEST_GROUP(HostileCallers){};
@@ -117,3 +152,12 @@
            .repeated = std::string(1000, ' '),
            .bytes = BodyBytes - MissingBytes});
 }
+
+TEST(HostileCallers, TrailersWithoutEndFromATarget)
+{
+    EndlessAnswers target;
+    Cluster cluster;
+    CHECK(
+        cluster.start({.daemons = 1, .targetFaults = {"none", "none"}, .targetPorts = {{1, target.port()}}}));
+    checkEndlessAnswers(cluster, target);
+}
--- a/tests/auto/hostileclients/tst_hostileclients.cpp
+++ b/tests/auto/hostileclients/tst_hostileclients.cpp
@@ -14,6 +14,7 @@
 {
 
 using Door = JobInstance::Door;
+using Neighbour = JobInstance::Neighbour;
 
 // How much an attack may add to the memory of a process on a machine of 64 MB.
 constexpr std::size_t MaxGrowth = 32U << 20U;
@@ -21,6 +22,8 @@
 
 constexpr std::size_t BodyBytes = 1'000'000; // a legal size
 constexpr std::size_t MissingBytes = 25'000;
+constexpr std::size_t Jobs = 24;
+constexpr auto AnswerTime = 10s; // for a neighbour that is asked seldom
 constexpr auto HoldTime = 500ms; // that connections stay open when all is sent
 
 std::string requestHead(std::string_view field)
@@ -38,6 +41,14 @@
             .bytes = BodyBytes - MissingBytes};
 }
 
+Attack trailersWithoutEnd(const std::string &start)
+{
+    return {.connections = 8,
+            .opening = start + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n",
+            .repeated = "X-Trailer: " + std::string(1000, 'x') + "\r\n",
+            .bytes = 8U << 20U};
+}
+
 void check(Door door, const Attack &attack, std::size_t padding = 0)
 {
     JobInstance instance;
@@ -59,6 +70,32 @@
     CHECK_COMPARE(after.descriptors, <=, MaxDescriptors);
 }
 
+void checkEndlessAnswers(Neighbour neighbour)
+{
+    JobInstance instance;
+    EndlessAnswers &answers = instance.replace(neighbour);
+    CHECK(instance.start());
+    const Footprint before = instance.footprint();
+    answers.begin();
+    instance.handInJobs(Jobs);
+    eventually([&] { return answers.isSpent(); }, AnswerTime);
+    const Footprint after = instance.footprint();
+    fmt::print("{} answers, {} refused, {} bytes sent; peak {} MB, then {} MB; descriptors {}, then {}\n",
+               answers.answers(),
+               answers.refusals(),
+               answers.sentBytes(),
+               before.peakBytes >> 20U,
+               after.peakBytes >> 20U,
+               before.descriptors,
+               after.descriptors);
+    answers.end();
+    CHECK_COMPARE(answers.answers(), >, 0);
+    CHECK(instance.isAlive());
+    CHECK(instance.acceptsJob());
+    CHECK_COMPARE(instance.footprint().peakBytes, <=, before.peakBytes + MaxGrowth);
+    CHECK_COMPARE(after.descriptors, <=, MaxDescriptors);
+}
+
 } // namespace
 
 TEST_GROUP(HostileClients){};
@@ -72,6 +109,21 @@
            .bytes = 8U << 20U});
 }
 
+TEST(HostileClients, TrailersWithoutEndAtThePeersDoor)
+{
+    check(Door::Peers, trailersWithoutEnd("POST /jobs HTTP/1.1\r\nHost: a\r\n"));
+}
+
+TEST(HostileClients, TrailersWithoutEndAtTheOperatorsDoor)
+{
+    check(Door::Operators, trailersWithoutEnd("GET /metrics HTTP/1.1\r\nHost: a\r\n"));
+}
+
+TEST(HostileClients, TrailersWithoutEndAtTheReadinessDoor)
+{
+    check(Door::Readiness, trailersWithoutEnd("GET /readyz HTTP/1.1\r\nHost: a\r\n"));
+}
+
 TEST(HostileClients, AChunkExtensionWithoutEnd)
 {
     check(Door::Callers,
@@ -159,3 +211,28 @@
 {
     check(Door::Callers, {.connections = 320, .opening = "GET"});
 }
+
+TEST(HostileClients, TrailersWithoutEndFromTheStore)
+{
+    checkEndlessAnswers(Neighbour::Store);
+}
+
+TEST(HostileClients, TrailersWithoutEndFromWorkers)
+{
+    checkEndlessAnswers(Neighbour::Workers);
+}
+
+TEST(HostileClients, TrailersWithoutEndFromAPeer)
+{
+    checkEndlessAnswers(Neighbour::Peer);
+}
+
+TEST(HostileClients, TrailersWithoutEndFromTheMachinesService)
+{
+    checkEndlessAnswers(Neighbour::Machines);
+}
+
+TEST(HostileClients, TrailersWithoutEndFromTheAdviceService)
+{
+    checkEndlessAnswers(Neighbour::Advice);
+}
--- a/tests/auto/processes/cluster.cpp
+++ b/tests/auto/processes/cluster.cpp
@@ -320,18 +320,22 @@
                             "address = 127.0.0.1\nport = {}\nslots = 32\nconnections = 64\n",
                             n,
                             n,
-                            targetPort(n));
+                            m_shape.targetPorts.contains(n) ? m_shape.targetPorts.at(n) : targetPort(n));
     }
     return text;
 }
 
 std::string Cluster::settingsOf(std::size_t n)
 {
-    const auto platformPort = portAfter([this] { return m_platform->output(); }, "");
+    auto platformPort = portAfter([this] { return m_platform->output(); }, "");
+    if (m_shape.platformFront) {
+        platformPort = m_shape.platformFront(platformPort);
+    }
     return fmt::format("[instance]\nname = entry-{}\nzone = zone-a\nenvironment = trial\n"
-                       "[callers]\naddress = 127.0.0.1:0\n[operators]\naddress = 127.0.0.1:0\n"
+                       "[callers]\naddress = 127.0.0.1:0\n{}[operators]\naddress = 127.0.0.1:0\n"
                        "[peers]\naddress = 127.0.0.1:{}\n[platform]\naddress = 127.0.0.1:{}\n{}",
                        n,
+                       m_shape.callersSettings,
                        m_peersPorts[n],
                        platformPort,
                        m_shape.settings);
--- a/tests/auto/processes/cluster.h
+++ b/tests/auto/processes/cluster.h
@@ -4,6 +4,8 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -13,7 +15,11 @@
 struct ClusterShape {
     std::size_t daemons = 2;
     std::vector<std::string> targetFaults{"none", "none"}; ///< one for each target, see recordingtarget.cpp
-    std::string settings; ///< further lines of the daemons' settings, after their section [platform]
+    std::string settings{}; ///< further lines of the daemons' settings, after their section [platform]
+    std::string callersSettings{}; ///< further lines of their section [callers]
+    std::map<std::size_t, std::uint16_t> targetPorts{}; ///< that the document gives in place of targets' own
+    /// Where the daemons find the platform, given its port; nothing: there.
+    std::function<std::uint16_t(std::uint16_t)> platformFront{};
 };
 
 /// One request that a target executed.
