Limit the trailers of the platform's answers

**Cause.** rhubarbcrankd's client of the platform reads into a buffer without a limit, and Beast's parser takes trailers and extensions of a chunk only as a whole: an answer that doesn't end them takes memory until it times out.

**Change.** The buffer holds 128 KB, two reads; trailers or an extension of 64 KB always fit. Beyond that the connection is closed, and what is in flight on it is lost, as before for any answer that makes no sense. The command line has the same client.

--- a/src/libs/platform/httpclient.cpp
+++ b/src/libs/platform/httpclient.cpp
@@ -29,6 +29,10 @@
 using Error = boost::system::error_code;
 
 constexpr unsigned Http11 = 11;
+
+// The parser bounds neither the trailers of an answer nor the extensions of a chunk, and takes each of them
+// only as a whole. One read takes up to half of this.
+constexpr std::size_t MaxBufferBytes = 131'072;
 constexpr const char *RequestIdHeader = "X-Request-Id";
 
 /// One call on its way: answered once, by whichever of its connection and its timer comes first.
@@ -307,7 +311,7 @@
     std::deque<ExchangePtr> m_inFlight; ///< in the order written, so of the answers
     bool m_isWriting = false;
     Http::request<Http::string_body> m_request;
-    Beast::flat_buffer m_buffer;
+    Beast::flat_buffer m_buffer{MaxBufferBytes};
     std::optional<Http::response_parser<Http::string_body>> m_parser;
 };
 
--- a/tests/auto/hostileclients/tst_hostilecallers.cpp
+++ b/tests/auto/hostileclients/tst_hostilecallers.cpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <exception>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -161,3 +162,15 @@
         cluster.start({.daemons = 1, .targetFaults = {"none", "none"}, .targetPorts = {{1, target.port()}}}));
     checkEndlessAnswers(cluster, target);
 }
+
+TEST(HostileCallers, TrailersWithoutEndFromThePlatform)
+{
+    std::unique_ptr<EndlessAnswers> platform;
+    Cluster cluster;
+    const auto front = [&platform](std::uint16_t port) {
+        platform = std::make_unique<EndlessAnswers>(port);
+        return platform->port();
+    };
+    CHECK(cluster.start({.daemons = 1, .targetFaults = {"none"}, .platformFront = front}));
+    checkEndlessAnswers(cluster, *platform);
+}
