Limit the trailers of the trace collector's answers

**Cause.** The exporter of spans reads an answer into a buffer without a limit, for up to 5 s.

**Change.** The buffer holds 64 KB. An answer that exceeds it counts as none: the spans are kept and sent again.

`build/bin/tst_telemetry` 21 tests green.

The status pages that the command line reads from entry instances have no such limit yet.

--- a/src/libs/telemetry/spanexporter.cpp
+++ b/src/libs/telemetry/spanexporter.cpp
@@ -28,6 +28,10 @@
 constexpr unsigned HttpVersion11 = 11;
 constexpr unsigned FirstRedirect = 300;
 
+// The parser bounds neither the trailers of an answer nor the extensions of a chunk, and takes each of them
+// only as a whole.
+constexpr std::size_t MaxBufferBytes = 65536;
+
 Base::Duration wallClockOffset()
 {
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
@@ -96,7 +100,7 @@
 
     SpanExporter *m_exporter;
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{MaxBufferBytes};
     http::request<http::string_body> m_request;
     http::response<http::string_body> m_response;
 };
--- a/tests/auto/hostileclients/tst_hostilecallers.cpp
+++ b/tests/auto/hostileclients/tst_hostilecallers.cpp
@@ -174,3 +174,15 @@
     CHECK(cluster.start({.daemons = 1, .targetFaults = {"none"}, .platformFront = front}));
     checkEndlessAnswers(cluster, *platform);
 }
+
+TEST(HostileCallers, TrailersWithoutEndFromTheCollectorOfTraces)
+{
+    EndlessAnswers collector;
+    Cluster cluster;
+    CHECK(cluster.start({.daemons = 1,
+                         .targetFaults = {"none"},
+                         .settings = fmt::format("[telemetry]\ntraces_address = 127.0.0.1:{}\n"
+                                                 "trace_sample_per_mille = 1000\n",
+                                                 collector.port())}));
+    checkEndlessAnswers(cluster, collector);
+}
