Bound the bodies that are kept for another attempt, over all requests

**Cause.** Each request may keep `resend_limit_bytes` of its body until it is answered, and nothing bounds the sum. The test that was to show it, `LegalBodiesThatStopShort`, didn't: its target hangs up after 1 MB.

**Change.** `[requests] resend_total_bytes`: a body that doesn't fit is passed on, but no longer kept, and isn't sent a second time, as for one that is too long by itself. The default, 256 MB, is what `in_flight_limit` requests can keep at most at the defaults, so nobody inside the limits meets it; a smaller machine sets it lower. A new target of the tests, `mute`, takes everything and answers nothing.

**Conclusion.** The buffers of connections (a header limit and 64 KB each, `connection_limit` times) are still unbounded together.

--- a/src/app/rhubarbcrankd/daemon.cpp
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -55,6 +55,7 @@
     limits.idleTimeout = settings.targets.idleTimeout;
     limits.nonIdempotentReuseAge = settings.targets.heartbeat;
     limits.resendBytes = settings.requests.resendLimit.value;
+    limits.resendTotalBytes = settings.requests.resendTotal.value;
     limits.traceSamplePerMille = settings.telemetry.traceSamplePerMille;
     return limits;
 }
--- a/src/libs/gateway/targetdispatcher_p.h
+++ b/src/libs/gateway/targetdispatcher_p.h
@@ -501,6 +501,7 @@
     {
         exchange.isBodyComplete = chunk.isLast;
         exchange.bufferedBytes += chunk.data.size();
+        m_bufferedBytes += chunk.data.size();
         exchange.bodyChunks.push_back(std::move(chunk));
     }
 
@@ -508,6 +509,14 @@
     {
         exchange.isBodyBuffered = false;
         exchange.bodyChunks.clear();
+        m_bufferedBytes -= std::exchange(exchange.bufferedBytes, 0);
+    }
+
+    /// Whether a body that becomes longer by `bytes` stays within what is buffered for another attempt.
+    bool canBuffer(const Exchange &exchange, std::size_t bytes) const
+    {
+        return exchange.bufferedBytes + bytes <= m_limits.resendBytes
+            && m_bufferedBytes + bytes <= m_limits.resendTotalBytes;
     }
 
     bool canResend(const Exchange &exchange) const
@@ -523,8 +532,7 @@
             return;
         }
         exchange->isBodyComplete = message.isLast;
-        if (exchange->isBodyBuffered && exchange->bufferedBytes + message.chunk.size() > m_limits.resendBytes
-            && exchange->connection) {
+        if (exchange->isBodyBuffered && exchange->connection && !canBuffer(*exchange, message.chunk.size())) {
             dropBufferedBody(*exchange);
         }
         if (exchange->connection) {
@@ -775,6 +783,7 @@
     void removeExchange(Exchange &exchange)
     {
         releaseConnection(exchange);
+        m_bufferedBytes -= exchange.bufferedBytes;
         m_exchanges.erase(exchange.id);
         m_counters.inFlight.store(m_exchanges.size(), std::memory_order_relaxed);
     }
@@ -790,6 +799,7 @@
     std::unordered_map<Scheduling::TargetId, Target> m_targets;
     std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> m_exchanges;
     std::unordered_map<const Internal::TargetConnection *, Exchange *> m_exchangesByConnection;
+    std::size_t m_bufferedBytes = 0; ///< of bodies, for other attempts, over all exchanges
     Internal::ConnectionPool m_pool;
     std::vector<Scheduling::Decision> m_decisions;
     bool m_isProcessingDecisions = false;
--- a/src/libs/gateway/targetlimits.h
+++ b/src/libs/gateway/targetlimits.h
@@ -20,6 +20,7 @@
 
     std::uint32_t headerBytes = 65536; ///< of a response
     std::size_t resendBytes = 65536; ///< of a request body buffered for another attempt
+    std::size_t resendTotalBytes = 256U << 20U; ///< of all such bodies together
     std::size_t storedAnswerBytes = 1024; ///< of a response stored for repeats with the same idempotency key
     std::uint32_t traceSamplePerMille = 0; ///< of the traces started by this instance
 };
--- a/src/libs/settings/daemonsettings.cpp
+++ b/src/libs/settings/daemonsettings.cpp
@@ -116,6 +116,13 @@
              Bytes{256 * Kibibyte.value},
              range(Bytes{0}, Gibibyte),
              "A request with a longer body is not sent a second time.")
+        .add(
+            &Part::resendTotal,
+            "resend_total_bytes",
+            Bytes{256 * Mebibyte.value},
+            range(Bytes{0}, Bytes{64 * Gibibyte.value}),
+            "Bodies that are kept for a second time, of all requests together; one beyond them is not sent a "
+            "second time.")
         .add(&Part::retryBudgetPercent,
              "retry_budget_percent",
              10,
--- a/src/libs/settings/daemonsettings.h
+++ b/src/libs/settings/daemonsettings.h
@@ -42,6 +42,7 @@
     std::uint32_t inFlightLimit = 0;
     std::uint32_t queueLimit = 0;
     Bytes resendLimit;
+    Bytes resendTotal;
     std::uint32_t retryBudgetPercent = 0;
     Milliseconds defaultDeadline{};
     Milliseconds drainNotice{}; ///< between readiness off and accepting no more
--- a/tests/auto/hostileclients/tst_hostilecallers.cpp
+++ b/tests/auto/hostileclients/tst_hostilecallers.cpp
@@ -7,8 +7,11 @@
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
 
+#include <unistd.h>
+
 #include <chrono>
 #include <exception>
+#include <filesystem>
 #include <memory>
 #include <string>
 #include <thread>
@@ -26,9 +29,14 @@
 constexpr auto AnswerTime = 10s; // for a neighbour that is asked seldom
 constexpr auto HoldTime = 500ms;
 
+constexpr const char *Bin = RHUBARBCRANK_BIN;
+
 // Bodies are kept whole for another attempt; connections are few.
 const std::string Settings = "[requests]\nresend_limit_bytes = 8388608\n";
 
+// What the process is told that all requests may hold, where it knows such a limit.
+constexpr std::size_t KeptBytes = 8U << 20U;
+
 std::string requestHead(std::string_view field)
 {
     return fmt::format("POST /preview HTTP/1.1\r\nHost: a\r\n{}\r\n\r\n", field);
@@ -75,6 +83,17 @@
     check(cluster, attack, door);
 }
 
+// A build from before a setting refuses it, and is given none.
+std::string settingIfKnown(const std::string &key, std::size_t value)
+{
+    const auto files = std::filesystem::temp_directory_path() / fmt::format("hostilecallers-{}", ::getpid());
+    Process print({fmt::format("{}/rhubarbcrankd", Bin), "--print-settings"}, files);
+    const bool isKnown = print.wait() == 0 && print.output().find(key) != std::string::npos;
+    std::filesystem::remove(files.string() + ".out");
+    std::filesystem::remove(files.string() + ".log");
+    return isKnown ? fmt::format("{} = {}\n", key, value) : "";
+}
+
 void checkEndlessAnswers(Cluster &cluster, EndlessAnswers &answers)
 {
     Process &daemon = cluster.daemon(0);
@@ -154,6 +173,20 @@
            .bytes = BodyBytes - MissingBytes});
 }
 
+// The target takes them, but they are kept as it may fail.
+TEST(HostileCallers, LegalBodiesThatAreKeptForAnotherAttempt)
+{
+    Cluster cluster;
+    CHECK(cluster.start({.daemons = 1,
+                         .targetFaults = {"mute", "none"},
+                         .settings = Settings + settingIfKnown("resend_total_bytes", KeptBytes)}));
+    check(cluster,
+          {.connections = 12,
+           .opening = requestHead(fmt::format("Content-Length: {}", BodyBytes)),
+           .repeated = std::string(1000, ' '),
+           .bytes = BodyBytes - MissingBytes});
+}
+
 TEST(HostileCallers, TrailersWithoutEndFromATarget)
 {
     EndlessAnswers target;
--- a/tests/auto/processes/recordingtarget.cpp
+++ b/tests/auto/processes/recordingtarget.cpp
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <cstdint>
@@ -24,6 +25,7 @@
 //   none   it answers, after the milliseconds that the request's query gives as delay
 //   deaf   it listens, but accepts nothing
 //   die    it ends itself when it has recorded a request
+//   mute   it takes whatever is sent, and answers nothing
 //   half   it ends itself when it has sent the first half of an answer
 
 namespace http = boost::beast::http;
@@ -34,6 +36,7 @@
 {
 
 constexpr int FileMode = 0600;
+constexpr std::size_t SwallowBytes = 65536;
 
 struct Target {
     int file = -1;
@@ -89,8 +92,21 @@
     }
 }
 
+void swallow(tcp::socket &socket)
+{
+    std::array<char, SwallowBytes> buf{};
+    boost::system::error_code ec;
+    while (!ec) {
+        socket.read_some(boost::asio::buffer(buf), ec);
+    }
+}
+
 void serve(const Target &target, tcp::socket socket)
 {
+    if (target.fault == "mute") {
+        swallow(socket);
+        return;
+    }
     boost::beast::flat_buffer buf;
     boost::system::error_code ec;
     while (!ec) {
