Bound what requests that aren't whole hold, over all callers' connections

**Cause.** Each connection of a caller may hold its read buffer (the header's limit and 64 KB) and a chunk, and `connection_limit` times that is 390 MB at the defaults. A buffer that trailers have grown stayed so between requests.

**Change.** `[callers] receive_limit_bytes`, 256 MB: more than 4,096 connections within the limits hold, so none of them meets it. Beyond it `Base::ConnectionBudget` picks the request that has held most for longest, never the only one. It gets 503 with `Retry-After` and `not-run`; if a target may have a part of it, its connection is closed without an answer. One that has become whole meanwhile is served. Buffers shrink between requests and when a connection lingers.

**Conclusion.** The two sums over rhubarbcrankd's callers have a bound.

--- a/src/app/rhubarbcrankd/daemon.cpp
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -43,6 +43,7 @@
     limits.idleTimeout = settings.callers.idleTimeout;
     limits.drainNotice = settings.requests.drainNotice;
     limits.connections = settings.callers.connectionLimit;
+    limits.receivedBytes = settings.callers.receiveLimit.value;
     limits.inFlight = settings.requests.inFlightLimit;
     return limits;
 }
--- a/src/libs/gateway/callerfrontend.cpp
+++ b/src/libs/gateway/callerfrontend.cpp
@@ -4,6 +4,7 @@
 #include "outbox.h"
 #include "tcpsocket.h"
 
+#include <base/connectionbudget.h>
 #include <base/logline.h>
 #include <runtime/eventloopthread.h>
 
@@ -25,6 +26,9 @@
 
 constexpr Base::Duration AcceptRetryDelay = std::chrono::milliseconds{50};
 
+constexpr std::size_t UncountedBytes = 8192; // what a connection may always hold
+constexpr std::size_t ReceivingShare = 4; // the budget leaves a quarter to requests that are being received
+
 } // namespace
 
 class CallerFrontend::Private final : public Internal::SessionOwner
@@ -35,6 +39,7 @@
         , m_limits(limits)
         , m_acceptor(eventLoop.context(), tcp::endpoint(asio::ip::make_address(limits.address), limits.port))
         , m_output(eventLoop.timers())
+        , m_budget({.bytes = limits.receivedBytes * ReceivingShare})
     {
     }
 
@@ -81,8 +86,29 @@
         m_output.push(std::move(message));
     }
 
+    void holdReceived(Internal::CallerSession &session, std::size_t bytes) override
+    {
+        if (bytes <= UncountedBytes) {
+            releaseReceived(session);
+            return;
+        }
+        const auto now = timers().now();
+        const auto [it, isNew] = m_receiving.try_emplace(&session);
+        if (isNew) {
+            it->second = m_budget.add(0, now);
+            m_receivers[it->second] = &session;
+        }
+        m_budget.hold(it->second, Base::Holding::Receiving, bytes, now);
+        while (const auto excess = m_budget.excess(now)) {
+            Internal::CallerSession &most = *m_receivers.at(*excess);
+            releaseReceived(most);
+            most.giveUpRequest();
+        }
+    }
+
     void onSessionClosed(Internal::CallerSession &session) override
     {
+        releaseReceived(session);
         m_sessions.erase(session.shared_from_this());
         m_counters.connections.store(m_sessions.size(), std::memory_order_relaxed);
         reportDrained();
@@ -157,6 +183,16 @@
         reportDrained();
     }
 
+    void releaseReceived(Internal::CallerSession &session)
+    {
+        const auto it = m_receiving.find(&session);
+        if (it != m_receiving.end()) {
+            m_budget.remove(it->second);
+            m_receivers.erase(it->second);
+            m_receiving.erase(it);
+        }
+    }
+
     void reportDrained()
     {
         if (m_hasStoppedAccepting && m_sessions.empty() && m_onDrained) {
@@ -167,6 +203,9 @@
     std::uint64_t m_lastExchangeId = 0;
     std::unordered_map<ExchangeId, Internal::CallerSession *> m_exchanges;
     std::unordered_set<std::shared_ptr<Internal::CallerSession>> m_sessions;
+    Base::ConnectionBudget m_budget; ///< of requests that are being received
+    std::unordered_map<const Internal::CallerSession *, Base::ConnectionBudget::Id> m_receiving;
+    std::unordered_map<Base::ConnectionBudget::Id, Internal::CallerSession *> m_receivers;
     bool m_isDraining = false;
     bool m_hasStoppedAccepting = false;
     std::function<void()> m_onDrained;
--- a/src/libs/gateway/callerfrontend.h
+++ b/src/libs/gateway/callerfrontend.h
@@ -22,7 +22,7 @@
 struct CallerCounters {
     std::atomic<std::uint64_t> requests{0}; ///< parsed and found valid
     std::atomic<std::uint64_t> malformed{0}; ///< got a 4xx or 5xx response before they were read completely
-    std::atomic<std::uint64_t> refused{0}; ///< rejected because of CallerLimits::inFlight
+    std::atomic<std::uint64_t> refused{0}; ///< rejected because of CallerLimits::inFlight or receivedBytes
     std::atomic<std::uint64_t> callerDisconnects{0}; ///< connections lost while a request was in flight
     std::atomic<std::uint64_t> connections{0}; ///< currently open
     std::atomic<std::uint64_t> inFlight{0}; ///< exchanges currently in flight
--- a/src/libs/gateway/callerlimits.h
+++ b/src/libs/gateway/callerlimits.h
@@ -21,6 +21,7 @@
     Base::Duration idleTimeout = std::chrono::seconds{60}; ///< between two requests on a connection
     Base::Duration drainNotice = std::chrono::seconds{2}; ///< from the end of readiness until listening stops
     std::size_t connections = 4096;
+    std::size_t receivedBytes = 256U << 20U; ///< held for requests that aren't whole, over all connections
     std::size_t inFlight = 2048; ///< maximum number of concurrent exchanges
 };
 
--- a/src/libs/gateway/callersession.cpp
+++ b/src/libs/gateway/callersession.cpp
@@ -2,6 +2,7 @@
 
 #include <base/logline.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/bind_handler.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/read.hpp>
@@ -40,6 +41,13 @@
                        std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(duration).count()));
 }
 
+// The parser bounds a header, but neither trailers nor the extensions of a chunk, and takes each of them only
+// as a whole.
+std::size_t maxBufferBytes(SessionOwner &owner)
+{
+    return owner.limits().headerBytes + MaxReadStep;
+}
+
 beast::string_view toBeast(std::string_view text)
 {
     return {text.data(), text.size()};
@@ -50,9 +58,7 @@
 CallerSession::CallerSession(TcpSocket socket, SessionOwner &owner)
     : m_socket(std::move(socket))
     , m_owner(owner)
-    // The parser bounds a header, but neither trailers nor the extensions of a chunk, and takes each of them
-    // only as a whole.
-    , m_buffer(owner.limits().headerBytes + MaxReadStep)
+    , m_buffer(maxBufferBytes(owner), [this] { noteReceived(); })
     , m_readTimer(owner.timers())
     , m_writeTimer(owner.timers())
 {
@@ -84,8 +90,23 @@
     }
 }
 
+// A read that waits is cancelled, and one that is between two steps ends as the buffer has no room for the
+// next.
+void CallerSession::giveUpRequest()
+{
+    m_isGivenUp = true;
+    m_buffer.max_size(0);
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_isGivenUp && self->isReceiving()) {
+            ErrorCode ec;
+            self->m_socket.cancel(ec);
+        }
+    });
+}
+
 void CallerSession::awaitRequest()
 {
+    shrinkBuffer();
     if (m_owner.isDraining() && m_isClosingWhenIdle) {
         close();
         return;
@@ -149,6 +170,10 @@
     if (m_phase == Phase::Closed) {
         return;
     }
+    if (isGivenUp(ec)) {
+        refuseGivenUp();
+        return;
+    }
     if (ec) {
         onHeaderError(ec);
         return;
@@ -195,12 +220,17 @@
     if (m_phase == Phase::Closed) {
         return;
     }
+    if (m_isGivenUp) {
+        refuseGivenUp();
+        return;
+    }
     m_isReadingBody = true;
     const auto left = m_parser->content_length_remaining();
     m_chunk.resize(std::min<std::uint64_t>(ChunkBytes, left ? *left : ChunkBytes));
     m_parser->get().body().data = m_chunk.data();
     m_parser->get().body().size = m_chunk.size();
     armReadTimer(m_owner.limits().bodyTimeout);
+    noteReceived();
     http::async_read(m_socket,
                      m_buffer,
                      *m_parser,
@@ -218,6 +248,10 @@
     if (m_phase == Phase::Closed) {
         return;
     }
+    if (isGivenUp(ec)) {
+        refuseGivenUp();
+        return;
+    }
     if (ec && ec != http::error::need_buffer) {
         if (m_exchange && (m_serializer || !m_hasTimedOut)) {
             abortConnection();
@@ -251,12 +285,15 @@
         return;
     }
     if (m_isRequestComplete) {
+        shrinkBuffer();
         readAhead();
         return;
     }
     --m_requestWindow;
     if (m_requestWindow > 0) {
         readChunk();
+    } else {
+        noteReceived();
     }
 }
 
@@ -396,6 +433,7 @@
             .with("reason", failure.reason);
     }
     m_phase = Phase::Exchange;
+    noteReceived();
     // With an unsupported transfer coding the end of the body is unknown, even if the parser reports that it
     // is done.
     const bool isFramed =
@@ -478,6 +516,10 @@
     ErrorCode ec;
     m_socket.shutdown(asio::socket_base::shutdown_send, ec);
     m_phase = Phase::Lingering;
+    if (!m_isReadingAhead && !m_isReadingBody) {
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
+    }
     m_discardBuffer.resize(ReadAheadBytes);
     m_readTimer.arm(LingerTimeout, [this] { close(); });
     if (!m_isReadingAhead && !m_isReadingBody) {
@@ -511,6 +553,51 @@
     m_owner.onSessionClosed(*this);
 }
 
+bool CallerSession::isReceiving() const
+{
+    return m_phase == Phase::Header || m_isReadingBody;
+}
+
+void CallerSession::noteReceived()
+{
+    if (!m_isGivenUp) {
+        const std::size_t held = m_buffer.capacity() + (m_isReadingBody ? m_chunk.size() : 0);
+        m_owner.holdReceived(*this, isReceiving() ? held : 0);
+    }
+}
+
+// A request that has become whole meanwhile is served.
+bool CallerSession::isGivenUp(const ErrorCode &ec)
+{
+    if (m_isGivenUp && !ec && m_parser->is_done()) {
+        m_isGivenUp = false;
+        m_buffer.max_size(maxBufferBytes(m_owner));
+    }
+    return m_isGivenUp;
+}
+
+void CallerSession::refuseGivenUp()
+{
+    m_owner.counters().refused.fetch_add(1, std::memory_order_relaxed);
+    m_chunk = std::string();
+    if (m_exchange) {
+        abortConnection();
+        return;
+    }
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    sendFailureResponse({503, Base::Verdict::NotRun, "no-memory", std::chrono::seconds{1}});
+}
+
+// A pending read needs the buffer until it ends.
+void CallerSession::shrinkBuffer()
+{
+    if (!m_isReadingAhead && m_buffer.size() == 0 && m_buffer.capacity() > 2 * ReadAheadBytes) {
+        m_buffer.shrink_to_fit();
+    }
+    noteReceived();
+}
+
 void CallerSession::armReadTimer(Base::Duration timeout)
 {
     m_hasTimedOut = false;
--- a/src/libs/gateway/callersession.h
+++ b/src/libs/gateway/callersession.h
@@ -16,8 +16,10 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace Gateway::Internal
@@ -45,6 +47,34 @@
     virtual bool trySend(ToTargets &&message) = 0;
     virtual void send(ToTargets &&message) = 0;
     virtual void onSessionClosed(CallerSession &session) = 0;
+
+    /// Notes what a session holds for a request that isn't whole, and gives up requests until all fit.
+    virtual void holdReceived(CallerSession &session, std::size_t bytes) = 0;
+};
+
+/// A buffer that calls back when it has grown.
+class ReceiveBuffer : public boost::beast::flat_buffer
+{
+public:
+    template<typename Callback>
+    ReceiveBuffer(std::size_t maxBytes, Callback onGrown)
+        : boost::beast::flat_buffer(maxBytes)
+        , m_onGrown(std::move(onGrown))
+    {
+    }
+
+    mutable_buffers_type prepare(std::size_t n)
+    {
+        const std::size_t before = capacity();
+        const auto room = boost::beast::flat_buffer::prepare(n);
+        if (capacity() > before) {
+            m_onGrown();
+        }
+        return room;
+    }
+
+private:
+    std::function<void()> m_onGrown;
 };
 
 /// A connection from a caller. Serves one request at a time: the next request is parsed only after the
@@ -60,6 +90,10 @@
     /// Closes the connection at once if it is idle, otherwise after the current response.
     void closeWhenIdle();
 
+    /// Frees what is held for a request that isn't whole: refuses it, or if a target may have a part of it,
+    /// closes the connection.
+    void giveUpRequest();
+
 private:
     enum class Phase { Idle, Header, Exchange, Lingering, Closed };
     using BodyParser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
@@ -92,13 +126,18 @@
     void close();
     void linger();
     void discardInput();
+    bool isReceiving() const;
+    void noteReceived();
+    bool isGivenUp(const ErrorCode &ec);
+    void refuseGivenUp();
+    void shrinkBuffer();
     void armReadTimer(Base::Duration timeout);
     void armWriteTimer();
     void onReadTimeout();
 
     TcpSocket m_socket;
     SessionOwner &m_owner;
-    boost::beast::flat_buffer m_buffer;
+    ReceiveBuffer m_buffer;
     Phase m_phase = Phase::Idle;
     std::optional<BodyParser> m_parser;
     std::string m_chunk;
@@ -112,6 +151,7 @@
     bool m_isWriting = false;
     bool m_hasTimedOut = false;
     bool m_isClosingWhenIdle = false;
+    bool m_isGivenUp = false; ///< the request that is being read
     std::optional<Response> m_response;
     std::optional<ResponseSerializer> m_serializer;
     std::deque<ResponseBody> m_pendingChunks;
--- a/src/libs/settings/daemonsettings.cpp
+++ b/src/libs/settings/daemonsettings.cpp
@@ -68,7 +68,14 @@
              "connection_limit",
              4096,
              range<std::uint32_t>(1, MostOpenFiles),
-             "Open connections of callers; further ones are refused.");
+             "Open connections of callers; further ones are refused.")
+        .add(&Part::receiveLimit,
+             "receive_limit_bytes",
+             Bytes{256 * Mebibyte.value},
+             range(Mebibyte, Bytes{64 * Gibibyte.value}),
+             "Held for requests that are not whole, over all connections; beyond it the one that has held "
+             "most for "
+             "longest is refused.");
 }
 
 void declareTargets(DaemonDeclarations &settings)
--- a/src/libs/settings/daemonsettings.h
+++ b/src/libs/settings/daemonsettings.h
@@ -29,6 +29,7 @@
     Milliseconds bodyTimeout{};
     Milliseconds idleTimeout{};
     std::uint32_t connectionLimit = 0;
+    Bytes receiveLimit;
 };
 
 struct TargetsSettings {
--- a/tests/auto/gateway/tst_framing.cpp
+++ b/tests/auto/gateway/tst_framing.cpp
@@ -3,7 +3,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <chrono>
 #include <string>
+#include <thread>
+
+using namespace std::chrono_literals;
 
 TEST_GROUP(Framing)
 {
@@ -124,3 +128,69 @@
         "GET", "/preview", "Connection: keep-alive, X-Private\r\nX-Private: 1\r\nX-Request: a\r\n");
     CHECK_EQUAL(200, answer.status);
 }
+
+TEST_GROUP(UnfinishedRequests)
+{
+    PlaneFixture fixture;
+
+    const std::string start = "POST /proof HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "2;extension="
+        + std::string(40'000, 'x');
+    const std::string end = "\r\n{}\r\n0\r\n\r\n";
+    const std::string body = "POST /proof HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\n";
+
+    void startPlane(std::size_t receivedBytes)
+    {
+        fixture.callerLimits.receivedBytes = receivedBytes;
+        fixture.callerLimits.bodyTimeout = 5s;
+        fixture.start();
+    }
+};
+
+// Many connections whose trailers stopped just short of their end took the memory of a process.
+TEST(UnfinishedRequests, TheOneThatHeldMostIsRefusedAsNotRun)
+{
+    startPlane(100'000);
+    TestCaller first(fixture.port());
+    first.send(start);
+    std::this_thread::sleep_for(100ms);
+    TestCaller second(fixture.port());
+    second.send(start);
+    const auto refusal = first.read();
+    CHECK_EQUAL(503, refusal.status);
+    STRCMP_EQUAL("not-run", refusal.verdict().c_str());
+    STRCMP_EQUAL("1", refusal.fields.at("Retry-After").c_str());
+    CHECK(first.isClosed());
+    second.send(end);
+    const auto answer = second.read();
+    CHECK_EQUAL(200, answer.status);
+    CHECK_EQUAL(1, fixture.targets.executions());
+}
+
+TEST(UnfinishedRequests, TheOneThatATargetHasAPartOfIsClosed)
+{
+    startPlane(30'000);
+    TestCaller first(fixture.port());
+    first.send(body + std::string(20'000, 'x'));
+    std::this_thread::sleep_for(100ms);
+    TestCaller second(fixture.port());
+    second.send(body + std::string(20'000, 'x'));
+    CHECK(first.isClosed());
+    second.send(std::string(20'000, 'x'));
+    const auto answer = second.read();
+    CHECK_EQUAL(200, answer.status);
+    CHECK_EQUAL(1, fixture.targets.executions());
+}
+
+TEST(UnfinishedRequests, TheOnlyOneIsServed)
+{
+    startPlane(1000);
+    TestCaller caller(fixture.port());
+    caller.send(start);
+    std::this_thread::sleep_for(100ms);
+    caller.send(end);
+    const auto answer = caller.read();
+    CHECK_EQUAL(200, answer.status);
+    const auto next = caller.request("GET", "/preview");
+    CHECK_EQUAL(200, next.status);
+}
--- a/tests/auto/hostileclients/tst_hostilecallers.cpp
+++ b/tests/auto/hostileclients/tst_hostilecallers.cpp
@@ -36,6 +36,8 @@
 
 // What the process is told that all requests may hold, where it knows such a limit.
 constexpr std::size_t KeptBytes = 8U << 20U;
+constexpr std::size_t ReceivedBytes = 8U << 20U;
+constexpr std::size_t TrailerBytes = 1'000'000; // a legal size with the limit of that test
 
 std::string requestHead(std::string_view field)
 {
@@ -187,6 +189,20 @@
            .bytes = BodyBytes - MissingBytes});
 }
 
+TEST(HostileCallers, LegalTrailersThatStopShort)
+{
+    Cluster cluster;
+    CHECK(cluster.start({.daemons = 1,
+                         .targetFaults = {"none"},
+                         .callersSettings = "header_limit_bytes = 1048576\n"
+                             + settingIfKnown("receive_limit_bytes", ReceivedBytes)}));
+    check(cluster,
+          {.connections = 60,
+           .opening = requestHead("Transfer-Encoding: chunked") + "2\r\n{}\r\n0\r\n",
+           .repeated = "X-Trailer: " + std::string(1000, 'x') + "\r\n",
+           .bytes = TrailerBytes});
+}
+
 TEST(HostileCallers, TrailersWithoutEndFromATarget)
 {
     EndlessAnswers target;
