--- a/src/app/rhubarbcrankd/daemon.cpp
+++ b/src/app/rhubarbcrankd/daemon.cpp
@@ -43,6 +43,7 @@
     limits.idleTimeout = settings.callers.idleTimeout;
     limits.drainNotice = settings.requests.drainNotice;
     limits.connections = settings.callers.connectionLimit;
+    limits.receivedBytes = settings.callers.receiveLimit.value;
     limits.inFlight = settings.requests.inFlightLimit;
     return limits;
 }
@@ -55,6 +56,7 @@
     limits.idleTimeout = settings.targets.idleTimeout;
     limits.nonIdempotentReuseAge = settings.targets.heartbeat;
     limits.resendBytes = settings.requests.resendLimit.value;
+    limits.resendTotalBytes = settings.requests.resendTotal.value;
     limits.traceSamplePerMille = settings.telemetry.traceSamplePerMille;
     return limits;
 }
--- a/src/libs/settings/daemonsettings.cpp
+++ b/src/libs/settings/daemonsettings.cpp
@@ -68,7 +68,14 @@
              "connection_limit",
              4096,
              range<std::uint32_t>(1, MostOpenFiles),
-             "Open connections of callers; further ones are refused.");
+             "Open connections of callers; further ones are refused.")
+        .add(&Part::receiveLimit,
+             "receive_limit_bytes",
+             Bytes{256 * Mebibyte.value},
+             range(Mebibyte, Bytes{64 * Gibibyte.value}),
+             "Held for requests that are not whole, over all connections; beyond it the one that has held "
+             "most for "
+             "longest is refused.");
 }
 
 void declareTargets(DaemonDeclarations &settings)
@@ -116,6 +123,13 @@
              Bytes{256 * Kibibyte.value},
              range(Bytes{0}, Gibibyte),
              "A request with a longer body is not sent a second time.")
+        .add(
+            &Part::resendTotal,
+            "resend_total_bytes",
+            Bytes{256 * Mebibyte.value},
+            range(Bytes{0}, Bytes{64 * Gibibyte.value}),
+            "Bodies that are kept for a second time, of all requests together; one beyond them is not sent a "
+            "second time.")
         .add(&Part::retryBudgetPercent,
              "retry_budget_percent",
              10,
--- a/src/libs/settings/daemonsettings.h
+++ b/src/libs/settings/daemonsettings.h
@@ -29,6 +29,7 @@
     Milliseconds bodyTimeout{};
     Milliseconds idleTimeout{};
     std::uint32_t connectionLimit = 0;
+    Bytes receiveLimit;
 };
 
 struct TargetsSettings {
@@ -42,6 +43,7 @@
     std::uint32_t inFlightLimit = 0;
     std::uint32_t queueLimit = 0;
     Bytes resendLimit;
+    Bytes resendTotal;
     std::uint32_t retryBudgetPercent = 0;
     Milliseconds defaultDeadline{};
     Milliseconds drainNotice{}; ///< between readiness off and accepting no more
