Count the longest lease from the time-out of an order

The longest lease was counted from its sending, with 0.3 s for the way, so the run was given up 0.2 s too early.

**Change.** An order may be carried out until it times out, when its connection is reset: 0.8 s more (`ShardSettings::orderTimeout`, from the calls' own time-out).

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -36,6 +36,7 @@
     Milliseconds renewal{800}; ///< interval of the lease renewals of a worker with runs
     Milliseconds batchPeriod{25}; ///< minimum interval between two appends
     Milliseconds appendTimeout{400}; ///< new jobs are refused while an append takes longer than this
+    Milliseconds orderTimeout{800}; ///< an order that has no answer by then is withdrawn
     Milliseconds maxOrderDelay{13'000}; ///< an unanswered order may be carried out for this long
     Milliseconds startAnswerTimeout{300}; ///< an unanswered, unlisted start is stopped after this
     Milliseconds retention{150'000}; ///< the state of an ended job can be queried for this long
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -447,7 +447,8 @@
     }
     const bool areOrdersLate = worker.lastLeaseOrder - m_lateOrderSeenAt <= longestTimeAfterRestart();
     const bool mayWait = areOrdersLate && !stage.isLongRunning;
-    const Milliseconds longest = mayWait ? longestTimeAfterRestart() : longestTime(m_settings.leaseLimit);
+    const Milliseconds longest =
+        mayWait ? longestTimeAfterRestart() : m_settings.orderTimeout + longestTime(m_settings.leaseLimit);
     return std::max<Base::Instant>(worker.leaseExpiresBy, worker.lastLeaseOrder + longest);
 }
 
