Take no order for late before one has been seen

**Cause.** That no late order had been seen was written as the clock's zero. Where a process starts within 20 s of its clock's zero, orders counted as late from the start. Found by reading the change once more.

**Change.** Both times are optional.

**Before / after.** tst_workerrestarts 23, tst_jobs 216, tst_deadlytasks 19, tst_quotas 9 green. The clocks of tests begin an hour after zero, so none is red before.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -415,7 +415,8 @@
     Base::Instant m_nextPlacementRetry; ///< when skipped workers may be usable again
     bool m_isMembershipLapsed = false;
     bool m_mustConfirmOwnership = false;
-    Base::Instant m_lateOrderSeenAt; ///< when a worker has last answered a query, but no start before it
+    /// When a worker has last answered a query, but not a start that it was sent before.
+    std::optional<Base::Instant> m_lateOrderSeenAt;
     Base::Instant m_begunAt; ///< when this owner began to serve the shard
     bool m_hasChanged = true; ///< since the last placement round
 };
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -145,7 +145,7 @@
     if (now - worker.lastAnswer <= RecentAnswerTime) {
         return true;
     }
-    if (now - worker.probedAt > ProbeInterval) {
+    if (!worker.probedAt || now - *worker.probedAt > ProbeInterval) {
         worker.probedAt = now;
         worker.isRenewalPending = false;
         worker.nextRenewal = now;
@@ -195,7 +195,7 @@
         worker.setLease(now + longestTime(m_settings.leaseLimit), LeaseSource::FirstList, now);
     }
     withdrawCrashes(worker);
-    const bool isProbed = now - worker.probedAt < ProbeInterval && worker.lastAnswer < worker.probedAt;
+    const bool isProbed = worker.probedAt && worker.lastAnswer < *worker.probedAt;
     m_hasChanged = m_hasChanged || !worker.hasAnswered || isProbed || !list.ended.empty();
     worker.hasAnswered = true;
     worker.listedRunsEndBy.reset();
@@ -445,7 +445,8 @@
     if (run.isConfirmed && !worker.mayCarryOutStart(run)) {
         return worker.leaseExpiresBy;
     }
-    const bool areOrdersLate = worker.lastLeaseOrder - m_lateOrderSeenAt <= longestTimeAfterRestart();
+    const bool areOrdersLate =
+        m_lateOrderSeenAt && worker.lastLeaseOrder - *m_lateOrderSeenAt <= longestTimeAfterRestart();
     const bool mayWait = areOrdersLate && !stage.isLongRunning;
     const Milliseconds longest =
         mayWait ? longestTimeAfterRestart() : m_settings.orderTimeout + longestTime(m_settings.leaseLimit);
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -44,7 +44,7 @@
 
     bool isRenewalPending = false; ///< the latest RenewLease has not been answered
     std::uint64_t lastRenewal = 0; ///< number of the latest RenewLease
-    Base::Instant probedAt; ///< when it has last been queried out of turn
+    std::optional<Base::Instant> probedAt; ///< when it has last been queried out of turn
     std::uint64_t outdatedRenewal = 0; ///< answers to these and earlier ones may be from before a restart
     std::int64_t askedAtClock =
         0; ///< the worker's clock when the latest RenewLease was sent, by the list before
