Mend two findings of the linter

**Cause.** The linter's compiler neither captures a structured binding nor initialises an aggregate in make_shared.

**Change.** A plain variable, and a shared pointer with a deleter in place of a class. The test cancels from a destructor as before.

**Conclusion.** No decision is changed.

--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -84,17 +84,19 @@
         }
     }
     std::size_t bytes = 0;
-    for (const auto &[id, job] : jobs) {
-        if (!job->isStored || bytes > MaxBatchBytes) {
+    for (const auto &it : jobs) {
+        const Job &job = *it.second;
+        if (!job.isStored || bytes > MaxBatchBytes) {
             continue;
         }
-        const auto timeLeft = [&](std::uint32_t stage, const Task &task) {
+        const auto timeLeft = [&](std::uint32_t stage, const Task &task) -> std::optional<Milliseconds> {
             const Worker &worker = m_workers.at(task.worker);
-            return worker.isSilent() ? std::optional(
-                       std::chrono::ceil<Milliseconds>(endOf(worker, job->spec.stages[stage], task) - now))
-                                     : std::nullopt;
+            if (!worker.isSilent()) {
+                return std::nullopt;
+            }
+            return std::chrono::ceil<Milliseconds>(endOf(worker, job.spec.stages[stage], task) - now);
         };
-        records.push_back({progressKey(id), encodeProgress(*job, timeLeft)});
+        records.push_back({progressKey(job.spec.id), encodeProgress(job, timeLeft)});
         bytes += records.back().key.size() + records.back().value.size();
     }
 }
--- a/tests/auto/base/tst_timerservice.cpp
+++ b/tests/auto/base/tst_timerservice.cpp
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <CppUTest/TestHarness.h>
 
@@ -59,17 +60,9 @@
 
 TEST(TimerService, WhatIsDroppedMayCancelOthers)
 {
-    struct Canceller {
-        Base::TimerService &timers;
-        Base::TimerId other;
-
-        ~Canceller()
-        {
-            timers.cancel(other);
-        }
-    };
     const auto other = timers.subscribeAfter(2ms, note('a'));
-    timers.subscribeAfter(1ms, [held = std::make_shared<Canceller>(timers, other)] {});
+    std::shared_ptr<void> canceller(nullptr, [this, other](const void *) { timers.cancel(other); });
+    timers.subscribeAfter(1ms, [held = std::move(canceller)] {});
     timers.clear();
     CHECK(!timers.nextDue());
     CHECK(!timers.cancel(other));
