--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -13,6 +13,7 @@
 using World::Clock;
 using World::Deployment;
 using World::unixMs;
+using World::Worker;
 namespace json = boost::json;
 
 enum Verdict { Held = 0, Broken = 1, NotPlayed = 2 };
@@ -210,6 +211,66 @@
     return broken > 0 ? Broken : Held;
 }
 
+/// A worker crashes just before it is sent a start, and is back after 3 s; later another one crashes for
+/// good.
+Verdict playGone(Deployment &world)
+{
+    if (!world.begin()) {
+        return NotPlayed;
+    }
+    std::vector<Worker *> alpha;
+    for (const auto &it : world.workers) {
+        if (it->service() == "alpha") {
+            alpha.push_back(it.get());
+        }
+    }
+    const auto ends = [&](const std::string &job, std::string_view how) {
+        return std::count_if(world.runs.all.begin(), world.runs.all.end(), [&](const auto &it) {
+            return it->task.rfind(job, 0) == 0 && it->how == how;
+        });
+    };
+    // A task for each worker, so each of them is sent a start.
+    if (world.hasTrouble) {
+        alpha.front()->crash(3s);
+    }
+    const auto first = world.submit("work", jobOf(10, 32000, 60000, 1000));
+    world.runFor(3s);
+    if (!world.runUntil([&] { return ends(first->id, "done") == 10; }, 10s)) {
+        return NotPlayed;
+    }
+    world.runFor(1s);
+    if (world.hasTrouble) {
+        Worker *const gone = alpha.back();
+        gone->crash();
+        world.loop.after(4500ms, [&world, gone] { world.store.put("keyed.servers", gone->id(), {}); });
+    }
+    const auto job = world.submit("work", jobOf(10, 32000, 60000, 1000));
+    if (!world.runUntil([&] { return isAccepted(job); }, 4s)) {
+        return NotPlayed;
+    }
+    world.record.line("end of the traffic");
+    world.runFor(14s); // finish_s
+    const auto until = Clock::now() + 16s;
+    auto idleSince = Clock::now();
+    bool isLost = false;
+    while (Clock::now() < until) {
+        world.runFor(100ms);
+        const auto done = ends(job->id, "done");
+        const bool isRunning = std::any_of(world.runs.all.begin(), world.runs.all.end(), [&](const auto &it) {
+            return it->task.rfind(job->id, 0) == 0 && it->endedAt < 0;
+        });
+        if (done == 10 || isRunning) {
+            idleSince = Clock::now();
+        } else if (Clock::now() - idleSince > 3s && !std::exchange(isLost, true)) {
+            world.record.line("LOST: " + std::to_string(done)
+                              + " of 10 tasks are done, nothing of the job has run for 3 s, and all "
+                              + std::to_string(alpha.size() - 1) + " workers of the service are empty");
+        }
+    }
+    world.record.line("in the end " + std::to_string(ends(job->id, "done")) + " of 10 tasks are done");
+    return isLost ? Broken : Held;
+}
+
 /// A job has more tasks that last than the first half of its service's workers may run.
 Verdict playCells(Deployment &world)
 {
@@ -272,6 +333,7 @@
     try {
         const std::map<std::string, Verdict (*)(Deployment &)> cases{{"route", &playRoute},
                                                                      {"repeats", &playRepeats},
+                                                                     {"gone", &playGone},
                                                                      {"cells", &playCells},
                                                                      {"pending", &playPending}};
         Deployment world(argv[2]);
--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -138,6 +138,8 @@
     void handle()
     {
         const auto message = m_parser->release();
+        // Keeps the connection open until the caller gives it up, also where the handler drops the call.
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code) {});
         m_handler(callFrom(message), [self = shared_from_this()](unsigned status, std::string body) {
             self->write(status, std::move(body));
         });
@@ -416,6 +418,9 @@
     Partition &to = m_partitions[{topic, 0}];
     to.newest[key] = to.records.size();
     to.records.push_back({key, value, std::string(1, static_cast<char>(key.size())) + key + value});
+    if (value.empty()) {
+        to.newest.erase(key);
+    }
     wake(to);
 }
 
@@ -785,8 +790,45 @@
     return json::serialize(json::object{{"ClockMs", clock()}, {"born", m_born}, {"Reason", reason}});
 }
 
+void Worker::crash(std::optional<Ms> time)
+{
+    m_record.line("worker " + m_id + " crashes with " + std::to_string(m_running.size()) + " runs");
+    m_isUp = false;
+    m_polls.clear();
+    for (const auto &[task, run] : std::exchange(m_running, {})) {
+        run.started->endedAt = m_record.now();
+        run.started->how = "crashed";
+    }
+    if (time) {
+        m_loop.after(*time, [this] { restart(); });
+    }
+}
+
+void Worker::restart()
+{
+    m_record.line("worker " + m_id + " starts again");
+    m_isUp = true;
+    m_born = unixMs();
+    m_bornAt = Clock::now();
+    m_token = 0;
+    m_leaseEnd = 0;
+    m_lastEnd = 0;
+    m_sequence = 0;
+    m_used = {};
+    m_ended.clear();
+    m_highest.clear();
+}
+
+bool Worker::isUp() const
+{
+    return m_isUp;
+}
+
 void Worker::handle(const Call &call, const Respond &respond)
 {
+    if (!m_isUp) {
+        return;
+    }
     const auto expected = call.fields.find("expected-instance");
     if (expected != call.fields.end() && expected->second != m_id) {
         respond(421, plain());
@@ -1239,7 +1281,9 @@
     });
     const auto beat = [this] {
         for (const auto &it : workers) {
-            store.put("keyed.servers", it->id(), it->entry());
+            if (it->isUp()) {
+                store.put("keyed.servers", it->id(), it->entry());
+            }
         }
     };
     beat();
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -213,6 +213,9 @@
     /// While set, it answers each start with 503 and does nothing.
     void setUnhealthy(bool isUnhealthy);
     std::uint64_t refusedStarts() const;
+    /// It ends, and what it runs with it. After the time, if any, it starts again under its ID.
+    void crash(std::optional<Ms> time = std::nullopt);
+    bool isUp() const;
     std::size_t running() const;
 
 private:
@@ -225,6 +228,7 @@
         std::uint64_t number;
         std::shared_ptr<Started> started;
     };
+    void restart();
     void handle(const Call &call, const Respond &respond);
     void start(const json::object &order, const Respond &respond);
     void stop(const json::object &order, const Respond &respond);
@@ -260,6 +264,7 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_refused = 0;
     bool m_isUnhealthy = false;
+    bool m_isUp = true;
 };
 
 /// The entry instances: processes of the program under review, with the settings of the deploy file.
