--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -46,7 +46,7 @@
     repeated["RepeatCount"] = world.hasTrouble ? 600'000 : 60;
     repeated["StartAtMs"] = unixMs() + 2000;
     std::vector<std::shared_ptr<Deployment::Job>> accepted = plain;
-    accepted.push_back(world.submit("work", repeated));
+    accepted.push_back(world.submit("first", repeated));
     accepted.push_back(world.submit("other", repeated));
     const auto areAccepted = [&] {
         return std::all_of(accepted.begin(), accepted.end(), isAccepted);
@@ -98,7 +98,7 @@
         return NotPlayed;
     }
     const std::int64_t full = world.hasTrouble ? 9 : 10;
-    const auto load = world.submit("work", jobOf(full, 32000, 60000, 30'000));
+    const auto load = world.submit("first", jobOf(full, 32000, 60000, 30'000));
     const auto isFull = [&] {
         return world.runsOf(load->id) == static_cast<std::size_t>(full);
     };
@@ -181,9 +181,9 @@
     }
     const auto job = world.submit("other", jobOf(2, 1000, 1000, 4000));
     world.runFor(300ms);
-    world.writeConfig(8, {{"work", "alpha"}, {"third", "alpha"}});
+    world.writeConfig(8, {{"first", "alpha"}, {"third", "alpha"}});
     world.runFor(600ms);
-    world.writeConfig(11, {{"work", "alpha"}, {"other", "alpha"}, {"third", "alpha"}});
+    world.writeConfig(11, {{"first", "alpha"}, {"other", "alpha"}, {"third", "alpha"}});
     world.runUntil([&] { return job->attempts > 1 && job->answer == 200; }, 3300ms);
     if (world.hasTrouble) {
         world.store.setDown("keyed.jobs", writer->first, false);
@@ -233,7 +233,7 @@
     if (world.hasTrouble) {
         alpha.front()->crash(3s);
     }
-    const auto first = world.submit("work", jobOf(10, 32000, 60000, 1000));
+    const auto first = world.submit("first", jobOf(10, 32000, 60000, 1000));
     world.runFor(3s);
     if (!world.runUntil([&] { return ends(first->id, "done") == 10; }, 10s)) {
         return NotPlayed;
@@ -244,7 +244,7 @@
         gone->crash();
         world.loop.after(4500ms, [&world, gone] { world.store.put("keyed.servers", gone->id(), {}); });
     }
-    const auto job = world.submit("work", jobOf(10, 32000, 60000, 1000));
+    const auto job = world.submit("first", jobOf(10, 32000, 60000, 1000));
     if (!world.runUntil([&] { return isAccepted(job); }, 4s)) {
         return NotPlayed;
     }
@@ -287,7 +287,7 @@
                                                          {"EstimateMs", 600},
                                                          {"AntiAffinity", 1},
                                                          {"LongRunning", true}}}}};
-    const auto job = world.submit("work", lasting);
+    const auto job = world.submit("first", lasting);
     if (!world.runUntil([&] { return isAccepted(job) && world.runsOf(job->id) > 0; }, 8s)) {
         return NotPlayed;
     }
--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -1288,7 +1288,7 @@
     };
     beat();
     loop.every(1500ms, beat);
-    writeConfig(7, {{"work", "alpha"}, {"other", "beta"}, {"third", "alpha"}});
+    writeConfig(7, {{"first", "alpha"}, {"other", "beta"}, {"third", "alpha"}});
     members.startAll(machines->address());
     const bool isServing = runUntil([this] { return members.allReady(); }, 15s);
     record.line(isServing ? "all daemons are in rotation" : "not all daemons are in rotation");
