--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -377,6 +377,7 @@
 {
     const auto it = m_redirectedJobs.find(job);
     if (it != m_redirectedJobs.end() && it->second.isStored) {
+        it->second.submittedAt = wall;
         replyRedirected(replyId, it->second.shard);
         return;
     }
@@ -391,6 +392,7 @@
     RedirectedJob &added = m_redirectedJobs[job];
     added.shard = shard;
     added.since = wall;
+    added.submittedAt = wall;
     added.waiting.push_back(replyId);
     m_newRedirects.push_back(job);
     m_hasChanged = true;
@@ -407,6 +409,16 @@
     return m_jobs.find(job) != m_jobs.end();
 }
 
+bool Shard::isUnsettled(std::string_view job) const
+{
+    const auto redirected = m_redirectedJobs.find(job);
+    if (redirected != m_redirectedJobs.end()) {
+        return !redirected->second.isStored;
+    }
+    const auto it = m_jobs.find(job);
+    return it != m_jobs.end() && !it->second.isStored;
+}
+
 void Shard::submit(JobSpec spec, ReplyId replyId, Base::Instant now, WallTime wall)
 {
     if (const auto it = m_jobs.find(spec.id); it != m_jobs.end()) {
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -96,10 +96,14 @@
     void redirect(const std::string &job, ShardNumber shard, ReplyId reply, Base::Instant now, WallTime wall);
     /// The shard that a job is redirected to, if any.
     std::optional<ShardNumber> redirectedTo(std::string_view job) const;
-    /// Removes the redirection of a job, which the other shard has removed or never had.
+    /// Removes the redirection of a job, which the other shard has removed or never had, unless the job has
+    /// been submitted again since the query to that shard.
     void removeRedirect(const std::string &job);
     /// Whether the job was submitted to this shard, stored or not.
     bool contains(std::string_view job) const;
+    /// Whether the job or its redirection was submitted to this shard and isn't known to be stored. It may
+    /// still be stored and run, or be refused.
+    bool isUnsettled(std::string_view job) const;
     void cancel(std::string_view job, ReplyId reply, Base::Instant now, WallTime wall);
     /// The job as stored; null if there is none of that ID. What callers are told is its storedState.
     const Job *find(std::string_view job) const;
@@ -176,6 +180,7 @@
         ShardNumber shard = 0;
         WallTime since{};
         WallTime checkedAt{}; ///< time of the last query to the other shard
+        WallTime submittedAt{}; ///< when a submission was last sent on to the other shard
         bool isStored = false;
         std::uint64_t firstBatch = 0; ///< number of the append that contains it; 0: none yet
         std::vector<ReplyId> waiting;
--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -257,7 +257,7 @@
 {
     std::size_t asked = 0;
     for (auto &[id, where] : m_redirectedJobs) {
-        const WallTime last = std::max(where.since, where.checkedAt);
+        const WallTime last = std::max({where.since, where.checkedAt, where.submittedAt});
         if (!where.isStored || last + m_settings.retention > wall) {
             continue;
         }
@@ -272,7 +272,8 @@
 void Shard::removeRedirect(const std::string &job)
 {
     const auto it = m_redirectedJobs.find(job);
-    if (it != m_redirectedJobs.end() && it->second.isStored) {
+    if (it != m_redirectedJobs.end() && it->second.isStored
+        && it->second.submittedAt < it->second.checkedAt) {
         m_deletedKeys.push_back(redirectKey(job));
         m_redirectedJobs.erase(it);
         m_hasChanged = true;
--- a/src/libs/jobservice/joblocator.cpp
+++ b/src/libs/jobservice/joblocator.cpp
@@ -23,7 +23,8 @@
 // The queries are marked as forwarded, so that the owners of the other shards don't look any further.
 void JobLocator::locate(const std::string &job,
                         const std::vector<ShardNumber> &shards,
-                        const Located &located) const
+                        const Located &located,
+                        const std::optional<IntendedHome> &home) const
 {
     struct Search {
         JobLocation location;
@@ -34,6 +35,7 @@
     for (const ShardNumber it : shards) {
         JobRequest query{
             .shard = it, .operation = Operation::State, .subject = job, .isForwardedByHome = true};
+        query.intendedHome = home;
         m_route(std::move(query), QueryTimeout, [search, it, located](const JobReply &reply) {
             if (search->location.shard) {
                 return;
@@ -44,6 +46,9 @@
                 search->location.shard = reply.redirectedTo;
             } else if (reply.status != JobReply::Status::NoSuchJob) {
                 search->location.isCertain = false;
+                if (reply.isUnsettled) {
+                    search->location.unsettledAt = it;
+                }
             }
             if (--search->remaining == 0 || search->location.shard) {
                 located(search->location);
--- a/src/libs/jobservice/peerprotocol.cpp
+++ b/src/libs/jobservice/peerprotocol.cpp
@@ -63,6 +63,18 @@
     return demand;
 }
 
+json::object encodeHome(const IntendedHome &home)
+{
+    return {{"shard", home.shard}, {"queue", encodeNames(home.queue)}, {"service", home.service}};
+}
+
+IntendedHome decodeHome(const json::object &from)
+{
+    return {from.at("shard").to_number<ShardNumber>(),
+            decodeNames(from.at("queue")),
+            std::string(from.at("service").as_string())};
+}
+
 } // namespace
 
 std::string_view toString(Operation operation)
@@ -126,6 +138,9 @@
     if (request.isForwardedByHome) {
         out["sent_on"] = true;
     }
+    if (request.intendedHome) {
+        out["home"] = encodeHome(*request.intendedHome);
+    }
     return json::serialize(out);
 }
 
@@ -155,6 +170,9 @@
             request.workers = decodeNames(*found);
         }
         request.isForwardedByHome = Jobs::flagOrFalse(from, "sent_on");
+        if (const json::value *found = from.if_contains("home")) { // earlier builds don't send it
+            request.intendedHome = decodeHome(found->as_object());
+        }
         return request;
     } catch (const std::exception &) {
         return std::nullopt;
@@ -183,6 +201,9 @@
     if (reply.status == JobReply::Status::Redirected) {
         out["elsewhere"] = reply.redirectedTo;
     }
+    if (reply.isUnsettled) {
+        out["unsettled"] = true;
+    }
     return json::serialize(out);
 }
 
@@ -206,6 +227,7 @@
         }
         reply.failureReason = Jobs::textOrEmpty(from, "reason");
         reply.redirectedTo = Jobs::numberOr<ShardNumber>(from, "elsewhere", 0);
+        reply.isUnsettled = Jobs::flagOrFalse(from, "unsettled");
         return reply;
     } catch (const std::exception &) {
         return std::nullopt;
--- a/src/libs/jobservice/peerprotocol.h
+++ b/src/libs/jobservice/peerprotocol.h
@@ -14,6 +14,13 @@
 
 enum class Operation { Submit, Cancel, State, Pending, Demand, Evacuate };
 
+/// The shard that is to accept a new job of a queue which has had other services.
+struct IntendedHome {
+    ShardNumber shard = 0;
+    std::vector<std::string> queue{}; ///< identifiers of the queue, see QueueHistory
+    std::string service{}; ///< present service of the queue, which is stored in its history
+};
+
 /// A request to the owner of a shard. A member that doesn't own the shard replies NotOwner instead of
 /// forwarding the request.
 struct JobRequest {
@@ -25,6 +32,7 @@
     std::string queuePath{}; ///< for Submit: host and path prefix of the queue; empty from earlier builds
     std::vector<std::string> workers{}; ///< for Evacuate
     bool isForwardedByHome = false; ///< the job's home shard has recorded that it belongs to this shard
+    std::optional<IntendedHome> intendedHome{}; ///< for State: who accepts the job if this shard denies it
 };
 
 enum class ReportedState { Queued, Running, Completed, Failed, Cancelled };
@@ -47,6 +55,7 @@
     std::vector<std::string> emptyWorkers{}; ///< for Evacuate: workers on which nothing runs
     ShardNumber redirectedTo = 0;
     std::string failureReason{}; ///< for ReportedState::Failed; empty: unknown
+    bool isUnsettled = false; ///< for Refused: the shard holds the job, which may be stored or not
 };
 
 /// Name for logs.
--- a/src/libs/jobservice/queuehistory.h
+++ b/src/libs/jobservice/queuehistory.h
@@ -69,6 +69,14 @@
         });
     }
 
+    /// Adds a service that another member has stored, perhaps before this one reads the record.
+    void learn(const std::vector<std::string> &queue, const std::string &service)
+    {
+        for (const std::string &it : queue) {
+            m_services[it].insert(service);
+        }
+    }
+
     using Recorded = std::function<void(bool isStored)>;
 
     /// Stores that the service runs jobs of the queue. `recorded` is called when that is stored, and all that
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -254,14 +254,15 @@
             reply({.status = JobReply::Status::NotOwner});
             return;
         }
-        Hosted &hosted = *it->second;
+        const HostedPtr hosted = it->second;
+        const ShardNumber number = it->first;
         detectSuspension();
-        if (!hosted.isServing) {
-            hosted.pendingRequests.push_back({std::move(request), std::move(reply)});
+        if (!hosted->isServing) {
+            hosted->pendingRequests.push_back({std::move(request), std::move(reply)});
             return;
         }
         serve(hosted, std::move(request), std::move(reply));
-        runPass(it->first);
+        runPass(number);
     }
 
 private:
@@ -281,6 +282,11 @@
         JobRequest request;
         Reply reply;
     };
+    /// Other shards are being asked for a job that is to be accepted.
+    struct Search {
+        std::size_t requests = 0; ///< that wait for the result
+        bool hasYielded = false; ///< another shard that asks for the same job may accept it
+    };
     struct Hosted {
         Hosted(std::unique_ptr<Jobs::Shard> unloaded, Base::TimerService &timers)
             : shard(std::move(unloaded))
@@ -290,6 +296,7 @@
         std::unique_ptr<Jobs::Shard> shard;
         Base::OneShotTimer timer;
         std::vector<PendingRequest> pendingRequests; ///< requests that arrived before the shard was loaded
+        std::map<std::string, Search, std::less<>> searches; ///< by job
         bool isServing = false;
         bool isRunningPass = false;
         bool hasWritten = false;
@@ -570,7 +577,7 @@
                 .with("jobs", hosted->shard->jobs().size());
         }
         for (PendingRequest &it : std::exchange(hosted->pendingRequests, {})) {
-            serve(*hosted, std::move(it.request), std::move(it.reply));
+            serve(hosted, std::move(it.request), std::move(it.reply));
         }
         runPass(number);
         m_onShardGained();
@@ -700,10 +707,10 @@
         return found;
     }
 
-    /// `isLocated` is set for a Submit of a job that no other shard has.
-    void serve(Hosted &hosted, JobRequest request, Reply reply, bool isLocated = false)
+    /// `isLocated` is set if the other shards that may have the job have replied that they don't.
+    void serve(const HostedPtr &hosted, JobRequest request, Reply reply, bool isLocated = false)
     {
-        Jobs::Shard &shard = *hosted.shard;
+        Jobs::Shard &shard = *hosted->shard;
         switch (request.operation) {
         case Operation::Submit: {
             const Jobs::JobSpec &spec = *request.spec;
@@ -712,7 +719,7 @@
                 return;
             }
             if (!isLocated && isUnknown(shard, spec.id, request) && mayBeElsewhere(request)) {
-                locateSubmitted(std::move(request), std::move(reply));
+                locateSubmitted(hosted, std::move(request), std::move(reply));
                 return;
             }
             const Jobs::ReplyId id = ++m_lastReply;
@@ -729,17 +736,21 @@
             return;
         }
         case Operation::Cancel: {
+            if (isRedirectUnsettled(shard, request.subject) || hosted->searches.count(request.subject) > 0) {
+                reply(unsettledJob(request));
+                return;
+            }
             if (const auto assignedShard = shard.redirectedTo(request.subject)) {
                 reply({.status = JobReply::Status::Redirected, .redirectedTo = *assignedShard});
                 return;
             }
-            if (isUnknown(shard, request.subject, request) && isMember()) {
-                locate(request, reply);
+            if (!isLocated && isUnknown(shard, request.subject, request) && isMember()) {
+                locate(hosted, std::move(request), std::move(reply));
                 return;
             }
-            if ((!shard.find(request.subject) && !isMember())
-                || !isAccessible(shard, request.subject, request)) {
-                reply(unknownJob());
+            if (!isAccessible(shard, request.subject, request)
+                || (!shard.find(request.subject) && !canDeny(*hosted))) {
+                reply(unknownJob(*hosted));
                 return;
             }
             const Jobs::ReplyId id = ++m_lastReply;
@@ -748,17 +759,24 @@
             return;
         }
         case Operation::State: {
+            if (request.intendedHome && m_queueHistory) {
+                m_queueHistory->learn(request.intendedHome->queue, request.intendedHome->service);
+            }
+            if (shard.isUnsettled(request.subject) || isSearchAhead(*hosted, request)) {
+                reply(unsettledJob(request));
+                return;
+            }
             if (const auto assignedShard = shard.redirectedTo(request.subject)) {
                 reply({.status = JobReply::Status::Redirected, .redirectedTo = *assignedShard});
                 return;
             }
-            if (isUnknown(shard, request.subject, request) && isMember()) {
-                locate(request, reply);
+            if (!isLocated && isUnknown(shard, request.subject, request) && isMember()) {
+                locate(hosted, std::move(request), std::move(reply));
                 return;
             }
             const Jobs::Job *job = shard.find(request.subject);
             if (!job || !isAccessible(shard, request.subject, request)) {
-                reply(unknownJob());
+                reply(unknownJob(*hosted));
                 return;
             }
             reply({.status = JobReply::Status::Done,
@@ -793,6 +811,26 @@
             && m_queueHistory;
     }
 
+    static bool isRedirectUnsettled(const Jobs::Shard &shard, std::string_view job)
+    {
+        return shard.isUnsettled(job) && shard.redirectedTo(job);
+    }
+
+    // The shards of two services may search for the same job at the same time. Each would deny it to the
+    // other, and both would accept it, so the one with the lower number goes first.
+    static bool isSearchAhead(Hosted &hosted, const JobRequest &request)
+    {
+        const auto it = hosted.searches.find(request.subject);
+        if (it == hosted.searches.end()) {
+            return false;
+        }
+        if (!request.intendedHome || request.shard < request.intendedHome->shard) {
+            return true;
+        }
+        it->second.hasYielded = true;
+        return false;
+    }
+
     /// The shards besides the request's that may have its job.
     std::vector<ShardNumber>
     otherHomes(const std::set<std::string> &services, std::string_view job, const JobRequest &request) const
@@ -819,75 +857,109 @@
             || !otherHomes(m_queueHistory->services(queue), request.spec->id, request).empty();
     }
 
-    /// Replies with the shard that has the job of a Cancel or State request.
-    void locate(const JobRequest &request, const Reply &reply)
+    /// Whether no service is known to have run jobs of the queue.
+    bool isNewQueue(const JobRequest &request) const
+    {
+        return m_queueHistory->services(queueOf(request)).empty();
+    }
+
+    /// Replies with the shard that has the job of a Cancel or State request, or serves the request here. A
+    /// job that its shard may still store can be cancelled there.
+    void locate(const HostedPtr &hosted, JobRequest request, Reply reply)
     {
         const auto shards = otherHomes(m_layout.services(), request.subject, request);
         if (shards.empty()) {
-            reply(unknownJob());
+            serve(hosted, std::move(request), std::move(reply), true);
             return;
         }
-        m_locator.locate(request.subject, shards, [this, reply](const JobLocation &location) {
-            if (location.shard) {
-                reply({.status = JobReply::Status::Redirected, .redirectedTo = *location.shard});
+        const auto pending =
+            std::make_shared<PendingRequest>(PendingRequest{std::move(request), std::move(reply)});
+        const std::string &job = pending->request.subject;
+        m_locator.locate(job, shards, [this, hosted, pending](const JobLocation &location) {
+            const bool isCancel = pending->request.operation == Operation::Cancel;
+            const auto shard = location.shard || !isCancel ? location.shard : location.unsettledAt;
+            if (shard) {
+                pending->reply({.status = JobReply::Status::Redirected, .redirectedTo = *shard});
+            } else if (location.isCertain && isCurrent(pending->request.shard, hosted)) {
+                serve(hosted, std::move(pending->request), std::move(pending->reply), true);
+                runPass(pending->request.shard);
             } else {
-                reply(location.isCertain ? unknownJob() : temporaryRefusal());
+                pending->reply(temporaryRefusal());
             }
         });
     }
 
     /// Accepts a job unless a shard of an earlier service of its queue has it. The present service is stored
     /// first, so that this is known to whoever gets the job again after the next change.
-    void locateSubmitted(JobRequest request, Reply reply)
+    void locateSubmitted(const HostedPtr &hosted, JobRequest request, Reply reply)
     {
         const auto queue = queueOf(request);
         const std::string service = request.spec->queue.service;
+        ++hosted->searches[request.spec->id].requests;
         const auto pending =
             std::make_shared<PendingRequest>(PendingRequest{std::move(request), std::move(reply)});
-        const auto locateThere = [this, pending, queue] {
+        const auto locateThere = [this, hosted, pending, queue, service] {
             const std::string &job = pending->request.spec->id;
             const auto shards = otherHomes(m_queueHistory->services(queue), job, pending->request);
             if (shards.empty()) {
-                submitLocated(*pending, std::nullopt);
+                submitLocated(hosted, *pending, JobLocation());
                 return;
             }
-            m_locator.locate(job, shards, [this, pending](const JobLocation &location) {
-                if (location.shard || location.isCertain) {
-                    submitLocated(*pending, location.shard);
-                } else {
-                    pending->reply(temporaryRefusal());
-                }
-            });
+            m_locator.locate(
+                job,
+                shards,
+                [this, hosted, pending](const JobLocation &location) {
+                    submitLocated(hosted, *pending, location);
+                },
+                IntendedHome{pending->request.shard, queue, service});
         };
         if (m_queueHistory->contains(queue, service)) {
             locateThere();
             return;
         }
-        m_queueHistory->record(queue, service, [pending, locateThere](bool isStored) {
+        m_queueHistory->record(queue, service, [this, hosted, pending, locateThere](bool isStored) {
             if (isStored) {
                 locateThere();
             } else {
-                pending->reply(temporaryRefusal());
+                submitLocated(hosted, *pending, std::nullopt);
             }
         });
     }
 
-    // While the other shards were asked, this one may have been lost.
-    void submitLocated(PendingRequest &pending, std::optional<ShardNumber> elsewhere)
+    /// `location` is missing if the queue's service could not be stored.
+    // While the other shards were asked, this one may have been lost, and accepted by its next owner what
+    // they have denied. A refusal would promise that the job never runs, which another shard may do.
+    void submitLocated(const HostedPtr &hosted,
+                       PendingRequest &pending,
+                       const std::optional<JobLocation> &location)
     {
         const ShardNumber number = pending.request.shard;
-        const auto it = m_hosted.find(number);
-        if (it == m_hosted.end() || !it->second->isServing) {
+        const std::string &job = pending.request.spec->id;
+        const auto search = hosted->searches.find(job);
+        const bool hasYielded = search->second.hasYielded;
+        if (--search->second.requests == 0) {
+            hosted->searches.erase(search);
+        }
+        if (!isCurrent(number, hosted)) {
             pending.reply({.status = JobReply::Status::NotOwner});
             return;
         }
-        if (elsewhere) {
+        const bool mayRunElsewhere = !location || !location->isCertain || hasYielded;
+        if (location && location->shard) {
             const Jobs::ReplyId id = ++m_lastReply;
             m_replies[id] = std::move(pending.reply);
-            it->second->shard->redirect(
-                pending.request.spec->id, *elsewhere, id, m_timers.now(), m_wallClock());
+            hosted->shard->redirect(job, *location->shard, id, m_timers.now(), m_wallClock());
+        } else if (!mayRunElsewhere) {
+            serve(hosted, std::move(pending.request), std::move(pending.reply), true);
         } else {
-            serve(*it->second, std::move(pending.request), std::move(pending.reply), true);
+            Base::LogLine(Base::LogLevel::Info, "job-not-located")
+                .with("request", job)
+                .with("shard", number)
+                .with("queue_recorded", location.has_value())
+                .with("unsettled", location && location->unsettledAt)
+                .with("yielded", hasYielded);
+            pending.reply(isNewQueue(pending.request) ? temporaryRefusal()
+                                                      : JobReply{.status = JobReply::Status::Unknown});
         }
         runPass(number);
     }
@@ -899,16 +971,33 @@
         return it == shard.jobs().end() || !request.caller || mayAccess(*request.caller, it->second.spec);
     }
 
-    // Once the membership has lapsed, a newer owner may have accepted the job, so "no such job" would be
-    // wrong.
-    JobReply unknownJob() const
+    // Once the membership has lapsed, or while the store would assign the shard to another member, a newer
+    // owner may have accepted the job, so "no such job" would be wrong.
+    bool canDeny(const Hosted &hosted) const
     {
-        if (isMember()) {
+        return isMember() && !hosted.unlistedSince;
+    }
+
+    JobReply unknownJob(const Hosted &hosted) const
+    {
+        if (canDeny(hosted)) {
             return {.status = JobReply::Status::NoSuchJob};
         }
         return temporaryRefusal();
     }
 
+    static JobReply unsettledJob(const JobRequest &request)
+    {
+        Base::LogLine(Base::LogLevel::Info, "job-unsettled")
+            .with("request", request.subject)
+            .with("operation", toString(request.operation))
+            .with("shard", request.shard)
+            .with("by_member", request.isForwardedByHome);
+        JobReply reply = temporaryRefusal();
+        reply.isUnsettled = true;
+        return reply;
+    }
+
     static JobReply temporaryRefusal()
     {
         return {.status = JobReply::Status::Refused, .retryAfter = std::chrono::milliseconds{1000}};
--- a/tests/auto/jobs/tst_shard.cpp
+++ b/tests/auto/jobs/tst_shard.cpp
@@ -365,3 +365,24 @@
     }
     CHECK(shard.find("a")->storedState == Jobs::JobState::Completed);
 }
+
+// A submission that is on its way to the other shard must find its redirection afterwards.
+TEST(Shard, ARedirectionStaysIfTheJobHasBeenSubmittedSinceTheQuery)
+{
+    for (const bool isSubmitted : {false, true}) {
+        Jobs::Shard shard({}, 1, "m");
+        Base::Instant now{1h};
+        shard.load(Jobs::redirectKey("j"), Jobs::encodeRedirect({7, Wall - 1h}));
+        shard.begin(now, Wall, [](const std::string &) { return true; });
+        shard.processDue(now, Wall);
+        const auto commands = shard.takeCommands();
+        CHECK(std::any_of(commands.begin(), commands.end(), [](const Jobs::Command &it) {
+            return std::holds_alternative<Jobs::QueryRedirectedJob>(it);
+        }));
+        if (isSubmitted) {
+            shard.redirect("j", 7, 1, now, Wall);
+        }
+        shard.removeRedirect("j");
+        CHECK_EQUAL(isSubmitted, shard.redirectedTo("j").has_value());
+    }
+}
--- a/tests/auto/jobs/tst_shardhost.cpp
+++ b/tests/auto/jobs/tst_shardhost.cpp
@@ -5,6 +5,8 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
+using JobService::JobReply;
+using JobService::Operation;
 using JobService::ReportedState;
 
 namespace
@@ -774,6 +776,28 @@
     return job;
 }
 
+// UNASKED: the shard of the cell denied a job to whom its home sent, which was still storing the redirection.
+TEST(ShardHost, AJobIsNotDeniedWhileItsRedirectionIsUnstored)
+{
+    SimulatedPlatform world(1, 2);
+    divideIntoTwoCells(world);
+    world.addMember("m1");
+    world.addMember("m2");
+    world.run(2s);
+    const auto job = jobFor(world, 0, "r1");
+    world.submitted[job.id] = job;
+    world.owner(0)->platform.appendDelay = 1500ms;
+    world.ask({.shard = 0, .operation = Operation::Submit, .spec = job}, [](const JobReply &) {});
+    world.run(300ms);
+    for (const Operation it : {Operation::State, Operation::Cancel}) {
+        const auto status = std::make_shared<JobReply::Status>(JobReply::Status::Done);
+        world.ask({.shard = 0, .operation = it, .subject = job.id},
+                  [status](const JobReply &reply) { *status = reply.status; });
+        world.run(200ms);
+        CHECK(*status == JobReply::Status::Refused);
+    }
+}
+
 } // namespace
 
 // Guards against running a job twice: without a stored record the next owner of the home shard would accept
