--- a/src/libs/jobs/fairshares.cpp
+++ b/src/libs/jobs/fairshares.cpp
@@ -51,6 +51,9 @@
                      part(amount.accelerators, capacity.accelerators)});
 }
 
+// Of a job that are due and not open.
+constexpr std::uint32_t MaxCountedOccurrences = 100'000;
+
 // Results that can't arrive in time to be of use don't count as asked for.
 bool isUseful(const UnfinishedOccurrence &it, WallTime now)
 {
@@ -86,6 +89,9 @@
                 item.waiting += size;
             }
         }
+        if (isReady) {
+            item.waiting += multiple(size, progress.count - progress.tasks.size());
+        }
     }
     const auto weight = weights.find(it.job->spec.workspace);
     if (it.job->spec.isLongRunning() || weight == weights.end()) {
@@ -97,7 +103,12 @@
     item.claim->weight = weight->second;
     item.claim->running += running;
     item.claim->granted += running;
-    item.claim->waiting += isWanted || it.job->hasStarted ? item.waiting : Resources{};
+    const bool isCounted = isWanted || it.job->hasStarted;
+    item.claim->waiting += isCounted ? item.waiting : Resources{};
+    if (isCounted && it.number + 1 == it.job->nextOccurrence) {
+        const std::uint32_t unopened = std::min(it.job->unopenedOccurrences(now), MaxCountedOccurrences);
+        item.claim->waiting += multiple(it.job->firstStagesSize(), unopened);
+    }
     item.mayWait = isWanted && !it.job->hasStarted;
     item.isLast = !isWanted && (it.job->spec.isExcess || !it.job->hasStarted);
     return item;
--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -1,5 +1,7 @@
 #include "job.h"
 
+#include "placement.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -16,6 +18,37 @@
 // and is worth nothing after it.
 constexpr int LateFactor = 3;
 
+// Open occurrences of a job that are untouched: enough for all starts of a placement. Touched ones are in its
+// record, which the store limits. One is open in any case, however many tasks it has.
+constexpr std::uint64_t MaxUntouchedOccurrences = 256;
+constexpr std::uint64_t MaxUntouchedTasks = 1024;
+constexpr std::uint64_t MaxOpenTasks = 2048;
+
+// Due times are clamped to this, about 30,000 years from 1970, so that sums of them don't overflow. Callers
+// choose the first due time, the interval and the number of occurrences.
+constexpr std::int64_t MaxTime = 1'000'000'000'000'000;
+
+constexpr std::size_t MapNodeBytes = 64;
+
+std::int64_t clampTime(std::int64_t time)
+{
+    return std::clamp(time, -MaxTime, MaxTime);
+}
+
+std::uint64_t tasksPerOccurrence(const JobSpec &spec)
+{
+    std::uint64_t n = 0;
+    for (const Stage &it : spec.stages) {
+        n += it.count;
+    }
+    return std::max<std::uint64_t>(1, n);
+}
+
+std::int64_t clampedInterval(const JobSpec &spec)
+{
+    return std::clamp<std::int64_t>(spec.interval.count(), 0, MaxTime);
+}
+
 // Stages depend on earlier stages only, so a single pass in order finds the longest path.
 template<typename TimeOf>
 Milliseconds longestPath(std::span<const Stage> stages, TimeOf timeOf)
@@ -84,6 +117,8 @@
         return "advice";
     case WaitReason::EmptyWorker:
         return "empty-worker";
+    case WaitReason::OpenTasks:
+        return "open-tasks";
     case WaitReason::OpenLoss:
         return "open-loss";
     }
@@ -99,7 +134,56 @@
 
 bool StageProgress::hasWaitingTask() const
 {
-    return std::any_of(tasks.begin(), tasks.end(), [](const Task &it) { return it.isWaiting(); });
+    return tasks.size() < count
+        || std::any_of(tasks.begin(), tasks.end(), [](const Task &it) { return it.isWaiting(); });
+}
+
+std::uint32_t StageProgress::waitingTasks() const
+{
+    const auto waiting =
+        std::count_if(tasks.begin(), tasks.end(), [](const Task &it) { return it.isWaiting(); });
+    return count - static_cast<std::uint32_t>(tasks.size() - static_cast<std::size_t>(waiting));
+}
+
+std::vector<Task> &StageProgress::allTasks()
+{
+    tasks.resize(count);
+    return tasks;
+}
+
+Task &StageProgress::addTask()
+{
+    if (tasks.size() == tasks.capacity()) {
+        tasks.reserve(std::min<std::size_t>(count, std::max<std::size_t>(4, 2 * tasks.size())));
+    }
+    return tasks.emplace_back();
+}
+
+void StageProgress::removeUntouched()
+{
+    while (!tasks.empty() && tasks.back().isUntouched()) {
+        tasks.pop_back();
+    }
+    if (tasks.empty()) {
+        tasks.shrink_to_fit();
+    }
+}
+
+bool Occurrence::isTouched() const
+{
+    return std::any_of(stages.begin(), stages.end(), [](const StageProgress &it) {
+        return std::any_of(
+            it.tasks.begin(), it.tasks.end(), [](const Task &task) { return !task.isUntouched(); });
+    });
+}
+
+std::uint64_t Occurrence::size() const
+{
+    std::uint64_t n = stages.size();
+    for (const StageProgress &it : stages) {
+        n += it.count;
+    }
+    return n;
 }
 
 Occurrence &Job::addOccurrence(std::uint32_t number)
@@ -107,12 +191,65 @@
     Occurrence &occurrence = occurrences[number];
     occurrence.stages.resize(spec.stages.size());
     for (std::size_t n = 0; n < spec.stages.size(); ++n) {
-        occurrence.stages[n].tasks.resize(spec.stages[n].count);
+        occurrence.stages[n].count = spec.stages[n].count;
     }
     nextOccurrence = std::max(nextOccurrence, number + 1);
     return occurrence;
 }
 
+std::uint64_t Job::openLimit() const
+{
+    return std::max<std::uint64_t>(1, MaxOpenTasks / tasksPerOccurrence(spec));
+}
+
+std::uint64_t Job::untouchedLimit() const
+{
+    return std::clamp<std::uint64_t>(
+        MaxUntouchedTasks / tasksPerOccurrence(spec), 1, MaxUntouchedOccurrences);
+}
+
+std::uint32_t Job::dueOccurrences(WallTime time) const
+{
+    const std::int64_t passed =
+        clampTime(time.time_since_epoch().count()) - clampTime(spec.firstDue.time_since_epoch().count());
+    if (passed < 0 || !spec.isTimed()) {
+        return 0;
+    }
+    const std::int64_t interval = clampedInterval(spec);
+    if (interval == 0) {
+        return spec.occurrences;
+    }
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(spec.occurrences, passed / interval + 1));
+}
+
+std::uint32_t Job::unopenedOccurrences(WallTime time) const
+{
+    const std::uint32_t due = dueOccurrences(time);
+    return due - std::min(due, nextOccurrence);
+}
+
+void Job::releaseProgress()
+{
+    releasedFailureReason = failureReason();
+    isReleased = true;
+    occurrences.clear();
+    spec.stages = {};
+    spec.payload = {};
+}
+
+std::size_t Job::memory() const
+{
+    std::size_t bytes = sizeof(Job) + MapNodeBytes + spec.id.size() + spec.workspace.size()
+        + spec.queue.name.size() + spec.queue.service.size() + spec.payload.size();
+    for (const Stage &it : spec.stages) {
+        bytes += sizeof(Stage) + it.dependsOn.size() * sizeof(std::uint32_t) + it.requiredLabel.size()
+            + it.dataRack.size() + it.image.size();
+    }
+    const std::size_t open =
+        std::min<std::size_t>(untouchedLimit(), std::max<std::uint32_t>(1, spec.occurrences));
+    return bytes + open * (sizeof(Occurrence) + MapNodeBytes + spec.stages.size() * sizeof(StageProgress));
+}
+
 Task *Job::find(const TaskId &id)
 {
     return findTask(occurrences, id);
@@ -140,6 +277,9 @@
     if (storedState != JobState::Failed) {
         return {};
     }
+    if (isReleased) {
+        return releasedFailureReason;
+    }
     std::uint32_t crashes = 0;
     std::uint32_t failures = 0;
     for (const auto &[number, occurrence] : occurrences) {
@@ -189,6 +329,17 @@
     });
 }
 
+Resources Job::firstStagesSize() const
+{
+    Resources sum;
+    for (const Stage &it : spec.stages) {
+        if (it.dependsOn.empty()) {
+            sum += multiple(reservedResources(it), it.count);
+        }
+    }
+    return sum;
+}
+
 double Job::work() const
 {
     double sum = 0;
@@ -205,7 +356,14 @@
 
 WallTime Job::due(std::uint32_t occurrence) const
 {
-    return spec.isTimed() ? spec.firstDue + spec.interval * occurrence : acceptedAt;
+    if (!spec.isTimed()) {
+        return acceptedAt;
+    }
+    const std::int64_t first = clampTime(spec.firstDue.time_since_epoch().count());
+    const std::int64_t interval = clampedInterval(spec);
+    const std::int64_t longest = MaxTime - first;
+    const bool isBeyond = interval > 0 && occurrence > longest / interval;
+    return WallTime(Milliseconds(isBeyond ? MaxTime : first + interval * occurrence));
 }
 
 WallTime Job::objective(std::uint32_t occurrence) const
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -72,6 +72,11 @@
     {
         return !isDone && run == RunState::None;
     }
+    /// Whether it is as it was when its job was submitted.
+    bool isUntouched() const
+    {
+        return isWaiting() && attempt == 0 && failures == 0 && crashes == 0 && checkpoint.empty();
+    }
 };
 
 /// Why a ready task has not been assigned to a worker.
@@ -82,6 +87,7 @@
     UnknownQuota, ///< the limits of the workspaces are not known to the shard
     Advice, ///< the advice service has allowed no worker that has room
     EmptyWorker, ///< workers have crashed under it, so it needs one for itself
+    OpenTasks, ///< too many tasks of other occurrences are in memory until these are done
     OpenLoss, ///< whether a worker has crashed under it once more is not known yet
 };
 
@@ -95,7 +101,10 @@
 };
 
 struct StageProgress {
+    /// The first ones, at least up to the last one that has been assigned. All others are untouched, and take
+    /// no memory.
     std::vector<Task> tasks;
+    std::uint32_t count = 0; ///< of all tasks
     std::uint32_t done = 0;
     std::optional<StageWait> wait; ///< of its ready tasks as of the last placement
     StageTimes times; ///< of the runs that this owner has measured
@@ -106,28 +115,42 @@
 
     bool isDone() const
     {
-        return done == tasks.size();
+        return done == count;
     }
     bool hasWaitingTask() const;
+    std::uint32_t waitingTasks() const;
+    /// Adds the tasks that are not in `tasks`.
+    std::vector<Task> &allTasks();
+    /// Adds the next untouched task to `tasks`.
+    Task &addTask();
+    /// Removes untouched tasks from the end of `tasks`.
+    void removeUntouched();
 };
 
 /// One execution of a job's graph of stages.
 struct Occurrence {
     std::vector<StageProgress> stages;
-    bool isDone = false;
+
+    /// Whether any task has been assigned.
+    bool isTouched() const;
+    /// The number of tasks and stages, for limits of memory.
+    std::uint64_t size() const;
 };
 
 struct Job {
     JobSpec spec;
     JobState state = JobState::Active;
     JobState storedState = JobState::Active; ///< latest stored state, reported to callers
-    std::map<std::uint32_t, Occurrence> occurrences; ///< occurrences that are due, by number
+    /// The open ones by number: due and not done, within openLimit().
+    std::map<std::uint32_t, Occurrence> occurrences;
     std::uint32_t occurrencesDone = 0;
-    std::uint32_t nextOccurrence = 0;
+    std::uint32_t nextOccurrence = 0; ///< the lowest one that has not been opened
     bool hasStarted = false;
     WallTime acceptedAt{};
     WallTime endedAt{};
 
+    bool isReleased = false; ///< see releaseProgress()
+    std::string_view releasedFailureReason;
     bool isStored = false; ///< whether the specification is known to be stored
     std::uint64_t firstBatch = 0; ///< number of the append that contains the specification; 0: none yet
     bool isDirty = false; ///< whether the progress has changed since the last append
@@ -135,8 +158,17 @@
     std::vector<ReplyId> acceptanceReplies;
     std::vector<ReplyId> cancelReplies;
 
-    /// Adds occurrence `number` with all tasks waiting.
+    /// Opens occurrence `number` with all tasks waiting.
     Occurrence &addOccurrence(std::uint32_t number);
+    /// The number of occurrences that may be open at the same time, and of untouched ones among them.
+    std::uint64_t openLimit() const;
+    std::uint64_t untouchedLimit() const;
+    /// The number of occurrences of a timed job that are due by then.
+    std::uint32_t dueOccurrences(WallTime time) const;
+    /// Those of them that have not been opened.
+    std::uint32_t unopenedOccurrences(WallTime time) const;
+    /// Frees what is not needed to report the state of an ended job without runs.
+    void releaseProgress();
     /// Null if the job has no such task.
     Task *find(const TaskId &id);
     const Task *find(const TaskId &id) const;
@@ -148,6 +180,8 @@
 
     /// Why the job has failed; empty if it has not.
     std::string_view failureReason() const;
+    /// An upper estimate of the memory that the job takes without touched occurrences, in bytes.
+    std::size_t memory() const;
 
     /// What a task of the stage is expected to take.
     Milliseconds expectedTime(const Occurrence &occurrence, std::size_t stage) const;
@@ -156,6 +190,8 @@
     /// The length of the critical path through the graph of an occurrence; of one that is not due yet by the
     /// declared times.
     Milliseconds criticalPath(std::uint32_t occurrence) const;
+    /// What the tasks of an occurrence need that depend on no others.
+    Resources firstStagesSize() const;
     /// The estimated work of the first occurrence without long-running tasks, in core-seconds.
     double work() const;
     /// When the occurrence may start.
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -198,6 +198,19 @@
     return task;
 }
 
+// The reader opens untouched occurrences from here on itself, as far as they are due.
+std::uint32_t recordedNext(const Job &job)
+{
+    std::uint32_t next = job.nextOccurrence;
+    for (auto it = job.occurrences.rbegin(); it != job.occurrences.rend(); ++it) {
+        if (it->first + 1 != next || it->second.isTouched()) {
+            break;
+        }
+        next = it->first;
+    }
+    return next;
+}
+
 } // namespace
 
 std::string specKey(std::string_view job)
@@ -311,22 +324,29 @@
     if (job.state != JobState::Active) {
         out["ended"] = job.endedAt.time_since_epoch().count();
     }
+    const std::uint32_t next = recordedNext(job);
     json::object occurrences;
     for (const auto &[number, occurrence] : job.occurrences) {
-        if (occurrence.isDone) {
+        if (number >= next) {
             continue;
         }
         json::array stages;
         for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
+            const StageProgress &progress = occurrence.stages[n];
             json::array tasks;
-            for (const Task &it : occurrence.stages[n].tasks) {
+            tasks.reserve(progress.count);
+            for (const Task &it : progress.tasks) {
                 tasks.push_back(encodeTask(n, it, timeLeft));
             }
+            // Earlier builds take a stage for done whose tasks in the record are.
+            while (tasks.size() < progress.count) {
+                tasks.push_back(encodeTask(n, Task(), {}));
+            }
             stages.push_back(std::move(tasks));
         }
         occurrences[std::to_string(number)] = std::move(stages);
     }
-    out["next"] = job.nextOccurrence;
+    out["next"] = next;
     out["tasks"] = std::move(occurrences);
     return json::serialize(out);
 }
@@ -376,6 +396,9 @@
                     stage.tasks.push_back(decodeTask(task.as_array()));
                     stage.done += stage.tasks.back().isDone ? 1 : 0;
                 }
+                stage.count = static_cast<std::uint32_t>(stage.tasks.size());
+                stage.removeUntouched();
+                stage.tasks.shrink_to_fit();
                 occurrence.stages.push_back(std::move(stage));
             }
             if (occurrence.stages.size() != read.spec.stages.size()) {
--- a/src/libs/jobs/jobspec.h
+++ b/src/libs/jobs/jobspec.h
@@ -43,6 +43,12 @@
     }
 };
 
+inline Resources multiple(const Resources &of, std::uint64_t n)
+{
+    const auto factor = static_cast<std::int64_t>(n);
+    return {of.milliCores * factor, of.memory * factor, of.accelerators * factor};
+}
+
 /// The larger amount of each resource.
 inline Resources larger(const Resources &a, const Resources &b)
 {
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -121,6 +121,7 @@
 {
     const std::string id = job.spec.id;
     Job &added = m_jobs[id] = std::move(job);
+    m_heldBytes += added.memory();
     m_active.push_back(&added);
     return added;
 }
@@ -213,6 +214,7 @@
                 }
             }
         }
+        m_heldBytes += job.memory();
         if (job.state == JobState::Active) {
             m_active.push_back(&job);
             addDueOccurrences(job, wall);
@@ -323,6 +325,16 @@
     return m_fairShares;
 }
 
+void Shard::setMemoryLimits(const MemoryLimits &limits)
+{
+    m_memoryLimits = limits;
+}
+
+std::size_t Shard::heldBytes() const
+{
+    return m_heldBytes;
+}
+
 void Shard::setMembershipLapsed(bool isLapsed)
 {
     if (m_isMembershipLapsed != isLapsed) {
@@ -361,6 +373,13 @@
     return isStalled ? "store does not answer" : std::string_view();
 }
 
+// A job that takes more by itself is accepted, too, if there is little else.
+bool Shard::hasMemoryFor(const Job &job) const
+{
+    return m_heldBytes + job.memory() <= m_memoryLimits.jobBytes
+        || m_heldBytes <= m_memoryLimits.jobBytes / 4;
+}
+
 void Shard::refuse(std::string_view job, std::string_view reason, ReplyId replyId)
 {
     Base::LogLine(Base::LogLevel::Info, "job-refused")
@@ -456,6 +475,10 @@
     }
     Job accepted;
     accepted.spec = std::move(spec);
+    if (!hasMemoryFor(accepted)) {
+        refuse(accepted.spec.id, "the jobs of this shard take all memory that they may", replyId);
+        return;
+    }
     accepted.spec.isExcess = !m_arrivalAllowance.isWithin(accepted.spec.workspace, now);
     accepted.acceptedAt = wall;
     accepted.acceptanceReplies.push_back(replyId);
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -6,6 +6,7 @@
 #include "jobrecord.h"
 #include "losscounts.h"
 #include "lostruns.h"
+#include "memorylimits.h"
 #include "placement.h"
 #include "quotausage.h"
 #include "reservations.h"
@@ -79,6 +80,9 @@
     void setArrivalRates(ArrivalAllowance::Rates rates);
     /// What the workspaces may have while they ask for more than the workers have, as of the last placement.
     const FairShares &fairShares() const;
+    void setMemoryLimits(const MemoryLimits &limits);
+    /// An upper estimate of the memory that the jobs take, without their begun tasks, in bytes.
+    std::size_t heldBytes() const;
     /// While the membership of this owner has lapsed, no job is accepted or started. Existing runs continue.
     void setMembershipLapsed(bool isLapsed);
     /// Appends a record without content, if there is nothing else to append. That the store accepts it shows
@@ -199,6 +203,7 @@
     std::string_view refusalReason(Base::Instant now) const;
     void refuse(std::string_view job, std::string_view reason, ReplyId reply);
     Job &addJob(Job job);
+    bool hasMemoryFor(const Job &job) const;
     void markChanged(Job &job);
 
     // Runs and workers, see shardworkers.cpp, shardruns.cpp and shardeviction.cpp.
@@ -257,6 +262,7 @@
                               const Worker &worker,
                               Base::Instant now,
                               WallTime wall) const;
+    static void addUnopenedDemand(const Job &job, WallTime wall, ServiceDemand &demand);
     /// Raises the demand for cores where workers have shrunk.
     void scaleDemandToShrunkWorkers(std::map<std::string, ServiceDemand> &demands) const;
     /// Sets ServiceDemand::emptyWorkers of each service, given its releasable workers.
@@ -310,7 +316,10 @@
     void addUnrecordedConfirmations(std::vector<Record> &records, Base::Instant now) const;
 
     // Placement and appends, see shardplacement.cpp and shardappends.cpp.
+    /// Opens the occurrences that are due, lowest first, as far as Job::openLimit() allows.
     void addDueOccurrences(Job &job, WallTime wall);
+    /// Whether a task of the occurrence may be assigned without too many tasks being in memory.
+    bool mayBegin(const Occurrence &occurrence) const;
     void place(Base::Instant now, WallTime wall);
     /// Returns the candidates that the advice service allows, and queries the service if none of them has
     /// room.
@@ -368,6 +377,8 @@
     bool m_isOwnerRecordStored = false; ///< the owner record is known to be stored
     bool m_areEarlierOwnersRecorded = false; ///< the stored owner record names earlier owners
     std::map<std::string, Job, std::less<>> m_jobs;
+    MemoryLimits m_memoryLimits;
+    std::size_t m_heldBytes = 0; ///< sum of Job::memory()
     // Jobs that have not ended. Ended ones stay in m_jobs for minutes, so each pass iterates over these only.
     std::vector<Job *> m_active;
     std::vector<Job *> m_changed; ///< jobs with isDirty set
@@ -400,6 +411,7 @@
     LossCounts m_losses;
     bool m_hasDeadlyTask = false; ///< too many workers have crashed under some task since the last pass
     std::uint32_t m_emptiedWorkers = 0; ///< in this placement
+    std::uint64_t m_begunTasks = 0; ///< of the occurrences that have been begun, in this placement
     AdviceCache m_advice;
     QuotaUsage m_quotaUsage;
     ArrivalAllowance m_arrivalAllowance;
--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -220,6 +220,7 @@
         stopRuns(job, now);
         std::erase(m_active, &job);
         std::erase(m_changed, &job);
+        m_heldBytes -= job.memory();
         it = m_jobs.erase(it);
     }
     for (auto it = m_redirectedJobs.begin(); it != m_redirectedJobs.end();) {
@@ -238,13 +239,22 @@
 void Shard::removeEndedJobs(WallTime wall)
 {
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
-        const Job &job = it->second;
-        const bool isOver =
-            job.storedState != JobState::Active && !job.isDirty && job.endedAt + m_settings.retention <= wall;
-        if (!isOver || job.hasRuns()) {
+        Job &job = it->second;
+        const bool isStoredAsEnded = job.storedState != JobState::Active && !job.isDirty;
+        if (!isStoredAsEnded || job.hasRuns()) {
+            ++it;
+            continue;
+        }
+        if (!job.isReleased) {
+            m_heldBytes -= job.memory();
+            job.releaseProgress();
+            m_heldBytes += job.memory();
+        }
+        if (job.endedAt + m_settings.retention > wall) {
             ++it;
             continue;
         }
+        m_heldBytes -= job.memory();
         m_deletedKeys.push_back(progressKey(it->first));
         m_deletedKeys.push_back(specKey(it->first));
         it = m_jobs.erase(it);
--- a/src/libs/jobs/sharddemand.cpp
+++ b/src/libs/jobs/sharddemand.cpp
@@ -31,6 +31,9 @@
 // Limits the demand of a service whose workers have shrunk, as a multiple of what it would be otherwise.
 constexpr double MaxDemandGrowth = 4;
 
+// Of a job in ServiceDemand.
+constexpr std::uint32_t MaxCountedOccurrences = 100'000;
+
 // A long-running task that has found no worker for this time asks for an empty one. Moving a machine to the
 // pool because of the demand for cores takes less.
 constexpr Milliseconds StuckTaskDelay{3000};
@@ -39,6 +42,9 @@
 // waiting.
 Milliseconds elapsedTime(const StageProgress &progress, Base::Instant now)
 {
+    if (progress.tasks.size() < progress.count) {
+        return {};
+    }
     Base::Duration shortest = Base::Duration::max();
     for (const Task &it : progress.tasks) {
         if (it.isWaiting()) {
@@ -71,6 +77,7 @@
     for (const Job *job : m_active) {
         ServiceDemand &demand = demands[job->spec.queue.service];
         demand.service = job->spec.queue.service;
+        addUnopenedDemand(*job, wall, demand);
         for (const auto &[number, occurrence] : job->occurrences) {
             for (std::uint32_t n = 0; n < occurrence.stages.size(); ++n) {
                 const Stage &stage = job->spec.stages[n];
@@ -122,6 +129,21 @@
     return list;
 }
 
+// Of occurrences that are due and not open. The later ones are due, the longer they can still be in time.
+void Shard::addUnopenedDemand(const Job &job, WallTime wall, ServiceDemand &demand)
+{
+    const std::uint32_t unopened = job.unopenedOccurrences(wall);
+    if (unopened == 0) {
+        return;
+    }
+    const Milliseconds allowed = job.objective(0) - job.due(0);
+    const WallTime latest = wall + job.criticalPath(job.nextOccurrence) - allowed;
+    const std::uint32_t late = std::min(unopened, job.unopenedOccurrences(latest - Milliseconds(1)));
+    const std::int64_t cores = job.firstStagesSize().milliCores;
+    demand.lateMilliCores += std::min(late, MaxCountedOccurrences) * cores;
+    demand.milliCores += std::min(unopened - late, MaxCountedOccurrences) * cores;
+}
+
 // The planner counts machines of full size, so a service whose workers have shrunk needs more of them.
 void Shard::scaleDemandToShrunkWorkers(std::map<std::string, ServiceDemand> &demands) const
 {
@@ -194,10 +216,7 @@
                     servicesWithStuckTasks.insert(job->spec.queue.service);
                     continue;
                 }
-                const bool isWaiting = !isBusy && job->isReady(occurrence, n)
-                    && std::any_of(progress.tasks.begin(), progress.tasks.end(), [](const Task &it) {
-                           return it.isWaiting();
-                       });
+                const bool isWaiting = !isBusy && job->isReady(occurrence, n) && progress.hasWaitingTask();
                 const Resources size = reservedResources(job->spec.stages[n]);
                 const bool fits = std::any_of(room.free.begin(), room.free.end(), [&](const Resources &it) {
                     return it.contains(size);
@@ -229,7 +248,7 @@
                 }
                 const auto waiting =
                     std::find_if(tasks.begin(), tasks.end(), [](const Task &it) { return it.isWaiting(); });
-                if (waiting == tasks.end()) {
+                if (!occurrence.stages[n].hasWaitingTask()) {
                     continue;
                 }
                 std::uint32_t full = 0;
--- a/src/libs/jobs/shardeviction.cpp
+++ b/src/libs/jobs/shardeviction.cpp
@@ -49,9 +49,10 @@
 
 std::uint32_t Shard::unavailableSiblings(const Job &job, const TaskId &id, const Task &task) const
 {
-    std::uint32_t unavailable = 0;
+    const StageProgress &progress = job.occurrences.at(id.occurrence).stages[id.stage];
+    auto unavailable = static_cast<std::uint32_t>(progress.count - progress.tasks.size());
     const bool isOnStayingWorker = !m_workers.at(task.worker).info.isDraining;
-    for (const Task &it : job.occurrences.at(id.occurrence).stages[id.stage].tasks) {
+    for (const Task &it : progress.tasks) {
         const bool isAvailable =
             isServing(it) && !(isOnStayingWorker && m_workers.at(it.worker).info.isDraining);
         unavailable += &it != &task && !isAvailable ? 1 : 0;
--- a/src/libs/jobs/shardexpectations.cpp
+++ b/src/libs/jobs/shardexpectations.cpp
@@ -90,9 +90,7 @@
     m_expectedRevision = m_runTimes.revision();
     for (Job *job : m_active) {
         for (auto &[number, occurrence] : job->occurrences) {
-            if (!occurrence.isDone) {
-                updateExpectations(*job, occurrence);
-            }
+            updateExpectations(*job, occurrence);
         }
     }
 }
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -40,18 +40,37 @@
 // The same for a worker on which no other such task is new.
 constexpr Milliseconds MaxApartTime{2500};
 
+// Occurrences of at most this part of MemoryLimits::begunTasks may exceed it by half, so that they need not
+// wait for the end of large ones.
+constexpr std::uint64_t SmallOccurrenceDivisor = 100;
+
 } // namespace
 
 void Shard::addDueOccurrences(Job &job, WallTime wall)
 {
-    while (job.spec.isTimed() && job.nextOccurrence < job.spec.occurrences
-           && job.spec.firstDue + job.spec.interval * job.nextOccurrence - m_settings.occurrenceLead
-               <= wall) {
+    const std::uint32_t unopened = job.unopenedOccurrences(wall + m_settings.occurrenceLead);
+    if (unopened == 0) {
+        return;
+    }
+    const auto touched = static_cast<std::uint64_t>(
+        std::count_if(job.occurrences.begin(), job.occurrences.end(), [](const auto &it) {
+            return it.second.isTouched();
+        }));
+    const std::uint64_t most = std::min(job.openLimit(), touched + job.untouchedLimit());
+    for (std::uint32_t n = 0; n < unopened && job.occurrences.size() < most; ++n) {
         updateExpectations(job, job.addOccurrence(job.nextOccurrence));
-        markChanged(job);
+        m_hasChanged = true;
     }
 }
 
+bool Shard::mayBegin(const Occurrence &occurrence) const
+{
+    const std::uint64_t size = occurrence.size();
+    const std::uint64_t limit = m_memoryLimits.begunTasks;
+    const std::uint64_t most = size * SmallOccurrenceDivisor <= limit ? limit / 2 * 3 : limit;
+    return m_begunTasks == 0 || m_begunTasks + size <= most;
+}
+
 void Shard::processDue(Base::Instant now, WallTime wall)
 {
     endExpiredRuns(now);
@@ -79,9 +98,12 @@
                 continue;
             }
             addDueOccurrences(*job, wall);
-            const WallTime next =
-                job->spec.firstDue + job->spec.interval * job->nextOccurrence - m_settings.occurrenceLead;
-            m_nextOccurrenceDue = std::min<Base::Instant>(m_nextOccurrenceDue, now + (next - wall));
+            // One that is due already is opened by a placement.
+            const Milliseconds left = job->due(job->nextOccurrence) - m_settings.occurrenceLead - wall;
+            if (job->nextOccurrence < job->spec.occurrences && left > Milliseconds::zero()
+                && left < SweepPeriod) {
+                m_nextOccurrenceDue = std::min<Base::Instant>(m_nextOccurrenceDue, now + left);
+            }
         }
     }
     if (m_batch && now - m_batch->sentAt > m_settings.appendTimeout) {
@@ -136,12 +158,13 @@
     m_emptiedWorkers = 0;
     m_quotaUsage.startRound();
     m_nextPlacementRetry = Base::Instant::max();
+    m_begunTasks = 0;
     std::vector<UnfinishedOccurrence> ready;
     for (Job *job : m_active) {
+        addDueOccurrences(*job, wall);
         for (auto &[number, occurrence] : job->occurrences) {
-            if (!occurrence.isDone) {
-                ready.push_back({job, number, &occurrence});
-            }
+            ready.push_back({job, number, &occurrence});
+            m_begunTasks += occurrence.isTouched() ? occurrence.size() : 0;
         }
     }
     updateExpectations(now);
@@ -154,6 +177,11 @@
             if (it.occurrence->stages[stage].isDone() || !it.job->isReady(*it.occurrence, stage)) {
                 continue;
             }
+            const bool isTouched = it.occurrence->isTouched();
+            if (!isTouched && !mayBegin(*it.occurrence)) {
+                it.occurrence->stages[stage].setWait(WaitReason::OpenTasks, now);
+                continue;
+            }
             if (m_quotaUsage.isBlocked(it.job->spec.workspace)) {
                 StageProgress &progress = it.occurrence->stages[stage];
                 if (progress.hasWaitingTask()) {
@@ -165,7 +193,9 @@
                 placeGang(*it.job, it.number, *it.occurrence, stage, now);
             } else {
                 placeStage(*it.job, it.number, *it.occurrence, stage, now);
+                it.occurrence->stages[stage].removeUntouched();
             }
+            m_begunTasks += !isTouched && it.occurrence->isTouched() ? it.occurrence->size() : 0;
         }
     }
 }
@@ -264,9 +294,8 @@
             return reservedResources(wanted).contains(it);
         });
     std::vector<Candidate> candidates;
-    for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
-        Task &task = progress.tasks[n];
-        if (!task.isWaiting()) {
+    for (std::uint32_t n = 0; n < progress.count; ++n) {
+        if (n < progress.tasks.size() && !progress.tasks[n].isWaiting()) {
             continue;
         }
         if (isTooLarge) {
@@ -274,6 +303,7 @@
             progress.setWait(m_roomReason, now);
             return;
         }
+        Task &task = n < progress.tasks.size() ? progress.tasks[n] : progress.addTask();
         if (candidates.empty()) {
             candidates = allowedByAdvice(job, number, stage, candidatesFor(job, wanted, progress), now);
         }
@@ -315,10 +345,7 @@
         }
         if (!m_quotaUsage.allows(job.spec.workspace, wanted.size)) {
             progress.setWait(quotaWaitReason(), now);
-            const auto waiting = std::count_if(progress.tasks.begin() + n,
-                                               progress.tasks.end(),
-                                               [](const Task &it) { return it.isWaiting(); });
-            m_quotaUsage.block(job.spec.workspace, wanted.size, static_cast<std::uint32_t>(waiting));
+            m_quotaUsage.block(job.spec.workspace, wanted.size, progress.waitingTasks());
             return;
         }
         progress.wait.reset();
@@ -437,7 +464,7 @@
     Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now)
 {
     StageProgress &progress = occurrence.stages[stage];
-    std::uint32_t attempt = 0;
+    std::uint32_t attempt = 1;
     std::string checkpoint;
     for (const Task &it : progress.tasks) {
         if (!it.isWaiting()) {
@@ -477,9 +504,10 @@
         return;
     }
     progress.wait.reset();
-    for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
-        progress.tasks[n].checkpoint = checkpoint;
-        assign(job, {job.spec.id, number, stage, n}, progress.tasks[n], *places[n], attempt, now);
+    std::vector<Task> &tasks = progress.allTasks();
+    for (std::uint32_t n = 0; n < tasks.size(); ++n) {
+        tasks[n].checkpoint = checkpoint;
+        assign(job, {job.spec.id, number, stage, n}, tasks[n], *places[n], attempt, now);
     }
 }
 
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -114,8 +114,9 @@
     StageProgress &progress = occurrence.stages[id.stage];
     const Stage &stage = job.spec.stages[id.stage];
     // The end of one task completes its whole gang.
-    for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
-        Task &task = progress.tasks[n];
+    std::vector<Task> &tasks = stage.isGang ? progress.allTasks() : progress.tasks;
+    for (std::uint32_t n = 0; n < tasks.size(); ++n) {
+        Task &task = tasks[n];
         if ((n != id.index && !stage.isGang) || task.isDone) {
             continue;
         }
@@ -130,7 +131,8 @@
             occurrence.stages.begin(), occurrence.stages.end(), [](const auto &it) { return it.isDone(); })) {
         return;
     }
-    occurrence.isDone = true;
+    // Its runs have ended with its tasks.
+    job.occurrences.erase(id.occurrence);
     ++job.occurrencesDone;
     const std::uint32_t all = std::max<std::uint32_t>(1, job.spec.occurrences);
     if (job.occurrencesDone >= all) {
--- a/src/libs/jobs/waitreport.cpp
+++ b/src/libs/jobs/waitreport.cpp
@@ -25,10 +25,7 @@
                 const auto waited = std::chrono::duration_cast<Milliseconds>(now - progress.wait->since);
                 WaitReport &report = reports[{job->spec.workspace, job->spec.queue.service, reason}];
                 report.jobs += report.longest != job ? 1 : 0;
-                report.tasks += static_cast<std::uint32_t>(
-                    std::count_if(progress.tasks.begin(), progress.tasks.end(), [](const Task &it) {
-                        return it.isWaiting();
-                    }));
+                report.tasks += progress.waitingTasks();
                 if (!report.longest || waited > report.longestWait) {
                     report.longest = job;
                     report.stage = n;
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -26,6 +26,7 @@
 
 struct HostSettings {
     Jobs::ShardSettings shard;
+    std::size_t memory = 128U << 20U; ///< of this process, in bytes
     Base::Duration minMembershipLifetime =
         std::chrono::milliseconds{1000}; ///< shortest lifetime that the store allows
     Base::Duration retryDelay = std::chrono::milliseconds{150}; ///< before a store call is repeated
@@ -247,6 +248,16 @@
         return all;
     }
 
+    /// An upper estimate of the memory of the jobs, see Jobs::Shard::heldBytes().
+    std::size_t heldBytes() const
+    {
+        std::size_t bytes = 0;
+        for (const auto &[number, hosted] : m_hosted) {
+            bytes += hosted->shard->heldBytes();
+        }
+        return bytes;
+    }
+
     void handle(JobRequest request, Reply reply)
     {
         const auto it = m_hosted.find(request.shard);
@@ -1028,6 +1039,7 @@
         hosted->isRunningPass = true;
         detectSuspension();
         const Base::Instant now = m_timers.now();
+        hosted->shard->setMemoryLimits(Jobs::memoryLimits(m_settings.memory, m_layout.size()));
         hosted->shard->setMembershipLapsed(!m_ownership.isValid(now));
         hosted->shard->processDue(now, m_wallClock());
         for (Jobs::Command &command : hosted->shard->takeCommands()) {
--- a/tests/auto/jobs/queuesimulation.h
+++ b/tests/auto/jobs/queuesimulation.h
@@ -168,7 +168,6 @@
             if (std::all_of(occurrence.stages.begin(), occurrence.stages.end(), [](const auto &it) {
                     return it.isDone();
                 })) {
-                occurrence.isDone = true;
                 job.state = Jobs::JobState::Completed;
                 job.endedAt = Jobs::WallTime(Milliseconds(now));
             }
@@ -186,7 +185,7 @@
                     continue;
                 }
                 const auto &wanted = it.job->spec.stages[stage];
-                auto &tasks = it.occurrence->stages[stage].tasks;
+                auto &tasks = it.occurrence->stages[stage].allTasks();
                 for (std::uint32_t n = 0; n < tasks.size(); ++n) {
                     if (!tasks[n].isWaiting() || free < wanted.size.milliCores) {
                         continue;
--- a/tests/auto/jobs/tst_earlierbuilds.cpp
+++ b/tests/auto/jobs/tst_earlierbuilds.cpp
@@ -189,7 +189,7 @@
     Jobs::Job job;
     job.spec = SimulatedPlatform::makeJob("a", 1, 2);
     job.spec.stages[0].isGang = true;
-    auto &tasks = job.addOccurrence(0).stages[0].tasks;
+    auto &tasks = job.addOccurrence(0).stages[0].allTasks();
     for (const bool isAssigned : {false, true}) {
         tasks[0].attempt = 2;
         tasks[0].failures = 1;
@@ -213,7 +213,7 @@
 {
     Jobs::Job job;
     job.spec = SimulatedPlatform::makeJob("a", 1, 1);
-    Jobs::Task &task = job.addOccurrence(0).stages[0].tasks[0];
+    Jobs::Task &task = job.addOccurrence(0).stages[0].allTasks()[0];
     task.attempt = 3;
     task.crashes = 2;
     task.run = Jobs::RunState::Running;
--- a/tests/auto/jobs/tst_fairshares.cpp
+++ b/tests/auto/jobs/tst_fairshares.cpp
@@ -42,7 +42,7 @@
         job.spec.stages[0].estimate = 1000ms;
         job.acceptedAt = Now;
         Jobs::Occurrence &occurrence = job.addOccurrence(0);
-        for (Jobs::Task &it : occurrence.stages[0].tasks) {
+        for (Jobs::Task &it : occurrence.stages[0].allTasks()) {
             it.run = run;
         }
         job.hasStarted = run != Jobs::RunState::None;
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -38,7 +38,7 @@
 {
     Jobs::Job job;
     job.spec = SimulatedPlatform::makeJob("a", 1, 3);
-    auto &tasks = job.addOccurrence(0).stages[0].tasks;
+    auto &tasks = job.addOccurrence(0).stages[0].allTasks();
     tasks[0].isDone = true;
     tasks[1].run = Jobs::RunState::Running;
     tasks[1].worker = "w1";
@@ -66,7 +66,7 @@
     Jobs::Job job;
     job.spec = SimulatedPlatform::makeJob("a", 1, 2);
     job.spec.stages[0].isGang = true;
-    Jobs::Task &first = job.addOccurrence(0).stages[0].tasks[0];
+    Jobs::Task &first = job.addOccurrence(0).stages[0].allTasks()[0];
     first.attempt = 2;
     first.failures = 1;
     first.failedAttempt = 2;
@@ -85,7 +85,7 @@
 {
     Jobs::Job job;
     job.spec = SimulatedPlatform::makeJob("a", 1, 3);
-    auto &tasks = job.addOccurrence(0).stages[0].tasks;
+    auto &tasks = job.addOccurrence(0).stages[0].allTasks();
     tasks[0].crashes = 2;
     tasks[1].crashes = 1;
     tasks[1].run = Jobs::RunState::Running;
