Read the services of queues again when an append finds them outdated

Cause: the append of a queue's service names the end of the topic. An owner whose waiting read has missed another owner's record appends at the same outdated position every 50 ms until that read ends.

Change: after an append that was not done the follower reads at once, in place of the read that waits.

Before and after: the new test is red without the read.

--- a/src/libs/jobservice/queuehistory.h
+++ b/src/libs/jobservice/queuehistory.h
@@ -147,7 +147,7 @@
     }
 
     // The append is conditional on the offset. If another member has written in the meantime it fails, and
-    // what that member has written is read first.
+    // what that member has written is read first: soon, as a read that waits may have missed it.
     void append()
     {
         if (!m_additions.empty()) {
@@ -169,6 +169,7 @@
                     apply(it.key, &it.value);
                 }
             }
+            m_mayBeOutdated = answer.status == StoreStatus::NotDone;
         });
     }
 
@@ -186,6 +187,11 @@
                 .with("topic", m_topic);
             finish(it, false);
         }
+        if (!m_additions.empty() && std::exchange(m_mayBeOutdated, false)) {
+            m_timer.arm(RetryDelay, [this] { retry(); });
+            m_follower.refresh();
+            return;
+        }
         append();
     }
 
@@ -210,6 +216,7 @@
     RecordFollower<Platform> m_follower;
     Base::OneShotTimer m_timer;
     bool m_isAppending = false;
+    bool m_mayBeOutdated = false; ///< the latest append was not done, perhaps as others have written
 };
 
 } // namespace JobService
--- a/src/libs/jobservice/recordfollower.h
+++ b/src/libs/jobservice/recordfollower.h
@@ -116,6 +116,15 @@
         }
     }
 
+    /// Reads at once instead of waiting for new records. To be called when there are known to be some.
+    void refresh()
+    {
+        if (m_end && !m_isReadingSnapshot) {
+            m_timer.disarm();
+            readTail({});
+        }
+    }
+
     /// The offset up to which all records have been reported; nullopt until the snapshot has been read.
     std::optional<std::uint64_t> end() const
     {
@@ -225,10 +234,19 @@
     }
 
     void readTail()
+    {
+        readTail(m_settings.wait);
+    }
+
+    void readTail(Base::Duration wait)
     {
         m_isPaused = false;
         m_readAt = m_timers.now();
-        m_platform.readTail(m_topic, *m_end, m_settings.wait, progress(), [this](ReadResult<TailPage> read) {
+        const std::uint64_t number = ++m_lastTail;
+        m_platform.readTail(m_topic, *m_end, wait, progress(), [this, number](ReadResult<TailPage> read) {
+            if (number != m_lastTail) {
+                return; // replaced by refresh()
+            }
             auto &page = read.page;
             endRead(read.report, page.has_value());
             if (!page) {
@@ -382,6 +400,7 @@
     std::map<std::string, Entry> m_entries;
     std::set<std::string> m_snapshotKeys; ///< keys of the snapshot pages read so far
     std::optional<std::uint64_t> m_end;
+    std::uint64_t m_lastTail = 0; ///< number of the latest read of the tail
     Base::Instant m_lastRead;
     std::optional<Base::Instant> m_receivedAt; ///< latest part of an answer that is not whole
     Base::Instant m_readAt; ///< start of the latest read
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -1039,7 +1039,9 @@
                     readTail(topic, from, {}, progress, done);
                 }
             };
-            m_world.m_tailReads[topic].push_back(answer);
+            if (!missesNewRecords) {
+                m_world.m_tailReads[topic].push_back(answer);
+            }
             m_world.timers.subscribeAfter(wait - TailStep, answer);
             return;
         }
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -123,6 +123,7 @@
         Milliseconds appendDelay{}; ///< if not zero, appends are done after this time and not answered
         bool losesRenewalAnswers = false; ///< the same for all renewals of the membership
         bool rejectsConditionalAppends = false; ///< appends that name a position are not done
+        bool missesNewRecords = false; ///< reads that wait for new records are not ended by them
 
     private:
         SimulatedPlatform &m_world;
--- a/tests/auto/jobs/tst_queuechange.cpp
+++ b/tests/auto/jobs/tst_queuechange.cpp
@@ -243,6 +243,22 @@
     CHECK(statusOf(submitWith(world, "sign", "j")) == Status::Done);
 }
 
+// The first job of a queue was refused for up to five seconds, as an owner that hadn't seen the latest record
+// appended at an outdated position again and again.
+TEST(QueueChange, TheServiceOfAQueueIsStoredAlthoughTheLatestRecordWasMissed)
+{
+    SimulatedPlatform world(1, Shards);
+    addFleet(world);
+    world.run(6s);
+    world.owner(homeOf("proof"))->platform.missesNewRecords = true;
+    world.run(5s); // until its next read waits
+    CHECK(statusOf(submitWith(world, "sign", "j")) == Status::Done);
+    JobRequest request{.operation = Operation::Submit, .spec = SimulatedPlatform::makeJob("k", 1, 2)};
+    request.spec->queue.name = "others";
+    request.queuePath = "host/others/";
+    CHECK(statusOf(askWith(world, "proof", std::move(request))) == Status::Done);
+}
+
 // Members of earlier builds store no services and send no path.
 TEST(QueueChange, AnAcceptedJobIsShownWithAnEarlierBuildBeside)
 {
