--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -562,7 +562,6 @@
     }
     task.run = RunState::Starting;
     task.orderedAt = now;
-    job.hasStarted = true;
     StartRun order;
     order.worker = task.worker;
     order.token = worker.token;
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -188,6 +188,7 @@
         return;
     }
     Job &job = it->second;
+    job.hasStarted = true; // short runs end before they are listed
     const bool isCurrent =
         task->run != RunState::None && task->worker == worker.info.id && task->attempt == end.attempt;
     if (!isCurrent) {
@@ -334,6 +335,7 @@
     };
     switch (result) {
     case OrderResult::Done:
+        job.hasStarted = true;
         if (order.token != worker.token) {
             task->run = RunState::Inherited; // the answer may be from before the restart of the worker
         } else if (checkIncarnation(worker, clock, order.sentAt, now)) {
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -213,6 +213,9 @@
     for (const ListedRun &it : list.running) {
         const auto found = m_jobs.find(it.task.job);
         Task *task = found != m_jobs.end() ? found->second.find(it.task) : nullptr;
+        if (task) {
+            found->second.hasStarted = true;
+        }
         const bool isOurs =
             task && !task->isDone && task->worker == worker.info.id && task->attempt == it.attempt;
         if (!isOurs) {
@@ -251,7 +254,6 @@
             || task->run == RunState::Running) {
             task->run = RunState::Running;
             task->confirmedAt = list.clock;
-            found->second.hasStarted = true;
             task->listedSince = task->listedSince.value_or(now);
             if (task->crashes > 0
                 && hasRunFor(ProvenRunTime, found->second.spec.stages[it.task.stage], *task, now)) {
--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -580,6 +580,9 @@
 {
     using Jobs::OrderResult;
     const std::int64_t clock = clockOf(worker);
+    if (worker.isUnhealthy) {
+        return {OrderResult::Unhealthy, clock};
+    }
     if (order.token < worker.m_token) {
         return {OrderResult::Fenced, clock};
     }
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -43,6 +43,7 @@
         Milliseconds delay{1}; ///< one-way delay
         double delayedShare = 0; ///< share of orders that are carried out late and not answered
         bool failsAll = false;
+        bool isUnhealthy = false; ///< refuses all starts
         bool isStalled = false; ///< its runs do not progress
         Milliseconds longestStop{}; ///< a stopped run ends within this time
         Milliseconds entryLag{}; ///< until the list of workers shows a restart
