--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -40,9 +40,8 @@
              range<std::uint32_t>(32, 1'048'576),
              "Memory that the process may use. Two fifths of it are for the connections that others open: a "
              "quarter of these for requests being received, a quarter for those being handled, half for "
-             "answers that are not read yet. A sixth, 32 MB at most, is for jobs, and as much for the tasks "
-             "of "
-             "those that have been begun.")
+             "answers that are not read yet. An eighth, 24 MB at most, is for jobs, and a quarter, 45 MB at "
+             "most, for the tasks of those that have been begun.")
         .add(&JobInstanceSettings::descriptors,
              "descriptors",
              4200,
