--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -145,8 +145,7 @@
     std::map<std::uint32_t, Occurrence> occurrences;
     std::uint32_t occurrencesDone = 0;
     std::uint32_t nextOccurrence = 0; ///< the lowest one that has not been opened
-    bool hasStarted =
-        false; ///< whether a worker is known to have started a task; an order to do so isn't enough
+    bool hasStarted = false; ///< whether a worker is known to have started a task, not only been ordered to
     WallTime acceptedAt{};
     WallTime endedAt{};
 
