Log which run an end lets go of, and the stage's tasks on its worker

**Change.** `former-run-done` has the later run's worker and state, `stray-run` whether the task is done, `run-ordered` of a limited stage the tasks counted and listed on the worker and the time since the owner began. No decision changes.

--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -102,6 +102,27 @@
     return TaskId{std::string(text), numbers[0], numbers[1], numbers[2]};
 }
 
+std::string_view toString(RunState state)
+{
+    switch (state) {
+    case RunState::None:
+        return "none";
+    case RunState::Planned:
+        return "planned";
+    case RunState::Starting:
+        return "starting";
+    case RunState::Running:
+        return "running";
+    case RunState::Unanswered:
+        return "unanswered";
+    case RunState::Inherited:
+        return "inherited";
+    case RunState::Stopping:
+        return "stopping";
+    }
+    return "unknown";
+}
+
 std::string_view toString(WaitReason reason)
 {
     switch (reason) {
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -34,6 +34,9 @@
     Stopping, ///< the stop has been sent
 };
 
+/// For logs.
+std::string_view toString(RunState state);
+
 /// A start that got no answer.
 struct OpenStart {
     std::string worker;
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -17,6 +17,7 @@
 
 #include <base/instant.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -334,6 +335,12 @@
     WaitReason quotaWaitReason() const;
     const std::vector<Candidate> &candidatesOf(const std::string &service);
     std::vector<Candidate> candidatesFor(const Job &job, const Stage &stage, const StageProgress &progress);
+    /// The tasks of a stage on a worker, for logs.
+    struct StageTasks {
+        std::ptrdiff_t counted = 0; ///< by this owner, with the one that is about to start
+        std::ptrdiff_t listed = 0; ///< by the worker in its latest list
+    };
+    static StageTasks stageTasksOn(const Worker &worker, const Job &job, const TaskId &id);
     void placeStage(
         Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now);
     void
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -282,6 +282,20 @@
     return allowed;
 }
 
+// Not counted for stages without a limit, which may have thousands of tasks on a worker.
+Shard::StageTasks Shard::stageTasksOn(const Worker &worker, const Job &job, const TaskId &id)
+{
+    if (job.spec.stages[id.stage].tasksPerWorker == 0) {
+        return {};
+    }
+    const auto count = [&id](const auto &runs) {
+        return std::count_if(runs.begin(), runs.end(), [&id](const TaskId &it) {
+            return it.job == id.job && it.occurrence == id.occurrence && it.stage == id.stage;
+        });
+    };
+    return {count(worker.runs), count(worker.listedRuns)};
+}
+
 void Shard::placeStage(
     Job &job, std::uint32_t number, Occurrence &occurrence, std::uint32_t stage, Base::Instant now)
 {
@@ -572,6 +586,7 @@
     order.ticket = ticket.value_or(std::string());
     order.leaseEnd = leaseEnd(worker, now);
     order.sentAt = now;
+    const StageTasks there = stageTasksOn(worker, job, id);
     Base::LogLine(Base::LogLevel::Info, "run-ordered")
         .with("request", id.job)
         .with("task", toString(id))
@@ -582,7 +597,11 @@
         .with("worker_seen_ms", std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswer).count())
         .with("lease_end_clock", order.leaseEnd)
         .with("clock_age_ms", worker.clockAge.count())
-        .with("repeats", task.startRepeats);
+        .with("repeats", task.startRepeats)
+        .with("per_worker", job.spec.stages[id.stage].tasksPerWorker)
+        .with("stage_tasks", there.counted)
+        .with("stage_tasks_listed", there.listed)
+        .with("owned_ms", milliseconds(now - m_begunAt));
     m_commands.emplace_back(std::move(order));
     return true;
 }
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -171,12 +171,15 @@
     if (!isDone) {
         return;
     }
+    const Task &task = *job.find(end.task);
     Base::LogLine(Base::LogLevel::Warning, "former-run-done")
         .with("request", end.task.job)
         .with("task", toString(end.task))
         .with("attempt", end.attempt)
         .with("worker", worker.info.id)
-        .with("known_attempt", job.find(end.task)->attempt);
+        .with("known_attempt", task.attempt)
+        .with("known_worker", task.worker)
+        .with("known_run", toString(task.run));
     completeTask(job, end.task, wall, now);
 }
 
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -94,6 +94,7 @@
     worker.hasAnswered = false;
     worker.clock = 0;
     worker.previousClock = 0;
+    worker.listedRuns.clear();
     worker.processedCursor = 0;
     worker.ackCursor = 0;
     worker.acknowledgedCursor = 0;
@@ -203,6 +204,10 @@
     worker.clock = list.clock;
     worker.clockReadAt = now;
     worker.lastAnswer = now;
+    worker.listedRuns.clear();
+    for (const ListedRun &it : list.running) {
+        worker.listedRuns.push_back(it.task);
+    }
     std::vector<TaskId> listed;
     for (const ListedEnd &it : list.ended) {
         if (it.number > worker.processedCursor) {
@@ -229,7 +234,8 @@
                 .with("asked_with", askedWith)
                 .with("lease_end_clock", worker.orderedLeaseEnd)
                 .with("known_attempt", task ? task->attempt : 0)
-                .with("known_worker", task ? task->worker : std::string());
+                .with("known_worker", task ? task->worker : std::string())
+                .with("known_done", task && task->isDone);
             m_commands.emplace_back(StopRun{worker.info.id, worker.token, it.task, it.attempt, now});
             worker.backoffUntil = std::max(worker.backoffUntil, now + Worker::NoRoomBackoff);
             continue;
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Jobs
 {
@@ -68,6 +69,7 @@
     std::uint64_t ackCursor = 0; ///< run ends up to this number are stored
     std::uint64_t acknowledgedCursor = 0; ///< the worker has removed run ends up to this number
 
+    std::vector<TaskId> listedRuns; ///< runs in the latest list, whether they are in `runs` or not
     std::set<TaskId> runs; ///< runs assigned to the worker and not known to have ended
     std::set<TaskId> suspects; ///< of these, tasks under which a worker has crashed
     std::set<TaskId> isolatedRuns; ///< of these, tasks under which several workers have crashed
