Count the runs that a worker lists beside the tasks' current ones

**Cause.** A run that is not the current one of its task (a late start, or one that the owner before has ordered) was stopped when its worker listed it, but counted nowhere until it had ended. After 150 ms the worker took new runs: callers could see more tasks of a stage on it than its limit, work beyond its room, or a workspace beyond its quota.

**Change.** Such a run is kept at its worker from its listing until its end is listed, a later list lacks it, or the lease of its silent worker is over. Room, limit of the stage, quota and share of the workspace, suspects and whether a worker is empty include it. A worker with one whose job is not known gets no other run. It takes the place of the pause of 150 ms. Its stop is repeated until it is confirmed. Records and messages are the same as before.

**Conclusion.** Listed runs count. One that the end of a former run lets go of is not listed yet, so it still doesn't.

--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -105,7 +105,7 @@
     Worker *best = nullptr;
     for (const Candidate &it : candidates) {
         const bool isBetter = !best || it.worker->info.capacity.milliCores < best->info.capacity.milliCores;
-        const bool isEmpty = it.worker->runs.empty() && !it.worker->isAnswerOverdue(now);
+        const bool isEmpty = !it.worker->hasRuns() && !it.worker->isAnswerOverdue(now);
         if (isBetter && isEmpty && hasRoom(stage, it, now)) {
             best = it.worker;
         }
--- a/src/libs/jobs/shard.cpp
+++ b/src/libs/jobs/shard.cpp
@@ -534,7 +534,7 @@
     it->second.evacuatedUntil = now + m_settings.evacuationHold;
     m_nextEviction = std::min(m_nextEviction, now);
     m_hasChanged = true;
-    return it->second.runs.empty();
+    return !it->second.hasRuns();
 }
 
 void Shard::appended(std::uint64_t number, AppendResult result, Base::Instant now, WallTime)
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -149,10 +149,13 @@
     /// Since the shard was created.
     const LossCounts &losses() const;
     UnconfirmedRuns unconfirmedRuns(Base::Instant now) const;
+    /// The number of runs that are not the current ones of their tasks.
+    std::size_t strayRuns() const;
 
 private:
     static constexpr std::string_view OwnerKey = "owner";
     static constexpr Milliseconds MinReportedWait{1000};
+    static constexpr Milliseconds StopRetryDelay{250};
     // Crashes of workers under a task from which on it is given up.
     static constexpr std::uint32_t MaxCrashes = 3;
     // The same for a long-running one, as the other tasks of its job end with it.
@@ -230,6 +233,19 @@
                              const std::vector<TaskId> &listed,
                              Base::Instant now);
     void endRun(Job &job, const TaskId &id, Task &task);
+    /// Adds a stray run of the worker, which counts from then on.
+    StrayRun &addStrayRun(Worker &worker, const RunId &id, const Task &run);
+    /// Notes that the worker has listed a stray run.
+    void strayRunListed(
+        Worker &worker, OrderToken askedWith, const RunList &list, const ListedRun &run, Base::Instant now);
+    /// Ends the stray runs that the worker lists no more.
+    void endUnlistedStrayRuns(Worker &worker, OrderToken askedWith, const RunList &list);
+    void endExpiredStrayRuns(Worker &worker, Base::Instant now);
+    /// Returns the run after it.
+    Worker::StrayRuns::iterator
+    endStrayRun(Worker &worker, Worker::StrayRuns::iterator it, std::string_view reason);
+    void stopStrayRun(const Worker &worker, const TaskId &id, StrayRun &stray, Base::Instant now);
+    void repeatStrayStops(Base::Instant now);
     /// Ends a run that its worker took with it. `lostTogether` runs were lost at the same time.
     void endLostRun(Job &job, const TaskId &id, Task &task, std::size_t lostTogether, Base::Instant now);
     /// Ends a run that its worker does not list; it is lost if the worker has restarted since its assignment.
@@ -242,7 +258,8 @@
     void withdrawCrashes(const Worker &worker);
     /// Marks the run on its worker if workers have crashed under the task.
     static void markSuspect(Worker &worker, const TaskId &id, const Task &task);
-    void completeTask(Job &job, const TaskId &id, WallTime wall, Base::Instant now);
+    /// Completes the task by the end of a run, its current one or an earlier one.
+    void completeTask(const Worker &worker, Job &job, const ListedEnd &end, WallTime wall, Base::Instant now);
     void recordTaskFailure(Job &job, const TaskId &id, Task &task, Base::Instant now, WallTime wall);
     void orderStop(const TaskId &id, Task &task, Base::Instant now);
     void repeatOrStop(Job &job, const TaskId &id, Task &task, Base::Instant now);
@@ -307,7 +324,7 @@
     /// The same if a restarted worker carries the order out, at any time that it may take to arrive.
     Milliseconds longestTimeAfterRestart() const;
     /// The time by which the run has ended, unless the lease is renewed.
-    Base::Instant endOf(const Worker &worker, const Stage &stage, const Task &run) const;
+    Base::Instant endOf(const Worker &worker, bool isLongRunning, const Task &run) const;
     /// Whether this owner's first list of the worker may come from an incarnation that the owner before did
     /// not know of and has given leases to.
     bool mayBeUnknownToEarlierOwner(const Worker &worker, const RunList &list, Base::Instant now) const;
@@ -334,7 +351,7 @@
     /// Why tasks wait that the limits of their workspace don't allow.
     WaitReason quotaWaitReason() const;
     const std::vector<Candidate> &candidatesOf(const std::string &service);
-    std::vector<Candidate> candidatesFor(const Job &job, const Stage &stage, const StageProgress &progress);
+    std::vector<Candidate> candidatesFor(const Job &job, std::uint32_t number, std::uint32_t stage);
     /// The tasks of a stage on a worker, for logs.
     struct StageTasks {
         std::ptrdiff_t counted = 0; ///< by this owner, with the one that is about to start
--- a/src/libs/jobs/shardappends.cpp
+++ b/src/libs/jobs/shardappends.cpp
@@ -94,7 +94,8 @@
             if (!worker.isSilent()) {
                 return std::nullopt;
             }
-            return std::chrono::ceil<Milliseconds>(endOf(worker, job.spec.stages[stage], task) - now);
+            return std::chrono::ceil<Milliseconds>(endOf(worker, job.spec.stages[stage].isLongRunning, task)
+                                                   - now);
         };
         records.push_back({progressKey(job.spec.id), encodeProgress(job, timeLeft)});
         bytes += records.back().key.size() + records.back().value.size();
--- a/src/libs/jobs/shardeviction.cpp
+++ b/src/libs/jobs/shardeviction.cpp
@@ -151,8 +151,7 @@
         return;
     }
     const Stage &stage = job->second.spec.stages[id.stage];
-    StageProgress &progress = job->second.occurrences[id.occurrence].stages[id.stage];
-    if (Worker *place = chooseWorker(stage, candidatesFor(job->second, stage, progress), now)) {
+    if (Worker *place = chooseWorker(stage, candidatesFor(job->second, id.occurrence, id.stage), now)) {
         reserved.reserve(*place, reservedResources(stage));
     }
 }
@@ -168,9 +167,8 @@
         if (rule == EvictionRule::Never) {
             continue;
         }
-        StageProgress &progress = job.occurrences[it.occurrence].stages[it.stage];
         if (rule == EvictionRule::IfPlaceFound) {
-            Worker *place = chooseWorker(stage, candidatesFor(job, stage, progress), now);
+            Worker *place = chooseWorker(stage, candidatesFor(job, it.occurrence, it.stage), now);
             if (!place) {
                 continue;
             }
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -44,6 +44,11 @@
 // wait for the end of large ones.
 constexpr std::uint64_t SmallOccurrenceDivisor = 100;
 
+bool isOfStage(const TaskId &task, std::string_view job, std::uint32_t occurrence, std::uint32_t stage)
+{
+    return task.job == job && task.occurrence == occurrence && task.stage == stage;
+}
+
 } // namespace
 
 void Shard::addDueOccurrences(Job &job, WallTime wall)
@@ -139,12 +144,12 @@
         if (!worker.isRenewalPending && worker.isQueried()) {
             due = std::min(due, worker.nextRenewal);
         }
-        if (worker.isSilent() && !worker.runs.empty()) {
+        if (worker.isSilent() && worker.hasRuns()) {
             due = std::min<Base::Instant>(
                 due, worker.leaseExpiresBy > now ? worker.leaseExpiresBy : now + PlacementRetryPeriod);
         }
         const bool isEmptying = worker.drainDeadline || worker.evacuatedUntil > now;
-        if ((isEmptying && !worker.runs.empty()) || !m_stopping.empty()) {
+        if ((isEmptying && !worker.runs.empty()) || !m_stopping.empty() || !worker.strayRuns.empty()) {
             due = std::min(due, m_nextEviction);
         }
     }
@@ -205,7 +210,7 @@
 {
     FairShares::Capacities capacities;
     for (const auto &[id, worker] : m_workers) {
-        if (worker.isUsable(now) || !worker.runs.empty()) {
+        if (worker.isUsable(now) || worker.hasRuns()) {
             capacities[worker.info.service] += worker.info.capacity;
         }
     }
@@ -232,14 +237,14 @@
 
 // The workers of the stage's service. The number of the stage's tasks on each is set only if the stage limits
 // it.
-std::vector<Candidate> Shard::candidatesFor(const Job &job, const Stage &stage, const StageProgress &progress)
+std::vector<Candidate> Shard::candidatesFor(const Job &job, std::uint32_t number, std::uint32_t stage)
 {
     std::vector<Candidate> candidates = candidatesOf(job.spec.queue.service);
-    if (stage.tasksPerWorker == 0) {
+    if (job.spec.stages[stage].tasksPerWorker == 0) {
         return candidates;
     }
     std::map<std::string_view, std::uint32_t> tasksOn;
-    for (const Task &it : progress.tasks) {
+    for (const Task &it : job.occurrences.at(number).stages[stage].tasks) {
         if (it.run != RunState::None) {
             ++tasksOn[it.worker];
         }
@@ -247,6 +252,9 @@
     for (Candidate &it : candidates) {
         const auto found = tasksOn.find(it.worker->info.id);
         it.tasksOfStage = found != tasksOn.end() ? found->second : 0;
+        for (const auto &[run, stray] : it.worker->strayRuns) {
+            it.tasksOfStage += isOfStage(run.task, job.spec.id, number, stage) ? 1 : 0;
+        }
     }
     return candidates;
 }
@@ -288,12 +296,14 @@
     if (job.spec.stages[id.stage].tasksPerWorker == 0) {
         return {};
     }
-    const auto count = [&id](const auto &runs) {
-        return std::count_if(runs.begin(), runs.end(), [&id](const TaskId &it) {
-            return it.job == id.job && it.occurrence == id.occurrence && it.stage == id.stage;
-        });
+    const auto isCounted = [&id](const TaskId &it) {
+        return isOfStage(it, id.job, id.occurrence, id.stage);
     };
-    return {count(worker.runs), count(worker.listedRuns)};
+    const auto stray = std::count_if(worker.strayRuns.begin(),
+                                     worker.strayRuns.end(),
+                                     [&isCounted](const auto &it) { return isCounted(it.first.task); });
+    return {std::count_if(worker.runs.begin(), worker.runs.end(), isCounted) + stray,
+            std::count_if(worker.listedRuns.begin(), worker.listedRuns.end(), isCounted)};
 }
 
 void Shard::placeStage(
@@ -319,7 +329,7 @@
         }
         Task &task = n < progress.tasks.size() ? progress.tasks[n] : progress.addTask();
         if (candidates.empty()) {
-            candidates = allowedByAdvice(job, number, stage, candidatesFor(job, wanted, progress), now);
+            candidates = allowedByAdvice(job, number, stage, candidatesFor(job, number, stage), now);
         }
         if (mayNotStart(wanted, {job.spec.id, number, stage, n}, task)) {
             progress.setWait(WaitReason::OpenLoss, now);
@@ -497,7 +507,7 @@
             return;
         }
     }
-    const auto all = allowedByAdvice(job, number, stage, candidatesFor(job, wanted, progress), now);
+    const auto all = allowedByAdvice(job, number, stage, candidatesFor(job, number, stage), now);
     std::vector<Candidate> untried = all;
     std::erase_if(untried, [&progress](const Candidate &it) {
         return std::any_of(progress.tasks.begin(), progress.tasks.end(), [&it](const Task &task) {
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -15,7 +15,6 @@
 // crash after this time.
 constexpr Milliseconds MaxCrashDelay{3000};
 
-constexpr Milliseconds StopRetryDelay{250};
 constexpr Milliseconds UnhealthyBackoff{500};
 
 // A worker on which runs of this many jobs in a row failed gets no new runs for the back-off time.
@@ -108,8 +107,10 @@
     }
 }
 
-void Shard::completeTask(Job &job, const TaskId &id, WallTime wall, Base::Instant now)
+void Shard::completeTask(
+    const Worker &worker, Job &job, const ListedEnd &end, WallTime wall, Base::Instant now)
 {
+    const TaskId &id = end.task;
     Occurrence &occurrence = job.occurrences[id.occurrence];
     StageProgress &progress = occurrence.stages[id.stage];
     const Stage &stage = job.spec.stages[id.stage];
@@ -120,7 +121,10 @@
         if ((n != id.index && !stage.isGang) || task.isDone) {
             continue;
         }
-        if (task.run != RunState::None) {
+        const bool hasEnded = task.attempt == end.attempt && (stage.isGang || task.worker == worker.info.id);
+        if (task.run != RunState::None && hasEnded) {
+            endRun(job, {id.job, id.occurrence, id.stage, n}, task);
+        } else if (task.run != RunState::None) {
             endRun(job, {id.job, id.occurrence, id.stage, n}, task);
         }
         task.isDone = true;
@@ -131,7 +135,6 @@
             occurrence.stages.begin(), occurrence.stages.end(), [](const auto &it) { return it.isDone(); })) {
         return;
     }
-    // Its runs have ended with its tasks.
     job.occurrences.erase(id.occurrence);
     ++job.occurrencesDone;
     const std::uint32_t all = std::max<std::uint32_t>(1, job.spec.occurrences);
@@ -161,8 +164,8 @@
     }
 }
 
-// A start that was given up may have been carried out after all. A run that has been started since is a stray
-// one.
+// A start that was given up may have been carried out after all. A run that has been started since goes on
+// elsewhere.
 void Shard::completeByFormerRun(
     const Worker &worker, Job &job, const ListedEnd &end, Base::Instant now, WallTime wall)
 {
@@ -180,11 +183,14 @@
         .with("known_attempt", task.attempt)
         .with("known_worker", task.worker)
         .with("known_run", toString(task.run));
-    completeTask(job, end.task, wall, now);
+    completeTask(worker, job, end, wall, now);
 }
 
 void Shard::processRunEnd(Worker &worker, const ListedEnd &end, Base::Instant now, WallTime wall)
 {
+    if (const auto stray = worker.strayRuns.find({end.task, end.attempt}); stray != worker.strayRuns.end()) {
+        endStrayRun(worker, stray, toString(end.end));
+    }
     const auto it = m_jobs.find(end.task.job);
     Task *task = it != m_jobs.end() ? it->second.find(end.task) : nullptr;
     if (!task || task->isDone) {
@@ -212,7 +218,7 @@
         worker.consecutiveFailedJobs = 0;
         learnRunTime(job, end.task, *task, worker, now);
         if (job.state == JobState::Active && !job.spec.stages[end.task.stage].isLongRunning) {
-            completeTask(job, end.task, wall, now);
+            completeTask(worker, job, end, wall, now);
         } else {
             endRun(job, end.task, *task);
         }
@@ -407,12 +413,16 @@
         m_commands.emplace_back(RelinquishShard{"a worker has a newer owner"});
         return;
     }
+    Worker &worker = workerFor(order.worker);
     const auto it = m_jobs.find(order.task.job);
     Task *task = it != m_jobs.end() ? it->second.find(order.task) : nullptr;
+    const auto stray = worker.strayRuns.find({order.task, order.attempt});
+    if (stray != worker.strayRuns.end()) {
+        task = &stray->second.run;
+    }
     if (!task || task->run != RunState::Stopping || task->attempt != order.attempt) {
         return;
     }
-    Worker &worker = workerFor(order.worker);
     if (result == OrderResult::Done && order.token == worker.token
         && checkIncarnation(worker, clock, order.sentAt, now)) {
         task->isStopConfirmed = true;
@@ -434,6 +444,7 @@
             orderStop(it, *task, now);
         }
     }
+    repeatStrayStops(now);
 }
 
 // The runs of an unreachable worker have ended once all leases that any owner gave it have expired.
@@ -442,14 +453,15 @@
     for (auto &[id, worker] : m_workers) {
         // An owner that has just taken over has not heard of any worker yet, so most runs must not be
         // visited.
-        if (!worker.isSilent() || worker.runs.empty() || worker.earliestLeaseEnd() > now) {
+        if (!worker.isSilent() || !worker.hasRuns() || worker.earliestLeaseEnd() > now) {
             continue;
         }
+        endExpiredStrayRuns(worker, now);
         std::vector<TaskId> expired;
         for (const TaskId &it : worker.runs) {
             const Task &task = *m_jobs[it.job].find(it);
             const bool mayRun = task.run == RunState::Planned || task.run == RunState::Starting
-                || endOf(worker, m_jobs.at(it.job).spec.stages[it.stage], task) > now;
+                || endOf(worker, m_jobs.at(it.job).spec.stages[it.stage].isLongRunning, task) > now;
             if (!mayRun) {
                 expired.push_back(it);
             }
@@ -493,9 +505,10 @@
             continue;
         }
         ++found.runs;
-        found.longestWait = std::max(found.longestWait,
-                                     std::chrono::ceil<Milliseconds>(
-                                         endOf(worker, m_jobs.at(it.job).spec.stages[it.stage], task) - now));
+        found.longestWait =
+            std::max(found.longestWait,
+                     std::chrono::ceil<Milliseconds>(
+                         endOf(worker, m_jobs.at(it.job).spec.stages[it.stage].isLongRunning, task) - now));
     }
     return found;
 }
--- /dev/null
+++ b/src/libs/jobs/shardstrayruns.cpp
@@ -0,0 +1,147 @@
+#include "placement.h"
+#include "shard.h"
+
+#include <base/logline.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Jobs
+{
+
+// Its job may have been removed.
+StrayRun &Shard::addStrayRun(Worker &worker, const RunId &id, const Task &run)
+{
+    StrayRun &stray = worker.strayRuns[id];
+    stray.run = run;
+    markSuspect(worker, id.task, run);
+    const auto job = m_jobs.find(id.task.job);
+    const Stage *stage = job != m_jobs.end() ? job->second.stageOf(id.task) : nullptr;
+    if (stage) {
+        stray.isSized = true;
+        stray.isLongRunning = stage->isLongRunning;
+        stray.workspace = job->second.spec.workspace;
+        stray.size = stage->size;
+        stray.reserved = reservedResources(*stage);
+        worker.used += stray.reserved;
+        m_quotaUsage.add(stray.workspace, stray.size);
+    }
+    return stray;
+}
+
+void Shard::strayRunListed(
+    Worker &worker, OrderToken askedWith, const RunList &list, const ListedRun &run, Base::Instant now)
+{
+    const RunId id{run.task, run.attempt};
+    auto it = worker.strayRuns.find(id);
+    if (it == worker.strayRuns.end()) {
+        const auto job = m_jobs.find(run.task.job);
+        const Task *task = job != m_jobs.end() ? job->second.find(run.task) : nullptr;
+        Base::LogLine(Base::LogLevel::Warning, "stray-run")
+            .with("request", run.task.job)
+            .with("task", toString(run.task))
+            .with("attempt", run.attempt)
+            .with("worker", worker.info.id)
+            .with("born", list.startTime)
+            .with("clock", list.clock)
+            .with("asked_with", askedWith)
+            .with("lease_end_clock", worker.orderedLeaseEnd)
+            .with("known_attempt", task ? task->attempt : 0)
+            .with("known_worker", task ? task->worker : std::string())
+            .with("known_done", task && task->isDone);
+        Task state;
+        state.attempt = run.attempt;
+        state.worker = worker.info.id;
+        state.workerStart = worker.startTime;
+        state.crashes = task ? task->crashes : 0;
+        addStrayRun(worker, id, state);
+        it = worker.strayRuns.find(id);
+    }
+    StrayRun &stray = it->second;
+    stray.run.isConfirmed = true;
+    stray.run.endsBy.reset();
+    stray.run.confirmedAt = std::max(stray.run.confirmedAt, list.clock);
+    if (stray.run.run != RunState::Stopping || now - stray.run.orderedAt > StopRetryDelay) {
+        stopStrayRun(worker, run.task, stray, now);
+    }
+}
+
+void Shard::stopStrayRun(const Worker &worker, const TaskId &id, StrayRun &stray, Base::Instant now)
+{
+    stray.run.run = RunState::Stopping;
+    stray.run.isStopConfirmed = false;
+    stray.run.orderedAt = now;
+    m_commands.emplace_back(StopRun{worker.info.id, worker.token, id, stray.run.attempt, now});
+}
+
+void Shard::repeatStrayStops(Base::Instant now)
+{
+    for (auto &[name, worker] : m_workers) {
+        for (auto &[id, stray] : worker.strayRuns) {
+            const bool isDue = !stray.run.isStopConfirmed && worker.consecutiveRenewalFailures == 0
+                && now - stray.run.orderedAt > StopRetryDelay;
+            if (isDue) {
+                stopStrayRun(worker, id.task, stray, now);
+            }
+        }
+    }
+}
+
+// A start that nothing has confirmed may still be carried out, until its stop has been confirmed or the
+// worker refuses orders to its former incarnation.
+void Shard::endUnlistedStrayRuns(Worker &worker, OrderToken askedWith, const RunList &list)
+{
+    if (askedWith != worker.token) {
+        return;
+    }
+    for (auto it = worker.strayRuns.begin(); it != worker.strayRuns.end();) {
+        const RunId &id = it->first;
+        const Task &run = it->second.run;
+        const bool isListed =
+            std::any_of(list.running.begin(), list.running.end(), [&id](const ListedRun &listed) {
+                return listed.task == id.task && listed.attempt == id.attempt;
+            });
+        const bool isDecided = run.isConfirmed || run.isStopConfirmed || run.workerStart != worker.startTime;
+        const bool hasEnded = !isListed && isDecided && list.clock > run.confirmedAt;
+        it = hasEnded ? endStrayRun(worker, it, "unlisted") : std::next(it);
+    }
+}
+
+void Shard::endExpiredStrayRuns(Worker &worker, Base::Instant now)
+{
+    for (auto it = worker.strayRuns.begin(); it != worker.strayRuns.end();) {
+        const bool hasEnded = endOf(worker, it->second.isLongRunning, it->second.run) <= now;
+        it = hasEnded ? endStrayRun(worker, it, "lapsed") : std::next(it);
+    }
+}
+
+Worker::StrayRuns::iterator
+Shard::endStrayRun(Worker &worker, Worker::StrayRuns::iterator it, std::string_view reason)
+{
+    const auto &[id, stray] = *it;
+    Base::LogLine(Base::LogLevel::Info, "stray-run-ended")
+        .with("request", id.task.job)
+        .with("task", toString(id.task))
+        .with("attempt", id.attempt)
+        .with("worker", worker.info.id)
+        .with("end", reason);
+    if (worker.runs.count(id.task) == 0) {
+        worker.suspects.erase(id.task);
+        worker.isolatedRuns.erase(id.task);
+    }
+    worker.used -= stray.reserved;
+    m_quotaUsage.remove(stray.workspace, stray.size);
+    m_hasChanged = true;
+    return worker.strayRuns.erase(it);
+}
+
+std::size_t Shard::strayRuns() const
+{
+    std::size_t n = 0;
+    for (const auto &[id, worker] : m_workers) {
+        n += worker.strayRuns.size();
+    }
+    return n;
+}
+
+} // namespace Jobs
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -118,6 +118,13 @@
             task.endsBy = worker.listedRunsEndBy;
         }
     }
+    for (auto &[id, stray] : worker.strayRuns) {
+        stray.run.confirmedAt = 0;
+        stray.run.isStopConfirmed = false;
+        if (std::exchange(stray.run.isConfirmed, false) && !stray.run.endsBy) {
+            stray.run.endsBy = worker.listedRunsEndBy;
+        }
+    }
 }
 
 // The clock of a restarted worker starts again, so it is behind. Orders with a lease end by the former clock
@@ -224,20 +231,7 @@
         const bool isOurs =
             task && !task->isDone && task->worker == worker.info.id && task->attempt == it.attempt;
         if (!isOurs) {
-            Base::LogLine(Base::LogLevel::Warning, "stray-run")
-                .with("request", it.task.job)
-                .with("task", toString(it.task))
-                .with("attempt", it.attempt)
-                .with("worker", worker.info.id)
-                .with("born", list.startTime)
-                .with("clock", list.clock)
-                .with("asked_with", askedWith)
-                .with("lease_end_clock", worker.orderedLeaseEnd)
-                .with("known_attempt", task ? task->attempt : 0)
-                .with("known_worker", task ? task->worker : std::string())
-                .with("known_done", task && task->isDone);
-            m_commands.emplace_back(StopRun{worker.info.id, worker.token, it.task, it.attempt, now});
-            worker.backoffUntil = std::max(worker.backoffUntil, now + Worker::NoRoomBackoff);
+            strayRunListed(worker, askedWith, list, it, now);
             continue;
         }
         listed.push_back(it.task);
@@ -270,6 +264,7 @@
     throttleBestEffortRuns(worker, list);
     if (list.ended.size() < MaxEndsInList) {
         resolveUnlistedRuns(worker, askedWith, list, listed, now);
+        endUnlistedStrayRuns(worker, askedWith, list);
     }
 }
 
@@ -445,7 +440,7 @@
 // A worker that has restarted grants the longest lease, as the end of the lease lies far ahead on its clock.
 // One that answers nothing has carried an order out at once or not at all, unless orders to workers that
 // answer are late, too.
-Base::Instant Shard::endOf(const Worker &worker, const Stage &stage, const Task &run) const
+Base::Instant Shard::endOf(const Worker &worker, bool isLongRunning, const Task &run) const
 {
     if (run.endsBy) {
         return *run.endsBy;
@@ -455,7 +450,7 @@
     }
     const bool areOrdersLate =
         m_lateOrderSeenAt && worker.lastLeaseOrder - *m_lateOrderSeenAt <= longestTimeAfterRestart();
-    const bool mayWait = areOrdersLate && !stage.isLongRunning;
+    const bool mayWait = areOrdersLate && !isLongRunning;
     const Milliseconds longest =
         mayWait ? longestTimeAfterRestart() : m_settings.orderTimeout + longestTime(m_settings.leaseLimit);
     return std::max<Base::Instant>(worker.leaseExpiresBy, worker.lastLeaseOrder + longest);
@@ -484,7 +479,7 @@
 {
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         Worker &worker = it->second;
-        if (!worker.isListed && worker.runs.empty() && !worker.isRenewalPending
+        if (!worker.isListed && !worker.hasRuns() && !worker.isRenewalPending
             && std::max<Base::Instant>(worker.leaseExpiresBy,
                                        worker.lastLeaseOrder + longestTimeAfterRestart())
                 <= now) {
@@ -504,8 +499,8 @@
                 ask.ackCursor = worker.ackCursor > worker.acknowledgedCursor ? worker.ackCursor : 0;
                 const bool isProbe = worker.probedAt == now;
                 ask.longPollTime = isProbe ? Milliseconds::zero()
-                    : worker.runs.empty()  ? Worker::LongestQuery
-                                           : m_settings.renewal;
+                    : worker.hasRuns()     ? m_settings.renewal
+                                           : Worker::LongestQuery;
             }
             worker.isRenewalPending = true;
             worker.askedAtClock = worker.clock + milliseconds(now - worker.clockReadAt);
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -21,6 +21,25 @@
     return std::chrono::duration_cast<Milliseconds>(duration).count();
 }
 
+/// Identifies a run on its worker.
+struct RunId {
+    TaskId task;
+    std::uint32_t attempt = 0;
+
+    auto operator<=>(const RunId &) const = default;
+};
+
+/// A run that is not the current one of its task: the task is done by another run, has been started elsewhere
+/// or is not known. It is stopped, and takes up its worker until it has ended.
+struct StrayRun {
+    Task run; ///< its state, as that of a task's current run
+    bool isSized = false; ///< whether what it takes up is known
+    bool isLongRunning = false;
+    std::string workspace;
+    Resources size;
+    Resources reserved; ///< on the worker
+};
+
 /// The state of a worker as known to the owner of a shard.
 struct Worker {
     /// Longest wait of a query to a worker without runs. Workers hold a query for up to two seconds.
@@ -70,7 +89,9 @@
     std::uint64_t acknowledgedCursor = 0; ///< the worker has removed run ends up to this number
 
     std::vector<TaskId> listedRuns; ///< runs in the latest list, whether they are in `runs` or not
-    std::set<TaskId> runs; ///< runs assigned to the worker and not known to have ended
+    std::set<TaskId> runs; ///< tasks whose current run is assigned to the worker and not known to have ended
+    using StrayRuns = std::map<RunId, StrayRun>;
+    StrayRuns strayRuns;
     std::set<TaskId> suspects; ///< of these, tasks under which a worker has crashed
     std::set<TaskId> isolatedRuns; ///< of these, tasks under which several workers have crashed
     Base::Instant isolatedFrom; ///< since when it has been withheld from other tasks for new isolated runs
@@ -100,10 +121,22 @@
         return task.openStart && task.openStart->worker == info.id && task.openStart->until > lastAnswer;
     }
 
+    bool hasRuns() const
+    {
+        return !runs.empty() || !strayRuns.empty();
+    }
+
+    /// Whether it runs something that is not known to leave room for anything else.
+    bool hasUnsizedRun() const
+    {
+        return std::any_of(
+            strayRuns.begin(), strayRuns.end(), [](const auto &it) { return !it.second.isSized; });
+    }
+
     /// Whether the worker may be queried for its runs.
     bool isQueried() const
     {
-        return !info.address.empty() && (isListed || !runs.empty());
+        return !info.address.empty() && (isListed || hasRuns());
     }
 
     /// The earliest time by which the lease of any of its runs has ended.
@@ -145,7 +178,7 @@
     bool isUsable(Base::Instant now) const
     {
         return isListed && hasAnswered && !info.isDraining && consecutiveRenewalFailures == 0
-            && backoffUntil <= now && evacuatedUntil <= now && !isIsolated(now);
+            && backoffUntil <= now && evacuatedUntil <= now && !isIsolated(now) && !hasUnsizedRun();
     }
 };
 
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -248,6 +248,13 @@
         return all;
     }
 
+    std::size_t strayRuns() const
+    {
+        std::size_t n = 0;
+        forEachServingShard([&](ShardNumber, const Jobs::Shard &shard) { n += shard.strayRuns(); });
+        return n;
+    }
+
     /// An upper estimate of the memory of the jobs, see Jobs::Shard::heldBytes().
     std::size_t heldBytes() const
     {
--- /dev/null
+++ b/tests/auto/strayruns/tst_countedruns.cpp
@@ -0,0 +1,412 @@
+#include <base/logline.h>
+#include <jobs/jobrecord.h>
+#include <jobs/shard.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Jobs::WallTime Wall{1h};
+constexpr Jobs::Milliseconds Pass{50};
+constexpr std::int64_t Cores = 1000; ///< of each task, in thousandths
+
+/// A shard whose workers "v" and "w" list what a test sets. Orders are answered, but change no list.
+struct ScriptedShard {
+    ScriptedShard()
+        : shard(std::make_unique<Jobs::Shard>(Jobs::ShardSettings{}, 1, "m"))
+    {
+        addWorker("v");
+        addWorker("w");
+    }
+
+    void addWorker(const std::string &id)
+    {
+        Jobs::WorkerInfo &info = workers[id];
+        info.id = id;
+        info.service = "s";
+        info.address = id;
+        info.startTime = 1;
+        info.capacity = {8 * Cores, 8000, 0};
+        lists[id].startTime = 1;
+    }
+
+    void load(const Jobs::JobSpec &job, const std::string &progress)
+    {
+        records[Jobs::specKey(job.id)] = Jobs::encodeSpec(job, Wall);
+        records[Jobs::progressKey(job.id)] = progress;
+    }
+
+    void begin()
+    {
+        for (const auto &[key, value] : records) {
+            shard->load(key, value);
+        }
+        shard->begin(now, Wall, [](const std::string &) { return true; });
+        listWorkers();
+    }
+
+    void listWorkers()
+    {
+        std::vector<Jobs::WorkerInfo> infos;
+        for (const auto &[id, info] : workers) {
+            infos.push_back(info);
+        }
+        shard->setWorkers(infos, now);
+    }
+
+    void run(Jobs::Milliseconds time)
+    {
+        for (const Base::Instant end = now + time; now < end; now += Pass) {
+            answerQueries();
+            shard->processDue(now, Wall);
+            for (const Jobs::Command &it : shard->takeCommands()) {
+                execute(it);
+            }
+        }
+    }
+
+    void execute(const Jobs::Command &command)
+    {
+        if (const auto *append = std::get_if<Jobs::AppendBatch>(&command)) {
+            for (const Jobs::Record &it : append->records) {
+                records[it.key] = it.value;
+            }
+            shard->appended(append->number, Jobs::AppendResult::Stored, now, Wall);
+        } else if (const auto *renew = std::get_if<Jobs::RenewLease>(&command)) {
+            queries.emplace_back(now + renew->longPollTime, *renew);
+        } else if (const auto *start = std::get_if<Jobs::StartRun>(&command)) {
+            starts.push_back(*start);
+            lists[start->worker].running.push_back({start->task, start->attempt, {}, 100, 0});
+            shard->startAnswered(*start, Jobs::OrderResult::Done, clock(), now);
+        } else if (const auto *stop = std::get_if<Jobs::StopRun>(&command)) {
+            stops.push_back(*stop);
+            const bool isAnswered = silent.count(stop->worker) == 0 && answersStops;
+            shard->stopAnswered(
+                *stop, isAnswered ? Jobs::OrderResult::Done : Jobs::OrderResult::NoAnswer, clock(), now);
+        }
+    }
+
+    /// A query waits for an end, at most for its time.
+    void answerQueries()
+    {
+        for (const auto &[due, query] : std::exchange(queries, {})) {
+            Jobs::RunList list = lists[query.worker];
+            list.clock = clock();
+            std::erase_if(list.ended, [&query](const auto &it) { return it.number <= query.ackCursor; });
+            if (now < due && list.ended.empty()) {
+                queries.emplace_back(due, query);
+                continue;
+            }
+            const bool isSilent = silent.count(query.worker) > 0;
+            shard->renewAnswered(query,
+                                 isSilent ? Jobs::OrderResult::NoAnswer : Jobs::OrderResult::Done,
+                                 isSilent ? Jobs::RunList() : list,
+                                 now,
+                                 Wall);
+        }
+    }
+
+    std::int64_t clock() const
+    {
+        return (now - Base::Instant{}) / 1ms;
+    }
+
+    void listEnd(const std::string &worker, const Jobs::TaskId &task, std::uint32_t attempt)
+    {
+        auto &ended = lists[worker].ended;
+        ended.push_back({ended.size() + 1, task, attempt, Jobs::RunEnd::Done, {}});
+    }
+
+    std::ptrdiff_t startsOn(const std::string &worker) const
+    {
+        return std::count_if(
+            starts.begin(), starts.end(), [&](const auto &it) { return it.worker == worker; });
+    }
+
+    const Jobs::Worker &worker(const std::string &id) const
+    {
+        return shard->workers().at(id);
+    }
+
+    Base::Instant now{1h};
+    std::unique_ptr<Jobs::Shard> shard;
+    std::map<std::string, Jobs::WorkerInfo> workers;
+    std::map<std::string, Jobs::RunList> lists;
+    std::set<std::string> silent; ///< workers that answer nothing
+    std::vector<std::pair<Base::Instant, Jobs::RenewLease>> queries; ///< unanswered ones, until when
+    bool answersStops = true;
+    std::vector<Jobs::StartRun> starts;
+    std::vector<Jobs::StopRun> stops;
+    std::map<std::string, std::string> records;
+};
+
+Jobs::JobSpec makeJob(const std::string &id, std::uint32_t count)
+{
+    Jobs::JobSpec job;
+    job.id = id;
+    job.queue = {.name = "q",
+                 .service = "s",
+                 .maxAttempts = 4,
+                 .slackFactor = 2,
+                 .targetLatency = 600ms,
+                 .advice = std::nullopt};
+    job.stages.resize(1);
+    job.stages[0].count = count;
+    job.stages[0].size = {Cores, 100, 0};
+    job.stages[0].estimate = 60s;
+    return job;
+}
+
+} // namespace
+
+// Run 1 of task 0 of job "a" was given up on "w", which lists its end as done; run 2 goes on on "v".
+TEST_GROUP(CountedRuns)
+{
+    void setup() override
+    {
+        Base::LogLine::setThreshold(Base::LogLevel::Error);
+    }
+
+    void beginWith(const Jobs::JobSpec &job, const std::string &task0 = R"([0,2,0,"v","",0,0,1,0])")
+    {
+        std::string tasks = task0;
+        for (std::uint32_t n = 1; n < job.stages[0].count; ++n) {
+            tasks += ",[0,0,0]";
+        }
+        fleet.load(job, R"({"state":0,"done":0,"next":1,"tasks":{"0":[[)" + tasks + "]]}}");
+        fleet.begin();
+        fleet.lists["v"].running.push_back({Task, 2, {}, 100, 0});
+        fleet.listEnd("w", Task, 1);
+    }
+
+    void endRunOnV()
+    {
+        std::erase_if(fleet.lists["v"].running, [this](const auto &it) { return it.task == Task; });
+    }
+
+    const Jobs::TaskId Task{"a", 0, 0, 0};
+    ScriptedShard fleet;
+};
+
+TEST(CountedRuns, ARunWhoseTaskIsDoneCountsForTheTaskLimit)
+{
+    auto job = makeJob("a", 4);
+    job.stages[0].tasksPerWorker = 1;
+    beginWith(job);
+    fleet.run(3s);
+    LONGS_EQUAL(0, fleet.startsOn("v"));
+    LONGS_EQUAL(1, fleet.startsOn("w"));
+    endRunOnV();
+    fleet.run(2s);
+    LONGS_EQUAL(1, fleet.startsOn("v"));
+}
+
+TEST(CountedRuns, ARunWhoseTaskIsDoneTakesUpRoom)
+{
+    for (auto &[id, info] : fleet.workers) {
+        info.capacity = {2 * Cores, 8000, 0};
+    }
+    beginWith(makeJob("a", 6));
+    fleet.run(3s);
+    LONGS_EQUAL(1, fleet.startsOn("v"));
+    LONGS_EQUAL(2, fleet.startsOn("w"));
+    endRunOnV();
+    fleet.run(2s);
+    LONGS_EQUAL(2, fleet.startsOn("v"));
+}
+
+TEST(CountedRuns, ARunWhoseTaskIsDoneUsesTheQuotaAndShareOfItsWorkspace)
+{
+    auto job = makeJob("a", 8);
+    job.workspace = "x";
+    const Jobs::Resources limit{3 * Cores, 8000, 0};
+    fleet.shard->setQuotaLimits({{"x", {limit, limit}}});
+    beginWith(job);
+    fleet.run(3s);
+    LONGS_EQUAL(2, fleet.starts.size());
+    LONGS_EQUAL(3 * Cores, fleet.shard->quotaUsage().of("x").running.milliCores);
+    endRunOnV();
+    fleet.run(2s);
+    LONGS_EQUAL(3, fleet.starts.size());
+    LONGS_EQUAL(3 * Cores, fleet.shard->quotaUsage().of("x").running.milliCores);
+}
+
+TEST(CountedRuns, ARunWhoseTaskIsDoneStaysSuspectAndIsolated)
+{
+    beginWith(makeJob("a", 1), R"([0,2,0,"v","",0,2,1,0])");
+    fleet.run(1s);
+    CHECK(fleet.shard->find("a")->state == Jobs::JobState::Completed);
+    LONGS_EQUAL(1, fleet.worker("v").suspects.size());
+    LONGS_EQUAL(1, fleet.worker("v").isolatedRuns.size());
+    endRunOnV();
+    fleet.run(2s);
+    CHECK(fleet.worker("v").suspects.empty());
+    CHECK(fleet.worker("v").isolatedRuns.empty());
+}
+
+TEST(CountedRuns, AWorkerIsNotEmptyWhileARunWhoseTaskIsDoneGoesOn)
+{
+    beginWith(makeJob("a", 1));
+    fleet.run(1s);
+    CHECK(!fleet.shard->evacuate("v", fleet.now));
+    endRunOnV();
+    fleet.run(2s);
+    CHECK(fleet.shard->evacuate("v", fleet.now));
+}
+
+TEST(CountedRuns, ARunWhoseTaskIsDoneIsStoppedAtOnceAndItsStopRepeated)
+{
+    fleet.answersStops = false;
+    beginWith(makeJob("a", 1));
+    fleet.run(100ms);
+    CHECK(!fleet.stops.empty());
+    CHECK(fleet.stops[0].task == Task);
+    LONGS_EQUAL(2, fleet.stops[0].attempt);
+    STRCMP_EQUAL("v", fleet.stops[0].worker.c_str());
+    fleet.run(1s);
+    CHECK(fleet.stops.size() >= 3);
+    endRunOnV();
+    fleet.run(2s);
+    LONGS_EQUAL(0, fleet.shard->strayRuns());
+}
+
+TEST(CountedRuns, AConfirmedStopOfARunIsNotRepeated)
+{
+    beginWith(makeJob("a", 1));
+    fleet.run(300ms);
+    LONGS_EQUAL(1, fleet.stops.size());
+}
+
+TEST(CountedRuns, ARunWhoseTaskIsDoneIsGivenUpWithTheLeaseOfItsWorker)
+{
+    auto job = makeJob("a", 2);
+    job.workspace = "x";
+    fleet.shard->setQuotaLimits({{"x", {{Cores, 8000, 0}, {Cores, 8000, 0}}}});
+    beginWith(job);
+    fleet.run(200ms);
+    fleet.silent.insert("v");
+    fleet.run(3s);
+    LONGS_EQUAL(1, fleet.shard->strayRuns());
+    LONGS_EQUAL(0, fleet.starts.size());
+    fleet.run(9s); // the longest lease, as an earlier owner may have given it
+    LONGS_EQUAL(0, fleet.shard->strayRuns());
+    LONGS_EQUAL(1, fleet.startsOn("w"));
+}
+
+TEST(CountedRuns, ARunWhoseTaskIsDoneEndsWithARestartOfItsWorker)
+{
+    auto job = makeJob("a", 4);
+    job.stages[0].tasksPerWorker = 1;
+    beginWith(job);
+    fleet.run(1s);
+    fleet.lists["v"] = {};
+    fleet.lists["v"].startTime = 2;
+    fleet.run(2s);
+    LONGS_EQUAL(0, fleet.shard->strayRuns());
+    LONGS_EQUAL(1, fleet.startsOn("v"));
+}
+
+TEST(CountedRuns, RunsOfACompletedGangThatGoOnCount)
+{
+    for (auto &[id, info] : fleet.workers) {
+        info.capacity = {Cores, 8000, 0};
+    }
+    fleet.addWorker("u");
+    fleet.workers["u"].capacity = {Cores, 8000, 0};
+    auto gang = makeJob("a", 2);
+    gang.stages[0].isGang = true;
+    fleet.load(
+        gang,
+        R"({"state":0,"done":0,"next":1,"tasks":{"0":[[[0,2,0,"v","",0,0,1,0],[0,2,0,"u","",0,0,1,0]]]}})");
+    fleet.begin();
+    fleet.shard->submit(makeJob("b", 3), 1, fleet.now, Wall);
+    fleet.lists["v"].running.push_back({Task, 2, {}, 100, 0});
+    fleet.lists["u"].running.push_back({{"a", 0, 0, 1}, 2, {}, 100, 0});
+    fleet.listEnd("w", Task, 1);
+    fleet.run(3s);
+    CHECK(fleet.shard->find("a")->state == Jobs::JobState::Completed);
+    LONGS_EQUAL(2, fleet.shard->strayRuns());
+    LONGS_EQUAL(0, fleet.startsOn("v") + fleet.startsOn("u"));
+    fleet.lists["u"].running.clear();
+    fleet.run(2s);
+    LONGS_EQUAL(1, fleet.startsOn("u"));
+    LONGS_EQUAL(0, fleet.startsOn("v"));
+}
+
+TEST(CountedRuns, AListedRunThatIsNotTheCurrentOneCountsUntilItEnds)
+{
+    auto job = makeJob("a", 2);
+    job.stages[0].tasksPerWorker = 1;
+    fleet.load(job, R"({"state":0,"done":0,"next":1,"tasks":{"0":[[[1,1,0],[0,0,0]]]}})");
+    fleet.begin();
+    fleet.workers.erase("w");
+    fleet.listWorkers();
+    fleet.lists["v"].running.push_back({Task, 1, {}, 100, 0});
+    fleet.run(3s);
+    LONGS_EQUAL(0, fleet.starts.size());
+    endRunOnV();
+    fleet.run(2s);
+    LONGS_EQUAL(1, fleet.startsOn("v"));
+}
+
+TEST(CountedRuns, AWorkerWithARunOfAnUnknownJobGetsNoOther)
+{
+    fleet.workers.erase("w");
+    fleet.begin();
+    fleet.shard->submit(makeJob("b", 1), 1, fleet.now, Wall);
+    fleet.lists["v"].running.push_back({{"unknown", 0, 0, 0}, 1, {}, 100, 0});
+    fleet.run(3s);
+    LONGS_EQUAL(0, fleet.starts.size());
+    fleet.lists["v"].running.clear();
+    fleet.run(2s);
+    LONGS_EQUAL(1, fleet.startsOn("v"));
+}
+
+TEST(CountedRuns, ANextOwnerCountsARunWhoseTaskIsDone)
+{
+    auto job = makeJob("a", 4);
+    job.stages[0].tasksPerWorker = 1;
+    beginWith(job);
+    fleet.run(1s);
+    LONGS_EQUAL(1, fleet.starts.size());
+    fleet.queries.clear();
+    fleet.shard = std::make_unique<Jobs::Shard>(Jobs::ShardSettings{}, 2, "n");
+    fleet.begin();
+    fleet.run(3s);
+    LONGS_EQUAL(1, fleet.shard->strayRuns());
+    LONGS_EQUAL(0, fleet.startsOn("v"));
+    LONGS_EQUAL(1, fleet.startsOn("w"));
+    endRunOnV();
+    fleet.run(2s);
+    LONGS_EQUAL(1, fleet.startsOn("v"));
+}
+
+TEST(CountedRuns, AStrayRunDoesNotServeForALongRunningTask)
+{
+    auto job = makeJob("a", 2);
+    job.stages[0].isLongRunning = true;
+    job.stages[0].maxUnavailable = 1;
+    fleet.load(
+        job,
+        R"({"state":0,"done":0,"next":1,"tasks":{"0":[[[0,2,0,"gone","",0,0,1,0],[0,1,0,"w","",0,0,1,0]]]}})");
+    fleet.begin();
+    fleet.lists["v"].running.push_back({Task, 1, {}, 100, 0});
+    fleet.lists["w"].running.push_back({{"a", 0, 0, 1}, 1, {}, 100, 0});
+    fleet.run(3s);
+    fleet.stops.clear();
+    fleet.shard->evacuate("w", fleet.now);
+    fleet.run(200ms);
+    CHECK(std::none_of(
+        fleet.stops.begin(), fleet.stops.end(), [](const auto &it) { return it.worker == "w"; }));
+}
