Keep a run that goes on when its task is done by a former run

**Cause.** Callers saw more tasks of a stage on a worker than its limit. `completeByFormerRun` completes a task by the end of a run that had been given up, and `completeTask` called `endRun` for the later run of the task, on another worker. That one went on for up to 0.8 s until its worker listed it, and was counted nowhere. Class: the state of a task is the only record of a run, so a run whose task has moved on doesn't exist for the owner.

Any other run is taken off its task, kept at its worker as a stray run and stopped at once.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -233,6 +233,8 @@
                              const std::vector<TaskId> &listed,
                              Base::Instant now);
     void endRun(Job &job, const TaskId &id, Task &task);
+    /// Takes the current run, which may go on, off its task and stops it.
+    void detachRun(Job &job, const TaskId &id, Task &task, Base::Instant now);
     /// Adds a stray run of the worker, which counts from then on.
     StrayRun &addStrayRun(Worker &worker, const RunId &id, const Task &run);
     /// Notes that the worker has listed a stray run.
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -125,7 +125,7 @@
         if (task.run != RunState::None && hasEnded) {
             endRun(job, {id.job, id.occurrence, id.stage, n}, task);
         } else if (task.run != RunState::None) {
-            endRun(job, {id.job, id.occurrence, id.stage, n}, task);
+            detachRun(job, {id.job, id.occurrence, id.stage, n}, task, now);
         }
         task.isDone = true;
         task.checkpoint.clear();
--- a/src/libs/jobs/shardstrayruns.cpp
+++ b/src/libs/jobs/shardstrayruns.cpp
@@ -9,6 +9,21 @@
 namespace Jobs
 {
 
+// What has not been ordered yet ends at once.
+void Shard::detachRun(Job &job, const TaskId &id, Task &task, Base::Instant now)
+{
+    const Task run = task;
+    endRun(job, id, task);
+    if (run.run == RunState::Planned) {
+        return;
+    }
+    Worker &worker = workerFor(run.worker);
+    StrayRun &stray = addStrayRun(worker, {id, run.attempt}, run);
+    if (run.run != RunState::Stopping) {
+        stopStrayRun(worker, id, stray, now);
+    }
+}
+
 // Its job may have been removed.
 StrayRun &Shard::addStrayRun(Worker &worker, const RunId &id, const Task &run)
 {
