Test task limits across takeovers and slow stops

By reading: a stray run that may still be started by a later incarnation of its worker was given an end by the former lease.

**Change.** Two tests over 64 settings each. After a restart of its worker a stray run with an open start keeps the longer end, as a task's current run does.

**Conclusion.** The limit holds in these settings whoever owns the shard.

--- a/src/libs/jobs/shardstrayruns.cpp
+++ b/src/libs/jobs/shardstrayruns.cpp
@@ -74,6 +74,7 @@
     }
     StrayRun &stray = it->second;
     stray.run.isConfirmed = true;
+    stray.run.workerStart = worker.startTime;
     stray.run.endsBy.reset();
     stray.run.confirmedAt = std::max(stray.run.confirmedAt, list.clock);
     if (stray.run.run != RunState::Stopping || now - stray.run.orderedAt > StopRetryDelay) {
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -121,7 +121,8 @@
     for (auto &[id, stray] : worker.strayRuns) {
         stray.run.confirmedAt = 0;
         stray.run.isStopConfirmed = false;
-        if (std::exchange(stray.run.isConfirmed, false) && !stray.run.endsBy) {
+        if (std::exchange(stray.run.isConfirmed, false) && !stray.run.endsBy
+            && !worker.mayCarryOutStart(stray.run)) {
             stray.run.endsBy = worker.listedRunsEndBy;
         }
     }
--- a/tests/auto/strayruns/tst_strayruns.cpp
+++ b/tests/auto/strayruns/tst_strayruns.cpp
@@ -46,6 +46,23 @@
     }
 }
 
+// `trouble` happens when the worker can be reached again.
+template<typename Trouble>
+void forEachOutage(Trouble trouble)
+{
+    for (Milliseconds taskTime = 1000ms; taskTime < 3000ms; taskTime += 250ms) {
+        for (Milliseconds outage = 3000ms; outage <= 6500ms; outage += 500ms) {
+            SimulatedPlatform world;
+            submitLimitedJob(world, taskTime);
+            cutOffAWorker(world, outage);
+            trouble(world);
+            world.run(60s);
+            checkNoViolations(world, fmt::format("tasks {}, outage {}: ", taskTime.count(), outage.count()));
+            CHECK(world.state("a") == JobService::ReportedState::Completed);
+        }
+    }
+}
+
 } // namespace
 
 TEST_GROUP(StrayRuns){void setup() override{Base::LogLine::setThreshold(Base::LogLevel::Error);
@@ -55,13 +72,23 @@
 
 TEST(StrayRuns, AnEndOfAFormerRunKeepsTheTaskLimitOfOtherWorkers)
 {
-    for (Milliseconds taskTime = 1000ms; taskTime < 3000ms; taskTime += 250ms) {
-        for (Milliseconds outage = 3000ms; outage <= 6500ms; outage += 500ms) {
-            SimulatedPlatform world;
-            submitLimitedJob(world, taskTime);
-            cutOffAWorker(world, outage);
-            world.run(20s);
-            checkNoViolations(world, fmt::format("tasks {}, outage {}: ", taskTime.count(), outage.count()));
+    forEachOutage([](SimulatedPlatform &) {});
+}
+
+TEST(StrayRuns, ANextOwnerKeepsTheTaskLimitAfterAnEndOfAFormerRun)
+{
+    forEachOutage([](SimulatedPlatform &world) {
+        world.run(200ms);
+        world.addMember("m2");
+        world.kill("m1");
+    });
+}
+
+TEST(StrayRuns, AnEndOfAFormerRunKeepsTheTaskLimitWhileItsLaterRunIsBeingStopped)
+{
+    forEachOutage([](SimulatedPlatform &world) {
+        for (auto &[id, worker] : world.workers) {
+            worker.longestStop = 1500ms;
         }
-    }
+    });
 }
