Check the task limit again when a planned start is sent

**Cause.** Found by reading the fix: a worker may list a stray run while the assignment of a start is being stored. Room and quota were checked again before the start was sent, the limit of the stage and a run of unknown size were not, so callers could still see one task too many.

**Change.** `orderStart` checks both. While the stop of a stray run is confirmed, or its worker doesn't answer, it causes no passes each 50 ms. The log of waiting long-running tasks counts stray runs, too.

**Conclusion.** What is checked at planning is checked at sending.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -354,10 +354,10 @@
     WaitReason quotaWaitReason() const;
     const std::vector<Candidate> &candidatesOf(const std::string &service);
     std::vector<Candidate> candidatesFor(const Job &job, std::uint32_t number, std::uint32_t stage);
-    /// The tasks of a stage on a worker, for logs.
+    /// The tasks of a stage on a worker; 0 if the stage doesn't limit them.
     struct StageTasks {
-        std::ptrdiff_t counted = 0; ///< by this owner, with the one that is about to start
-        std::ptrdiff_t listed = 0; ///< by the worker in its latest list
+        std::uint32_t counted = 0; ///< by this owner, with those that are about to start
+        std::uint32_t listed = 0; ///< by the worker in its latest list, for logs
     };
     static StageTasks stageTasksOn(const Worker &worker, const Job &job, const TaskId &id);
     void placeStage(
--- a/src/libs/jobs/sharddemand.cpp
+++ b/src/libs/jobs/sharddemand.cpp
@@ -57,12 +57,6 @@
     return std::chrono::duration_cast<Milliseconds>(shortest);
 }
 
-std::uint32_t countTasksOn(std::span<const Task> tasks, std::string_view worker)
-{
-    return static_cast<std::uint32_t>(
-        std::count_if(tasks.begin(), tasks.end(), [worker](const Task &it) { return it.worker == worker; }));
-}
-
 } // namespace
 
 std::vector<ServiceDemand> Shard::demand(Base::Instant now, WallTime wall) const
@@ -255,10 +249,8 @@
                 for (const auto &[id, worker] : m_workers) {
                     const bool isCounted =
                         worker.info.service == job->spec.queue.service && worker.isUsable(now);
-                    full += isCounted && stage.tasksPerWorker > 0
-                            && countTasksOn(tasks, id) >= stage.tasksPerWorker
-                        ? 1
-                        : 0;
+                    const auto there = stageTasksOn(worker, *job, {job->spec.id, number, n, 0}).counted;
+                    full += isCounted && stage.tasksPerWorker > 0 && there >= stage.tasksPerWorker ? 1 : 0;
                 }
                 const WorkerCounts counts = countWorkers(m_workers, job->spec.queue.service, stage, now);
                 Base::LogLine(Base::LogLevel::Info, "task-waits")
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -149,7 +149,7 @@
                 due, worker.leaseExpiresBy > now ? worker.leaseExpiresBy : now + PlacementRetryPeriod);
         }
         const bool isEmptying = worker.drainDeadline || worker.evacuatedUntil > now;
-        if ((isEmptying && !worker.runs.empty()) || !m_stopping.empty() || !worker.strayRuns.empty()) {
+        if ((isEmptying && !worker.runs.empty()) || !m_stopping.empty() || worker.hasStrayRunToStop()) {
             due = std::min(due, m_nextEviction);
         }
     }
@@ -299,11 +299,12 @@
     const auto isCounted = [&id](const TaskId &it) {
         return isOfStage(it, id.job, id.occurrence, id.stage);
     };
+    const auto current = std::count_if(worker.runs.begin(), worker.runs.end(), isCounted);
     const auto stray = std::count_if(worker.strayRuns.begin(),
                                      worker.strayRuns.end(),
                                      [&isCounted](const auto &it) { return isCounted(it.first.task); });
-    return {std::count_if(worker.runs.begin(), worker.runs.end(), isCounted) + stray,
-            std::count_if(worker.listedRuns.begin(), worker.listedRuns.end(), isCounted)};
+    const auto listed = std::count_if(worker.listedRuns.begin(), worker.listedRuns.end(), isCounted);
+    return {static_cast<std::uint32_t>(current + stray), static_cast<std::uint32_t>(listed)};
 }
 
 void Shard::placeStage(
@@ -554,8 +555,8 @@
     m_plannedStarts.push_back(id);
 }
 
-// While the assignment was being stored, the worker may have started to drain, shrunk or disappeared, and the
-// limit of the workspace may have been lowered.
+// While the assignment was being stored, the worker may have started to drain, shrunk, disappeared or listed
+// a stray run, and the limit of the workspace may have been lowered.
 void Shard::sendStart(const TaskId &id, Base::Instant now)
 {
     const auto it = m_jobs.find(id.job);
@@ -572,9 +573,11 @@
 {
     Worker &worker = workerFor(task.worker);
     const bool isWithinQuota = m_quotaUsage.isWithinLimit(job.spec.workspace);
-    const bool isWithinCapacity = worker.info.capacity.contains(worker.used);
+    const bool isWithinCapacity = !worker.hasUnsizedRun() && worker.info.capacity.contains(worker.used);
+    const std::uint32_t limit = job.spec.stages[id.stage].tasksPerWorker;
+    const StageTasks there = stageTasksOn(worker, job, id);
     if (!worker.isListed || worker.isSilent() || worker.info.isDraining || m_isMembershipLapsed
-        || !isWithinQuota || !isWithinCapacity) {
+        || !isWithinQuota || !isWithinCapacity || there.counted > limit) {
         return false;
     }
     std::optional<std::string> ticket;
@@ -596,7 +599,6 @@
     order.ticket = ticket.value_or(std::string());
     order.leaseEnd = leaseEnd(worker, now);
     order.sentAt = now;
-    const StageTasks there = stageTasksOn(worker, job, id);
     Base::LogLine(Base::LogLevel::Info, "run-ordered")
         .with("request", id.job)
         .with("task", toString(id))
@@ -608,7 +610,7 @@
         .with("lease_end_clock", order.leaseEnd)
         .with("clock_age_ms", worker.clockAge.count())
         .with("repeats", task.startRepeats)
-        .with("per_worker", job.spec.stages[id.stage].tasksPerWorker)
+        .with("per_worker", limit)
         .with("stage_tasks", there.counted)
         .with("stage_tasks_listed", there.listed)
         .with("owned_ms", milliseconds(now - m_begunAt));
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -133,6 +133,15 @@
             strayRuns.begin(), strayRuns.end(), [](const auto &it) { return !it.second.isSized; });
     }
 
+    /// Whether the stop of a stray run is not confirmed and may be ordered again.
+    bool hasStrayRunToStop() const
+    {
+        return consecutiveRenewalFailures == 0
+            && std::any_of(strayRuns.begin(), strayRuns.end(), [](const auto &it) {
+                   return !it.second.run.isStopConfirmed;
+               });
+    }
+
     /// Whether the worker may be queried for its runs.
     bool isQueried() const
     {
--- a/tests/auto/strayruns/tst_countedruns.cpp
+++ b/tests/auto/strayruns/tst_countedruns.cpp
@@ -69,10 +69,15 @@
     {
         for (const Base::Instant end = now + time; now < end; now += Pass) {
             answerQueries();
+            answerAppends();
             shard->processDue(now, Wall);
             for (const Jobs::Command &it : shard->takeCommands()) {
                 execute(it);
             }
+            answerAppends();
+            for (const Jobs::Command &it : shard->takeCommands()) {
+                execute(it);
+            }
         }
     }
 
@@ -82,7 +87,7 @@
             for (const Jobs::Record &it : append->records) {
                 records[it.key] = it.value;
             }
-            shard->appended(append->number, Jobs::AppendResult::Stored, now, Wall);
+            appends.emplace_back(now + appendTime, append->number);
         } else if (const auto *renew = std::get_if<Jobs::RenewLease>(&command)) {
             queries.emplace_back(now + renew->longPollTime, *renew);
         } else if (const auto *start = std::get_if<Jobs::StartRun>(&command)) {
@@ -97,6 +102,17 @@
         }
     }
 
+    void answerAppends()
+    {
+        for (const auto &[due, number] : std::exchange(appends, {})) {
+            if (now < due) {
+                appends.emplace_back(due, number);
+            } else {
+                shard->appended(number, Jobs::AppendResult::Stored, now, Wall);
+            }
+        }
+    }
+
     /// A query waits for an end, at most for its time.
     void answerQueries()
     {
@@ -145,6 +161,8 @@
     std::map<std::string, Jobs::RunList> lists;
     std::set<std::string> silent; ///< workers that answer nothing
     std::vector<std::pair<Base::Instant, Jobs::RenewLease>> queries; ///< unanswered ones, until when
+    std::vector<std::pair<Base::Instant, std::uint64_t>> appends; ///< unanswered ones, until when
+    Jobs::Milliseconds appendTime{};
     bool answersStops = true;
     std::vector<Jobs::StartRun> starts;
     std::vector<Jobs::StopRun> stops;
@@ -360,6 +378,23 @@
     LONGS_EQUAL(1, fleet.startsOn("v"));
 }
 
+TEST(CountedRuns, APlannedStartIsNotSentToAWorkerThatHasListedARunMeanwhile)
+{
+    auto job = makeJob("b", 2);
+    job.stages[0].tasksPerWorker = 1;
+    fleet.workers.erase("w");
+    fleet.begin();
+    fleet.run(500ms);
+    fleet.appendTime = 2500ms;
+    fleet.shard->submit(job, 1, fleet.now, Wall);
+    fleet.run(100ms);
+    LONGS_EQUAL(1, fleet.worker("v").runs.size());
+    fleet.lists["v"].running.push_back({{"b", 0, 0, 1}, 1, {}, 100, 0});
+    fleet.run(5s);
+    LONGS_EQUAL(1, fleet.shard->strayRuns());
+    LONGS_EQUAL(0, fleet.starts.size());
+}
+
 TEST(CountedRuns, AWorkerWithARunOfAnUnknownJobGetsNoOther)
 {
     fleet.workers.erase("w");
@@ -381,6 +416,7 @@
     fleet.run(1s);
     LONGS_EQUAL(1, fleet.starts.size());
     fleet.queries.clear();
+    fleet.appends.clear();
     fleet.shard = std::make_unique<Jobs::Shard>(Jobs::ShardSettings{}, 2, "n");
     fleet.begin();
     fleet.run(3s);
