Count stray runs for the share of their workspace

**Change.** `FairShares::defer` takes what runs beside the occurrences; without a weight it reduces the capacity, as long-running tasks do.

**Conclusion.** Shares see what quotas see.

--- a/src/libs/jobs/fairshares.cpp
+++ b/src/libs/jobs/fairshares.cpp
@@ -114,6 +114,25 @@
     return item;
 }
 
+void addOtherUse(const FairShares::OtherUse &use,
+                 std::map<std::string_view, Service> &services,
+                 const FairShares::Weights &weights)
+{
+    const auto service = services.find(use.service);
+    const auto weight = weights.find(use.workspace);
+    if (service == services.end()) {
+        return;
+    }
+    if (weight == weights.end()) {
+        service->second.capacity -= use.reserved;
+        return;
+    }
+    Claim &claim = service->second.claims[weight->first];
+    claim.weight = weight->second;
+    claim.running += use.reserved;
+    claim.granted += use.reserved;
+}
+
 // A workspace can't use more than its limit, whatever waits.
 Resources askedWithin(const Claim &claim, const std::optional<QuotaLimit> &limit)
 {
@@ -212,7 +231,8 @@
 std::size_t FairShares::defer(std::vector<UnfinishedOccurrence> &ready,
                               const Capacities &capacities,
                               const QuotaUsage &quotas,
-                              WallTime now)
+                              WallTime now,
+                              std::span<const OtherUse> others)
 {
     m_shares.clear();
     if (m_weights.empty()) {
@@ -227,6 +247,9 @@
     for (const UnfinishedOccurrence &it : ready) {
         items.push_back(claim(it, services, m_weights, now));
     }
+    for (const OtherUse &it : others) {
+        addOtherUse(it, services, m_weights);
+    }
     bool isScarce = false;
     for (auto &[name, service] : services) {
         for (auto &[workspace, claim] : service.claims) {
--- a/src/libs/jobs/fairshares.h
+++ b/src/libs/jobs/fairshares.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,14 +19,22 @@
 /// which it asks most, and lets others go before the rest. What a workspace doesn't ask for goes to the
 /// others, and urgency decides all else. Answers one caller whose jobs crowd out those of the others.
 ///
-/// The decision is based on the unfinished occurrences alone, so a new owner of the records decides the same,
-/// and a workspace that asked little before gets no more for it.
+/// The decision is based on the unfinished occurrences and on what else runs, so a new owner of the records
+/// decides the same once the workers have answered, and a workspace that asked little before gets no more for
+/// it.
 class FairShares
 {
 public:
     using Weights = std::map<std::string, double, std::less<>>; ///< by workspace
     using Capacities = std::map<std::string, Resources, std::less<>>; ///< of the usable workers, by service
 
+    /// What a run takes up that belongs to no unfinished occurrence.
+    struct OtherUse {
+        std::string_view service;
+        std::string_view workspace;
+        Resources reserved;
+    };
+
     /// The state of a workspace at a service as of the last decision.
     struct Share {
         std::string service;
@@ -45,7 +54,8 @@
     std::size_t defer(std::vector<UnfinishedOccurrence> &ready,
                       const Capacities &capacities,
                       const QuotaUsage &quotas,
-                      WallTime now);
+                      WallTime now,
+                      std::span<const OtherUse> others = {});
 
     /// The workspaces that compete; empty if all fit.
     const std::vector<Share> &shares() const;
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -209,12 +209,16 @@
 Shard::deferBeyondShares(std::vector<UnfinishedOccurrence> &ready, Base::Instant now, WallTime wall)
 {
     FairShares::Capacities capacities;
+    std::vector<FairShares::OtherUse> strays;
     for (const auto &[id, worker] : m_workers) {
         if (worker.isUsable(now) || worker.hasRuns()) {
             capacities[worker.info.service] += worker.info.capacity;
         }
+        for (const auto &[run, stray] : worker.strayRuns) {
+            strays.push_back({worker.info.service, stray.workspace, stray.reserved});
+        }
     }
-    return m_fairShares.defer(ready, capacities, m_quotaUsage, wall);
+    return m_fairShares.defer(ready, capacities, m_quotaUsage, wall, strays);
 }
 
 WaitReason Shard::quotaWaitReason() const
