Don't start a task while an earlier run of it is listed

**Change.** A waiting task, and a gang with such a member, is not placed while a stray run of it is left (wait reason `stray-run`), and a planned start is not sent then.

**Before / after.** `build/bin/tst_strayruns`: ATaskDoesNotStartWhileAnEarlierRunOfItIsListed, AGangDoesNotStartWhileAnEarlierRunOfAMemberIsListed and ARunThatIsListedBeforeItsTaskGetsThatAttemptIsCountedOnce failed before.

**Conclusion.** A known run keeps its task from starting, for as long as the run is kept.

--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -140,6 +140,8 @@
         return "empty-worker";
     case WaitReason::OpenTasks:
         return "open-tasks";
+    case WaitReason::StrayRun:
+        return "stray-run";
     case WaitReason::OpenLoss:
         return "open-loss";
     }
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -91,6 +91,7 @@
     Advice, ///< the advice service has allowed no worker that has room
     EmptyWorker, ///< workers have crashed under it, so it needs one for itself
     OpenTasks, ///< too many tasks of other occurrences are in memory until these are done
+    StrayRun, ///< an earlier run of it is being stopped
     OpenLoss, ///< whether a worker has crashed under it once more is not known yet
 };
 
--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -377,7 +377,8 @@
     std::optional<TaskId> deadlyTask(const Job &job) const;
     /// Whether too many workers have crashed under the task, without those that may still answer.
     bool isDeadly(const Stage &stage, const TaskId &id, const Task &task) const;
-    bool mayNotStart(const Stage &stage, const TaskId &id, const Task &task) const;
+    /// Why the waiting task must not start on any worker now, if so.
+    std::optional<WaitReason> startBlockedBy(const Stage &stage, const TaskId &id, const Task &task) const;
     void
     assign(Job &job, const TaskId &id, Task &task, Worker &worker, std::uint32_t attempt, Base::Instant now);
     void sendBatch(Base::Instant now);
@@ -417,6 +418,7 @@
     std::optional<Incarnations> m_recordedIncarnations; ///< in the stored record; nullopt: not known
     bool m_hadEarlierOwner = false; ///< whether there were any records
     bool m_isReleased = true; ///< whether the latest owner has released the shard
+    std::multiset<TaskId> m_strayTasks; ///< tasks of the workers' stray runs
     // By worker, the ends in the stored record of leases; nullopt if the outcome of an append of it is not
     // known.
     std::optional<std::map<std::string, Base::Instant>> m_recordedLeases;
--- a/src/libs/jobs/shardplacement.cpp
+++ b/src/libs/jobs/shardplacement.cpp
@@ -336,8 +336,8 @@
         if (candidates.empty()) {
             candidates = allowedByAdvice(job, number, stage, candidatesFor(job, number, stage), now);
         }
-        if (mayNotStart(wanted, {job.spec.id, number, stage, n}, task)) {
-            progress.setWait(WaitReason::OpenLoss, now);
+        if (const auto reason = startBlockedBy(wanted, {job.spec.id, number, stage, n}, task)) {
+            progress.setWait(*reason, now);
             m_nextPlacementRetry = now + PlacementRetryPeriod;
             continue;
         }
@@ -466,9 +466,12 @@
     return task.crashes >= most && task.crashes >= most + m_lostRuns.openLosses(id);
 }
 
-bool Shard::mayNotStart(const Stage &stage, const TaskId &id, const Task &task) const
+std::optional<WaitReason> Shard::startBlockedBy(const Stage &stage, const TaskId &id, const Task &task) const
 {
-    return task.crashes >= MaxLosses || isDeadly(stage, id, task);
+    if (task.crashes >= MaxLosses || isDeadly(stage, id, task)) {
+        return WaitReason::OpenLoss;
+    }
+    return m_strayTasks.count(id) > 0 ? std::optional(WaitReason::StrayRun) : std::nullopt;
 }
 
 std::optional<TaskId> Shard::deadlyTask(const Job &job) const
@@ -507,8 +510,8 @@
     const Stage &wanted = job.spec.stages[stage];
     m_nextPlacementRetry = now + PlacementRetryPeriod;
     for (std::uint32_t n = 0; n < progress.tasks.size(); ++n) {
-        if (mayNotStart(wanted, {job.spec.id, number, stage, n}, progress.tasks[n])) {
-            progress.setWait(WaitReason::OpenLoss, now);
+        if (const auto reason = startBlockedBy(wanted, {job.spec.id, number, stage, n}, progress.tasks[n])) {
+            progress.setWait(*reason, now);
             return;
         }
     }
@@ -581,7 +584,7 @@
     const std::uint32_t limit = job.spec.stages[id.stage].tasksPerWorker;
     const StageTasks there = stageTasksOn(worker, job, id);
     if (!worker.isListed || worker.isSilent() || worker.info.isDraining || m_isMembershipLapsed
-        || !isWithinQuota || !isWithinCapacity || there.counted > limit) {
+        || !isWithinQuota || !isWithinCapacity || there.counted > limit || m_strayTasks.count(id) > 0) {
         return false;
     }
     std::optional<std::string> ticket;
--- a/src/libs/jobs/shardstrayruns.cpp
+++ b/src/libs/jobs/shardstrayruns.cpp
@@ -36,6 +36,10 @@
         stray.isSized = true;
         stray.isLongRunning = stage->isLongRunning;
         stray.workspace = job->second.spec.workspace;
+    if (!isNew) {
+        return stray;
+    }
+    m_strayTasks.insert(id.task);
         stray.size = stage->size;
         stray.reserved = reservedResources(*stage);
         worker.used += stray.reserved;
@@ -141,23 +145,16 @@
         .with("attempt", id.attempt)
         .with("worker", worker.info.id)
         .with("end", reason);
-    if (worker.runs.count(id.task) == 0) {
-        worker.suspects.erase(id.task);
-        worker.isolatedRuns.erase(id.task);
-    }
-    worker.used -= stray.reserved;
-    m_quotaUsage.remove(stray.workspace, stray.size);
+    worker.used -= it->second.reserved;
+    m_quotaUsage.remove(it->second.workspace, it->second.size);
+    m_strayTasks.erase(m_strayTasks.find(task));
     m_hasChanged = true;
     return worker.strayRuns.erase(it);
 }
 
 std::size_t Shard::strayRuns() const
 {
-    std::size_t n = 0;
-    for (const auto &[id, worker] : m_workers) {
-        n += worker.strayRuns.size();
-    }
-    return n;
+    return m_strayTasks.size();
 }
 
 } // namespace Jobs
