Correct what outdated lists, late answers and second runs did

**Cause.** Found by the review: an outdated list brought a stray run back that had ended, until the next list; an answer to the start of a run that had become stray was ignored, so it stayed unconfirmed and kept the quota of its workspace for the longest lease if its worker fell silent; the end of one run of a task made another one there unsuspected.

**Change.** A list that is older than the one before adds no stray run. Answers to starts of stray runs are noted. Suspects are forgotten with the last run of the task on the worker. `run-detached` is logged, `worker-lost` has `stray_runs`, and the accessors have plainer names.

**Conclusion.** Open from the review: ends `failed` of former runs are not counted as attempts, and a next owner doesn't know the quota of a stray run on a worker out of reach.

--- a/src/libs/jobs/shard.h
+++ b/src/libs/jobs/shard.h
@@ -150,7 +150,7 @@
     const LossCounts &losses() const;
     UnconfirmedRuns unconfirmedRuns(Base::Instant now) const;
     /// The number of runs that are not the current ones of their tasks.
-    std::size_t strayRuns() const;
+    std::size_t strayRunCount() const;
 
 private:
     static constexpr std::string_view OwnerKey = "owner";
@@ -237,6 +237,12 @@
     void detachRun(Job &job, const TaskId &id, Task &task, Base::Instant now);
     /// Adds a stray run of the worker, which counts from then on.
     StrayRun &addStrayRun(Worker &worker, const RunId &id, const Task &run);
+    void strayStartAnswered(Worker &worker,
+                            StrayRun &stray,
+                            const StartRun &order,
+                            OrderResult result,
+                            std::int64_t clock,
+                            Base::Instant now);
     /// Notes that the worker has listed a stray run.
     void strayRunListed(
         Worker &worker, OrderToken askedWith, const RunList &list, const ListedRun &run, Base::Instant now);
@@ -412,13 +418,13 @@
     std::map<std::string, RedirectedJob, std::less<>> m_redirectedJobs; ///< by job ID
     std::vector<std::string> m_newRedirects; ///< jobs whose redirection is not yet in an append
     std::set<TaskId> m_stopping; ///< runs that were ordered to stop; may contain runs that have ended
+    std::multiset<TaskId> m_strayTasks; ///< tasks of the workers' stray runs
     LeaseTimes m_loadedLeases;
     bool m_areLoadedLeasesLast = false; ///< whether no owner has appended anything after them
     Incarnations m_loadedIncarnations; ///< known to an earlier owner
     std::optional<Incarnations> m_recordedIncarnations; ///< in the stored record; nullopt: not known
     bool m_hadEarlierOwner = false; ///< whether there were any records
     bool m_isReleased = true; ///< whether the latest owner has released the shard
-    std::multiset<TaskId> m_strayTasks; ///< tasks of the workers' stray runs
     // By worker, the ends in the stored record of leases; nullopt if the outcome of an append of it is not
     // known.
     std::optional<std::map<std::string, Base::Instant>> m_recordedLeases;
--- a/src/libs/jobs/shardruns.cpp
+++ b/src/libs/jobs/shardruns.cpp
@@ -27,8 +27,7 @@
 {
     const auto it = m_workers.find(task.worker);
     if (it != m_workers.end() && it->second.runs.erase(id) > 0) {
-        it->second.suspects.erase(id);
-        it->second.isolatedRuns.erase(id);
+        it->second.runEnded(id);
         it->second.used -= reservedResources(job.spec.stages[id.stage]);
         m_quotaUsage.remove(job.spec.workspace, job.spec.stages[id.stage].size);
     }
@@ -332,13 +331,18 @@
 
 void Shard::startAnswered(const StartRun &order, OrderResult result, std::int64_t clock, Base::Instant now)
 {
+    Worker &worker = workerFor(order.worker);
+    if (const auto stray = worker.strayRuns.find({order.task, order.attempt});
+        stray != worker.strayRuns.end()) {
+        strayStartAnswered(worker, stray->second, order, result, clock, now);
+        return;
+    }
     const auto it = m_jobs.find(order.task.job);
     Task *task = it != m_jobs.end() ? it->second.find(order.task) : nullptr;
     if (!task || task->run != RunState::Starting || task->attempt != order.attempt) {
         return;
     }
     Job &job = it->second;
-    Worker &worker = workerFor(order.worker);
     const auto backOff = [&worker, now](Milliseconds pause) {
         worker.backoffUntil = std::max(worker.backoffUntil, now + pause);
     };
--- a/src/libs/jobs/shardstrayruns.cpp
+++ b/src/libs/jobs/shardstrayruns.cpp
@@ -18,6 +18,12 @@
         return;
     }
     Worker &worker = workerFor(run.worker);
+    Base::LogLine(Base::LogLevel::Info, "run-detached")
+        .with("request", id.job)
+        .with("task", toString(id))
+        .with("attempt", run.attempt)
+        .with("worker", run.worker)
+        .with("run", toString(run.run));
     StrayRun &stray = addStrayRun(worker, {id, run.attempt}, run);
     if (run.run != RunState::Stopping) {
         stopStrayRun(worker, id, stray, now);
@@ -27,8 +33,13 @@
 // Its job may have been removed.
 StrayRun &Shard::addStrayRun(Worker &worker, const RunId &id, const Task &run)
 {
-    StrayRun &stray = worker.strayRuns[id];
+    const auto [it, isNew] = worker.strayRuns.try_emplace(id);
+    StrayRun &stray = it->second;
     stray.run = run;
+    if (!isNew) {
+        return stray;
+    }
+    m_strayTasks.insert(id.task);
     markSuspect(worker, id.task, run);
     const auto job = m_jobs.find(id.task.job);
     const Stage *stage = job != m_jobs.end() ? job->second.stageOf(id.task) : nullptr;
@@ -36,10 +47,6 @@
         stray.isSized = true;
         stray.isLongRunning = stage->isLongRunning;
         stray.workspace = job->second.spec.workspace;
-    if (!isNew) {
-        return stray;
-    }
-    m_strayTasks.insert(id.task);
         stray.size = stage->size;
         stray.reserved = reservedResources(*stage);
         worker.used += stray.reserved;
@@ -48,12 +55,34 @@
     return stray;
 }
 
+// Its stop has been ordered since.
+void Shard::strayStartAnswered(Worker &worker,
+                               StrayRun &stray,
+                               const StartRun &order,
+                               OrderResult result,
+                               std::int64_t clock,
+                               Base::Instant now)
+{
+    if (result == OrderResult::NoAnswer) {
+        stray.run.openStart = {order.worker, order.sentAt + m_settings.maxOrderDelay};
+    } else if (result == OrderResult::Fenced && order.token == worker.token) {
+        m_commands.emplace_back(RelinquishShard{"a worker has a newer owner"});
+    } else if (result == OrderResult::Done && order.token == worker.token
+               && checkIncarnation(worker, clock, order.sentAt, now)) {
+        stray.run.isConfirmed = true;
+        stray.run.confirmedAt = std::max(stray.run.confirmedAt, clock);
+    }
+}
+
 void Shard::strayRunListed(
     Worker &worker, OrderToken askedWith, const RunList &list, const ListedRun &run, Base::Instant now)
 {
     const RunId id{run.task, run.attempt};
     auto it = worker.strayRuns.find(id);
     if (it == worker.strayRuns.end()) {
+        if (list.clock < worker.previousClock) {
+            return; // a later list has arrived before, without the run
+        }
         const auto job = m_jobs.find(run.task.job);
         const Task *task = job != m_jobs.end() ? job->second.find(run.task) : nullptr;
         Base::LogLine(Base::LogLevel::Warning, "stray-run")
@@ -131,28 +160,30 @@
 {
     for (auto it = worker.strayRuns.begin(); it != worker.strayRuns.end();) {
         const bool hasEnded = endOf(worker, it->second.isLongRunning, it->second.run) <= now;
-        it = hasEnded ? endStrayRun(worker, it, "lapsed") : std::next(it);
+        it = hasEnded ? endStrayRun(worker, it, "lease-lapsed") : std::next(it);
     }
 }
 
 Worker::StrayRuns::iterator
 Shard::endStrayRun(Worker &worker, Worker::StrayRuns::iterator it, std::string_view reason)
 {
-    const auto &[id, stray] = *it;
+    const TaskId task = it->first.task;
     Base::LogLine(Base::LogLevel::Info, "stray-run-ended")
-        .with("request", id.task.job)
-        .with("task", toString(id.task))
-        .with("attempt", id.attempt)
+        .with("request", task.job)
+        .with("task", toString(task))
+        .with("attempt", it->first.attempt)
         .with("worker", worker.info.id)
         .with("end", reason);
     worker.used -= it->second.reserved;
     m_quotaUsage.remove(it->second.workspace, it->second.size);
     m_strayTasks.erase(m_strayTasks.find(task));
     m_hasChanged = true;
-    return worker.strayRuns.erase(it);
+    const auto next = worker.strayRuns.erase(it);
+    worker.runEnded(task);
+    return next;
 }
 
-std::size_t Shard::strayRuns() const
+std::size_t Shard::strayRunCount() const
 {
     return m_strayTasks.size();
 }
--- a/src/libs/jobs/shardworkers.cpp
+++ b/src/libs/jobs/shardworkers.cpp
@@ -413,6 +413,7 @@
             Base::LogLine(Base::LogLevel::Warning, "worker-lost")
                 .with("worker", worker.info.id)
                 .with("runs", worker.runs.size())
+                .with("stray_runs", worker.strayRuns.size())
                 .with("lease_ms", milliseconds(worker.leaseExpiresBy - now))
                 .with("unconfirmed_runs", unconfirmed.runs)
                 .with("unconfirmed_wait_ms", unconfirmed.longestWait.count())
--- a/src/libs/jobs/worker.h
+++ b/src/libs/jobs/worker.h
@@ -92,14 +92,14 @@
     std::set<TaskId> runs; ///< tasks whose current run is assigned to the worker and not known to have ended
     using StrayRuns = std::map<RunId, StrayRun>;
     StrayRuns strayRuns;
-    std::set<TaskId> suspects; ///< of these, tasks under which a worker has crashed
+    std::set<TaskId> suspects; ///< of both, tasks under which a worker has crashed
     std::set<TaskId> isolatedRuns; ///< of these, tasks under which several workers have crashed
     Base::Instant isolatedFrom; ///< since when it has been withheld from other tasks for new isolated runs
     Base::Instant isolatedUntil; ///< the latest isolated run is new until then
     Base::Instant emptiedUntil; ///< gets no new runs, so that a task can have the worker for itself
     Resources used;
     Resources fullCapacity; ///< the largest since its latest restart, of each kind
-    Base::Instant backoffUntil; ///< set after a refused start, failed runs or an unknown run
+    Base::Instant backoffUntil; ///< set after a refused start or failed runs
     int consecutiveFailedJobs = 0; ///< jobs with a failed run since the last successful run
     std::string lastFailedJob;
 
@@ -126,6 +126,16 @@
         return !runs.empty() || !strayRuns.empty();
     }
 
+    /// Forgets that the task is suspect, unless another run of it is left.
+    void runEnded(const TaskId &task)
+    {
+        const auto stray = strayRuns.lower_bound({task, 0});
+        if (runs.count(task) == 0 && (stray == strayRuns.end() || stray->first.task != task)) {
+            suspects.erase(task);
+            isolatedRuns.erase(task);
+        }
+    }
+
     /// Whether it runs something that is not known to leave room for anything else.
     bool hasUnsizedRun() const
     {
--- a/src/libs/jobservice/shardhost.h
+++ b/src/libs/jobservice/shardhost.h
@@ -248,10 +248,10 @@
         return all;
     }
 
-    std::size_t strayRuns() const
+    std::size_t strayRunCount() const
     {
         std::size_t n = 0;
-        forEachServingShard([&](ShardNumber, const Jobs::Shard &shard) { n += shard.strayRuns(); });
+        forEachServingShard([&](ShardNumber, const Jobs::Shard &shard) { n += shard.strayRunCount(); });
         return n;
     }
 
