Let the soak check ROUTE: service, tasks of a stage on a worker

**Change.** At each start the worker has to be of the queue's service and to run no more tasks of the stage and occurrence than its limit, with those that are being stopped. `proof-brass` asks for one task on a worker, with three times as many tasks of a third of the size, so that they wait. Labels are not checked, as no job asks for any.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -43,9 +43,11 @@
     if (stage.canCheckpoint) {
         out["Checkpointing"] = true;
     }
+    if (stage.tasksPerWorker > 0) {
+        out["AntiAffinity"] = stage.tasksPerWorker;
+    }
     if (stage.isLongRunning) {
         out["LongRunning"] = true;
-        out["AntiAffinity"] = stage.tasksPerWorker;
         out["MaxUnavailable"] = stage.maxUnavailable;
     }
     return out;
@@ -183,9 +185,9 @@
         if (n > 0) {
             stage.dependsOn = {n - 1};
         }
+        stage.tasksPerWorker = queue.tasksPerWorker;
         if (queue.isLongRunning) {
             stage.isLongRunning = true;
-            stage.tasksPerWorker = 1;
             stage.maxUnavailable = std::max<std::uint32_t>(1, stage.count / UnavailableDivisor);
         }
         job.stages.push_back(stage);
--- a/tests/soak/observer.cpp
+++ b/tests/soak/observer.cpp
@@ -195,6 +195,7 @@
         record("BUDGET", fmt::format("{}: {} workers have crashed under it", what, task.crashes));
     }
     const Worker &worker = m_workers.at(workerId);
+    checkRoute(what, worker, id);
     const bool isBoundOld = m_timers.now() - worker.shrunkAt > ContactTime + HeartbeatTime;
     const Jobs::Resources &bound = isBoundOld ? worker.capacity : worker.largest;
     Jobs::Resources used = worker.used;
@@ -221,6 +222,30 @@
     }
 }
 
+void Observer::checkRoute(const std::string &what, const Worker &worker, const Jobs::TaskId &id)
+{
+    const Job &job = m_jobs.at(id.job);
+    if (worker.service != job.job.queue->service) {
+        record("ROUTE", fmt::format("{}: it is a worker of {}", what, worker.service));
+    }
+    const std::uint32_t limit = job.job.stages[id.stage].tasksPerWorker;
+    if (limit == 0) {
+        return;
+    }
+    std::string others;
+    std::uint32_t count = 1;
+    for (const Jobs::TaskId &it : worker.runs) {
+        if (it != id && it.job == id.job && it.occurrence == id.occurrence && it.stage == id.stage) {
+            others += (others.empty() ? "" : ", ") + Jobs::toString(it);
+            ++count;
+        }
+    }
+    if (count > limit) {
+        record("ROUTE",
+               fmt::format("{}: at most {} tasks of the stage, and {} run there", what, limit, others));
+    }
+}
+
 void Observer::started(const std::string &workerId, const Jobs::TaskId &id, std::uint32_t attempt)
 {
     checkStart(workerId, id, attempt);
--- a/tests/soak/observer.h
+++ b/tests/soak/observer.h
@@ -112,6 +112,8 @@
     static bool hasRoomTwice(const ServiceUse &use, const Jobs::Resources &size);
     bool isUnderHalfOfQuota(const std::string &workspace) const;
     void checkStart(const std::string &worker, const Jobs::TaskId &id, std::uint32_t attempt);
+    /// That the queue and the stage allow a start on the worker.
+    void checkRoute(const std::string &what, const Worker &worker, const Jobs::TaskId &id);
     static bool mayBeGivenUp(const Job &job);
     void checkWaiting(Job &job, const std::map<std::string, ServiceUse, std::less<>> &services);
     void checkLongRunning(Job &job, const ServiceUse &use);
--- a/tests/soak/shape.cpp
+++ b/tests/soak/shape.cpp
@@ -48,12 +48,24 @@
     return queue;
 }
 
+/// As much work in more and smaller tasks, which wait for a worker without a task of their stage.
+Queue narrowProofs(const std::string &name, const std::string &service, double perSecond, std::uint32_t turn)
+{
+    Queue queue = proofs(name, service, perSecond, turn);
+    queue.tasksPerWorker = 1;
+    queue.width = {24, 0.6, 96};
+    queue.milliCores = {2233, 0.45, 6667};
+    queue.memory = {8333, 0.6, 24'667};
+    return queue;
+}
+
 Queue caches(const std::string &name, const std::string &service)
 {
     Queue queue;
     queue.name = name;
     queue.service = service;
     queue.isLongRunning = true;
+    queue.tasksPerWorker = 1;
     queue.slackFactor = 2.2;
     queue.targetLatency = Milliseconds(2500);
     queue.stages = {1, 0, 1};
@@ -97,7 +109,7 @@
     shape.queues = {previews("preview-slate", "slate-designer", 35.1 * scale, 0),
                     proofs("proof-slate", "slate-proofer", 5.49 * scale, 1),
                     previews("preview-brass", "brass-designer", 43.8 * scale, 2),
-                    proofs("proof-brass", "brass-proofer", 6.71 * scale, 3),
+                    narrowProofs("proof-brass", "brass-proofer", 6.71 * scale, 3),
                     caches("font-cache-slate", "slate-designer"),
                     caches("catalogue-slate", "slate-proofer"),
                     caches("font-cache-brass", "brass-designer"),
--- a/tests/soak/shape.h
+++ b/tests/soak/shape.h
@@ -38,6 +38,7 @@
     Size milliCores;
     Size memory; ///< MB
     Size work; ///< ms
+    std::uint32_t tasksPerWorker = 0; ///< of a stage; 0: no limit
     double estimateError = 0.5; ///< estimates are off by up to this share
     double checkpointShare = 0; ///< of jobs whose tasks have checkpoints
     double cancelShare = 0; ///< of jobs that are cancelled
