--- a/tests/auto/strayruns/scriptedshard.h
+++ b/tests/auto/strayruns/scriptedshard.h
@@ -113,7 +113,8 @@
         for (const auto &[due, query] : std::exchange(queries, {})) {
             Jobs::RunList list = lists[query.worker];
             list.clock = clock();
-            std::erase_if(list.ended, [&query](const auto &it) { return it.number <= query.ackCursor; });
+            const std::uint64_t cursor = query.ackCursor;
+            std::erase_if(list.ended, [cursor](const auto &it) { return it.number <= cursor; });
             if (now < due && list.ended.empty()) {
                 queries.emplace_back(due, query);
                 continue;
--- a/tests/auto/strayruns/tst_countedruns.cpp
+++ b/tests/auto/strayruns/tst_countedruns.cpp
@@ -12,7 +12,7 @@
 
 using namespace std::chrono_literals;
 
-// Run 1 of task 0 of job "a" was given up on "w", which lists its end as done; run 2 goes on on "v".
+// Run 1 of givenUpTask 0 of job "a" was given up on "w", which lists its end as done; run 2 goes on on "v".
 TEST_GROUP(CountedRuns)
 {
     void setup() override
@@ -28,16 +28,16 @@
         }
         fleet.load(job, R"({"state":0,"done":0,"next":1,"tasks":{"0":[[)" + tasks + "]]}}");
         fleet.begin();
-        fleet.lists["v"].running.push_back({Task, 2, {}, 100, 0});
-        fleet.listEnd("w", Task, 1);
+        fleet.lists["v"].running.push_back({givenUpTask, 2, {}, 100, 0});
+        fleet.listEnd("w", givenUpTask, 1);
     }
 
     void endRunOnV()
     {
-        std::erase_if(fleet.lists["v"].running, [this](const auto &it) { return it.task == Task; });
+        std::erase_if(fleet.lists["v"].running, [this](const auto &it) { return it.task == givenUpTask; });
     }
 
-    const Jobs::TaskId Task{"a", 0, 0, 0};
+    const Jobs::TaskId givenUpTask{"a", 0, 0, 0};
     ScriptedShard fleet;
 };
 
@@ -113,7 +113,7 @@
     beginWith(makeJob("a", 1));
     fleet.run(100ms);
     CHECK(!fleet.stops.empty());
-    CHECK(fleet.stops[0].task == Task);
+    CHECK(fleet.stops[0].task == givenUpTask);
     LONGS_EQUAL(2, fleet.stops[0].attempt);
     STRCMP_EQUAL("v", fleet.stops[0].worker.c_str());
     fleet.run(1s);
@@ -173,9 +173,9 @@
         R"({"state":0,"done":0,"next":1,"tasks":{"0":[[[0,2,0,"v","",0,0,1,0],[0,2,0,"u","",0,0,1,0]]]}})");
     fleet.begin();
     fleet.shard->submit(makeJob("b", 3), 1, fleet.now, Wall);
-    fleet.lists["v"].running.push_back({Task, 2, {}, 100, 0});
+    fleet.lists["v"].running.push_back({givenUpTask, 2, {}, 100, 0});
     fleet.lists["u"].running.push_back({{"a", 0, 0, 1}, 2, {}, 100, 0});
-    fleet.listEnd("w", Task, 1);
+    fleet.listEnd("w", givenUpTask, 1);
     fleet.run(3s);
     CHECK(fleet.shard->find("a")->state == Jobs::JobState::Completed);
     LONGS_EQUAL(2, fleet.shard->strayRunCount());
@@ -194,7 +194,7 @@
     fleet.begin();
     fleet.workers.erase("w");
     fleet.listWorkers();
-    fleet.lists["v"].running.push_back({Task, 1, {}, 100, 0});
+    fleet.lists["v"].running.push_back({givenUpTask, 1, {}, 100, 0});
     fleet.run(3s);
     LONGS_EQUAL(0, fleet.starts.size());
     endRunOnV();
@@ -224,7 +224,7 @@
     fleet.load(makeJob("a", 1), R"({"state":0,"done":0,"next":1,"tasks":{"0":[[[0,1,0]]]}})");
     fleet.begin();
     fleet.silent.insert("w");
-    fleet.lists["v"].running.push_back({Task, 1, {}, 100, 0});
+    fleet.lists["v"].running.push_back({givenUpTask, 1, {}, 100, 0});
     fleet.run(3s);
     LONGS_EQUAL(1, fleet.shard->strayRunCount());
     fleet.silent.clear();
@@ -246,7 +246,7 @@
         info.capacity = {2 * Cores, 8000, 0};
     }
     fleet.listWorkers();
-    fleet.lists["v"].running.push_back({Task, 1, {}, 100, 0});
+    fleet.lists["v"].running.push_back({givenUpTask, 1, {}, 100, 0});
     fleet.run(3s);
     LONGS_EQUAL(1, fleet.shard->strayRunCount());
     fleet.silent.clear();
@@ -279,11 +279,11 @@
     auto job = makeJob("a", 1);
     fleet.load(job, R"({"state":0,"done":0,"next":1,"tasks":{"0":[[[0,2,0,"v","",0,2,1,0]]]}})");
     fleet.begin();
-    fleet.lists["v"].running.push_back({Task, 1, {}, 100, 0});
-    fleet.lists["v"].running.push_back({Task, 2, {}, 100, 0});
+    fleet.lists["v"].running.push_back({givenUpTask, 1, {}, 100, 0});
+    fleet.lists["v"].running.push_back({givenUpTask, 2, {}, 100, 0});
     fleet.run(1s);
     std::erase_if(fleet.lists["v"].running, [](const auto &it) { return it.attempt == 2; });
-    fleet.listEnd("v", Task, 2);
+    fleet.listEnd("v", givenUpTask, 2);
     fleet.run(200ms);
     LONGS_EQUAL(1, fleet.shard->strayRunCount());
     LONGS_EQUAL(1, fleet.worker("v").suspects.size());
@@ -316,7 +316,7 @@
     fleet.workers.erase("w");
     fleet.begin();
     fleet.shard->submit(makeJob("a", 1), 1, fleet.now, Wall);
-    fleet.lists["v"].running.push_back({Task, 1, {}, 100, 0});
+    fleet.lists["v"].running.push_back({givenUpTask, 1, {}, 100, 0});
     fleet.run(3s);
     LONGS_EQUAL(Cores, fleet.worker("v").used.milliCores);
 }
@@ -352,8 +352,9 @@
             switch (draw(9)) {
             case 0:
             case 1:
-                if (mayExist)
+                if (mayExist) {
                     list.running.push_back({task, attempt, {}, 100, 0});
+                }
                 break;
             case 2:
             case 3:
@@ -372,8 +373,9 @@
                 }
                 break;
             case 4:
-                if (mayExist)
+                if (mayExist) {
                     list.ended.push_back({++ends[worker], task, attempt, Jobs::RunEnd::Done, {}});
+                }
                 break;
             case 5:
                 if (!it.silent.insert(worker).second) {
@@ -490,7 +492,7 @@
         job,
         R"({"state":0,"done":0,"next":1,"tasks":{"0":[[[0,2,0,"gone","",0,0,1,0],[0,1,0,"w","",0,0,1,0]]]}})");
     fleet.begin();
-    fleet.lists["v"].running.push_back({Task, 1, {}, 100, 0});
+    fleet.lists["v"].running.push_back({givenUpTask, 1, {}, 100, 0});
     fleet.lists["w"].running.push_back({{"a", 0, 0, 1}, 1, {}, 100, 0});
     fleet.run(3s);
     fleet.stops.clear();
--- a/tests/auto/strayruns/tst_formerruns.cpp
+++ b/tests/auto/strayruns/tst_formerruns.cpp
@@ -15,7 +15,7 @@
         Base::LogLine::setThreshold(Base::LogLevel::Error);
     }
 
-    const Jobs::TaskId Task{"a", 0, 0, 0};
+    const Jobs::TaskId givenUpTask{"a", 0, 0, 0};
     ScriptedShard fleet;
 };
 
@@ -24,7 +24,7 @@
     auto job = makeJob("a", 1);
     job.queue.maxAttempts = 1;
     fleet.load(job, R"({"state":0,"done":0,"next":1,"tasks":{"0":[[[0,1,0]]]}})");
-    fleet.listEnd("w", Task, 1, Jobs::RunEnd::Failed);
+    fleet.listEnd("w", givenUpTask, 1, Jobs::RunEnd::Failed);
     fleet.begin();
     fleet.run(2s);
     LONGS_EQUAL(0, fleet.starts.size());
@@ -37,8 +37,8 @@
     fleet.shard->setQuotaLimits({{"x", {{Cores, 8000, 0}, {Cores, 8000, 0}}}});
     fleet.load(job, R"({"state":0,"done":0,"next":1,"tasks":{"0":[[[0,2,0,"v","",0,0,1,0],[0,0,0]]]}})");
     fleet.begin();
-    fleet.lists["v"].running.push_back({Task, 2, {}, 100, 0});
-    fleet.listEnd("w", Task, 1);
+    fleet.lists["v"].running.push_back({givenUpTask, 2, {}, 100, 0});
+    fleet.listEnd("w", givenUpTask, 1);
     fleet.run(200ms);
     fleet.silent.insert("v");
     fleet.run(500ms);
