Let simulated gangs work together, and tasks that last go on

**Cause.** The simulated platform ended each task of a gang by itself, also when others were missing, and took the end of one for that of all nowhere, though the owner does, as the protocol says. Tasks that last ended after the time of short ones.

**Change.** A gang works from the moment when all its tasks are there, and ends at once; a task that waits for the others for 3 s ends `alone`, and any other end, or the crash of a worker, breaks the rest.

**Conclusion.** No check is changed.

--- a/tests/auto/jobs/simulatedplatform.cpp
+++ b/tests/auto/jobs/simulatedplatform.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <tuple>
 
 using namespace std::chrono_literals;
 
@@ -16,7 +17,9 @@
 constexpr auto StoreDelay = 2ms; // one way
 constexpr auto WorkerDelay = 1ms; // one way
 constexpr auto OrderTimeout = 800ms;
+constexpr SimulatedPlatform::Milliseconds LongRunningTime = 24h;
 constexpr auto StoreTimeout = 1000ms;
+constexpr SimulatedPlatform::Milliseconds GangTimeout = 3s; // of a task that waits for the rest of its gang
 constexpr const char *QueuesTopic = "queues";
 constexpr std::size_t MaxOpenCalls = 200; // limit per worker; older calls have been answered
 constexpr auto TailStep = 5ms; // until a read of new records is answered
@@ -122,7 +125,9 @@
 {
     Worker &worker = workers[id];
     worker.isUp = false;
-    worker.m_runs.clear();
+    for (const Run &it : std::exchange(worker.m_runs, {})) {
+        breakGang(it.task, it.attempt);
+    }
     worker.m_ends.clear();
     worker.m_endTimes.clear();
     worker.m_highestAttempts.clear();
@@ -158,7 +163,6 @@
     }
     ++crashesUnder[task];
     addToHistory(worker, task, attempt, "crashes its worker");
-    breakGang(task, attempt, id);
     if (!replacesCrashedWorkers) {
         crash(id, crashPause);
         timers.subscribeAfter(crashPause, [this] { publishWorkers(); });
@@ -344,23 +348,89 @@
     for (const auto &it : std::exchange(worker.m_pendingRenewals, {})) {
         timers.subscribeAfter({}, it);
     }
+    using Jobs::RunEnd;
+    if (how == RunEnd::Stopped || how == RunEnd::LeaseExpired || how == RunEnd::Alone) {
+        breakGang(ended.task, ended.attempt);
+    }
 }
 
-void SimulatedPlatform::breakGang(const Jobs::TaskId &task, std::uint32_t attempt, const std::string &lost)
+std::vector<std::pair<SimulatedPlatform::Worker *, SimulatedPlatform::Run *>>
+SimulatedPlatform::gangOf(const Jobs::TaskId &task, std::uint32_t attempt)
 {
+    std::vector<std::pair<Worker *, Run *>> gang;
     const Jobs::Stage *stage = stageOf(task);
     if (!stage || !stage->isGang) {
-        return;
+        return gang;
     }
     for (auto &[id, worker] : workers) {
-        for (std::size_t n = worker.m_runs.size(); n-- > 0 && id != lost;) {
-            const Run &it = worker.m_runs[n];
-            if (it.task.job == task.job && it.task.occurrence == task.occurrence
+        for (Run &it : worker.m_runs) {
+            if (worker.isUp && it.task.job == task.job && it.task.occurrence == task.occurrence
                 && it.task.stage == task.stage && it.attempt == attempt) {
-                end(worker, n, Jobs::RunEnd::Broken);
+                gang.emplace_back(&worker, &it);
             }
         }
     }
+    return gang;
+}
+
+void SimulatedPlatform::breakGang(const Jobs::TaskId &task, std::uint32_t attempt)
+{
+    for (auto gang = gangOf(task, attempt); !gang.empty(); gang = gangOf(task, attempt)) {
+        const auto [worker, run] = gang.front();
+        end(*worker, static_cast<std::size_t>(run - worker->m_runs.data()), Jobs::RunEnd::Broken);
+    }
+}
+
+void SimulatedPlatform::startCompleteGang(const Jobs::TaskId &task, std::uint32_t attempt)
+{
+    const auto gang = gangOf(task, attempt);
+    if (gang.empty() || gang.size() < stageOf(task)->count) {
+        return;
+    }
+    Milliseconds time{};
+    for (const auto &[worker, run] : gang) {
+        time = std::max(time, std::exchange(run->gangTime, {}));
+    }
+    for (const auto &[worker, run] : gang) {
+        run->endsAt = timers.now() + time;
+        timers.subscribeAfter(time, [this, id = worker->info.id] { advance(workers[id]); });
+    }
+}
+
+bool SimulatedPlatform::endGang(const Jobs::TaskId &task, std::uint32_t attempt)
+{
+    const auto gang = gangOf(task, attempt);
+    std::vector<std::tuple<Worker *, Jobs::TaskId, Jobs::RunEnd>> ends;
+    bool isSound = true;
+    for (const auto &[worker, run] : gang) {
+        if (worker->isStalled) {
+            return false;
+        }
+        const bool fails = run->fails || worker->failsAll;
+        isSound = isSound && !fails && !isLapsed(*worker);
+        ends.emplace_back(worker,
+                          run->task,
+                          isLapsed(*worker) ? Jobs::RunEnd::LeaseExpired
+                              : fails       ? Jobs::RunEnd::Failed
+                                            : Jobs::RunEnd::Broken);
+    }
+    for (const auto &[worker, member, how] : ends) {
+        const auto run =
+            std::find_if(worker->m_runs.begin(), worker->m_runs.end(), [&, it = member](const Run &other) {
+                return other.task == it && other.attempt == attempt;
+            });
+        if (run != worker->m_runs.end()) {
+            end(*worker,
+                static_cast<std::size_t>(run - worker->m_runs.begin()),
+                isSound ? Jobs::RunEnd::Done : how);
+        }
+    }
+    return true;
+}
+
+bool SimulatedPlatform::isLapsed(const Worker &worker) const
+{
+    return clockOf(worker) > worker.m_leaseEnd;
 }
 
 void SimulatedPlatform::advance(Worker &worker)
@@ -369,19 +439,26 @@
         return;
     }
     // An end that was not acknowledged when the lease expired does not count: the run may be repeated.
-    const bool isLapsed = clockOf(worker) > worker.m_leaseEnd;
-    if (isLapsed) {
+    const bool hasLapsed = isLapsed(worker);
+    if (hasLapsed) {
         worker.m_lapsedEnds = worker.m_lastEnd;
     }
     for (std::size_t n = 0; n < worker.m_runs.size();) {
-        if (isLapsed) {
+        const Run run = worker.m_runs[n];
+        const bool isDue = run.endsAt <= timers.now() && !worker.isStalled;
+        const Jobs::Stage *stage = stageOf(run.task);
+        if (hasLapsed) {
             end(worker, n, Jobs::RunEnd::LeaseExpired);
-        } else if (worker.m_runs[n].endsAt <= timers.now() && !worker.isStalled) {
-            end(worker,
-                n,
-                worker.m_runs[n].fails || worker.failsAll ? Jobs::RunEnd::Failed : Jobs::RunEnd::Done);
-        } else if (worker.m_runs[n].stopsAt.value_or(Base::Instant::max()) <= timers.now()) {
+        } else if (isDue && run.gangTime > 0ms) {
+            end(worker, n, Jobs::RunEnd::Alone);
+            n = 0;
+        } else if (isDue && stage && stage->isGang) {
+            n = endGang(run.task, run.attempt) ? 0 : n + 1;
+        } else if (isDue) {
+            end(worker, n, run.fails || worker.failsAll ? Jobs::RunEnd::Failed : Jobs::RunEnd::Done);
+        } else if (run.stopsAt.value_or(Base::Instant::max()) <= timers.now()) {
             end(worker, n, Jobs::RunEnd::Stopped);
+            n = 0;
         } else {
             ++n;
         }
@@ -616,11 +693,14 @@
     startedAt.try_emplace(order.task, timers.now());
     m_lastStarts[order.task] = timers.now();
     const bool fails = std::uniform_real_distribution<>(0, 1)(random) < failureShare;
-    Milliseconds time = taskTime;
+    Milliseconds time = stage && stage->isLongRunning ? std::max(taskTime, LongRunningTime) : taskTime;
     if (!order.checkpoint.empty()) {
         time = Milliseconds(std::stoll(order.checkpoint.substr(order.checkpoint.find(' ') + 1)));
     }
-    worker.m_runs.push_back({order.task, order.attempt, timers.now() + time, fails, std::nullopt});
+    const bool isGang = stage && stage->isGang;
+    const Milliseconds gangTime = isGang ? std::exchange(time, GangTimeout) : 0ms;
+    worker.m_runs.push_back({order.task, order.attempt, timers.now() + time, fails, std::nullopt, gangTime});
+    startCompleteGang(order.task, order.attempt);
     const std::string id = worker.info.id;
     timers.subscribeAfter(time, [this, id] { advance(workers[id]); });
     if (deadlyTasks.count(order.task) > 0) {
--- a/tests/auto/jobs/simulatedplatform.h
+++ b/tests/auto/jobs/simulatedplatform.h
@@ -28,6 +28,7 @@
         Base::Instant endsAt;
         bool fails = false;
         std::optional<Base::Instant> stopsAt; ///< if it has been stopped and has not ended yet
+        Milliseconds gangTime{}; ///< duration of a run that waits for the rest of its gang
     };
 
     class Worker
@@ -252,8 +253,15 @@
     void acknowledge(Worker &worker, std::uint64_t cursor);
     void advance(Worker &worker);
     void end(Worker &worker, std::size_t run, Jobs::RunEnd how);
-    /// Ends the gang's runs on other workers than the one that was lost.
-    void breakGang(const Jobs::TaskId &task, std::uint32_t attempt, const std::string &lost);
+    bool isLapsed(const Worker &worker) const;
+    /// The runs of the gang's attempt on workers that are up. Empty for other tasks.
+    std::vector<std::pair<Worker *, Run *>> gangOf(const Jobs::TaskId &task, std::uint32_t attempt);
+    /// Ends the runs that are left.
+    void breakGang(const Jobs::TaskId &task, std::uint32_t attempt);
+    /// The tasks of a gang work from the moment when all of them are there.
+    void startCompleteGang(const Jobs::TaskId &task, std::uint32_t attempt);
+    /// Ends all tasks of the gang at once. Returns false if one of them is on a stalled worker.
+    bool endGang(const Jobs::TaskId &task, std::uint32_t attempt);
     void checkStop(const Worker &worker, const Jobs::StopRun &order);
     void checkStart(const Worker &worker, const Jobs::StartRun &order);
     void checkPlacement(const Worker &worker, const Jobs::StartRun &order, const Jobs::Stage &stage);
