--- a/tests/auto/jobs/faulthistory.cpp
+++ b/tests/auto/jobs/faulthistory.cpp
@@ -97,6 +97,66 @@
     world.kill(name);
 }
 
+void FaultHistory::causeTrouble()
+{
+    SimulatedPlatform::Worker &worker = anyWorker();
+    SimulatedPlatform::Member &member = anyMember();
+    switch (pick(0, 10)) {
+    case 0:
+        restart(worker, 0s, 4s);
+        break;
+    case 1:
+        worker.unreachableFrom.insert(member.name);
+        break;
+    case 2:
+        worker.unreachableFrom.clear();
+        break;
+    case 3:
+        worker.delayedShare = 0.3;
+        break;
+    case 4:
+        worker.delayedShare = 0;
+        break;
+    case 5:
+        killMember(member.name);
+        break;
+    case 6:
+        member.platform.isStoreDown = !member.platform.isStoreDown;
+        break;
+    case 7:
+        world.isStoreDown = !world.isStoreDown;
+        break;
+    case 8:
+        member.platform.losesAnswers = !member.platform.losesAnswers;
+        member.platform.losesRenewalAnswers = member.platform.losesAnswers && pick(0, 1) == 0;
+        break;
+    case 9:
+        if (!accepted.empty()) {
+            // Without an answer it is unknown whether the job was cancelled, so its end is not checked.
+            if (world.cancel(accepted.back())) {
+                world.cancelled.insert(accepted.back());
+            }
+            accepted.pop_back();
+        }
+        break;
+    case 10:
+        replaceMember(member);
+        break;
+    }
+    world.publishWorkers();
+}
+
+void FaultHistory::cutOff(SimulatedPlatform::Worker &worker, Milliseconds time, bool isOneWay)
+{
+    for (const auto &[name, member] : world.members) {
+        (isOneWay ? worker.unheardBy : worker.unreachableFrom).insert(name);
+    }
+    world.timers.subscribeAfter(time, [&worker] {
+        worker.unheardBy.clear();
+        worker.unreachableFrom.clear();
+    });
+}
+
 bool FaultHistory::isOver(const std::string &job)
 {
     const auto state = world.state(job);
@@ -106,7 +166,7 @@
     return state == ReportedState::Completed || state == ReportedState::Failed;
 }
 
-std::vector<std::string> FaultHistory::finish(std::chrono::seconds time)
+void FaultHistory::endFaults()
 {
     world.isStoreDown = false;
     world.failureShare = 0;
@@ -120,6 +180,11 @@
         member->platform.losesAnswers = false;
         member->platform.losesRenewalAnswers = false;
     }
+}
+
+std::vector<std::string> FaultHistory::finish(std::chrono::seconds time)
+{
+    endFaults();
     const bool forgetsJobs = time >= world.settings.shard.retention;
     for (auto n = 0s; n < time; ++n) {
         world.run(1s);
--- a/tests/auto/jobs/faulthistory.h
+++ b/tests/auto/jobs/faulthistory.h
@@ -36,6 +36,11 @@
     void killMember(const std::string &name);
     /// The member hands its shards over and ends. Another one joins before that.
     void replaceMember(SimulatedPlatform::Member &member);
+    /// One fault at random, or its end: of a worker, a member or the store, or a cancellation.
+    void causeTrouble();
+    /// No member that is there now reaches the worker, or gets its answers, for this long.
+    void cutOff(SimulatedPlatform::Worker &worker, Milliseconds time, bool isOneWay);
+    void endFaults();
     /// Ends all faults and waits until the accepted jobs are over. Returns what has gone wrong.
     std::vector<std::string> finish(std::chrono::seconds time);
 
--- a/tests/auto/jobs/tst_faults.cpp
+++ b/tests/auto/jobs/tst_faults.cpp
@@ -44,51 +44,7 @@
             spec.stages[0].requiredLabel = "r" + std::to_string(step % 4);
         }
         history.submit(spec);
-        SimulatedPlatform::Worker &worker = history.anyWorker();
-        SimulatedPlatform::Member &member = history.anyMember();
-        switch (history.pick(0, 10)) {
-        case 0:
-            history.restart(worker, 0s, 4s);
-            break;
-        case 1:
-            worker.unreachableFrom.insert(member.name);
-            break;
-        case 2:
-            worker.unreachableFrom.clear();
-            break;
-        case 3:
-            worker.delayedShare = 0.3;
-            break;
-        case 4:
-            worker.delayedShare = 0;
-            break;
-        case 5:
-            history.killMember(member.name);
-            break;
-        case 6:
-            member.platform.isStoreDown = !member.platform.isStoreDown;
-            break;
-        case 7:
-            world.isStoreDown = !world.isStoreDown;
-            break;
-        case 8:
-            member.platform.losesAnswers = !member.platform.losesAnswers;
-            member.platform.losesRenewalAnswers = member.platform.losesAnswers && history.pick(0, 1) == 0;
-            break;
-        case 9:
-            if (!history.accepted.empty()) {
-                // Without an answer it is unknown whether the job was cancelled, so its end is not checked.
-                if (world.cancel(history.accepted.back())) {
-                    world.cancelled.insert(history.accepted.back());
-                }
-                history.accepted.pop_back();
-            }
-            break;
-        case 10:
-            history.replaceMember(member);
-            break;
-        }
-        world.publishWorkers();
+        history.causeTrouble();
         world.run(history.pickTime(50ms, 1500ms));
     }
     for (const std::string &it : history.finish(tasks == Tasks::Long ? 150s : 60s)) {
