--- a/tests/auto/jobs/tst_rules.cpp
+++ b/tests/auto/jobs/tst_rules.cpp
@@ -143,6 +143,25 @@
     checkNoViolations(world);
 }
 
+TEST(Rules, AGangOfWhichOneTaskIsMissingStartsAgain)
+{
+    world.workers["w3"].isListed = false;
+    world.publishWorkers();
+    world.run(1s);
+    world.workers["w2"].unreachableFrom.insert("m1");
+    auto gang = SimulatedPlatform::makeJob("gang", 2, 2);
+    gang.stages[0].isGang = true;
+    gang.stages[0].tasksPerWorker = 1;
+    CHECK(world.submit(gang));
+    world.run(1s);
+    LONGS_EQUAL(1, world.startedRuns.size());
+    LONGS_EQUAL(1, world.runsOf("gang"));
+    world.workers["w2"].unreachableFrom.clear();
+    world.run(12s);
+    CHECK(world.state("gang") == ReportedState::Completed);
+    checkNoViolations(world);
+}
+
 TEST(Rules, AttemptsAreCountedAcrossOwners)
 {
     world.failureShare = 1;
